--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,35 @@
+//! `wingshed`: the operator's command line. Thin: it words results and hints, and
+//! leaves all logic to the library.
+
+mod demo;
+mod table;
+
+use argh::FromArgs;
+
+/// a router fleet for very many returning chats
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(demo::DemoCommand),
+}
+
+fn main() -> std::process::ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let result = match arguments.command {
+        Command::Demo(command) => demo::run(&command),
+    };
+    match result {
+        Ok(true) => std::process::ExitCode::SUCCESS,
+        Ok(false) => std::process::ExitCode::FAILURE,
+        Err(text) => {
+            eprintln!("wingshed: {text}");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/mod.rs
@@ -0,0 +1,22 @@
+//! Decisions: state, an event and the present time in; a typed decision out.
+//! No sockets, no clocks, no locks, so that every decision can be tested and replayed.
+
+pub mod admission;
+pub mod claim_batch;
+pub mod directory;
+pub mod fair_queue;
+pub mod home;
+pub mod kv_move;
+pub mod leaving;
+pub mod load_spread;
+pub mod order_pace;
+pub mod outlier;
+pub mod placement;
+pub mod policy;
+pub mod raft;
+pub mod relay;
+pub mod replay;
+pub mod retry;
+pub mod router_lease;
+pub mod session_watch;
+pub mod workspace_limit;
--- /dev/null
+++ b/lib/src/protocol/mod.rs
@@ -0,0 +1,14 @@
+//! Wire forms. Each outside interface has one module that alone knows its wire and
+//! turns it into typed messages; none of them opens a socket.
+
+pub mod caller;
+pub mod engine;
+pub mod http;
+pub mod keeper_wire;
+pub mod operator;
+pub mod peer_wire;
+pub mod plain;
+pub mod seal;
+pub mod sse;
+pub mod vm_list;
+pub mod weight_store;
--- /dev/null
+++ b/lib/src/state/ids.rs
@@ -0,0 +1,88 @@
+//! Small `Copy` keys. Names appear at the edges only; tables use these.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+macro_rules! small_key {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub struct $name(pub $inner);
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+small_key!(
+    /// A router, by the number its settings give it.
+    RouterId,
+    u32
+);
+small_key!(
+    /// A keeper, by the number its settings give it.
+    KeeperId,
+    u32
+);
+small_key!(
+    /// One life of a process or of a keeper's disk; a later life is never taken for an earlier one.
+    Incarnation,
+    u64
+);
+small_key!(
+    /// An upstream, by the hash of its name, so that every router uses the same key unasked.
+    UpstreamKey,
+    u64
+);
+small_key!(
+    /// A fleet, by the hash of its name.
+    FleetKey,
+    u64
+);
+small_key!(
+    /// A workspace, by the hash of its name.
+    WorkspaceKey,
+    u64
+);
+small_key!(
+    /// A chat, by the hash of its workspace and its own name.
+    ChatKey,
+    u64
+);
+
+impl UpstreamKey {
+    /// The key of the upstream with this name.
+    pub fn of(name: &str) -> UpstreamKey {
+        UpstreamKey(xxh3_64(name.as_bytes()))
+    }
+}
+
+impl FleetKey {
+    /// The key of the fleet with this name.
+    pub fn of(name: &str) -> FleetKey {
+        FleetKey(xxh3_64(name.as_bytes()))
+    }
+}
+
+impl WorkspaceKey {
+    /// The key of the workspace with this name.
+    pub fn of(name: &str) -> WorkspaceKey {
+        WorkspaceKey(xxh3_64(name.as_bytes()))
+    }
+}
+
+impl ChatKey {
+    /// The key of `chat` within `workspace`; two workspaces never share a chat.
+    pub fn of(workspace: &str, chat: &str) -> ChatKey {
+        let mut bytes = Vec::with_capacity(workspace.len() + chat.len() + 1);
+        bytes.extend_from_slice(workspace.as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(chat.as_bytes());
+        ChatKey(xxh3_64(&bytes))
+    }
+}
--- /dev/null
+++ b/lib/src/transport/http_client.rs
@@ -0,0 +1,141 @@
+//! HTTP out, by `attohttpc`: one connection a call, the body handed on as it comes.
+
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::Snafu;
+
+use super::wire_count::{WireCount, CONNECTION_BYTES};
+use crate::protocol::http::{HttpCall, HttpReply};
+
+/// How long a call may take in its phases.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTimes {
+    /// To connect.
+    pub connect: Duration,
+    /// Between two reads.
+    pub read: Duration,
+}
+
+impl CallTimes {
+    /// The same time for both.
+    pub fn of_ms(ms: u64) -> CallTimes {
+        CallTimes { connect: Duration::from_millis(ms), read: Duration::from_millis(ms) }
+    }
+}
+
+/// Why a call brought no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum CallFailure {
+    /// No byte was sent.
+    #[snafu(display("not sent: {text}"))]
+    NotSent {
+        /// The system's word.
+        text: String,
+    },
+    /// Bytes may have been sent.
+    #[snafu(display("broken: {text}"))]
+    Broken {
+        /// The system's word.
+        text: String,
+    },
+}
+
+/// An answer whose body is still coming.
+pub struct OpenReply {
+    /// The status.
+    pub status: u16,
+    /// Names in lower case, with values.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: attohttpc::ResponseReader,
+}
+
+/// Makes calls and counts them.
+#[derive(Clone, Debug, Default)]
+pub struct HttpClient {
+    /// The counters.
+    pub wire: Arc<WireCount>,
+}
+
+impl HttpClient {
+    /// Sends a call and reads the head of the answer.
+    pub fn open(
+        &self,
+        address: SocketAddr,
+        call: &HttpCall,
+        times: CallTimes,
+        kind: &'static str,
+    ) -> Result<OpenReply, CallFailure> {
+        let url = format!("http://{address}{}", call.target);
+        let method = attohttpc::Method::from_bytes(call.method.as_bytes())
+            .map_err(|error| CallFailure::NotSent { text: error.to_string() })?;
+        let mut request = attohttpc::RequestBuilder::try_new(method, &url)
+            .map_err(|error| CallFailure::NotSent { text: error.to_string() })?
+            .connect_timeout(times.connect)
+            .read_timeout(times.read)
+            .follow_redirects(false)
+            .proxy_settings(attohttpc::ProxySettings::builder().build());
+        let mut bytes = call.target.len() + call.body.len() + CONNECTION_BYTES as usize + 120;
+        for (name, value) in &call.headers {
+            bytes += name.len() + value.len() + 4;
+            let name = attohttpc::header::HeaderName::from_bytes(name.as_bytes())
+                .map_err(|error| CallFailure::NotSent { text: error.to_string() })?;
+            request = request
+                .try_header(name, value.as_str())
+                .map_err(|error| CallFailure::NotSent { text: error.to_string() })?;
+        }
+        self.wire.sent(kind, bytes as u64);
+        let response = request.bytes(call.body.clone()).send().map_err(to_failure)?;
+        let (status, headers, body) = response.split();
+        let pairs = headers.iter().map(|(name, value)| {
+            (name.as_str().to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+        });
+        let headers: Vec<(String, String)> = pairs.collect();
+        let head: usize = headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
+        self.wire.received(kind, (head + 20) as u64 + CONNECTION_BYTES);
+        Ok(OpenReply { status: status.as_u16(), headers, body })
+    }
+
+    /// Sends a call and reads the whole answer, of at most `most` bytes.
+    pub fn call(
+        &self,
+        address: SocketAddr,
+        call: &HttpCall,
+        times: CallTimes,
+        most: usize,
+        kind: &'static str,
+    ) -> Result<HttpReply, CallFailure> {
+        let open = self.open(address, call, times, kind)?;
+        let mut body = Vec::new();
+        let read = open.body.take(most as u64 + 1).read_to_end(&mut body);
+        read.map_err(|error| CallFailure::Broken { text: error.to_string() })?;
+        if body.len() > most {
+            return Err(CallFailure::Broken { text: "the answer is too long".to_string() });
+        }
+        self.wire.received(kind, body.len() as u64);
+        Ok(HttpReply { status: open.status, headers: open.headers, body })
+    }
+}
+
+/// Only errors that a connection never opened with count as not sent.
+fn to_failure(error: attohttpc::Error) -> CallFailure {
+    let text = error.to_string();
+    let not_sent = match error.kind() {
+        attohttpc::ErrorKind::Io(error) => matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+                | io::ErrorKind::AddrNotAvailable
+        ),
+        attohttpc::ErrorKind::InvalidBaseUrl | attohttpc::ErrorKind::InvalidUrlHost => true,
+        _ => false,
+    };
+    match not_sent {
+        true => CallFailure::NotSent { text },
+        false => CallFailure::Broken { text },
+    }
+}
--- /dev/null
+++ b/lib/src/transport/mod.rs
@@ -0,0 +1,28 @@
+//! The highest layer: sockets, threads, clocks, and the node programs.
+//!
+//! Shared tables are each behind one lock. No thread holds two of them at once,
+//! but for the order stated at [`router_shared::RouterShared`].
+
+pub mod clock;
+pub mod datagram;
+pub mod http_client;
+pub mod http_server;
+pub mod keeper_client;
+pub mod keeper_loop;
+pub mod keeper_node;
+pub mod keeper_operator;
+pub mod router_claims;
+pub mod router_control;
+pub mod router_engines;
+pub mod router_forward;
+pub mod router_home;
+pub mod router_node;
+pub mod router_place;
+pub mod router_plain;
+pub mod router_relay;
+pub mod router_serve;
+pub mod router_shared;
+pub mod router_status;
+pub mod seen;
+pub mod wire_count;
+pub mod worker_pool;
--- /dev/null
+++ b/lib/src/transport/router_home.rs
@@ -0,0 +1,171 @@
+//! Admission and the queue at a home.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::bounded;
+
+use super::router_shared::{lock, HomeDesk, RouterShared, RouterView};
+use crate::coordination::fair_queue::WaitingRequest;
+use crate::coordination::home::AdmitRefusal;
+use crate::coordination::placement::{place_candidates, request_work, PlaceCandidate, BEST_RULE};
+use crate::protocol::caller::CallerRequest;
+use crate::protocol::peer_wire::RouteDecision;
+use crate::state::ids::{ChatKey, FleetKey, UpstreamKey, WorkspaceKey};
+
+/// A place on an engine, given back when dropped.
+pub(super) struct AdmittedSlot {
+    shared: Arc<RouterShared>,
+    /// The engine.
+    pub(super) engine: UpstreamKey,
+    fleet: FleetKey,
+    work: u64,
+}
+
+impl Drop for AdmittedSlot {
+    fn drop(&mut self) {
+        let view = self.shared.view();
+        let mut desk = lock(&self.shared.desk);
+        desk.homes.release(self.engine, self.work);
+        pump(&self.shared, &mut desk, self.fleet, &view);
+    }
+}
+
+/// What a request brings to a home.
+pub(super) struct HomeAsk<'a> {
+    pub(super) request: &'a CallerRequest,
+    pub(super) decision: &'a RouteDecision,
+    pub(super) chat: ChatKey,
+    pub(super) fleet: FleetKey,
+}
+
+impl HomeAsk<'_> {
+    pub(super) fn prompt_tokens(&self) -> u32 {
+        self.request.facts.as_ref().map_or(1, |facts| facts.prompt_tokens)
+    }
+
+    pub(super) fn output_tokens(&self) -> u32 {
+        let asked = self.request.facts.as_ref().and_then(|facts| facts.max_tokens);
+        asked.unwrap_or(u32::MAX).min(self.decision.expected_output.max(1))
+    }
+
+    pub(super) fn work(&self, cached_tokens: u32) -> u64 {
+        request_work(self.prompt_tokens(), self.output_tokens(), cached_tokens)
+    }
+}
+
+/// The chat's key: its name, or the request's own when it belongs to none.
+pub(super) fn chat_key(request: &CallerRequest) -> ChatKey {
+    let name = request.chat.as_deref().unwrap_or(&request.request_id);
+    ChatKey::of(&request.workspace, name)
+}
+
+/// The engines to try, best first.
+pub(super) fn candidates(
+    shared: &RouterShared,
+    view: &RouterView,
+    ask: &HomeAsk<'_>,
+) -> Vec<PlaceCandidate> {
+    let Some(sight) = view.fleets.get(&ask.fleet) else { return Vec::new() };
+    let desk = lock(&shared.desk);
+    let (homes, memory) = (&desk.homes, &desk.memory);
+    place_candidates(ask.chat, ask.fleet, shared.id(), &sight.view, homes, memory, &BEST_RULE)
+}
+
+/// Admits a request to an engine of this home, or says why not.
+pub(super) fn admit(
+    shared: &Arc<RouterShared>,
+    view: &RouterView,
+    ask: &HomeAsk<'_>,
+    engine: UpstreamKey,
+    cached_tokens: u32,
+) -> Result<AdmittedSlot, AdmitRefusal> {
+    let sight = view.fleets.get(&ask.fleet).ok_or(AdmitRefusal::NotHome)?;
+    let mut desk = lock(&shared.desk);
+    let ahead = desk.queues.get(&ask.fleet).is_some_and(|queue| queue.has_rank(ask.decision.class));
+    if ahead {
+        return Err(AdmitRefusal::AtBound);
+    }
+    let work = ask.work(cached_tokens);
+    let load = shared.fleet_load(&desk, ask.fleet, view);
+    desk.homes.admit(engine, work, &load, sight.entry.multiple)?;
+    let now_ms = shared.clock.now_ms();
+    desk.outliers.begin_trial(engine, now_ms);
+    let shared = shared.clone();
+    Ok(AdmittedSlot { shared, engine, fleet: ask.fleet, work })
+}
+
+/// Waits in this home's queue for one of its engines; `None` when the time is over or the
+/// queue is full.
+pub(super) fn wait_for_place(
+    shared: &Arc<RouterShared>,
+    view: &RouterView,
+    ask: &HomeAsk<'_>,
+    wait_ms: u64,
+) -> Option<AdmittedSlot> {
+    let sight = view.fleets.get(&ask.fleet)?;
+    let ticket = shared.next_number();
+    let work = ask.work(0);
+    let (sender, receiver) = bounded(1);
+    let now_ms = shared.clock.now_ms();
+    {
+        let mut desk = lock(&shared.desk);
+        let waiting = WaitingRequest {
+            ticket,
+            workspace: WorkspaceKey::of(&ask.request.workspace),
+            weight: ask.decision.weight,
+            class: ask.decision.class,
+            work,
+            since_ms: now_ms,
+            until_ms: now_ms + wait_ms,
+        };
+        let queue = desk.queues.entry(ask.fleet).or_default();
+        if !queue.push(waiting, sight.entry.queue) {
+            return None;
+        }
+        desk.tickets.insert(ticket, sender);
+        pump(shared, &mut desk, ask.fleet, view);
+    }
+    let given = receiver.recv_timeout(Duration::from_millis(wait_ms)).ok();
+    let mut desk = lock(&shared.desk);
+    desk.tickets.remove(&ticket);
+    if let Some(queue) = desk.queues.get_mut(&ask.fleet) {
+        queue.remove(ticket);
+    }
+    // The place may have come in the moment that the wait ended.
+    let engine = given.or_else(|| receiver.try_recv().ok())?;
+    drop(desk);
+    Some(AdmittedSlot { shared: shared.clone(), engine, fleet: ask.fleet, work })
+}
+
+/// Gives waiting requests the places that have come free.
+pub(super) fn pump(shared: &RouterShared, desk: &mut HomeDesk, fleet: FleetKey, view: &RouterView) {
+    let Some(sight) = view.fleets.get(&fleet) else { return };
+    let Some(mut queue) = desk.queues.remove(&fleet) else { return };
+    let now_ms = shared.clock.now_ms();
+    for over in queue.expire(now_ms) {
+        desk.tickets.remove(&over.ticket);
+    }
+    loop {
+        let load = shared.fleet_load(desk, fleet, view);
+        let mut given = None;
+        let homes = &mut desk.homes;
+        let popped = queue.pop(now_ms, |waiting| {
+            let open = homes.homed().filter(|(_, s)| s.fleet == fleet && !s.closed);
+            let mut open: Vec<_> = open.map(|(engine, slot)| (slot.load(), engine)).collect();
+            open.sort_unstable();
+            given = open.into_iter().map(|(_, engine)| engine).find(|engine| {
+                homes.admit(*engine, waiting.work, &load, sight.entry.multiple).is_ok()
+            });
+            given.is_some()
+        });
+        let (Some(waiting), Some(engine)) = (popped, given) else { break };
+        let sender = desk.tickets.remove(&waiting.ticket);
+        if sender.is_none_or(|sender| sender.send(engine).is_err()) {
+            desk.homes.release(engine, waiting.work);
+        }
+    }
+    if !queue.is_empty() {
+        desk.queues.insert(fleet, queue);
+    }
+}
--- /dev/null
+++ b/lib/src/transport/router_node.rs
@@ -0,0 +1,176 @@
+//! The router as a node: its sockets and threads, its start and its drain.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::unbounded;
+use snafu::ResultExt;
+
+use super::datagram::DatagramPort;
+use super::http_client::{CallTimes, HttpClient};
+use super::http_server::{listen, HttpServer, ServerLimits, ServerRefusal};
+use super::keeper_client::KeeperClient;
+use super::keeper_node::{ListenSnafu, NodeError};
+use super::router_claims::run_claims;
+use super::router_control::{run_control, ControlEvent};
+use super::router_serve::serve;
+use super::router_shared::RouterShared;
+use crate::protocol::caller::CallerError;
+use crate::protocol::http::HttpReply;
+use crate::protocol::keeper_wire::{Datagram, KeeperCall};
+use crate::protocol::seal::SealMaker;
+use crate::state::settings::RouterSettings;
+
+const CLAIM_THREADS: usize = 2;
+/// Callers keep an address for a while; a draining router serves them this much longer.
+const DRAIN_LINGER: Duration = Duration::from_millis(1500);
+
+/// A running router.
+pub struct RouterNode {
+    shared: Arc<RouterShared>,
+    server: HttpServer,
+    threads: Vec<JoinHandle<()>>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl RouterNode {
+    /// Starts the router. It takes no work before it knows what is in force.
+    pub fn start(settings: RouterSettings) -> Result<RouterNode, NodeError> {
+        let address = settings.address;
+        let client = HttpClient::default();
+        let maker = Arc::new(SealMaker::new(&settings.fleet_key, rand::random()));
+        let port = DatagramPort::bind(address, maker.clone(), client.wire.clone());
+        let port = port.context(ListenSnafu { address })?;
+        let times = CallTimes::of_ms(1500);
+        let keepers =
+            KeeperClient::new(settings.keepers.clone(), maker.clone(), client.clone(), times);
+        let limits = ServerLimits {
+            in_flight: settings.limits.in_flight,
+            body_bytes: settings.limits.body_bytes,
+            header_bytes: settings.limits.header_bytes,
+            read_timeout: Duration::from_millis(settings.limits.read_timeout_ms),
+        };
+        let listener = listen(address, limits.read_timeout).context(ListenSnafu { address })?;
+        let shared = Arc::new(RouterShared::new(settings, client, maker, keepers, port.clone()));
+        let (events, receiver) = unbounded();
+        let mut threads = Vec::new();
+        let take = move |from, datagram| {
+            let event = match datagram {
+                Datagram::Grant(grant) => ControlEvent::Grant(from, grant),
+                Datagram::Notice { version, epoch } => ControlEvent::Notice { version, epoch },
+                Datagram::Sums { router, rows, marks } => {
+                    let _ = events.send(ControlEvent::Marks(marks));
+                    ControlEvent::Sums(router, rows)
+                }
+                _ => return,
+            };
+            let _ = events.send(event);
+        };
+        let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let receiving = port.receive(shared.checker.clone(), stop.clone(), take);
+        threads.push(receiving.context(ListenSnafu { address })?);
+        let control = shared.clone();
+        threads.push(std::thread::spawn(move || {
+            run_control(&control, &receiver);
+            stop.store(true, Ordering::Relaxed);
+        }));
+        for _ in 0..CLAIM_THREADS {
+            let claims = shared.clone();
+            threads.push(std::thread::spawn(move || run_claims(&claims)));
+        }
+        let handler = shared.clone();
+        let server = HttpServer::start(
+            listener,
+            limits,
+            Arc::new(move |exchange| serve(&handler, exchange)),
+            Arc::new(refusal_reply),
+        );
+        let server = server.context(ListenSnafu { address })?;
+        tracing::info!("router: {} listens on {address}.", shared.id());
+        Ok(RouterNode { shared, server, threads, address })
+    }
+
+    /// What its threads share, for status pages and tests.
+    pub fn shared(&self) -> &Arc<RouterShared> {
+        &self.shared
+    }
+
+    /// Waits until the router may serve.
+    pub fn wait_ready(&self, most: Duration) -> bool {
+        let until = Instant::now() + most;
+        while Instant::now() < until {
+            if self.shared.may_serve() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    /// Leaves the directory, passes newcomers to peers, and ends when the last request has:
+    /// true when nothing was cut.
+    pub fn drain(mut self) -> bool {
+        tracing::info!("router: {} drains.", self.shared.id());
+        self.shared.draining.store(true, Ordering::Relaxed);
+        let leave = KeeperCall::Leave(self.shared.id(), self.shared.incarnation);
+        if let Err(failure) = self.shared.keepers.ask_leader(&leave) {
+            tracing::warn!("router: cannot tell the keepers of the drain: {failure}.");
+        }
+        let most = Duration::from_millis(self.shared.settings.limits.drain_ms);
+        let started = Instant::now();
+        let mut idle_since: Option<Instant> = None;
+        while started.elapsed() < most {
+            let busy = self.shared.in_flight.load(Ordering::Relaxed) > 0;
+            idle_since = if busy { None } else { idle_since.or(Some(Instant::now())) };
+            if idle_since.is_some_and(|since| since.elapsed() >= DRAIN_LINGER) {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        let left = self.shared.in_flight.load(Ordering::Relaxed);
+        tracing::info!("router: {} stops with {left} in flight.", self.shared.id());
+        self.shut();
+        left == 0
+    }
+
+    /// Stops at once.
+    pub fn stop_now(mut self) {
+        self.shut();
+    }
+
+    fn shut(&mut self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.server.stop();
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for RouterNode {
+    fn drop(&mut self) {
+        self.shut();
+    }
+}
+
+fn refusal_reply(refusal: ServerRefusal) -> HttpReply {
+    let error = match refusal {
+        ServerRefusal::Busy => {
+            CallerError::not_run(503, "busy", "The router has no room.").after(1000)
+        }
+        ServerRefusal::BodyTooLong => {
+            CallerError::not_run(413, "too_long", "The body is too long.").at("body")
+        }
+        ServerRefusal::HeadersTooLong => {
+            CallerError::not_run(413, "too_long", "The headers are too long.").at("headers")
+        }
+        ServerRefusal::BodyBroken => {
+            CallerError::not_run(400, "bad_request", "The body ended early.").at("body")
+        }
+    };
+    error.to_reply("-")
+}
--- /dev/null
+++ b/lib/src/transport/router_place.rs
@@ -0,0 +1,207 @@
+//! Placing a chat at its home: the candidates in order, then the queue, then a refusal.
+
+use super::router_claims::HeldClaim;
+use super::router_engines::{run_on_engine, RunEnd};
+use super::router_forward::{forward, ForwardEnd};
+use super::router_home::{admit, candidates, chat_key, wait_for_place, AdmittedSlot, HomeAsk};
+use super::router_relay::AnswerSink;
+use super::router_serve::ServeContext;
+use super::router_shared::lock;
+use crate::coordination::placement::PlaceCandidate;
+use crate::protocol::caller::{CallerError, CallerRequest, RanMark};
+use crate::protocol::peer_wire::{ForwardAim, RouteDecision, MOST_HOPS, NO_ROOM_CODE};
+use crate::state::claim_table::ClaimEnd;
+use crate::state::ids::{FleetKey, UpstreamKey};
+
+/// A request that the system gives up on is answered at once, with a time to come back.
+pub(super) fn busy_error(after_ms: u64) -> CallerError {
+    let text = "Every engine that may serve this is at its bound.";
+    CallerError::not_run(503, "busy", text).after(after_ms)
+}
+
+/// Places a chat: the candidates in order, then the queue, then a refusal as not run.
+pub(super) fn serve_at_home(
+    cx: &ServeContext,
+    request: &CallerRequest,
+    decision: &RouteDecision,
+    sink: &mut AnswerSink<'_>,
+) {
+    let ask = HomeAsk {
+        request,
+        decision,
+        chat: chat_key(request),
+        fleet: FleetKey::of(&decision.fleet),
+    };
+    lock(&cx.shared.desk).retries.earn();
+    let mut held: Option<HeldClaim> = None;
+    let mut spent = None;
+    let places = candidates(&cx.shared, &cx.view, &ask);
+    for candidate in &places {
+        let end = match candidate.home == cx.shared.id() {
+            true => try_here(cx, &ask, candidate, &mut held, sink),
+            false if held.is_some() => continue,
+            false => try_there(cx, &ask, candidate, sink, false),
+        };
+        match end {
+            None => {}
+            Some(RunEnd::Answered) => return,
+            Some(RunEnd::TryElsewhere(error)) => {
+                if !lock(&cx.shared.desk).retries.spend() {
+                    spent = Some(error);
+                    break;
+                }
+                cx.shared.seen.count("requests.retried");
+            }
+        }
+    }
+    match spent {
+        Some(error) => {
+            // Bytes of a tried request may have been sent; the claim says what is known.
+            if let Some(claim) = held {
+                claim.end(claim_end_of(error.ran));
+            }
+            sink.fail(&error);
+        }
+        None => wait_and_serve(cx, &ask, &places, &mut held, sink),
+    }
+}
+
+fn claim_end_of(ran: RanMark) -> ClaimEnd {
+    match ran {
+        RanMark::No => ClaimEnd::NotDispatched,
+        RanMark::Yes => ClaimEnd::Done,
+        RanMark::Unknown => ClaimEnd::Unknown,
+    }
+}
+
+/// `None` when the engine has no room.
+fn try_here(
+    cx: &ServeContext,
+    ask: &HomeAsk<'_>,
+    candidate: &PlaceCandidate,
+    held: &mut Option<HeldClaim>,
+    sink: &mut AnswerSink<'_>,
+) -> Option<RunEnd> {
+    let slot = admit(&cx.shared, &cx.view, ask, candidate.engine, candidate.cached_tokens).ok()?;
+    Some(run_on_engine(cx, ask, &slot, held, sink))
+}
+
+/// Asks the engine's own home; `None` when it has no room.
+fn try_there(
+    cx: &ServeContext,
+    ask: &HomeAsk<'_>,
+    candidate: &PlaceCandidate,
+    sink: &mut AnswerSink<'_>,
+    may_wait: bool,
+) -> Option<RunEnd> {
+    let session = cx.view.roster.routers.get(&candidate.home)?;
+    if cx.hops >= MOST_HOPS {
+        return None;
+    }
+    cx.shared.seen.count("requests.spilled");
+    let aim = ForwardAim::ToEngine {
+        decision: ask.decision.clone(),
+        engine: candidate.engine,
+        cached_tokens: candidate.cached_tokens,
+        may_wait,
+    };
+    match forward(cx, session.address, ask.request, aim, sink) {
+        ForwardEnd::Answered => {
+            let tokens = ask.prompt_tokens() + ask.output_tokens();
+            let mut desk = lock(&cx.shared.desk);
+            let life = desk.leaving.life(candidate.engine);
+            desk.memory.note(ask.chat, candidate.engine, life, tokens);
+            Some(RunEnd::Answered)
+        }
+        ForwardEnd::TryElsewhere(error) if error.code == NO_ROOM_CODE => None,
+        ForwardEnd::TryElsewhere(error) => Some(RunEnd::TryElsewhere(error)),
+    }
+}
+
+/// Nobody has room: waits here for an engine of this home, or at the first place's home.
+fn wait_and_serve(
+    cx: &ServeContext,
+    ask: &HomeAsk<'_>,
+    places: &[PlaceCandidate],
+    held: &mut Option<HeldClaim>,
+    sink: &mut AnswerSink<'_>,
+) {
+    let waited = cx.arrived.elapsed().as_millis() as u64;
+    let left = ask.decision.wait_ms.saturating_sub(waited);
+    let retry_after = 500 + ask.decision.wait_ms / 4;
+    if left == 0 || places.is_empty() {
+        return refuse_busy(cx, held, sink, retry_after);
+    }
+    cx.shared.seen.count("requests.queued");
+    let own = places.iter().any(|candidate| candidate.home == cx.shared.id());
+    if !own && held.is_none() {
+        match try_there(cx, ask, &places[0], sink, true) {
+            Some(RunEnd::Answered) => return,
+            _ => return refuse_busy(cx, held, sink, retry_after),
+        }
+    }
+    let Some(slot) = wait_for_place(&cx.shared, &cx.view, ask, left) else {
+        return refuse_busy(cx, held, sink, retry_after);
+    };
+    serve_on_slot(cx, ask, &slot, held, sink);
+}
+
+/// What was tried before did not run, or may be repeated: a claim is given back.
+fn refuse_busy(
+    cx: &ServeContext,
+    held: &mut Option<HeldClaim>,
+    sink: &mut AnswerSink<'_>,
+    retry_after_ms: u64,
+) {
+    cx.shared.seen.count("requests.busy");
+    if let Some(claim) = held.take() {
+        claim.end(claim_end_of(RanMark::No));
+    }
+    sink.fail(&busy_error(retry_after_ms));
+}
+
+/// The last try: what it does not answer is refused.
+fn serve_on_slot(
+    cx: &ServeContext,
+    ask: &HomeAsk<'_>,
+    slot: &AdmittedSlot,
+    held: &mut Option<HeldClaim>,
+    sink: &mut AnswerSink<'_>,
+) {
+    match run_on_engine(cx, ask, slot, held, sink) {
+        RunEnd::Answered => {}
+        RunEnd::TryElsewhere(error) => {
+            if let Some(claim) = held.take() {
+                claim.end(claim_end_of(error.ran));
+            }
+            sink.fail(&error);
+        }
+    }
+}
+
+/// The engine that a peer chose.
+pub(super) struct EngineTarget {
+    pub(super) engine: UpstreamKey,
+    pub(super) cached_tokens: u32,
+    pub(super) may_wait: bool,
+}
+
+/// Serves on one engine of this home, or says that there is no room.
+pub(super) fn serve_at_engine(
+    cx: &ServeContext,
+    request: &CallerRequest,
+    decision: &RouteDecision,
+    target: EngineTarget,
+    sink: &mut AnswerSink<'_>,
+) {
+    let fleet = FleetKey::of(&decision.fleet);
+    let ask = HomeAsk { request, decision, chat: chat_key(request), fleet };
+    let no_room = CallerError::not_run(503, NO_ROOM_CODE, "The engine has no room.");
+    let slot = match admit(&cx.shared, &cx.view, &ask, target.engine, target.cached_tokens) {
+        Ok(slot) => Some(slot),
+        Err(_) if target.may_wait => wait_for_place(&cx.shared, &cx.view, &ask, decision.wait_ms),
+        Err(_) => None,
+    };
+    let Some(slot) = slot else { return sink.fail(&no_room) };
+    serve_on_slot(cx, &ask, &slot, &mut None, sink);
+}
--- /dev/null
+++ b/lib/src/transport/router_plain.rs
@@ -0,0 +1,152 @@
+//! Requests to plain upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::http_client::{CallFailure, CallTimes};
+use super::router_claims::claim;
+use super::router_relay::AnswerSink;
+use super::router_serve::ServeContext;
+use super::router_shared::{lock, FleetSight, RouterShared, RouterView};
+use super::seen::SeenPhase;
+use crate::coordination::retry::may_retry;
+use crate::protocol::caller::{CallerError, CallerRequest, RanMark};
+use crate::protocol::peer_wire::RouteDecision;
+use crate::protocol::plain;
+use crate::state::claim_table::ClaimEnd;
+use crate::state::ids::{FleetKey, UpstreamKey};
+use crate::state::rendezvous::rendezvous_score;
+
+const LONGEST_ANSWER: usize = 64 << 20;
+const TRIES: usize = 3;
+
+/// Serves a plain request from one of its fleet.
+pub(super) fn serve_plain(
+    cx: &ServeContext,
+    request: &CallerRequest,
+    decision: &RouteDecision,
+    sink: &mut AnswerSink<'_>,
+) {
+    let (shared, view, arrived) = (&cx.shared, &cx.view, cx.arrived);
+    let Some(sight) = view.fleets.get(&FleetKey::of(&decision.fleet)) else { return };
+    lock(&shared.desk).retries.earn();
+    let held = if decision.run_once {
+        match claim(shared, request) {
+            Ok(held) => Some(held),
+            Err(error) => return sink.fail(&error),
+        }
+    } else {
+        None
+    };
+    let repeatable = plain::is_repeatable(&request.method) && !decision.run_once;
+    let mut tried = Vec::new();
+    let mut last = CallerError::not_run(503, "no_upstream", "No upstream takes work now.");
+    let mut end = ClaimEnd::NotDispatched;
+    for attempt in 0..TRIES {
+        if attempt > 0 && !lock(&shared.desk).retries.spend() {
+            break;
+        }
+        let Some(upstream) = choose(shared, sight, &request.request_id, &tried) else { break };
+        tried.push(upstream);
+        match call_plain(shared, view, request, upstream, sink) {
+            PlainEnd::Answered => {
+                let us = arrived.elapsed().as_micros() as u64;
+                shared.seen.record(decision.class, &request.workspace, SeenPhase::Whole, us);
+                if let Some(held) = held {
+                    held.end(ClaimEnd::Done);
+                }
+                return;
+            }
+            PlainEnd::NotRun(text) => {
+                let message = format!("The upstream did not take the request ({text}).");
+                last = CallerError::not_run(503, "upstream_refused", message).after(1000);
+            }
+            PlainEnd::Unknown(text) => {
+                let message = format!("The upstream failed before its answer was whole ({text}).");
+                let error = CallerError::not_run(502, "upstream_failed", message);
+                last = error.with_ran(RanMark::Unknown);
+                end = ClaimEnd::Unknown;
+                if !may_retry(true, repeatable, false) {
+                    break;
+                }
+            }
+        }
+        shared.seen.count("plain.retries");
+    }
+    if let Some(held) = held {
+        held.end(end);
+    }
+    sink.fail(&last);
+}
+
+enum PlainEnd {
+    Answered,
+    NotRun(String),
+    Unknown(String),
+}
+
+/// The upstream with the fewest requests of ours; among equals, the request's own order.
+fn choose(
+    shared: &RouterShared,
+    sight: &FleetSight,
+    request_id: &str,
+    tried: &[UpstreamKey],
+) -> Option<UpstreamKey> {
+    let now_ms = shared.clock.now_ms();
+    let mut desk = lock(&shared.desk);
+    let subject = UpstreamKey::of(request_id).0;
+    let open = sight.members.iter().copied().filter(|upstream| {
+        !tried.contains(upstream)
+            && !desk.leaving.is_leaving(*upstream)
+            && !desk.outliers.is_aside(*upstream, now_ms)
+    });
+    let chosen = open.min_by_key(|upstream| {
+        let in_flight = desk.plain_in_flight.get(upstream).copied().unwrap_or(0);
+        (in_flight, std::cmp::Reverse(rendezvous_score(subject, upstream.0)))
+    })?;
+    desk.outliers.begin_trial(chosen, now_ms);
+    *desk.plain_in_flight.entry(chosen).or_default() += 1;
+    Some(chosen)
+}
+
+fn call_plain(
+    shared: &Arc<RouterShared>,
+    view: &RouterView,
+    request: &CallerRequest,
+    upstream: UpstreamKey,
+    sink: &mut AnswerSink<'_>,
+) -> PlainEnd {
+    let end = match view.upstreams.get(&upstream) {
+        None => PlainEnd::NotRun("it is gone".to_string()),
+        Some(sight) => {
+            let call = plain::plain_call(request);
+            let read = Duration::from_millis(request.deadline_ms.clamp(100, 120_000));
+            let times = CallTimes { connect: Duration::from_millis(1000), read };
+            let reply = shared.client.call(sight.address, &call, times, LONGEST_ANSWER, "plain");
+            match reply {
+                Ok(reply) if plain::says_not_run(&reply.headers) => {
+                    PlainEnd::NotRun(format!("status {}", reply.status))
+                }
+                Ok(reply) => {
+                    sink.set_upstream(&sight.name);
+                    sink.pass(reply, RanMark::Yes);
+                    PlainEnd::Answered
+                }
+                Err(CallFailure::NotSent { text }) => PlainEnd::NotRun(text),
+                Err(CallFailure::Broken { text }) => PlainEnd::Unknown(text),
+            }
+        }
+    };
+    {
+        let mut desk = lock(&shared.desk);
+        let in_flight = desk.plain_in_flight.entry(upstream).or_default();
+        *in_flight = in_flight.saturating_sub(1);
+        if matches!(end, PlainEnd::Answered) {
+            desk.outliers.note_success(upstream);
+        }
+    }
+    if !matches!(end, PlainEnd::Answered) {
+        shared.note_failure(upstream);
+    }
+    end
+}
--- /dev/null
+++ b/lib/src/transport/router_relay.rs
@@ -0,0 +1,241 @@
+//! The relay: pieces from an engine or a peer router, in order, to one caller.
+
+use std::io::{BufRead, BufReader, Read};
+use std::time::{Duration, Instant};
+
+use super::http_server::ResponseWriter;
+use crate::coordination::relay::{PieceOrder, PieceStep};
+use crate::protocol::caller::{
+    event_id, whole_answer, CallerError, RanMark, HOPS_HEADER, RAN_HEADER, REQUEST_ID_HEADER,
+    UPSTREAM_HEADER,
+};
+use crate::protocol::engine::{piece_text, read_piece, EnginePiece};
+use crate::protocol::http::HttpReply;
+use crate::protocol::sse::{write_event, SseEvent, SseReader};
+
+/// A missing piece is waited for this long before the stream is resumed.
+const GAP_PATIENCE: Duration = Duration::from_millis(100);
+const LONGEST_LINE: u64 = 1 << 20;
+
+/// The caller is gone: it hung up, or does not read.
+#[derive(Debug)]
+pub(super) struct SinkGone;
+
+/// Where an answer goes: a stream, or an answer that is sent whole at its end.
+pub(super) struct AnswerSink<'a> {
+    writer: &'a mut ResponseWriter,
+    stream: bool,
+    request_id: String,
+    hops: u8,
+    upstream: String,
+    text: String,
+    begun: bool,
+}
+
+impl<'a> AnswerSink<'a> {
+    pub(super) fn new(
+        writer: &'a mut ResponseWriter,
+        stream: bool,
+        request_id: &str,
+        hops: u8,
+    ) -> AnswerSink<'a> {
+        let (request_id, upstream) = (request_id.to_string(), String::new());
+        AnswerSink { writer, stream, request_id, hops, upstream, text: String::new(), begun: false }
+    }
+
+    /// Names the upstream that serves.
+    pub(super) fn set_upstream(&mut self, name: &str) {
+        self.upstream = name.to_string();
+    }
+
+    /// Counts routers passed after this one.
+    pub(super) fn set_hops(&mut self, hops: u8) {
+        self.hops = hops;
+    }
+
+    /// Whether the caller may have seen something of the answer.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Forgets what was kept of an answer that will be run anew elsewhere.
+    pub(super) fn forget_text(&mut self) {
+        self.text.clear();
+    }
+
+    fn headers(&self, ran: RanMark, kind: &str) -> Vec<(String, String)> {
+        let mut headers = vec![
+            ("content-type".to_string(), kind.to_string()),
+            (REQUEST_ID_HEADER.to_string(), self.request_id.clone()),
+            (RAN_HEADER.to_string(), ran.text().to_string()),
+            (HOPS_HEADER.to_string(), self.hops.to_string()),
+        ];
+        if !self.upstream.is_empty() {
+            headers.push((UPSTREAM_HEADER.to_string(), self.upstream.clone()));
+        }
+        headers
+    }
+
+    fn begin(&mut self) -> Result<(), SinkGone> {
+        if self.begun {
+            return Ok(());
+        }
+        self.begun = true;
+        let headers = self.headers(RanMark::Yes, "text/event-stream");
+        self.writer.begin(200, &headers).map_err(|_| SinkGone)
+    }
+
+    /// Passes a piece on at once, or keeps it for the whole answer.
+    pub(super) fn piece(&mut self, number: u64, data: &str) -> Result<(), SinkGone> {
+        if !self.stream {
+            self.text.push_str(&piece_text(data));
+            return Ok(());
+        }
+        self.begin()?;
+        let id = Some(event_id(&self.upstream, number));
+        let event = SseEvent { id, event: None, data: data.to_string() };
+        self.writer.chunk(&write_event(&event)).map_err(|_| SinkGone)
+    }
+
+    /// The answer is whole.
+    pub(super) fn end(&mut self, last: u64) -> Result<(), SinkGone> {
+        if !self.stream {
+            let body = whole_answer(&self.request_id, &self.upstream, &self.text, "stop");
+            let mut reply = HttpReply::json(200, &body);
+            reply.headers = self.headers(RanMark::Yes, "application/json");
+            self.begun = true;
+            return self.writer.send(&reply).map_err(|_| SinkGone);
+        }
+        self.begin()?;
+        let id = Some(event_id(&self.upstream, last + 1));
+        let event = SseEvent { id, event: None, data: "[DONE]".to_string() };
+        self.writer.chunk(&write_event(&event)).map_err(|_| SinkGone)?;
+        self.writer.finish().map_err(|_| SinkGone)
+    }
+
+    /// The answer cannot be completed: an explicit error, never a clean end.
+    pub(super) fn fail(&mut self, error: &CallerError) {
+        if self.stream && self.begun {
+            let data = error.to_value().to_string();
+            let event = SseEvent { id: None, event: Some("error".to_string()), data };
+            let _ = self.writer.chunk(&write_event(&event));
+            let _ = self.writer.finish();
+            return;
+        }
+        if self.begun {
+            return;
+        }
+        self.begun = true;
+        let mut reply = error.to_reply(&self.request_id);
+        reply.headers.push((HOPS_HEADER.to_string(), self.hops.to_string()));
+        if !self.upstream.is_empty() && error.ran != RanMark::No {
+            reply.headers.push((UPSTREAM_HEADER.to_string(), self.upstream.clone()));
+        }
+        let _ = self.writer.send(&reply);
+    }
+
+    /// Passes an upstream's own refusal on as it is.
+    pub(super) fn pass(&mut self, mut reply: HttpReply, ran: RanMark) {
+        self.begun = true;
+        let kind = reply.header("content-type").unwrap_or("application/octet-stream").to_string();
+        let kept = ["retry-after", "location", "etag", "cache-control", "content-encoding"];
+        let own = std::mem::take(&mut reply.headers);
+        reply.headers = self.headers(ran, &kind);
+        reply.headers.extend(own.into_iter().filter(|(name, _)| kept.contains(&name.as_str())));
+        let _ = self.writer.send(&reply);
+    }
+}
+
+/// How reading a stream ended.
+#[derive(Debug)]
+pub(super) enum StreamEnd {
+    /// With its last piece.
+    Done,
+    /// Cut, or a piece is missing: resume after the last that was passed on.
+    Broken(String),
+    /// The sender says that it failed.
+    Failed(String),
+    /// The caller is gone.
+    SinkGone,
+}
+
+/// Reads a stream to its end and passes its pieces on. `on_piece` is told of each.
+pub(super) fn relay_stream(
+    body: impl Read,
+    order: &mut PieceOrder<String>,
+    sink: &mut AnswerSink<'_>,
+    mut on_piece: impl FnMut(u64),
+) -> StreamEnd {
+    let mut reader = BufReader::with_capacity(16 << 10, body);
+    let mut events = SseReader::default();
+    let mut gap_since: Option<Instant> = None;
+    loop {
+        let event = match next_event(&mut reader, &mut events) {
+            Ok(Some(event)) => event,
+            Ok(None) => return StreamEnd::Broken("the stream was cut".to_string()),
+            Err(error) => return StreamEnd::Broken(error.to_string()),
+        };
+        match read_piece(&strip_upstream(event)) {
+            None => continue,
+            Some(EnginePiece::Failed(text)) => return StreamEnd::Failed(text),
+            Some(EnginePiece::End(number)) if number == order.last() + 1 => {
+                return match sink.end(order.last()) {
+                    Ok(()) => StreamEnd::Done,
+                    Err(SinkGone) => StreamEnd::SinkGone,
+                };
+            }
+            Some(EnginePiece::End(_)) => {
+                return StreamEnd::Broken("a piece is missing at the end".to_string());
+            }
+            Some(EnginePiece::Data(number, data)) => match order.take(number, data) {
+                PieceStep::Drop => {}
+                PieceStep::Overflow { .. } => {
+                    return StreamEnd::Broken("a piece is missing".to_string());
+                }
+                PieceStep::Gap { .. } => {
+                    let since = *gap_since.get_or_insert_with(Instant::now);
+                    if since.elapsed() >= GAP_PATIENCE {
+                        return StreamEnd::Broken("a piece is missing".to_string());
+                    }
+                }
+                PieceStep::Pass(ready) => {
+                    gap_since = order.has_gap().then(Instant::now);
+                    let first = order.last() + 1 - ready.len() as u64;
+                    for (number, data) in (first..).zip(&ready) {
+                        on_piece(number);
+                        if sink.piece(number, data).is_err() {
+                            return StreamEnd::SinkGone;
+                        }
+                    }
+                }
+            },
+        }
+    }
+}
+
+fn next_event(
+    reader: &mut impl BufRead,
+    events: &mut SseReader,
+) -> std::io::Result<Option<SseEvent>> {
+    let mut line = String::new();
+    loop {
+        line.clear();
+        let read = reader.by_ref().take(LONGEST_LINE).read_line(&mut line)?;
+        if read == 0 {
+            return Ok(None);
+        }
+        if let Some(event) = events.take_line(line.trim_end_matches(['\r', '\n'])) {
+            return Ok(Some(event));
+        }
+    }
+}
+
+/// Routers name the upstream in each event's id; engines give the number only.
+fn strip_upstream(mut event: SseEvent) -> SseEvent {
+    if let Some(id) = &mut event.id {
+        if let Some(at) = id.find('@') {
+            id.truncate(at);
+        }
+    }
+    event
+}
--- /dev/null
+++ b/lib/src/transport/seen.rs
@@ -0,0 +1,128 @@
+//! What a router has seen: histograms for each class and workspace, and counters.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Mutex;
+
+use cadence::{CountedExt, StatsdClient, UdpMetricSink};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::fair_queue::RequestClass;
+
+/// Workspaces beyond this many share one row, so that memory stays bounded.
+pub const MOST_WORKSPACES: usize = 64;
+const LONGEST_US: u64 = 3_600_000_000;
+
+/// What is measured of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SeenPhase {
+    /// From arrival to dispatch.
+    Wait,
+    /// From arrival to the first piece.
+    FirstToken,
+    /// Between two pieces.
+    BetweenTokens,
+    /// From arrival to the end.
+    Whole,
+}
+
+impl SeenPhase {
+    fn name(self) -> &'static str {
+        match self {
+            SeenPhase::Wait => "wait",
+            SeenPhase::FirstToken => "first_token",
+            SeenPhase::BetweenTokens => "between_tokens",
+            SeenPhase::Whole => "whole",
+        }
+    }
+}
+
+/// One histogram's figures, in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenRow {
+    /// The class.
+    pub class: String,
+    /// The workspace, or `other`.
+    pub workspace: String,
+    /// What is measured.
+    pub phase: String,
+    /// How many values.
+    pub count: u64,
+    /// The middle value.
+    pub p50_us: u64,
+    /// 95 of 100 are at most this.
+    pub p95_us: u64,
+    /// 99 of 100 are at most this.
+    pub p99_us: u64,
+    /// The largest.
+    pub max_us: u64,
+}
+
+type SeenKey = (RequestClass, String, SeenPhase);
+
+/// Histograms and counters of one router.
+pub struct SeenTable {
+    histograms: Mutex<BTreeMap<SeenKey, Histogram<u64>>>,
+    counters: Mutex<BTreeMap<&'static str, u64>>,
+    statsd: Option<StatsdClient>,
+}
+
+impl SeenTable {
+    /// A table whose counters also go to `statsd`, if given.
+    pub fn new(statsd: Option<SocketAddr>) -> SeenTable {
+        let client = statsd.and_then(|address| {
+            let socket = UdpSocket::bind("0.0.0.0:0").ok()?;
+            socket.set_nonblocking(true).ok()?;
+            let sink = UdpMetricSink::from(address, socket).ok()?;
+            Some(StatsdClient::from_sink("wingshed", sink))
+        });
+        SeenTable { histograms: Mutex::default(), counters: Mutex::default(), statsd: client }
+    }
+
+    /// Counts an event.
+    pub fn count(&self, name: &'static str) {
+        let mut counters = self.counters.lock().unwrap_or_else(|poison| poison.into_inner());
+        *counters.entry(name).or_default() += 1;
+        drop(counters);
+        if let Some(client) = &self.statsd {
+            let _ = client.incr(name);
+        }
+    }
+
+    /// Records a value in microseconds.
+    pub fn record(&self, class: RequestClass, workspace: &str, phase: SeenPhase, us: u64) {
+        let mut table = self.histograms.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut key = (class, workspace.to_string(), phase);
+        if !table.contains_key(&key) && table.len() >= MOST_WORKSPACES * 12 {
+            key.1 = "other".to_string();
+        }
+        let histogram = table.entry(key).or_insert_with(|| {
+            Histogram::new_with_max(LONGEST_US, 2).expect("the bounds are constant and good")
+        });
+        histogram.saturating_record(us);
+    }
+
+    /// All histograms.
+    pub fn rows(&self) -> Vec<SeenRow> {
+        let table = self.histograms.lock().unwrap_or_else(|poison| poison.into_inner());
+        let to_row =
+            |((class, workspace, phase), histogram): (&SeenKey, &Histogram<u64>)| SeenRow {
+                class: class.name().to_string(),
+                workspace: workspace.clone(),
+                phase: phase.name().to_string(),
+                count: histogram.len(),
+                p50_us: histogram.value_at_quantile(0.5),
+                p95_us: histogram.value_at_quantile(0.95),
+                p99_us: histogram.value_at_quantile(0.99),
+                max_us: histogram.max(),
+            };
+        table.iter().map(to_row).collect()
+    }
+
+    /// All counters.
+    pub fn counters(&self) -> BTreeMap<String, u64> {
+        let counters = self.counters.lock().unwrap_or_else(|poison| poison.into_inner());
+        counters.iter().map(|(name, count)| (name.to_string(), *count)).collect()
+    }
+}
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,609 @@
+//! A stand-in model engine: continuous batching, a limited prefix cache, priorities,
+//! resume, cancel, late and gappy cache events, a lagging load report, KV import, and
+//! fenced orders. Its answer to a run is a fixed row of pieces, so that a test knows
+//! the whole answer.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+use wingshed_lib::protocol::engine::{
+    CacheEvent, CACHED_HEADER, CACHE_KEY_HEADER, INCARNATION_HEADER, LEAVING_HEADER,
+    PRIORITY_HEADER, READER_HEADER, RUN_HEADER,
+};
+use wingshed_lib::protocol::http::{HttpCall, HttpReply};
+use wingshed_lib::protocol::sse::{write_event, SseEvent};
+use wingshed_lib::transport::http_server::{
+    listen, HttpExchange, HttpServer, ResponseWriter, ServerLimits,
+};
+
+use crate::address::free_address;
+
+const TICK: Duration = Duration::from_millis(1);
+const POLL: Duration = Duration::from_millis(50);
+
+/// How an engine is made.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineMake {
+    /// Its life.
+    pub incarnation: u64,
+    /// Runs that generate at once.
+    pub slots: usize,
+    /// Milliseconds between two pieces of a run.
+    pub piece_ms: u64,
+    /// Prompt tokens computed in a millisecond.
+    pub prefill_per_ms: u64,
+    /// Tokens that the prefix cache holds.
+    pub cache_tokens: u64,
+    /// The load report is this old, in milliseconds.
+    pub report_lag_ms: u64,
+    /// Cache events are told this late, in milliseconds.
+    pub event_lag_ms: u64,
+    /// One event of this many is lost; 0 loses none.
+    pub event_gap_every: u64,
+}
+
+impl Default for EngineMake {
+    fn default() -> EngineMake {
+        EngineMake {
+            incarnation: 1,
+            slots: 64,
+            piece_ms: 2,
+            prefill_per_ms: 200,
+            cache_tokens: 200_000,
+            report_lag_ms: 100,
+            event_lag_ms: 50,
+            event_gap_every: 0,
+        }
+    }
+}
+
+/// The faults of one engine; 0 or false is none. Each may be switched while it runs.
+#[derive(Debug, Default)]
+pub struct EngineFaults {
+    /// Every so many pieces, one is sent twice.
+    pub double_every: AtomicU64,
+    /// Every so many pieces, one is sent after its successor.
+    pub swap_every: AtomicU64,
+    /// Every so many pieces, one is left out on a first reading.
+    pub lose_every: AtomicU64,
+    /// The connection is cut after this piece, on a first reading.
+    pub cut_after: AtomicU64,
+    /// The connection is cut before the head, after the run began.
+    pub cut_before_head: AtomicBool,
+    /// A run is refused as not run, with this status.
+    pub refuse_status: AtomicU64,
+    /// The run says that it failed after this piece.
+    pub fail_after: AtomicU64,
+    /// Resuming finds nothing.
+    pub forget_runs: AtomicBool,
+    /// Each piece takes this many milliseconds more.
+    pub slow_ms: AtomicU64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct EngineRun {
+    pieces: u64,
+    made: u64,
+    prompt: u64,
+    priority: u64,
+    ready_at: Option<Instant>,
+    next_at: Option<Instant>,
+    running: bool,
+    done: bool,
+    cancelled: bool,
+    readers: u64,
+}
+
+#[derive(Debug, Default)]
+struct EngineInside {
+    runs: HashMap<String, EngineRun>,
+    waiting: Vec<String>,
+    /// How often each run was started here.
+    starts: HashMap<String, u64>,
+    cache: BTreeMap<String, (u64, u64)>,
+    cache_use: u64,
+    events: VecDeque<(Instant, CacheEvent)>,
+    next_event: u64,
+    reports: VecDeque<(Instant, u32, u32, u64)>,
+    orders: Vec<(u64, Value)>,
+    highest_fence: u64,
+    most_running: usize,
+}
+
+struct EngineShared {
+    make: EngineMake,
+    inside: Mutex<EngineInside>,
+    changed: Condvar,
+    leaving: AtomicBool,
+    stop: AtomicBool,
+    faults: EngineFaults,
+}
+
+/// A running stand-in.
+pub struct EngineStandIn {
+    shared: Arc<EngineShared>,
+    server: HttpServer,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The text of a run's piece.
+pub fn piece_text(run: &str, number: u64) -> String {
+    format!("{}.{number} ", &run[run.len().saturating_sub(6)..])
+}
+
+/// The whole text of a run of so many pieces.
+pub fn whole_text(run: &str, pieces: u64) -> String {
+    (1..=pieces).map(|number| piece_text(run, number)).collect()
+}
+
+fn lock(shared: &EngineShared) -> MutexGuard<'_, EngineInside> {
+    shared.inside.lock().unwrap_or_else(|poison| poison.into_inner())
+}
+
+impl EngineStandIn {
+    /// Starts an engine on a free port.
+    pub fn start(make: EngineMake) -> EngineStandIn {
+        EngineStandIn::start_at(free_address(), make)
+    }
+
+    /// Starts an engine at an address, as one that comes back does.
+    pub fn start_at(address: SocketAddr, make: EngineMake) -> EngineStandIn {
+        let shared = Arc::new(EngineShared {
+            make,
+            inside: Mutex::default(),
+            changed: Condvar::new(),
+            leaving: AtomicBool::new(false),
+            stop: AtomicBool::new(false),
+            faults: EngineFaults::default(),
+        });
+        let limits = ServerLimits {
+            in_flight: 4000,
+            body_bytes: 64 << 20,
+            header_bytes: 64 << 10,
+            read_timeout: Duration::from_secs(30),
+        };
+        let listener = listen(address, limits.read_timeout).expect("the port is free");
+        let handler = shared.clone();
+        let server = HttpServer::start(
+            listener,
+            limits,
+            Arc::new(move |exchange| handle(&handler, exchange)),
+            Arc::new(|_| HttpReply { status: 503, ..HttpReply::default() }),
+        );
+        let batch = shared.clone();
+        std::thread::spawn(move || run_batch(&batch));
+        EngineStandIn { shared, server: server.expect("the server starts"), address }
+    }
+
+    /// Its faults.
+    pub fn faults(&self) -> &EngineFaults {
+        &self.shared.faults
+    }
+
+    /// It says that it leaves from now on.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// How often each run was started here.
+    pub fn starts(&self) -> HashMap<String, u64> {
+        lock(&self.shared).starts.clone()
+    }
+
+    /// Runs that are not over.
+    pub fn open_runs(&self) -> usize {
+        lock(&self.shared).runs.values().filter(|run| !run.done).count()
+    }
+
+    /// Runs that were cancelled.
+    pub fn cancelled_runs(&self) -> usize {
+        lock(&self.shared).runs.values().filter(|run| run.cancelled).count()
+    }
+
+    /// The orders that it took, with their fences.
+    pub fn orders(&self) -> Vec<(u64, Value)> {
+        lock(&self.shared).orders.clone()
+    }
+
+    /// Dies: every connection is cut, and it listens no more.
+    pub fn kill(mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        self.shared.changed.notify_all();
+        self.server.stop();
+    }
+}
+
+impl Drop for EngineStandIn {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        self.shared.changed.notify_all();
+    }
+}
+
+// ---- the batch ----
+
+fn run_batch(shared: &EngineShared) {
+    while !shared.stop.load(Ordering::Relaxed) {
+        std::thread::sleep(TICK);
+        let now = Instant::now();
+        let mut inside = lock(shared);
+        start_waiting(shared, &mut inside, now);
+        if make_pieces(shared, &mut inside, now) {
+            shared.changed.notify_all();
+        }
+        report(shared, &mut inside, now);
+    }
+}
+
+fn start_waiting(shared: &EngineShared, inside: &mut EngineInside, now: Instant) {
+    let running = inside.runs.values().filter(|run| run.running).count();
+    let room = shared.make.slots.saturating_sub(running);
+    if room == 0 || inside.waiting.is_empty() {
+        return;
+    }
+    let mut waiting = std::mem::take(&mut inside.waiting);
+    // The order of arrival is kept among equals.
+    waiting.sort_by_key(|id| std::cmp::Reverse(inside.runs.get(id).map_or(0, |run| run.priority)));
+    for id in waiting.drain(..room.min(waiting.len())) {
+        let Some(run) = inside.runs.get_mut(&id) else { continue };
+        run.running = !run.cancelled;
+        let prefill = Duration::from_millis(run.prompt / shared.make.prefill_per_ms.max(1));
+        run.ready_at = Some(now + prefill);
+        run.next_at = Some(now + prefill);
+    }
+    inside.waiting = waiting;
+    let running = inside.runs.values().filter(|run| run.running).count();
+    inside.most_running = inside.most_running.max(running);
+}
+
+fn make_pieces(shared: &EngineShared, inside: &mut EngineInside, now: Instant) -> bool {
+    let step = shared.make.piece_ms + shared.faults.slow_ms.load(Ordering::Relaxed);
+    let step = Duration::from_millis(step);
+    let mut made = false;
+    for run in inside.runs.values_mut().filter(|run| run.running) {
+        while run.running && run.next_at.is_some_and(|at| at <= now) {
+            run.made += 1;
+            run.next_at = run.next_at.map(|at| at + step);
+            run.done = run.made >= run.pieces;
+            run.running = !run.done;
+            made = true;
+            if step.is_zero() && !run.running {
+                break;
+            }
+        }
+    }
+    made
+}
+
+fn report(shared: &EngineShared, inside: &mut EngineInside, now: Instant) {
+    let running = inside.runs.values().filter(|run| run.running).count() as u32;
+    let waiting = inside.waiting.len() as u32;
+    let open = inside.runs.values().filter(|run| !run.done);
+    let work = open.map(|run| run.pieces - run.made).sum();
+    inside.reports.push_back((now, running, waiting, work));
+    let lag = Duration::from_millis(shared.make.report_lag_ms);
+    while inside.reports.get(1).is_some_and(|(at, ..)| *at + lag <= now) {
+        inside.reports.pop_front();
+    }
+}
+
+// ---- the cache ----
+
+fn cache_lookup(
+    shared: &EngineShared,
+    inside: &mut EngineInside,
+    key: &str,
+    tokens: u64,
+    prompt: u64,
+) -> u64 {
+    inside.cache_use += 1;
+    let held = inside.cache.get(key).map_or(0, |(held, _)| *held);
+    let cached = held.min(prompt);
+    inside.cache.insert(key.to_string(), (tokens.max(held), inside.cache_use));
+    push_event(shared, inside, key, tokens.max(held));
+    while inside.cache.values().map(|(held, _)| held).sum::<u64>() > shared.make.cache_tokens {
+        let oldest = inside.cache.iter().min_by_key(|(_, (_, used))| *used);
+        let Some(oldest) = oldest.map(|(key, _)| key.clone()) else { break };
+        inside.cache.remove(&oldest);
+        push_event(shared, inside, &oldest, 0);
+    }
+    cached
+}
+
+fn push_event(shared: &EngineShared, inside: &mut EngineInside, key: &str, tokens: u64) {
+    inside.next_event += 1;
+    let every = shared.make.event_gap_every;
+    if every > 0 && inside.next_event % every == 0 {
+        return;
+    }
+    let event =
+        CacheEvent { number: inside.next_event, cache_key: key.to_string(), tokens: tokens as u32 };
+    inside.events.push_back((Instant::now(), event));
+    if inside.events.len() > 10_000 {
+        inside.events.pop_front();
+    }
+}
+
+// ---- HTTP ----
+
+fn handle(shared: &Arc<EngineShared>, mut exchange: HttpExchange) {
+    if shared.stop.load(Ordering::Relaxed) {
+        return;
+    }
+    let path = exchange.call.path().to_string();
+    let call = exchange.call;
+    let writer = &mut exchange.writer;
+    let reply = match (call.method.as_str(), path.as_str()) {
+        ("POST", "/v1/chat/completions") => return start(shared, &call, writer),
+        ("GET", "/v1/state") => state_reply(shared, &call),
+        ("POST", "/v1/kv/import") => import_reply(shared, &call),
+        ("POST", "/v1/orders") => order_reply(shared, &call),
+        (method, path) if path.starts_with("/v1/runs/") => {
+            let rest = &path["/v1/runs/".len()..];
+            match (method, rest.strip_suffix("/cancel")) {
+                ("GET", None) => return resume(shared, rest, &call, writer),
+                ("POST", Some(run)) => cancel_reply(shared, run, &call),
+                _ => HttpReply { status: 404, ..HttpReply::default() },
+            }
+        }
+        _ => HttpReply { status: 404, ..HttpReply::default() },
+    };
+    let _ = writer.send(&own_headers(shared, reply));
+}
+
+fn own_headers(shared: &EngineShared, reply: HttpReply) -> HttpReply {
+    let leaving = shared.leaving.load(Ordering::Relaxed);
+    reply
+        .with(INCARNATION_HEADER, shared.make.incarnation.to_string())
+        .with(LEAVING_HEADER, leaving.to_string())
+}
+
+fn start(shared: &Arc<EngineShared>, call: &HttpCall, writer: &mut ResponseWriter) {
+    let refuse = shared.faults.refuse_status.load(Ordering::Relaxed) as u16;
+    let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
+    let known_shape = body.get("messages").is_some_and(Value::is_array);
+    let status = match (refuse, shared.leaving.load(Ordering::Relaxed), known_shape) {
+        (0, false, true) => 0,
+        (0, true, _) => 503,
+        (0, _, false) => 400,
+        (status, ..) => status,
+    };
+    if status != 0 {
+        let reply = HttpReply::json(status, &json!({ "error": "not run" }));
+        let _ = writer.send(&own_headers(shared, reply));
+        return;
+    }
+    let id = call.header(RUN_HEADER).unwrap_or("anonymous").to_string();
+    let cached = {
+        let mut inside = lock(shared);
+        begin_run(shared, &mut inside, &id, call, &body)
+    };
+    if shared.faults.cut_before_head.load(Ordering::Relaxed) {
+        return;
+    }
+    stream(shared, &id, 0, cached, true, writer);
+}
+
+/// A run that is known already is joined, so that a start sent twice runs once here.
+fn begin_run(
+    shared: &EngineShared,
+    inside: &mut EngineInside,
+    id: &str,
+    call: &HttpCall,
+    body: &Value,
+) -> u64 {
+    if inside.runs.get(id).is_some_and(|run| !run.cancelled) {
+        return 0;
+    }
+    let characters: usize = body["messages"].as_array().map_or(0, |messages| {
+        messages.iter().map(|m| m["content"].as_str().map_or(0, str::len)).sum()
+    });
+    let prompt = (characters as u64 / 4).max(1);
+    let pieces = body["max_tokens"].as_u64().unwrap_or(16).clamp(1, 100_000);
+    let key = call.header(CACHE_KEY_HEADER).unwrap_or(id).to_string();
+    let cached = cache_lookup(shared, inside, &key, prompt + pieces, prompt);
+    let priority = call.header(PRIORITY_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let run = EngineRun { pieces, prompt: prompt - cached, priority, ..EngineRun::default() };
+    inside.runs.insert(id.to_string(), run);
+    inside.waiting.push(id.to_string());
+    *inside.starts.entry(id.to_string()).or_default() += 1;
+    cached
+}
+
+fn resume(shared: &Arc<EngineShared>, id: &str, call: &HttpCall, writer: &mut ResponseWriter) {
+    let after = call.query("after").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let known = !shared.faults.forget_runs.load(Ordering::Relaxed)
+        && lock(shared).runs.get(id).is_some_and(|run| !run.cancelled);
+    if !known {
+        let reply = HttpReply { status: 404, ..HttpReply::default() };
+        let _ = writer.send(&own_headers(shared, reply));
+        return;
+    }
+    stream(shared, id, after, 0, false, writer);
+}
+
+fn stream(
+    shared: &Arc<EngineShared>,
+    id: &str,
+    after: u64,
+    cached: u64,
+    first_reading: bool,
+    writer: &mut ResponseWriter,
+) {
+    let reader = {
+        let mut inside = lock(shared);
+        let Some(run) = inside.runs.get_mut(id) else { return };
+        run.readers += 1;
+        run.readers
+    };
+    let head = own_headers(shared, HttpReply::default())
+        .with("content-type", "text/event-stream")
+        .with(READER_HEADER, reader.to_string())
+        .with(CACHED_HEADER, cached.to_string());
+    if writer.begin(200, &head.headers).is_err() {
+        return;
+    }
+    let mut sent = after;
+    loop {
+        let (made, pieces, done, cancelled) = {
+            let mut inside = lock(shared);
+            loop {
+                let Some(run) = inside.runs.get(id) else { return };
+                if run.made > sent || run.done || run.cancelled {
+                    break (run.made, run.pieces, run.done, run.cancelled);
+                }
+                if shared.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                let waited = shared.changed.wait_timeout(inside, POLL);
+                inside = waited.unwrap_or_else(|poison| poison.into_inner()).0;
+            }
+        };
+        if shared.stop.load(Ordering::Relaxed) {
+            return;
+        }
+        if cancelled {
+            let _ = write_error(writer, "the run was cancelled");
+            return;
+        }
+        if !send_pieces(shared, id, &mut sent, made, first_reading, writer) {
+            return;
+        }
+        if done && sent >= pieces {
+            let end = numbered(pieces + 1, "[DONE]".to_string());
+            let _ = writer.chunk(&end).and_then(|()| writer.finish());
+            return;
+        }
+    }
+}
+
+/// False when the stream is over by a fault or a reader that is gone.
+fn send_pieces(
+    shared: &EngineShared,
+    id: &str,
+    sent: &mut u64,
+    made: u64,
+    first_reading: bool,
+    writer: &mut ResponseWriter,
+) -> bool {
+    let every = |fault: &AtomicU64, number: u64| {
+        let every = fault.load(Ordering::Relaxed);
+        every > 0 && number % every == 0
+    };
+    let faults = &shared.faults;
+    let mut held: Option<Vec<u8>> = None;
+    while *sent < made {
+        *sent += 1;
+        let number = *sent;
+        let text = piece_text(id, number);
+        let data = json!({ "choices": [{ "index": 0, "delta": { "content": text } }] });
+        let bytes = numbered(number, data.to_string());
+        if first_reading && every(&faults.lose_every, number) {
+            continue;
+        }
+        if held.is_none() && every(&faults.swap_every, number) && number < made {
+            held = Some(bytes);
+            continue;
+        }
+        let doubled = every(&faults.double_every, number);
+        let mut out = bytes.clone();
+        if doubled {
+            out.extend_from_slice(&bytes);
+        }
+        out.extend(held.take().into_iter().flatten());
+        if writer.chunk(&out).is_err() {
+            return false;
+        }
+        let fail_after = faults.fail_after.load(Ordering::Relaxed);
+        if fail_after > 0 && number >= fail_after {
+            let _ = write_error(writer, "out of memory");
+            return false;
+        }
+        let cut_after = faults.cut_after.load(Ordering::Relaxed);
+        if first_reading && cut_after > 0 && number >= cut_after {
+            return false;
+        }
+    }
+    match held {
+        Some(bytes) => writer.chunk(&bytes).is_ok(),
+        None => true,
+    }
+}
+
+fn numbered(number: u64, data: String) -> Vec<u8> {
+    write_event(&SseEvent { id: Some(number.to_string()), event: None, data })
+}
+
+fn write_error(writer: &mut ResponseWriter, text: &str) -> std::io::Result<()> {
+    let event = SseEvent { id: None, event: Some("error".to_string()), data: text.to_string() };
+    writer.chunk(&write_event(&event))?;
+    writer.finish()
+}
+
+fn cancel_reply(shared: &EngineShared, id: &str, call: &HttpCall) -> HttpReply {
+    let reader: u64 = call.header(READER_HEADER).and_then(|t| t.parse().ok()).unwrap_or(0);
+    let mut inside = lock(shared);
+    let Some(run) = inside.runs.get_mut(id) else {
+        return HttpReply { status: 404, ..HttpReply::default() };
+    };
+    if run.readers <= reader && !run.done {
+        run.cancelled = true;
+        run.done = true;
+        run.running = false;
+        shared.changed.notify_all();
+    }
+    HttpReply::json(200, &json!({ "cancelled": run.cancelled }))
+}
+
+fn state_reply(shared: &EngineShared, call: &HttpCall) -> HttpReply {
+    let after: u64 = call.query("events_after").and_then(|t| t.parse().ok()).unwrap_or(0);
+    let inside = lock(shared);
+    let lag = Duration::from_millis(shared.make.event_lag_ms);
+    let told = inside.events.iter().filter(|(at, _)| at.elapsed() >= lag);
+    let events: Vec<&CacheEvent> =
+        told.map(|(_, event)| event).filter(|event| event.number > after).collect();
+    let latest = events.last().map_or(after, |event| event.number);
+    let (_, running, waiting, work) =
+        inside.reports.front().copied().unwrap_or((Instant::now(), 0, 0, 0));
+    HttpReply::json(
+        200,
+        &json!({
+            "incarnation": shared.make.incarnation,
+            "leaving": shared.leaving.load(Ordering::Relaxed),
+            "running": running, "waiting": waiting, "work": work,
+            "events": events, "latest_event": latest,
+        }),
+    )
+}
+
+fn import_reply(shared: &EngineShared, call: &HttpCall) -> HttpReply {
+    let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
+    let (Some(key), Some(tokens)) = (body["cache_key"].as_str(), body["tokens"].as_u64()) else {
+        return HttpReply { status: 400, ..HttpReply::default() };
+    };
+    let mut inside = lock(shared);
+    cache_lookup(shared, &mut inside, key, tokens, 0);
+    HttpReply::json(200, &json!({ "imported": tokens }))
+}
+
+fn order_reply(shared: &EngineShared, call: &HttpCall) -> HttpReply {
+    let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
+    let Some(fence) = body["fence"].as_u64() else {
+        return HttpReply { status: 400, ..HttpReply::default() };
+    };
+    let mut inside = lock(shared);
+    if fence < inside.highest_fence {
+        return HttpReply::json(409, &json!({ "highest": inside.highest_fence }));
+    }
+    // The same fence again is the same order resent.
+    if fence > inside.highest_fence {
+        inside.highest_fence = fence;
+        inside.orders.push((fence, body["action"].clone()));
+    }
+    HttpReply::json(200, &json!({ "done": true }))
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,11 @@
+//! Small stand-ins for what wingshed serves and stands on, used only by tests, the
+//! demo and benches. They speak the published wire of each interface and switch
+//! faults by a table; they are no simulator of a cluster.
+
+pub mod address;
+pub mod caller;
+pub mod engine;
+pub mod plain;
+pub mod platform;
+pub mod system;
+pub mod trace;
