placement: fresh chats go to the lightest engine of the fleet

Fresh chats carry 70% of the work and went by hash, so hot engines had no room for the chats that return. Ruled out: memory of every holder (70.1% with the last holder only), spilling inside the home first (73.4% along the order).

Change: each lease renewal carries a router's two lightest engines and brings the six lightest of others; a fresh or spilled chat goes to an own engine below the mean, else to those. A reply's router is where the caller comes back to, and a router that holds the chat serves it. Work of an earlier home only falls and never counts in the mean; the mean's age includes the tellers' own renewal interval.

Conclusion: level by fresh work.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! leaves all logic to the library.
 
 mod demo;
+mod replay;
 mod table;
 
 use argh::FromArgs;
@@ -17,12 +18,16 @@
 #[argh(subcommand)]
 enum Command {
     Demo(demo::DemoCommand),
+    Trace(replay::TraceCommand),
+    Replay(replay::ReplayCommand),
 }
 
 fn main() -> std::process::ExitCode {
     let arguments: Arguments = argh::from_env();
     let result = match arguments.command {
         Command::Demo(command) => demo::run(&command),
+        Command::Trace(command) => replay::make(&command),
+        Command::Replay(command) => replay::run(&command),
     };
     match result {
         Ok(true) => std::process::ExitCode::SUCCESS,
--- a/lib/src/coordination/home.rs
+++ b/lib/src/coordination/home.rs
@@ -9,8 +9,15 @@
 use std::collections::HashMap;
 
 use super::admission::{may_admit, FleetLoad};
+use super::load_spread::{LoadRow, HINTS_TOLD};
+use super::placement::EngineHint;
 use crate::state::ids::{FleetKey, Incarnation, UpstreamKey};
 
+/// An earlier home's work is reckoned with for this long after a take-over.
+pub const FOREIGN_KEEP_MS: u64 = 60_000;
+/// In the first epoch there is no earlier home.
+const FIRST_EPOCH: u64 = 1;
+
 /// One engine at its home.
 #[derive(Clone, Debug, Default)]
 pub struct HomeSlot {
@@ -22,8 +29,10 @@
     pub requests: u32,
     /// Their work.
     pub work: u64,
-    /// Work that others have in flight there, as the engine last reported beyond ours.
+    /// Work that an earlier home may still have in flight there; it only falls.
     pub foreign_work: u64,
+    /// When this router took the engine over, once the engine has reported since.
+    pub taken_over_ms: Option<u64>,
     /// The roster epoch at which this router became its home; `None` while it is not.
     pub home_since_epoch: Option<u64>,
     /// No new work: the engine leaves, or is set aside.
@@ -70,6 +79,7 @@
         slot.fleet = fleet;
         if !home {
             slot.home_since_epoch = None;
+            slot.taken_over_ms = None;
         } else if slot.home_since_epoch.is_none() {
             slot.home_since_epoch = Some(epoch);
         }
@@ -126,11 +136,30 @@
         }
     }
 
-    /// The engine reported its work; what is beyond ours was admitted by an earlier home.
-    pub fn report(&mut self, engine: UpstreamKey, incarnation: Incarnation, reported_work: u64) {
+    /// The engine reported its work. The first report after a take-over tells what an earlier
+    /// home left in flight; from then on that only falls, and is gone after
+    /// [`FOREIGN_KEEP_MS`]. A report lags, so it is never compared with our own work of now.
+    pub fn report(
+        &mut self,
+        engine: UpstreamKey,
+        incarnation: Incarnation,
+        reported_work: u64,
+        now_ms: u64,
+    ) {
         let Some(slot) = self.slots.get_mut(&engine) else { return };
+        let same_life = slot.incarnation == incarnation;
         slot.incarnation = incarnation;
-        slot.foreign_work = reported_work.saturating_sub(slot.work);
+        match slot.taken_over_ms {
+            None => {
+                slot.taken_over_ms = Some(now_ms);
+                let inherited = slot.home_since_epoch.is_some_and(|epoch| epoch > FIRST_EPOCH);
+                slot.foreign_work = if inherited { reported_work } else { 0 };
+            }
+            Some(since) if same_life && now_ms < since + FOREIGN_KEEP_MS => {
+                slot.foreign_work = slot.foreign_work.min(reported_work);
+            }
+            Some(_) => slot.foreign_work = 0,
+        }
     }
 
     /// Opens or closes an engine to new work.
@@ -153,8 +182,20 @@
 
     /// The work in flight by this router over a fleet.
     pub fn fleet_work(&self, fleet: FleetKey) -> u64 {
+        // Foreign work is counted by whoever admitted it; counting it here too would raise the
+        // mean, and with it the bound.
         let slots = self.slots.values().filter(|slot| slot.fleet == fleet);
-        slots.map(|slot| slot.load()).sum()
+        slots.map(|slot| slot.work).sum()
+    }
+
+    /// This router's row of the load exchange: its work, and its lightest open engines.
+    pub fn load_row(&self, fleet: FleetKey, engines: u32) -> LoadRow {
+        let open = self.homed().filter(|(_, slot)| slot.fleet == fleet && !slot.closed);
+        let mut lightest: Vec<EngineHint> =
+            open.map(|(engine, slot)| EngineHint { engine, work: slot.load() }).collect();
+        lightest.sort_unstable_by_key(|hint| (hint.work, hint.engine));
+        lightest.truncate(HINTS_TOLD);
+        LoadRow { fleet, work: self.fleet_work(fleet), engines, lightest }
     }
 
     /// Requests in flight by this router over all fleets.
--- a/lib/src/coordination/load_spread.rs
+++ b/lib/src/coordination/load_spread.rs
@@ -10,13 +10,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::admission::FleetLoad;
+use super::placement::EngineHint;
+use super::router_lease::RENEW_MS;
 use crate::state::ids::{FleetKey, RouterId};
 
 /// How long a router's sum counts after it was last heard, in milliseconds.
 pub const ROW_KEEP_MS: u64 = 5000;
 
 /// One fleet's load at one router, or summed over several.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadRow {
     /// The fleet.
     pub fleet: FleetKey,
@@ -24,6 +26,20 @@
     pub work: u64,
     /// Engines that the teller counts as taking work.
     pub engines: u32,
+    /// The teller's lightest engines, or the lightest of several tellers.
+    pub lightest: Vec<EngineHint>,
+}
+
+/// How many light engines a router tells of.
+pub const HINTS_TOLD: usize = 2;
+/// How many light engines of others a router is told of.
+pub const HINTS_GIVEN: usize = 6;
+
+impl LoadRow {
+    /// A row of no load.
+    pub fn empty(fleet: FleetKey) -> LoadRow {
+        LoadRow { fleet, work: 0, engines: 0, lightest: Vec::new() }
+    }
 }
 
 /// What was told of the load elsewhere.
@@ -37,7 +53,7 @@
     pub fn tell(&mut self, router: RouterId, rows: &[LoadRow], now_ms: u64) {
         self.rows.retain(|(from, _), _| *from != router);
         for row in rows {
-            self.rows.insert((router, row.fleet), (*row, now_ms));
+            self.rows.insert((router, row.fleet), (row.clone(), now_ms));
         }
     }
 
@@ -50,15 +66,20 @@
     pub fn others(&self, except: RouterId) -> Vec<LoadRow> {
         let mut sums: HashMap<FleetKey, LoadRow> = HashMap::new();
         for ((router, fleet), (row, _)) in &self.rows {
-            let sum = sums.entry(*fleet).or_insert(LoadRow { fleet: *fleet, work: 0, engines: 0 });
+            let sum = sums.entry(*fleet).or_insert_with(|| LoadRow::empty(*fleet));
             if *router != except {
                 sum.work += row.work;
+                sum.lightest.extend_from_slice(&row.lightest);
             }
             // The largest count keeps the mean low while views of the fleet differ.
             sum.engines = sum.engines.max(row.engines);
         }
         let mut sums: Vec<LoadRow> = sums.into_values().collect();
         sums.sort_by_key(|row| row.fleet);
+        for sum in &mut sums {
+            sum.lightest.sort_unstable_by_key(|hint| (hint.work, hint.engine));
+            sum.lightest.truncate(HINTS_GIVEN);
+        }
         sums
     }
 }
@@ -71,9 +92,10 @@
 }
 
 impl OtherLoad {
-    /// Notes sums that were true at `told_ms` at the earliest.
+    /// Notes sums that came with the answer to a renewal sent at `told_ms`; each router's part
+    /// of them was told up to one renewal earlier.
     pub fn tell(&mut self, rows: &[LoadRow], told_ms: u64) {
-        self.rows = rows.iter().map(|row| (row.fleet, *row)).collect();
+        self.rows = rows.iter().map(|row| (row.fleet, row.clone())).collect();
         self.told_ms = told_ms;
     }
 
@@ -82,6 +104,11 @@
         self.told_ms
     }
 
+    /// Light engines of other homes.
+    pub fn hints(&self, fleet: FleetKey) -> &[EngineHint] {
+        self.rows.get(&fleet).map_or(&[], |row| &row.lightest)
+    }
+
     /// The whole fleet's load: the own exact part plus the others' last sum.
     pub fn fleet_load(
         &self,
@@ -94,7 +121,10 @@
         FleetLoad {
             work: own_work + others.map_or(0, |row| row.work),
             engines: own_engines.max(others.map_or(0, |row| row.engines)),
-            age_ms: if others.is_some() { now_ms.saturating_sub(self.told_ms) } else { 0 },
+            age_ms: match others {
+                Some(_) => now_ms.saturating_sub(self.told_ms) + RENEW_MS,
+                None => 0,
+            },
         }
     }
 }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -1,12 +1,20 @@
 //! Where a request may go, best first.
 //!
-//! A chat's home is the home of the first engine in the chat's rendezvous order.
-//! The home looks at what it remembers first, then at the order; among equals it
-//! prefers engines that it is itself home to, since they cost no further hop.
+//! A chat's home is the home of the first engine in the chat's rendezvous order, unless
+//! another router served it last: each reply tells the caller which router that was, and
+//! a router that holds a chat on an engine of its own serves it there.
+//!
+//! A returning chat goes to an engine that holds its prefix. A fresh one carries most of
+//! the work, since nothing of it is cached; so fresh chats are what levels the load, and
+//! what keeps room for those that return. They go to the lightest engine that is known:
+//! the own ones exactly, the others by the hints that come with each lease renewal.
 //! See `docs/design/placement.md` for the rules weighed and what each measured.
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::admission::FleetLoad;
 use crate::coordination::home::HomeTable;
 use crate::state::chat_memory::{ChatMemory, HolderCertainty};
 use crate::state::ids::{ChatKey, FleetKey, RouterId, UpstreamKey};
@@ -16,22 +24,18 @@
 /// How many places of a chat's order are looked at.
 pub const PLACES: usize = 4;
 
-/// Where chats go that no engine is known to hold.
+/// Where chats go that no engine is known to hold, and those whose holders have no room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FreshRule {
-    /// To the first place of the order.
-    FirstPlace,
-    /// To the least loaded engine of the home.
-    LeastOfHome,
-}
-
-/// Where requests go when the best engine is at its bound.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SpillRule {
-    /// First to the home's other engines, the least loaded first, then along the order.
-    HomeFirst,
-    /// Along the order only.
+    /// To the first place of the order, then along the order.
     OrderOnly,
+    /// To the first place of the order, then to the lightest engine of the home.
+    FirstPlace,
+    /// To the lightest engine of the home.
+    LightestOfHome,
+    /// To the lightest engine of the home while that is below the mean, else to the lightest
+    /// engines of the fleet that the hints name.
+    LightestOfFleet,
 }
 
 /// Which rules are in force.
@@ -39,15 +43,22 @@
 pub struct PlacementRule {
     /// For chats that nobody holds.
     pub fresh: FreshRule,
-    /// For requests past the bound.
-    pub spill: SpillRule,
     /// Whether more than the latest holder is looked at.
     pub every_holder: bool,
 }
 
 /// The rules that measured best; see `docs/design/placement.md`.
 pub const BEST_RULE: PlacementRule =
-    PlacementRule { fresh: FreshRule::FirstPlace, spill: SpillRule::HomeFirst, every_holder: true };
+    PlacementRule { fresh: FreshRule::LightestOfFleet, every_holder: true };
+
+/// A lightly loaded engine, as its home told it a moment ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineHint {
+    /// The engine.
+    pub engine: UpstreamKey,
+    /// Its work in flight.
+    pub work: u64,
+}
 
 /// One fleet as one router sees it: who takes work, and who is home to each.
 #[derive(Clone, Debug, Default)]
@@ -73,7 +84,7 @@
         order.into_iter().map(UpstreamKey).collect()
     }
 
-    /// The router that is home to a chat.
+    /// The router that is home to a chat by its order alone.
     pub fn chat_home(&self, chat: ChatKey) -> Option<RouterId> {
         let first = self.order(chat).into_iter().next()?;
         self.engines.get(&first).copied()
@@ -91,67 +102,107 @@
     pub cached_tokens: u32,
 }
 
+/// What one router knows when it places a request.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementKnowledge<'a> {
+    /// The router.
+    pub own: RouterId,
+    /// The fleet.
+    pub fleet: FleetKey,
+    /// The fleet's engines and their homes.
+    pub view: &'a FleetView,
+    /// The engines that the router is home to.
+    pub homes: &'a HomeTable,
+    /// Who holds what.
+    pub memory: &'a ChatMemory,
+    /// Light engines of other homes.
+    pub hints: &'a [EngineHint],
+    /// The fleet's load.
+    pub load: FleetLoad,
+}
+
 /// The work of a request on an engine that holds `cached_tokens` of its prompt.
 pub fn request_work(prompt_tokens: u32, output_tokens: u32, cached_tokens: u32) -> u64 {
     prompt_tokens.saturating_sub(cached_tokens) as u64 + output_tokens.max(1) as u64
 }
 
-/// The engines that a chat's home should try, best first.
+/// The engines that a router should try for a chat, best first.
 pub fn place_candidates(
     chat: ChatKey,
-    fleet: FleetKey,
-    own: RouterId,
-    view: &FleetView,
-    homes: &HomeTable,
-    memory: &ChatMemory,
+    known: &PlacementKnowledge<'_>,
     rule: &PlacementRule,
 ) -> Vec<PlaceCandidate> {
-    let order = view.order(chat);
-    let mut candidates = holder_candidates(chat, view, memory, rule);
-    let fresh = candidates.is_empty();
-    if fresh && rule.fresh == FreshRule::FirstPlace {
-        push_all(&mut candidates, order.iter().take(1).copied(), view);
-    }
-    if rule.spill == SpillRule::HomeFirst || (fresh && rule.fresh == FreshRule::LeastOfHome) {
-        push_all(&mut candidates, own_by_load(fleet, own, view, homes), view);
+    let order = known.view.order(chat);
+    let mut candidates = holder_candidates(chat, known, rule);
+    let first = order.iter().take(1).copied();
+    match rule.fresh {
+        FreshRule::OrderOnly => {}
+        FreshRule::FirstPlace => {
+            if candidates.is_empty() {
+                push_all(&mut candidates, first, known.view);
+            }
+            push_all(&mut candidates, own_lightest(known).map(|(_, key)| key), known.view);
+        }
+        FreshRule::LightestOfHome => {
+            push_all(&mut candidates, own_lightest(known).map(|(_, key)| key), known.view);
+        }
+        FreshRule::LightestOfFleet => push_lightest(&mut candidates, known),
     }
-    push_all(&mut candidates, order.into_iter(), view);
+    push_all(&mut candidates, order.into_iter(), known.view);
     candidates
 }
 
+/// Whether this router surely holds the chat on an engine of its own.
+pub fn holds_chat(chat: ChatKey, known: &PlacementKnowledge<'_>) -> bool {
+    known.memory.holders(chat).iter().any(|holder| {
+        known.view.engines.get(&holder.engine) == Some(&known.own)
+            && known.memory.certainty(holder) == Some(HolderCertainty::Surely)
+    })
+}
+
 fn holder_candidates(
     chat: ChatKey,
-    view: &FleetView,
-    memory: &ChatMemory,
+    known: &PlacementKnowledge<'_>,
     rule: &PlacementRule,
 ) -> Vec<PlaceCandidate> {
+    let memory = known.memory;
     let kept = if rule.every_holder { usize::MAX } else { 1 };
     let holders = memory.holders(chat).iter().take(kept);
     let mut sure: Vec<_> =
         holders.filter_map(|holder| Some((memory.certainty(holder)?, holder))).collect();
     sure.sort_by_key(|(certainty, holder)| std::cmp::Reverse((*certainty, holder.tokens)));
-    let known = sure.into_iter().filter_map(|(certainty, holder)| {
-        let home = *view.engines.get(&holder.engine)?;
+    let placed = sure.into_iter().filter_map(|(certainty, holder)| {
+        let home = *known.view.engines.get(&holder.engine)?;
         let surely = certainty == HolderCertainty::Surely;
         let cached_tokens = if surely { holder.tokens } else { 0 };
         Some(PlaceCandidate { engine: holder.engine, home, cached_tokens })
     });
-    known.collect()
+    placed.collect()
 }
 
-fn own_by_load(
-    fleet: FleetKey,
-    own: RouterId,
-    view: &FleetView,
-    homes: &HomeTable,
-) -> impl Iterator<Item = UpstreamKey> {
-    let ours = homes.homed().filter(|(engine, slot)| {
-        slot.fleet == fleet && !slot.closed && view.engines.get(engine) == Some(&own)
+/// Own engines below the mean, then hinted ones that are lighter than the own lightest, then
+/// the other own ones.
+fn push_lightest(candidates: &mut Vec<PlaceCandidate>, known: &PlacementKnowledge<'_>) {
+    let mean = known.load.work / known.load.engines.max(1) as u64;
+    let own: Vec<(u64, UpstreamKey)> = own_lightest(known).collect();
+    let lightest = own.first().map_or(u64::MAX, |(work, _)| *work);
+    let below = own.iter().filter(|(work, _)| *work < mean).map(|(_, key)| *key);
+    push_all(candidates, below, known.view);
+    let hinted = known.hints.iter().filter(|hint| hint.work < lightest);
+    push_all(candidates, hinted.map(|hint| hint.engine), known.view);
+    push_all(candidates, own.iter().map(|(_, key)| *key), known.view);
+}
+
+fn own_lightest(known: &PlacementKnowledge<'_>) -> impl Iterator<Item = (u64, UpstreamKey)> {
+    let ours = known.homes.homed().filter(|(engine, slot)| {
+        slot.fleet == known.fleet
+            && !slot.closed
+            && known.view.engines.get(engine) == Some(&known.own)
     });
     let mut ours: Vec<(u64, UpstreamKey)> =
         ours.map(|(engine, slot)| (slot.load(), engine)).collect();
     ours.sort_unstable();
-    ours.into_iter().map(|(_, engine)| engine)
+    ours.into_iter()
 }
 
 fn push_all(
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -1,1 +1,681 @@
-//! Replay.
+//! Replay of a trace through the decision code of N routers, with time taken from
+//! the trace. It replays decisions; it is no simulator of a cluster: messages between
+//! routers arrive at once, engines take the times that the trace states.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::admission::{admission_bound, FleetLoad};
+use super::fair_queue::{FairQueue, WaitingRequest};
+use super::home::HomeTable;
+use super::kv_move::{choose_move, MoveChoice, MoveRates};
+use super::load_spread::{LoadTable, OtherLoad};
+use super::placement::{
+    holds_chat, place_candidates, request_work, FleetView, PlacementKnowledge, PlacementRule,
+};
+use super::replay_outcome::{ReplayOutcome, ReplaySample};
+use super::replay_truth::TrueEngine;
+use super::router_lease::RENEW_MS;
+use super::trace::{Trace, TraceEvent, TraceRequest, TraceSetup, TraceStanding};
+use crate::state::chat_memory::ChatMemory;
+use crate::state::ids::{ChatKey, FleetKey, Incarnation, RouterId, UpstreamKey, WorkspaceKey};
+use crate::state::rendezvous::rendezvous_order;
+use crate::state::roster::{RouterRoster, RouterSession};
+
+const FLEET: FleetKey = FleetKey(1);
+const SAMPLE_MS: u64 = 1000;
+const CHATS: usize = 200_000;
+const NEW_HOME_READS_CACHE_MS: u64 = 2000;
+
+/// How requests are placed in a replay.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ReplayRule {
+    /// wingshed's homes, with these placement rules, and KV imports at these rates or none.
+    Home(PlacementRule, Option<MoveRates>),
+    /// Each router alone takes the least reported load.
+    LeastReported,
+    /// Each router alone hashes, bounded by its own counts.
+    BoundedAlone,
+    /// Any engine.
+    Random,
+    /// Cannot be built: one router that knows every cache and load, and prefers reuse.
+    ExactReuse,
+    /// Cannot be built: one router that knows every load, and prefers the least.
+    ExactSkew,
+}
+
+/// What comes later in a replay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LaterEvent {
+    Finish { engine: u32, life: u64, home: u32, work: u64 },
+    CacheTold { engine: u32, life: u64, number: u64, chat: u64, tokens: u32 },
+    ReadCache { router: u32, engine: u32 },
+    Exchange { router: u32 },
+    Sample,
+}
+
+struct ReplayRouter {
+    live: bool,
+    roster: RouterRoster,
+    standings: Vec<TraceStanding>,
+    view: FleetView,
+    homes: HomeTable,
+    memory: ChatMemory,
+    others: OtherLoad,
+    queue: FairQueue,
+    own_work: Vec<u64>,
+    events_told: Vec<u64>,
+}
+
+/// One replay under way.
+pub struct ReplayRun<'a> {
+    setup: &'a TraceSetup,
+    rule: ReplayRule,
+    rng: StdRng,
+    now_ms: u64,
+    routers: Vec<ReplayRouter>,
+    engines: Vec<TrueEngine>,
+    keys: HashMap<UpstreamKey, u32>,
+    keeper_loads: LoadTable,
+    later: BinaryHeap<Reverse<(u64, u64, LaterEvent)>>,
+    sequence: u64,
+    event_numbers: Vec<u64>,
+    waiting: HashMap<u64, (TraceRequest, u64)>,
+    tickets: u64,
+    told: HashMap<ChatKey, u32>,
+    outcome: ReplayOutcome,
+}
+
+/// The key of an engine of a trace.
+pub fn engine_key(engine: u32) -> UpstreamKey {
+    UpstreamKey::of(&format!("engine-{engine}"))
+}
+
+/// Replays a trace under a rule. `seed` serves the random choices of the rule and of the
+/// lost cache events.
+pub fn replay(trace: &Trace, rule: ReplayRule, seed: u64) -> ReplayOutcome {
+    let mut run = ReplayRun::new(trace, rule, seed);
+    for line in &trace.lines {
+        run.advance(line.at);
+        run.take(&line.event);
+    }
+    let last = trace.lines.last().map_or(0, |line| line.at);
+    run.advance(last + trace.setup.wait_ms + 1);
+    run.give_up_waiting();
+    run.outcome
+}
+
+impl<'a> ReplayRun<'a> {
+    fn new(trace: &'a Trace, rule: ReplayRule, seed: u64) -> ReplayRun<'a> {
+        let setup = &trace.setup;
+        let roster = roster_of(1, &(0..setup.routers).collect::<Vec<_>>());
+        let engines = setup.engines as usize;
+        let routers = (0..setup.routers).map(|_| ReplayRouter {
+            live: true,
+            roster: roster.clone(),
+            standings: vec![TraceStanding::Live; engines],
+            view: FleetView::default(),
+            homes: HomeTable::default(),
+            memory: ChatMemory::new(CHATS),
+            others: OtherLoad::default(),
+            queue: FairQueue::default(),
+            own_work: vec![0; engines],
+            events_told: vec![0; engines],
+        });
+        let mut run = ReplayRun {
+            setup,
+            rule,
+            rng: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            routers: routers.collect(),
+            engines: vec![TrueEngine::default(); engines],
+            keys: (0..setup.engines).map(|engine| (engine_key(engine), engine)).collect(),
+            keeper_loads: LoadTable::default(),
+            later: BinaryHeap::new(),
+            sequence: 0,
+            event_numbers: vec![0; engines],
+            waiting: HashMap::new(),
+            tickets: 0,
+            told: HashMap::new(),
+            outcome: ReplayOutcome::new(setup),
+        };
+        for router in 0..setup.routers {
+            run.renew_view(router);
+            run.routers[router as usize].homes.settle(1);
+            let first = router as u64 * RENEW_MS / setup.routers.max(1) as u64;
+            run.after(first, LaterEvent::Exchange { router });
+        }
+        run.after(SAMPLE_MS, LaterEvent::Sample);
+        run
+    }
+
+    // ---- time ----
+
+    fn after(&mut self, delay_ms: u64, event: LaterEvent) {
+        self.sequence += 1;
+        self.later.push(Reverse((self.now_ms + delay_ms, self.sequence, event)));
+    }
+
+    fn advance(&mut self, until_ms: u64) {
+        while let Some(Reverse((at, ..))) = self.later.peek() {
+            if *at > until_ms {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.later.pop() else { break };
+            self.now_ms = at;
+            self.take_later(event);
+        }
+        self.now_ms = self.now_ms.max(until_ms);
+    }
+
+    fn take_later(&mut self, event: LaterEvent) {
+        match event {
+            LaterEvent::Finish { engine, life, home, work } => {
+                self.finish(engine, life, home, work);
+            }
+            LaterEvent::CacheTold { engine, life, number, chat, tokens } => {
+                self.tell_cache(engine, life, number, chat, tokens);
+            }
+            LaterEvent::ReadCache { router, engine } => self.read_cache(router, engine),
+            LaterEvent::Exchange { router } => self.exchange(router),
+            LaterEvent::Sample => self.sample(),
+        }
+    }
+
+    fn take(&mut self, event: &TraceEvent) {
+        match event {
+            TraceEvent::Setup(_) | TraceEvent::Expect(_) => {}
+            TraceEvent::Request(request) => self.request(request),
+            TraceEvent::Engine { engine, standing } => {
+                let at = *engine as usize;
+                if *standing == TraceStanding::Gone {
+                    self.outcome.cut += self.engines[at].requests as u64;
+                }
+                self.engines[at].set_standing(*standing);
+                if *standing == TraceStanding::Gone {
+                    self.event_numbers[at] = 0;
+                }
+            }
+            TraceEvent::List { router, engine, standing } => {
+                let view = &mut self.routers[*router as usize];
+                view.standings[*engine as usize] = *standing;
+                if *standing != TraceStanding::Leaving {
+                    // A life that is over, or a new one: what the old one held is gone.
+                    let life = Incarnation(self.engines[*engine as usize].life);
+                    view.memory.set_life(engine_key(*engine), life);
+                    view.events_told[*engine as usize] = 0;
+                }
+                self.renew_view(*router);
+            }
+            TraceEvent::Router { router, standing } => {
+                self.routers[*router as usize].live = *standing != TraceStanding::Gone;
+            }
+            TraceEvent::Roster { router, epoch, routers } => {
+                let view = &mut self.routers[*router as usize];
+                if *epoch > view.roster.epoch {
+                    view.roster = roster_of(*epoch, routers);
+                    self.renew_view(*router);
+                }
+            }
+        }
+    }
+
+    // ---- views ----
+
+    fn renew_view(&mut self, router: u32) {
+        let view = &mut self.routers[router as usize];
+        let live = (0..self.setup.engines)
+            .filter(|engine| view.standings[*engine as usize] == TraceStanding::Live);
+        view.view = FleetView::new(live.map(engine_key), &view.roster);
+        let epoch = view.roster.epoch;
+        let mut newly = Vec::new();
+        for engine in 0..self.setup.engines {
+            let key = engine_key(engine);
+            let home = view.roster.home(key) == Some(RouterId(router));
+            let before = view.homes.slot(key).is_some_and(|slot| slot.home_since_epoch.is_some());
+            view.homes.assign(key, FLEET, home, epoch);
+            let closed = view.standings[engine as usize] != TraceStanding::Live;
+            view.homes.close(key, closed);
+            if home && !before && epoch > 1 {
+                newly.push(engine);
+            }
+        }
+        for engine in newly {
+            self.after(NEW_HOME_READS_CACHE_MS, LaterEvent::ReadCache { router, engine });
+        }
+    }
+
+    /// What the keeper does with a renewal: it sums, and tells the epoch that all have seen.
+    fn exchange(&mut self, router: u32) {
+        let at = router as usize;
+        if self.routers[at].live {
+            let view = &self.routers[at];
+            let row = view.homes.load_row(FLEET, view.view.engines.len() as u32);
+            self.keeper_loads.tell(RouterId(router), &[row], self.now_ms);
+            self.keeper_loads.expire(self.now_ms);
+            let rows = self.keeper_loads.others(RouterId(router));
+            let live = self.routers.iter().filter(|other| other.live);
+            let settled = live.map(|other| other.roster.epoch).min().unwrap_or(0);
+            let now_ms = self.now_ms;
+            let view = &mut self.routers[at];
+            view.others.tell(&rows, now_ms);
+            view.homes.settle(settled);
+            for engine in 0..self.setup.engines {
+                let truth = &self.engines[engine as usize];
+                let life = Incarnation(truth.life);
+                let work = truth.reported_work();
+                view.homes.report(engine_key(engine), life, work, now_ms);
+            }
+            self.outcome.exchanges += 1;
+            self.pump(router);
+        }
+        self.after(RENEW_MS, LaterEvent::Exchange { router });
+    }
+
+    // ---- caches ----
+
+    fn store(&mut self, engine: u32, chat: u64, tokens: u32) {
+        let at = engine as usize;
+        let dropped = self.engines[at].store(chat, tokens, self.setup.cache_tokens);
+        self.cache_event(engine, chat, tokens);
+        for chat in dropped {
+            self.cache_event(engine, chat, 0);
+        }
+    }
+
+    fn cache_event(&mut self, engine: u32, chat: u64, tokens: u32) {
+        let at = engine as usize;
+        self.event_numbers[at] += 1;
+        let lost = self.setup.event_loss_one_in;
+        if lost > 0 && self.rng.gen_range(0..lost) == 0 {
+            return;
+        }
+        let (life, number) = (self.engines[at].life, self.event_numbers[at]);
+        let event = LaterEvent::CacheTold { engine, life, number, chat, tokens };
+        self.after(self.setup.event_lag_ms, event);
+    }
+
+    fn tell_cache(&mut self, engine: u32, life: u64, number: u64, chat: u64, tokens: u32) {
+        let key = engine_key(engine);
+        if self.engines[engine as usize].life != life {
+            return;
+        }
+        for view in self.routers.iter_mut().filter(|view| view.homes.is_home(key)) {
+            let told = &mut view.events_told[engine as usize];
+            if *told + 1 < number && *told > 0 {
+                view.memory.note_gap(key);
+            }
+            *told = number.max(*told);
+            let chat = ChatKey(chat);
+            match tokens {
+                0 => view.memory.drop_holder(chat, key),
+                tokens => view.memory.note(chat, key, Incarnation(life), tokens),
+            }
+        }
+    }
+
+    /// A new home reads the cache events that the engine has kept.
+    fn read_cache(&mut self, router: u32, engine: u32) {
+        let key = engine_key(engine);
+        let truth = &self.engines[engine as usize];
+        let view = &mut self.routers[router as usize];
+        if view.homes.slot(key).is_none() {
+            return;
+        }
+        view.memory.set_life(key, Incarnation(truth.life));
+        let mut held: Vec<(u64, u32)> = truth.cache().collect();
+        held.sort_unstable();
+        for (chat, tokens) in held {
+            view.memory.note(ChatKey(chat), key, Incarnation(truth.life), tokens);
+        }
+        view.events_told[engine as usize] = self.event_numbers[engine as usize];
+    }
+
+    // ---- requests ----
+
+    fn request(&mut self, request: &TraceRequest) {
+        self.outcome.requests += 1;
+        match self.rule {
+            ReplayRule::Home(rule, rates) => self.request_home(request, &rule, rates),
+            _ => self.request_alone(request),
+        }
+    }
+
+    fn true_load(&self) -> FleetLoad {
+        let live = self.engines.iter().filter(|e| e.standing == TraceStanding::Live);
+        let work = self.engines.iter().map(|engine| engine.work).sum();
+        FleetLoad { work, engines: live.count() as u32, age_ms: 0 }
+    }
+
+    /// The router that the caller comes to: the one that served the chat last, as the reply
+    /// told it; else the home that some router's directory names, when it is live.
+    fn entry_of(&mut self, chat: ChatKey) -> Option<u32> {
+        let live: Vec<u32> =
+            (0..self.setup.routers).filter(|router| self.routers[*router as usize].live).collect();
+        if live.is_empty() {
+            return None;
+        }
+        let told = self.told.get(&chat).copied();
+        if let Some(told) = told.filter(|told| self.routers[*told as usize].live) {
+            return Some(told);
+        }
+        let asked = live[self.rng.gen_range(0..live.len())];
+        let home = self.routers[asked as usize].view.chat_home(chat).map(|home| home.0);
+        let reached = home.filter(|home| self.routers[*home as usize].live);
+        Some(reached.unwrap_or(asked))
+    }
+
+    fn known(&self, router: u32) -> PlacementKnowledge<'_> {
+        let view = &self.routers[router as usize];
+        let own_work = view.homes.fleet_work(FLEET);
+        let engines = view.view.engines.len() as u32;
+        PlacementKnowledge {
+            own: RouterId(router),
+            fleet: FLEET,
+            view: &view.view,
+            homes: &view.homes,
+            memory: &view.memory,
+            hints: view.others.hints(FLEET),
+            load: view.others.fleet_load(FLEET, own_work, engines, self.now_ms),
+        }
+    }
+
+    fn request_home(
+        &mut self,
+        request: &TraceRequest,
+        rule: &PlacementRule,
+        rates: Option<MoveRates>,
+    ) {
+        let chat = ChatKey(request.chat);
+        let Some(mut entry) = self.entry_of(chat) else {
+            self.outcome.refused += 1;
+            return;
+        };
+        if !holds_chat(chat, &self.known(entry)) {
+            let home = self.routers[entry as usize].view.chat_home(chat).map_or(entry, |h| h.0);
+            if home != entry && self.routers[home as usize].live {
+                self.outcome.hops += 1;
+                entry = home;
+            }
+        }
+        let at = entry as usize;
+        let places = place_candidates(chat, &self.known(entry), rule);
+        let holder = places.first().filter(|place| place.cached_tokens > 0).copied();
+        let ahead = self.routers[at].queue.has_rank(request.class);
+        for place in places {
+            let engine = self.keys[&place.engine];
+            let moved = holder.filter(|holder| holder.engine != place.engine).and_then(|holder| {
+                let cached = holder.cached_tokens.min(request.prompt);
+                let choice = choose_move(&rates?, cached, None, 0.0);
+                (choice == MoveChoice::Import).then_some(cached)
+            });
+            let cached = place.cached_tokens.max(moved.unwrap_or(0));
+            let work = request_work(request.prompt, request.output, cached);
+            if place.home.0 != entry {
+                self.outcome.remote_tries += 1;
+            } else if ahead {
+                continue;
+            }
+            if self.admit(place.home.0, engine, work) {
+                self.outcome.hops += u64::from(place.home.0 != entry);
+                let moved = moved.map(|cached| (cached, rates));
+                self.start(request, engine, place.home.0, work, 0, moved);
+                self.told.insert(chat, place.home.0);
+                self.routers[at].memory.note(
+                    chat,
+                    place.engine,
+                    Incarnation(self.engines[engine as usize].life),
+                    request.prompt + request.output,
+                );
+                return;
+            }
+        }
+        self.wait(entry, request);
+    }
+
+    /// Admission at an engine's home, by what that router believes; the truth is compared.
+    fn admit(&mut self, home: u32, engine: u32, work: u64) -> bool {
+        let now_ms = self.now_ms;
+        let truth = self.true_load();
+        let view = &mut self.routers[home as usize];
+        if !view.live {
+            return false;
+        }
+        let own_engines = view.view.engines.len() as u32;
+        let own_work = view.homes.fleet_work(FLEET);
+        let load = view.others.fleet_load(FLEET, own_work, own_engines, now_ms);
+        let key = engine_key(engine);
+        if view.homes.admit(key, work, &load, self.setup.multiple).is_err() {
+            return false;
+        }
+        let true_engine = &self.engines[engine as usize];
+        if true_engine.standing == TraceStanding::Gone {
+            // The connection is refused: nothing was sent.
+            view.homes.release(key, work);
+            self.outcome.dead_tries += 1;
+            return false;
+        }
+        self.check_bound(engine, work, &truth);
+        true
+    }
+
+    fn check_bound(&mut self, engine: u32, work: u64, truth: &FleetLoad) {
+        let bound = admission_bound(truth, self.setup.multiple, work);
+        let before = self.engines[engine as usize].work as f64;
+        self.outcome.admissions += 1;
+        if before >= bound {
+            self.outcome.above_bound += 1;
+            self.outcome.worst_over = self.outcome.worst_over.max(before / bound);
+        }
+    }
+
+    fn wait(&mut self, home: u32, request: &TraceRequest) {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let waiting = WaitingRequest {
+            ticket,
+            workspace: WorkspaceKey(request.workspace as u64),
+            weight: 1,
+            class: request.class,
+            work: request_work(request.prompt, request.output, 0),
+            since_ms: self.now_ms,
+            until_ms: self.now_ms + self.setup.wait_ms,
+        };
+        let view = &mut self.routers[home as usize];
+        if !view.queue.push(waiting, usize::MAX) {
+            self.outcome.refused += 1;
+            return;
+        }
+        self.waiting.insert(ticket, (request.clone(), self.now_ms));
+        self.outcome.queued += 1;
+        self.pump(home);
+    }
+
+    fn pump(&mut self, home: u32) {
+        let now_ms = self.now_ms;
+        let over = self.routers[home as usize].queue.expire(now_ms);
+        for request in over {
+            self.waiting.remove(&request.ticket);
+            self.outcome.refused += 1;
+        }
+        loop {
+            let mut queue = std::mem::take(&mut self.routers[home as usize].queue);
+            let mut chosen = None;
+            let popped = queue.pop(now_ms, |waiting| {
+                let mut open: Vec<(u64, UpstreamKey)> = self.routers[home as usize]
+                    .homes
+                    .homed()
+                    .filter(|(_, slot)| !slot.closed)
+                    .map(|(key, slot)| (slot.load(), key))
+                    .collect();
+                open.sort_unstable();
+                let engines: Vec<u32> = open.iter().map(|(_, key)| self.keys[key]).collect();
+                chosen = engines.into_iter().find(|engine| self.admit(home, *engine, waiting.work));
+                chosen.is_some()
+            });
+            self.routers[home as usize].queue = queue;
+            let (Some(waiting), Some(engine)) = (popped, chosen) else { return };
+            let Some((request, since_ms)) = self.waiting.remove(&waiting.ticket) else { return };
+            self.start(&request, engine, home, waiting.work, now_ms - since_ms, None);
+            self.told.insert(ChatKey(request.chat), home);
+            let life = Incarnation(self.engines[engine as usize].life);
+            let tokens = request.prompt + request.output;
+            let memory = &mut self.routers[home as usize].memory;
+            memory.note(ChatKey(request.chat), engine_key(engine), life, tokens);
+        }
+    }
+
+    /// The request runs; what it finds in the cache is the truth.
+    fn start(
+        &mut self,
+        request: &TraceRequest,
+        engine: u32,
+        home: u32,
+        work: u64,
+        waited_ms: u64,
+        moved: Option<(u32, Option<MoveRates>)>,
+    ) {
+        let at = engine as usize;
+        let held = self.engines[at].cached(request.chat).min(request.prompt);
+        let found = held.max(moved.map_or(0, |(cached, _)| cached));
+        let share = found as f64 / request.prompt.max(1) as f64;
+        let mut prefill = request.prefill_ms as f64 * (1.0 - share);
+        if let Some((cached, Some(rates))) = moved.filter(|(cached, _)| *cached > held) {
+            prefill += rates.transfer_start_ms + cached as f64 / rates.transfer_per_ms;
+            self.outcome.imports += 1;
+        }
+        let anywhere = self.engines.iter().any(|other| other.cached(request.chat) > 0);
+        self.outcome.note_start(request, held, found, anywhere, waited_ms, prefill);
+        self.outcome.placed.insert(request.chat, engine);
+        self.engines[at].requests += 1;
+        self.engines[at].work += work;
+        let life = self.engines[at].life;
+        self.store(engine, request.chat, request.prompt + request.output);
+        let run_ms = prefill as u64 + request.decode_ms;
+        self.after(run_ms.max(1), LaterEvent::Finish { engine, life, home, work });
+    }
+
+    fn finish(&mut self, engine: u32, life: u64, home: u32, work: u64) {
+        let truth = &mut self.engines[engine as usize];
+        if truth.life == life {
+            truth.requests -= 1;
+            truth.work -= work;
+        }
+        if let ReplayRule::Home(..) = self.rule {
+            self.routers[home as usize].homes.release(engine_key(engine), work);
+            self.pump(home);
+        } else {
+            let own = &mut self.routers[home as usize].own_work[engine as usize];
+            *own = own.saturating_sub(work);
+        }
+    }
+
+    // ---- rules without homes ----
+
+    fn request_alone(&mut self, request: &TraceRequest) {
+        let live: Vec<u32> =
+            (0..self.setup.routers).filter(|router| self.routers[*router as usize].live).collect();
+        if live.is_empty() {
+            self.outcome.refused += 1;
+            return;
+        }
+        let router = live[self.rng.gen_range(0..live.len())];
+        let seen: Vec<u32> = (0..self.setup.engines)
+            .filter(|e| {
+                self.routers[router as usize].standings[*e as usize] == TraceStanding::Live
+                    && self.engines[*e as usize].standing != TraceStanding::Gone
+            })
+            .collect();
+        let Some(engine) = self.choose_alone(router, &seen, request) else {
+            self.outcome.refused += 1;
+            return;
+        };
+        let cached = self.engines[engine as usize].cached(request.chat).min(request.prompt);
+        let work = request_work(request.prompt, request.output, cached);
+        let truth = self.true_load();
+        self.check_bound(engine, work, &truth);
+        self.routers[router as usize].own_work[engine as usize] += work;
+        self.start(request, engine, router, work, 0, None);
+    }
+
+    fn choose_alone(&mut self, router: u32, seen: &[u32], request: &TraceRequest) -> Option<u32> {
+        let work = request_work(request.prompt, request.output, 0);
+        match self.rule {
+            ReplayRule::LeastReported => {
+                let least = seen.iter().map(|e| self.engines[*e as usize].reported_work()).min()?;
+                let ties =
+                    seen.iter().filter(|e| self.engines[**e as usize].reported_work() == least);
+                let ties: Vec<u32> = ties.copied().collect();
+                Some(ties[self.rng.gen_range(0..ties.len())])
+            }
+            ReplayRule::BoundedAlone => {
+                let own = &self.routers[router as usize].own_work;
+                let total: u64 = seen.iter().map(|engine| own[*engine as usize]).sum();
+                let load = FleetLoad { work: total, engines: seen.len() as u32, age_ms: 0 };
+                let bound = admission_bound(&load, self.setup.multiple, work);
+                let keys = seen.iter().map(|engine| engine_key(*engine).0);
+                let order = rendezvous_order(request.chat, keys, seen.len());
+                let order: Vec<u32> =
+                    order.into_iter().map(|key| self.keys[&UpstreamKey(key)]).collect();
+                let open = order.iter().find(|engine| (own[**engine as usize] as f64) < bound);
+                open.or(order.first()).copied()
+            }
+            ReplayRule::Random => {
+                (!seen.is_empty()).then(|| seen[self.rng.gen_range(0..seen.len())])
+            }
+            ReplayRule::ExactReuse => {
+                let load = self.true_load();
+                let best =
+                    seen.iter().max_by_key(|e| self.engines[**e as usize].cached(request.chat));
+                let holder = best.filter(|engine| {
+                    let truth = &self.engines[**engine as usize];
+                    let cached = truth.cached(request.chat).min(request.prompt);
+                    let work = request_work(request.prompt, request.output, cached);
+                    let bound = admission_bound(&load, self.setup.multiple, work);
+                    cached > 0 && (truth.work as f64) < bound
+                });
+                holder.copied().or_else(|| self.least_loaded(seen))
+            }
+            ReplayRule::ExactSkew => self.least_loaded(seen),
+            ReplayRule::Home(..) => None,
+        }
+    }
+
+    fn least_loaded(&self, seen: &[u32]) -> Option<u32> {
+        seen.iter().min_by_key(|engine| self.engines[**engine as usize].work).copied()
+    }
+
+    // ---- the outcome ----
+
+    fn sample(&mut self) {
+        let lag = self.setup.report_lag_ms;
+        for engine in &mut self.engines {
+            engine.note_report(self.now_ms, lag);
+        }
+        let live = self.engines.iter().filter(|e| e.standing == TraceStanding::Live);
+        let loads: Vec<u64> = live.map(|engine| engine.work).collect();
+        let requests: u32 = self.engines.iter().map(|engine| engine.requests).sum();
+        self.outcome.note_sample(ReplaySample::of(self.now_ms, &loads, requests));
+        self.after(SAMPLE_MS, LaterEvent::Sample);
+    }
+
+    fn give_up_waiting(&mut self) {
+        self.outcome.refused += self.waiting.len() as u64;
+        self.waiting.clear();
+    }
+}
+
+fn roster_of(epoch: u64, routers: &[u32]) -> RouterRoster {
+    let session = |router: u32| RouterSession {
+        incarnation: Incarnation(1),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1 + router as u16)),
+        zone: "a".to_string(),
+        leaving: false,
+    };
+    let routers: BTreeMap<RouterId, RouterSession> =
+        routers.iter().map(|router| (RouterId(*router), session(*router))).collect();
+    RouterRoster { epoch, routers }
+}
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -340,7 +340,7 @@
     if desk.outliers.is_aside(engine, shared.clock.now_ms()) {
         desk.outliers.note_success(engine);
     }
-    desk.homes.report(engine, life, state.work);
+    desk.homes.report(engine, life, state.work, shared.clock.now_ms());
     take_cache_events(&mut desk, engine, life, seen, &state);
 }
 
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -68,8 +68,7 @@
 ) -> Vec<PlaceCandidate> {
     let Some(sight) = view.fleets.get(&ask.fleet) else { return Vec::new() };
     let desk = lock(&shared.desk);
-    let (homes, memory) = (&desk.homes, &desk.memory);
-    place_candidates(ask.chat, ask.fleet, shared.id(), &sight.view, homes, memory, &BEST_RULE)
+    place_candidates(ask.chat, &shared.known(&desk, ask.fleet, sight), &BEST_RULE)
 }
 
 /// Admits a request to an engine of this home, or says why not.
--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -16,6 +16,7 @@
 use super::router_relay::AnswerSink;
 use super::router_shared::{lock, RouterShared, RouterView};
 use super::router_status::{directory_reply, status_reply};
+use crate::coordination::placement::holds_chat;
 use crate::coordination::policy::{decide_policy, PolicyFacts};
 use crate::coordination::workspace_limit::LimitRefusal;
 use crate::protocol::caller::{
@@ -25,7 +26,7 @@
 use crate::protocol::http::HttpCall;
 use crate::protocol::peer_wire::{ForwardAim, RouteDecision, FORWARD_PATH};
 use crate::state::configuration::{hash_key, FleetKind, WorkspaceEntry};
-use crate::state::ids::{FleetKey, WorkspaceKey};
+use crate::state::ids::{ChatKey, FleetKey, RouterId, WorkspaceKey};
 
 /// What the steps of serving one request share.
 pub(super) struct ServeContext {
@@ -206,6 +207,16 @@
     })
 }
 
+/// The router that should place a chat: this one if it holds the chat, else the chat's home.
+fn next_home(cx: &ServeContext, fleet: FleetKey, chat: ChatKey) -> Option<RouterId> {
+    let sight = cx.view.fleets.get(&fleet)?;
+    let desk = lock(&cx.shared.desk);
+    match holds_chat(chat, &cx.shared.known(&desk, fleet, sight)) {
+        true => Some(cx.shared.id()),
+        false => sight.view.chat_home(chat),
+    }
+}
+
 fn serve_decided(
     cx: &ServeContext,
     request: &CallerRequest,
@@ -217,7 +228,7 @@
     }
     let chat = chat_key(request);
     let fleet = FleetKey::of(&decision.fleet);
-    let home = cx.view.fleets.get(&fleet).and_then(|sight| sight.view.chat_home(chat));
+    let home = next_home(cx, fleet, chat);
     let session = home.filter(|home| *home != cx.shared.id());
     let session = session.and_then(|home| cx.view.roster.routers.get(&home));
     if let Some(session) = session {
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -19,7 +19,7 @@
 use crate::coordination::leaving::{LeavingMark, LeavingTable};
 use crate::coordination::load_spread::{LoadRow, LoadTable, OtherLoad};
 use crate::coordination::outlier::OutlierTable;
-use crate::coordination::placement::FleetView;
+use crate::coordination::placement::{FleetView, PlacementKnowledge};
 use crate::coordination::policy::{compile_policy, PolicyProgram};
 use crate::coordination::retry::RetryBudget;
 use crate::coordination::router_lease::RouterLease;
@@ -293,14 +293,32 @@
         let view = self.view();
         let desk = lock(&self.desk);
         let engines = view.fleets.iter().filter(|(_, s)| s.entry.kind == FleetKind::Engine);
-        let row = |(fleet, sight): (&FleetKey, &FleetSight)| LoadRow {
-            fleet: *fleet,
-            work: desk.homes.fleet_work(*fleet),
-            engines: sight.view.engines.len() as u32,
+        let row = |(fleet, sight): (&FleetKey, &FleetSight)| {
+            desk.homes.load_row(*fleet, sight.view.engines.len() as u32)
         };
         engines.map(row).collect()
     }
 
+    /// What a placement in this fleet may go by.
+    pub(super) fn known<'a>(
+        &self,
+        desk: &'a HomeDesk,
+        fleet: FleetKey,
+        sight: &'a FleetSight,
+    ) -> PlacementKnowledge<'a> {
+        let own_work = desk.homes.fleet_work(fleet);
+        let engines = sight.view.engines.len() as u32;
+        PlacementKnowledge {
+            own: self.settings.id,
+            fleet,
+            view: &sight.view,
+            homes: &desk.homes,
+            memory: &desk.memory,
+            hints: desk.others.hints(fleet),
+            load: desk.others.fleet_load(fleet, own_work, engines, self.clock.now_ms()),
+        }
+    }
+
     /// Notes a life that leaves; news is told to the others, and closes it here at once.
     pub(super) fn note_leaving(&self, mark: LeavingMark) {
         let news = {
