--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -116,7 +116,8 @@
 
 fn run_caller(routers: &[SocketAddr], next: &AtomicUsize, results: &Mutex<Vec<DemoResult>>) {
     let client = HttpClient::default();
-    let mut kept: HashMap<String, Vec<SocketAddr>> = HashMap::new();
+    // Where each chat should go next, as the last reply told.
+    let mut kept: HashMap<String, SocketAddr> = HashMap::new();
     loop {
         let number = next.fetch_add(1, Ordering::Relaxed);
         if number >= REQUESTS {
@@ -131,16 +132,17 @@
     client: &HttpClient,
     routers: &[SocketAddr],
     number: usize,
-    kept: &mut HashMap<String, Vec<SocketAddr>>,
+    kept: &mut HashMap<String, SocketAddr>,
 ) -> DemoResult {
     let service = SERVICES[number % SERVICES.len()];
     let workspace = format!("w{}", number % 3);
     let chat = format!("{workspace}-{}", (number * 7) % CHATS);
-    let query = format!("workspace={workspace}&chat={chat}&service={service}");
-    let addresses = kept
-        .entry(query.clone())
-        .or_insert_with(|| directory(client, routers[number % routers.len()], &query));
-    let address = addresses.first().copied().unwrap_or(routers[0]);
+    let returning = kept.contains_key(&chat);
+    let address = kept.get(&chat).copied().or_else(|| {
+        let query = format!("workspace={workspace}&service={service}");
+        directory(client, routers[number % routers.len()], &query).first().copied()
+    });
+    let address = address.unwrap_or(routers[0]);
     let request_id = format!("r{number}");
     let run = run_id(&workspace, &request_id);
     if service == "plain" {
@@ -161,9 +163,13 @@
         max_tokens: pieces,
         stream: service != "chat",
         run_once: service == "alert",
+        returning,
     };
     let call = chat_call(&ask);
     let answer = send(client, address, &call, None);
+    if let Some(next) = answer.next {
+        kept.insert(ask.chat.clone(), next);
+    }
     // Every alert is sent a second time at another router: it must not run again.
     let other = routers[(number + 1) % routers.len()];
     let duplicate = (service == "alert").then(|| send(client, other, &call, None));
--- a/cli/src/replay.rs
+++ b/cli/src/replay.rs
@@ -5,11 +5,11 @@
 
 use argh::FromArgs;
 use serde_json::{json, Value};
-use wingshed_lib::coordination::kv_move::STAND_IN_RATES;
 use wingshed_lib::coordination::placement::{FreshRule, PlacementRule, BEST_RULE};
 use wingshed_lib::coordination::replay::{replay, ReplayRule};
 use wingshed_lib::coordination::replay_outcome::ReplayOutcome;
 use wingshed_lib::coordination::trace::{read_trace, Trace};
+use wingshed_lib::state::configuration::{MoveRates, NO_IMPORT_RATES};
 use wingshed_standin::trace::{make_trace, write_trace, TraceCase, TraceDeployment, TraceMake};
 
 use crate::table::to_text;
@@ -99,15 +99,18 @@
 /// The rules to replay, with their names.
 pub fn rules(all: bool) -> Vec<(&'static str, ReplayRule)> {
     let mut rules = vec![
-        ("home, best rule", ReplayRule::Home(BEST_RULE, None)),
+        ("home, best rule", ReplayRule::Home(BEST_RULE, Some(NO_IMPORT_RATES))),
         ("exact reuse (cannot be built)", ReplayRule::ExactReuse),
     ];
     if all {
-        let fresh = |fresh| ReplayRule::Home(PlacementRule { fresh, ..BEST_RULE }, None);
+        let fresh =
+            |fresh| ReplayRule::Home(PlacementRule { fresh, ..BEST_RULE }, Some(NO_IMPORT_RATES));
+        let imports = MoveRates { import_per_ms: 40.0, ..NO_IMPORT_RATES };
         let last = PlacementRule { every_holder: false, ..BEST_RULE };
         rules.extend([
-            ("home, with KV imports", ReplayRule::Home(BEST_RULE, Some(STAND_IN_RATES))),
-            ("home, last holder only", ReplayRule::Home(last, None)),
+            ("home, with KV imports", ReplayRule::Home(BEST_RULE, Some(imports))),
+            ("home, no wait for the holder", ReplayRule::Home(BEST_RULE, None)),
+            ("home, last holder only", ReplayRule::Home(last, Some(NO_IMPORT_RATES))),
             ("home, fresh to the home's lightest", fresh(FreshRule::LightestOfHome)),
             ("home, fresh by hash, spill at home", fresh(FreshRule::FirstPlace)),
             ("home, fresh by hash, spill by order", fresh(FreshRule::OrderOnly)),
@@ -188,8 +191,9 @@
         "skew_p50": outcome.skew(0.5), "skew_p99": outcome.skew(0.99),
         "admissions": outcome.admissions, "above_bound": outcome.above_bound,
         "worst_over": outcome.worst_over, "refused": outcome.refused, "queued": outcome.queued,
+        "missed_elsewhere": outcome.missed_elsewhere, "missed_at_bound": outcome.missed_at_bound,
         "cut": outcome.cut, "hops": outcome.hops, "remote_tries": outcome.remote_tries,
-        "imports": outcome.imports, "exchanges": outcome.exchanges,
+        "imports": outcome.imports, "holder_waits": outcome.holder_waits, "exchanges": outcome.exchanges,
         "first_token_p50_ms": outcome.first_token_ms.value_at_quantile(0.5),
         "first_token_p99_ms": outcome.first_token_ms.value_at_quantile(0.99),
         "wait_p99_ms": outcome.workspaces().iter().map(|w| outcome.wait_ms(*w, 0.99)).collect::<Vec<_>>(),
--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -10,7 +10,7 @@
 /// By how much of itself the mean may have fallen in one second since it was told.
 ///
 /// Taken from `wingshed replay`: see `docs/design/admission.md` for the measurement.
-pub const MEAN_FALL_PER_S: f64 = 0.12;
+pub const MEAN_FALL_PER_S: f64 = 0.3;
 /// However old the mean is, at least this share of it is counted on.
 pub const MEAN_FLOOR: f64 = 0.5;
 
--- a/lib/src/coordination/directory.rs
+++ b/lib/src/coordination/directory.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::placement::FleetView;
+use super::placement::{EngineHint, FleetView};
 use crate::state::ids::{ChatKey, RouterId};
+use crate::state::rendezvous::rendezvous_score;
 use crate::state::roster::RouterRoster;
 
 /// How long a caller may keep an answer, in seconds.
@@ -22,31 +23,55 @@
     pub keep_seconds: u64,
 }
 
-/// The chat's home first, then routers of the caller's zone, then the rest; never a leaving one.
-///
-/// Without a chat or a fleet, the answering router's zone counts as the caller's, and the
-/// order inside a zone is turned by `spread`, so that callers do not all meet at one router.
+/// How long a caller may keep an answer for a chat that does not exist yet, in seconds: it
+/// names homes of engines that are light now.
+pub const KEEP_FRESH_S: u64 = 2;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct AddressQuestion<'a> {
+    /// The chat, if it exists already.
+    pub chat: Option<ChatKey>,
+    /// The answering router's zone, taken for the caller's.
+    pub zone: &'a str,
+    /// Turns the order among equals, so that callers do not all meet at one router.
+    pub spread: u64,
+    /// Light engines of the fleet, as the answering router knows them.
+    pub hints: &'a [EngineHint],
+}
+
+/// The chat's home first, or for a fresh chat the home of a light engine; then routers of the
+/// caller's zone, then the rest; never a leaving one.
 pub fn addresses(
     roster: &RouterRoster,
     view: Option<&FleetView>,
-    chat: Option<ChatKey>,
-    zone: &str,
-    spread: u64,
+    question: &AddressQuestion<'_>,
 ) -> AddressAnswer {
-    let home = view.zip(chat).and_then(|(view, chat)| view.chat_home(chat));
+    let home = match (view, question.chat) {
+        (Some(view), Some(chat)) => view.chat_home(chat),
+        (Some(view), None) => light_home(view, question),
+        (None, _) => None,
+    };
     let mut routers: Vec<_> =
         roster.routers.iter().filter(|(_, session)| !session.leaving).collect();
     routers.sort_by_key(|(id, session)| {
-        let order = crate::state::rendezvous::rendezvous_score(spread, id.0 as u64);
-        (Some(**id) != home, session.zone != zone, order)
+        let order = rendezvous_score(question.spread, id.0 as u64);
+        (Some(**id) != home, session.zone != question.zone, order)
     });
     let first = routers.into_iter().take(MOST_ADDRESSES);
     AddressAnswer {
         addresses: first.map(|(_, session)| session.address).collect(),
-        keep_seconds: KEEP_S,
+        keep_seconds: if question.chat.is_some() { KEEP_S } else { KEEP_FRESH_S },
     }
 }
 
+/// One of the light engines' homes, another for each question.
+pub fn light_home(view: &FleetView, question: &AddressQuestion<'_>) -> Option<RouterId> {
+    let mut homes = question.hints.iter().filter_map(|hint| view.engines.get(&hint.engine));
+    let count = question.hints.len().max(1) as u64;
+    homes.nth((question.spread % count) as usize).copied()
+}
+
 /// The peers to pass a request to, home excluded, nearest first.
 pub fn peers(roster: &RouterRoster, own: RouterId, zone: &str) -> Vec<(RouterId, SocketAddr)> {
     let mut peers: Vec<_> =
--- a/lib/src/coordination/fair_queue.rs
+++ b/lib/src/coordination/fair_queue.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::state::ids::WorkspaceKey;
+use crate::state::ids::{UpstreamKey, WorkspaceKey};
 
 /// After each such wait, in milliseconds, a request counts as one class higher.
 pub const AGE_STEP_MS: u64 = 8000;
@@ -75,6 +75,8 @@
     pub since_ms: u64,
     /// When it gives up.
     pub until_ms: u64,
+    /// It waits for this engine and no other.
+    pub only: Option<UpstreamKey>,
 }
 
 #[derive(Debug, Default)]
@@ -104,7 +106,8 @@
 
     /// Whether someone of this class or a more urgent one waits, so that a newcomer must too.
     pub fn has_rank(&self, class: RequestClass) -> bool {
-        self.lanes.keys().any(|(waiting, _)| *waiting <= class)
+        let mut lanes = self.lanes.iter().filter(|((waiting, _), _)| *waiting <= class);
+        lanes.any(|(_, lane)| lane.waiting.iter().any(|request| request.only.is_none()))
     }
 
     /// Queues a request, unless `capacity` wait already.
@@ -193,12 +196,13 @@
                     at += 1;
                     continue;
                 }
-                if !admit(&head) {
+                // One that waits for a certain engine does not hold up those behind it.
+                let Some(at_lane) = first_admitted(lane, admit) else {
                     open.remove(at);
                     continue;
-                }
-                lane.deficit -= head.work;
-                lane.waiting.pop_front();
+                };
+                let Some(head) = lane.waiting.remove(at_lane) else { break };
+                lane.deficit = lane.deficit.saturating_sub(head.work);
                 self.last_served.insert(rank, key.1);
                 self.drop_empty();
                 return Some(head);
@@ -213,6 +217,22 @@
     }
 }
 
+/// The place of the first request that is admitted: the head, or one behind such as wait for
+/// a certain engine.
+fn first_admitted(
+    lane: &WorkspaceLane,
+    admit: &mut impl FnMut(&WaitingRequest) -> bool,
+) -> Option<usize> {
+    for (at, request) in lane.waiting.iter().enumerate() {
+        if admit(request) {
+            return Some(at);
+        }
+        // A plain head keeps its turn: nobody behind it goes first.
+        request.only?;
+    }
+    None
+}
+
 fn aged_rank(request: &WaitingRequest, now_ms: u64) -> u64 {
     let steps = now_ms.saturating_sub(request.since_ms) / AGE_STEP_MS;
     (request.class as u64).saturating_sub(steps)
--- a/lib/src/coordination/home.rs
+++ b/lib/src/coordination/home.rs
@@ -15,6 +15,8 @@
 
 /// An earlier home's work is reckoned with for this long after a take-over.
 pub const FOREIGN_KEEP_MS: u64 = 60_000;
+/// Ends are averaged over at least this time.
+const DRAIN_SPAN_MS: u64 = 1000;
 /// In the first epoch there is no earlier home.
 const FIRST_EPOCH: u64 = 1;
 
@@ -37,9 +39,32 @@
     pub home_since_epoch: Option<u64>,
     /// No new work: the engine leaves, or is set aside.
     pub closed: bool,
+    /// Work that ends here in a millisecond, as a moving average.
+    pub drain_per_ms: f64,
+    released_ms: u64,
+    released_work: u64,
 }
 
 impl HomeSlot {
+    /// Averages over spans of at least [`DRAIN_SPAN_MS`], since single ends are all or nothing.
+    fn note_release(&mut self, work: u64, now_ms: u64) {
+        self.released_work += work;
+        let span = now_ms.saturating_sub(self.released_ms);
+        if self.released_ms == 0 || span >= DRAIN_SPAN_MS {
+            let rate = self.released_work as f64 / span.max(1) as f64;
+            let first = self.released_ms == 0;
+            self.drain_per_ms = if first { 0.0 } else { 0.7 * self.drain_per_ms + 0.3 * rate };
+            self.released_ms = now_ms;
+            self.released_work = 0;
+        }
+    }
+
+    /// How long until the load falls to `bound`, if that can be told.
+    pub fn wait_ms(&self, bound: f64) -> Option<f64> {
+        let over = (self.load() as f64 - bound).max(0.0);
+        (self.drain_per_ms > 0.0).then(|| over / self.drain_per_ms)
+    }
+
     /// All work that counts against the bound.
     pub fn load(&self) -> u64 {
         self.work + self.foreign_work
@@ -127,8 +152,9 @@
     }
 
     /// A request ended.
-    pub fn release(&mut self, engine: UpstreamKey, work: u64) {
+    pub fn release(&mut self, engine: UpstreamKey, work: u64, now_ms: u64) {
         let Some(slot) = self.slots.get_mut(&engine) else { return };
+        slot.note_release(work, now_ms);
         slot.requests = slot.requests.saturating_sub(1);
         slot.work = slot.work.saturating_sub(work);
         if slot.requests == 0 && slot.home_since_epoch.is_none() {
--- a/lib/src/coordination/kv_move.rs
+++ b/lib/src/coordination/kv_move.rs
@@ -1,48 +1,45 @@
-//! What a spill past the bound should do about the prefix that another engine holds:
-//! import it, wait a little for the holder, or compute it again.
+//! What a spill past the bound should do about the prefix that a busy engine holds: wait a
+//! little for that engine, import the prefix into another, or compute it again.
 //!
-//! Each costs time before the first token; the least wins. The rates are settings,
-//! to be set from what the engines measure. See `docs/design/kv-move.md`.
+//! Each costs time before the first token; the least wins. The rates are settings of the
+//! fleet, to be set from what its engines measure. See `docs/design/kv-move.md`.
 
-/// The rates of a fleet of engines.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MoveRates {
-    /// Prompt tokens that an engine computes in a millisecond.
-    pub prefill_per_ms: f64,
-    /// Tokens of KV that travel between engines in a millisecond.
-    pub transfer_per_ms: f64,
-    /// What a transfer costs before its first byte, in milliseconds.
-    pub transfer_start_ms: f64,
-}
+use crate::state::configuration::MoveRates;
 
-/// The rates of the stand-in engine; a deployment sets its own.
-pub const STAND_IN_RATES: MoveRates =
-    MoveRates { prefill_per_ms: 8.0, transfer_per_ms: 40.0, transfer_start_ms: 30.0 };
+/// No request waits longer than this for the engine that holds its prefix.
+pub const LONGEST_HOLDER_WAIT_MS: f64 = 1500.0;
 
 /// What to do about a prefix that another engine holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum MoveChoice {
+    /// Wait for the holder to fall below its bound, at most so many milliseconds.
+    Wait(u64),
     /// Have the new engine import it from the holder.
     Import,
-    /// Wait for the holder to fall below its bound.
-    Wait,
     /// Compute it again.
     Recompute,
 }
 
-/// Compares the three, given how long the holder is expected to stay at its bound.
+/// What an import of so many tokens costs, if there are imports.
+pub fn import_ms(rates: &MoveRates, tokens: u32) -> Option<f64> {
+    let moves = rates.import_per_ms > 0.0;
+    moves.then(|| rates.import_start_ms + tokens as f64 / rates.import_per_ms)
+}
+
+/// Compares the three. `holder_wait_ms` is how long the holder is expected to stay at its
+/// bound, if that can be told here.
 pub fn choose_move(
     rates: &MoveRates,
     cached_tokens: u32,
     holder_wait_ms: Option<f64>,
-    may_wait_ms: f64,
 ) -> MoveChoice {
-    let tokens = cached_tokens as f64;
-    let recompute = tokens / rates.prefill_per_ms;
-    let import = rates.transfer_start_ms + tokens / rates.transfer_per_ms;
-    let wait = holder_wait_ms.filter(|wait| *wait <= may_wait_ms).unwrap_or(f64::INFINITY);
-    if wait <= import && wait <= recompute {
-        MoveChoice::Wait
+    let recompute = cached_tokens as f64 / rates.prefill_per_ms.max(1e-6);
+    let import = import_ms(rates, cached_tokens).unwrap_or(f64::INFINITY);
+    let wait = holder_wait_ms.unwrap_or(f64::INFINITY);
+    if wait <= import && wait <= recompute && wait <= LONGEST_HOLDER_WAIT_MS {
+        // The expectation is rough; beyond the next best cost, waiting on would be a loss.
+        let patience = import.min(recompute).min(LONGEST_HOLDER_WAIT_MS);
+        MoveChoice::Wait(patience.ceil() as u64)
     } else if import < recompute {
         MoveChoice::Import
     } else {
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -14,11 +14,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::admission::FleetLoad;
+use crate::coordination::admission::{admission_bound, FleetLoad};
 use crate::coordination::home::HomeTable;
 use crate::state::chat_memory::{ChatMemory, HolderCertainty};
 use crate::state::ids::{ChatKey, FleetKey, RouterId, UpstreamKey};
-use crate::state::rendezvous::rendezvous_order;
+use crate::state::rendezvous::{rendezvous_order, rendezvous_score};
 use crate::state::roster::RouterRoster;
 
 /// How many places of a chat's order are looked at.
@@ -119,6 +119,10 @@
     pub hints: &'a [EngineHint],
     /// The fleet's load.
     pub load: FleetLoad,
+    /// The fleet's multiple.
+    pub multiple: f64,
+    /// The request's work where nothing of it is cached.
+    pub work: u64,
 }
 
 /// The work of a request on an engine that holds `cached_tokens` of its prompt.
@@ -146,7 +150,7 @@
         FreshRule::LightestOfHome => {
             push_all(&mut candidates, own_lightest(known).map(|(_, key)| key), known.view);
         }
-        FreshRule::LightestOfFleet => push_lightest(&mut candidates, known),
+        FreshRule::LightestOfFleet => push_lightest(chat, &mut candidates, known),
     }
     push_all(&mut candidates, order.into_iter(), known.view);
     candidates
@@ -180,17 +184,31 @@
     placed.collect()
 }
 
-/// Own engines below the mean, then hinted ones that are lighter than the own lightest, then
-/// the other own ones.
-fn push_lightest(candidates: &mut Vec<PlaceCandidate>, known: &PlacementKnowledge<'_>) {
-    let mean = known.load.work / known.load.engines.max(1) as u64;
+/// Own engines that stay below the bound with this request in, then hinted ones that do, then
+/// all of them, the lightest first.
+///
+/// An engine that a fresh chat fills to its bound would have no room for the chats that it
+/// holds, until something ends there.
+fn push_lightest(
+    chat: ChatKey,
+    candidates: &mut Vec<PlaceCandidate>,
+    known: &PlacementKnowledge<'_>,
+) {
+    let bound = admission_bound(&known.load, known.multiple, known.work);
+    let stays_below = |work: u64| ((work + known.work) as f64) < bound;
     let own: Vec<(u64, UpstreamKey)> = own_lightest(known).collect();
-    let lightest = own.first().map_or(u64::MAX, |(work, _)| *work);
-    let below = own.iter().filter(|(work, _)| *work < mean).map(|(_, key)| *key);
-    push_all(candidates, below, known.view);
-    let hinted = known.hints.iter().filter(|hint| hint.work < lightest);
-    push_all(candidates, hinted.map(|hint| hint.engine), known.view);
-    push_all(candidates, own.iter().map(|(_, key)| *key), known.view);
+    let roomy = own.iter().filter(|(work, _)| stays_below(*work)).map(|(_, key)| *key);
+    push_all(candidates, roomy, known.view);
+    // Each chat takes the hints in an order of its own: hints are a moment old, and all
+    // routers have the same ones, so the very lightest would be met by all at once.
+    let hinted = known.hints.iter().filter(|hint| stays_below(hint.work));
+    let mut hinted: Vec<UpstreamKey> = hinted.map(|hint| hint.engine).collect();
+    hinted.sort_by_key(|engine| std::cmp::Reverse(rendezvous_score(chat.0, engine.0)));
+    push_all(candidates, hinted.into_iter(), known.view);
+    let mut rest: Vec<(u64, UpstreamKey)> =
+        known.hints.iter().map(|hint| (hint.work, hint.engine)).chain(own).collect();
+    rest.sort_unstable();
+    push_all(candidates, rest.into_iter().map(|(_, key)| key), known.view);
 }
 
 fn own_lightest(known: &PlacementKnowledge<'_>) -> impl Iterator<Item = (u64, UpstreamKey)> {
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -9,18 +9,21 @@
 use rand::{Rng, SeedableRng};
 
 use super::admission::{admission_bound, FleetLoad};
+use super::directory::{light_home, AddressQuestion};
 use super::fair_queue::{FairQueue, WaitingRequest};
 use super::home::HomeTable;
-use super::kv_move::{choose_move, MoveChoice, MoveRates};
+use super::kv_move::{choose_move, import_ms, MoveChoice};
 use super::load_spread::{LoadTable, OtherLoad};
 use super::placement::{
-    holds_chat, place_candidates, request_work, FleetView, PlacementKnowledge, PlacementRule,
+    holds_chat, place_candidates, request_work, FleetView, PlaceCandidate, PlacementKnowledge,
+    PlacementRule,
 };
 use super::replay_outcome::{ReplayOutcome, ReplaySample};
 use super::replay_truth::TrueEngine;
 use super::router_lease::RENEW_MS;
 use super::trace::{Trace, TraceEvent, TraceRequest, TraceSetup, TraceStanding};
 use crate::state::chat_memory::ChatMemory;
+use crate::state::configuration::MoveRates;
 use crate::state::ids::{ChatKey, FleetKey, Incarnation, RouterId, UpstreamKey, WorkspaceKey};
 use crate::state::rendezvous::rendezvous_order;
 use crate::state::roster::{RouterRoster, RouterSession};
@@ -33,7 +36,7 @@
 /// How requests are placed in a replay.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ReplayRule {
-    /// wingshed's homes, with these placement rules, and KV imports at these rates or none.
+    /// wingshed's homes, with these placement rules, and moves of KV at these rates, if any.
     Home(PlacementRule, Option<MoveRates>),
     /// Each router alone takes the least reported load.
     LeastReported,
@@ -54,6 +57,7 @@
     CacheTold { engine: u32, life: u64, number: u64, chat: u64, tokens: u32 },
     ReadCache { router: u32, engine: u32 },
     Exchange { router: u32 },
+    Pump { router: u32 },
     Sample,
 }
 
@@ -181,6 +185,7 @@
             }
             LaterEvent::ReadCache { router, engine } => self.read_cache(router, engine),
             LaterEvent::Exchange { router } => self.exchange(router),
+            LaterEvent::Pump { router } => self.pump(router),
             LaterEvent::Sample => self.sample(),
         }
     }
@@ -352,12 +357,24 @@
 
     /// The router that the caller comes to: the one that served the chat last, as the reply
     /// told it; else the home that some router's directory names, when it is live.
-    fn entry_of(&mut self, chat: ChatKey) -> Option<u32> {
+    fn entry_of(&mut self, chat: ChatKey, fresh: bool) -> Option<u32> {
         let live: Vec<u32> =
             (0..self.setup.routers).filter(|router| self.routers[*router as usize].live).collect();
         if live.is_empty() {
             return None;
         }
+        if fresh {
+            let asked = live[self.rng.gen_range(0..live.len())];
+            let view = &self.routers[asked as usize];
+            let question = AddressQuestion {
+                chat: None,
+                zone: "",
+                spread: self.rng.gen(),
+                hints: view.others.hints(FLEET),
+            };
+            let light = light_home(&view.view, &question).map(|home| home.0);
+            return Some(light.filter(|h| self.routers[*h as usize].live).unwrap_or(asked));
+        }
         let told = self.told.get(&chat).copied();
         if let Some(told) = told.filter(|told| self.routers[*told as usize].live) {
             return Some(told);
@@ -368,7 +385,7 @@
         Some(reached.unwrap_or(asked))
     }
 
-    fn known(&self, router: u32) -> PlacementKnowledge<'_> {
+    fn known(&self, router: u32, work: u64) -> PlacementKnowledge<'_> {
         let view = &self.routers[router as usize];
         let own_work = view.homes.fleet_work(FLEET);
         let engines = view.view.engines.len() as u32;
@@ -380,6 +397,8 @@
             memory: &view.memory,
             hints: view.others.hints(FLEET),
             load: view.others.fleet_load(FLEET, own_work, engines, self.now_ms),
+            multiple: self.setup.multiple,
+            work,
         }
     }
 
@@ -390,29 +409,41 @@
         rates: Option<MoveRates>,
     ) {
         let chat = ChatKey(request.chat);
-        let Some(mut entry) = self.entry_of(chat) else {
+        let cold_work = request_work(request.prompt, request.output, 0);
+        let Some(mut entry) = self.entry_of(chat, request.turn == 1) else {
             self.outcome.refused += 1;
             return;
         };
-        if !holds_chat(chat, &self.known(entry)) {
+        if request.turn > 1 && !holds_chat(chat, &self.known(entry, cold_work)) {
             let home = self.routers[entry as usize].view.chat_home(chat).map_or(entry, |h| h.0);
             if home != entry && self.routers[home as usize].live {
                 self.outcome.hops += 1;
                 entry = home;
             }
         }
-        let at = entry as usize;
-        let places = place_candidates(chat, &self.known(entry), rule);
+        self.place(entry, request, rule, rates, 0);
+    }
+
+    /// Tries the candidates in order; `waited_ms` is 0 at the first time.
+    fn place(
+        &mut self,
+        entry: u32,
+        request: &TraceRequest,
+        rule: &PlacementRule,
+        rates: Option<MoveRates>,
+        waited_ms: u64,
+    ) {
+        let chat = ChatKey(request.chat);
+        let cold_work = request_work(request.prompt, request.output, 0);
+        let places = place_candidates(chat, &self.known(entry, cold_work), rule);
         let holder = places.first().filter(|place| place.cached_tokens > 0).copied();
-        let ahead = self.routers[at].queue.has_rank(request.class);
+        let ahead = self.routers[entry as usize].queue.has_rank(request.class);
+        let mut choice = MoveChoice::Recompute;
         for place in places {
             let engine = self.keys[&place.engine];
-            let moved = holder.filter(|holder| holder.engine != place.engine).and_then(|holder| {
-                let cached = holder.cached_tokens.min(request.prompt);
-                let choice = choose_move(&rates?, cached, None, 0.0);
-                (choice == MoveChoice::Import).then_some(cached)
-            });
-            let cached = place.cached_tokens.max(moved.unwrap_or(0));
+            let held = holder.map_or(0, |holder| holder.cached_tokens.min(request.prompt));
+            let import = choice == MoveChoice::Import && place.cached_tokens == 0;
+            let cached = if import { held } else { place.cached_tokens };
             let work = request_work(request.prompt, request.output, cached);
             if place.home.0 != entry {
                 self.outcome.remote_tries += 1;
@@ -420,20 +451,43 @@
                 continue;
             }
             if self.admit(place.home.0, engine, work) {
+                let known = holder.is_some_and(|holder| holder.engine != place.engine);
+                self.outcome.missed_at_bound += u64::from(known && request.turn > 1);
                 self.outcome.hops += u64::from(place.home.0 != entry);
-                let moved = moved.map(|cached| (cached, rates));
-                self.start(request, engine, place.home.0, work, 0, moved);
-                self.told.insert(chat, place.home.0);
-                self.routers[at].memory.note(
-                    chat,
-                    place.engine,
-                    Incarnation(self.engines[engine as usize].life),
-                    request.prompt + request.output,
-                );
+                let moved = import.then_some((held, rates));
+                self.start(request, engine, place.home.0, work, waited_ms, moved);
+                self.note_chat(entry, request, engine, place.home.0);
                 return;
             }
+            if holder.is_some_and(|holder| holder.engine == place.engine) {
+                let wait = self.holder_wait(entry, &place, work).filter(|_| waited_ms == 0);
+                choice = rates.map_or(choice, |rates| choose_move(&rates, held, wait));
+                if let MoveChoice::Wait(patience) = choice {
+                    return self.wait(entry, request, work, Some(place.engine), patience);
+                }
+            }
+        }
+        self.wait(entry, request, cold_work, None, self.setup.wait_ms);
+    }
+
+    /// How long an engine of this router is expected to stay at its bound.
+    fn holder_wait(&self, entry: u32, place: &PlaceCandidate, work: u64) -> Option<f64> {
+        let known = self.known(entry, work);
+        let slot = known.homes.slot(place.engine).filter(|_| place.home.0 == entry)?;
+        slot.wait_ms(admission_bound(&known.load, known.multiple, work))
+    }
+
+    /// The placing router, the chat's home and the caller learn where it went.
+    fn note_chat(&mut self, entry: u32, request: &TraceRequest, engine: u32, engine_home: u32) {
+        let chat = ChatKey(request.chat);
+        self.told.insert(chat, engine_home);
+        let chat_home = self.routers[entry as usize].view.chat_home(chat);
+        let life = Incarnation(self.engines[engine as usize].life);
+        let tokens = request.prompt + request.output;
+        for router in [entry, chat_home.map_or(entry, |home| home.0)] {
+            let memory = &mut self.routers[router as usize].memory;
+            memory.note(chat, engine_key(engine), life, tokens);
         }
-        self.wait(entry, request);
     }
 
     /// Admission at an engine's home, by what that router believes; the truth is compared.
@@ -454,7 +508,7 @@
         let true_engine = &self.engines[engine as usize];
         if true_engine.standing == TraceStanding::Gone {
             // The connection is refused: nothing was sent.
-            view.homes.release(key, work);
+            view.homes.release(key, work, now_ms);
             self.outcome.dead_tries += 1;
             return false;
         }
@@ -472,7 +526,14 @@
         }
     }
 
-    fn wait(&mut self, home: u32, request: &TraceRequest) {
+    fn wait(
+        &mut self,
+        home: u32,
+        request: &TraceRequest,
+        work: u64,
+        only: Option<UpstreamKey>,
+        wait_ms: u64,
+    ) {
         self.tickets += 1;
         let ticket = self.tickets;
         let waiting = WaitingRequest {
@@ -480,39 +541,33 @@
             workspace: WorkspaceKey(request.workspace as u64),
             weight: 1,
             class: request.class,
-            work: request_work(request.prompt, request.output, 0),
+            work,
             since_ms: self.now_ms,
-            until_ms: self.now_ms + self.setup.wait_ms,
+            until_ms: self.now_ms + wait_ms.max(1),
+            only,
         };
-        let view = &mut self.routers[home as usize];
-        if !view.queue.push(waiting, usize::MAX) {
-            self.outcome.refused += 1;
-            return;
-        }
+        self.routers[home as usize].queue.push(waiting, usize::MAX);
         self.waiting.insert(ticket, (request.clone(), self.now_ms));
-        self.outcome.queued += 1;
+        match only {
+            Some(_) => {
+                self.outcome.holder_waits += 1;
+                self.after(wait_ms.max(1), LaterEvent::Pump { router: home });
+            }
+            None => self.outcome.queued += 1,
+        }
         self.pump(home);
     }
 
     fn pump(&mut self, home: u32) {
         let now_ms = self.now_ms;
-        let over = self.routers[home as usize].queue.expire(now_ms);
-        for request in over {
-            self.waiting.remove(&request.ticket);
-            self.outcome.refused += 1;
+        for over in self.routers[home as usize].queue.expire(now_ms) {
+            self.end_wait(home, &over);
         }
         loop {
             let mut queue = std::mem::take(&mut self.routers[home as usize].queue);
             let mut chosen = None;
             let popped = queue.pop(now_ms, |waiting| {
-                let mut open: Vec<(u64, UpstreamKey)> = self.routers[home as usize]
-                    .homes
-                    .homed()
-                    .filter(|(_, slot)| !slot.closed)
-                    .map(|(key, slot)| (slot.load(), key))
-                    .collect();
-                open.sort_unstable();
-                let engines: Vec<u32> = open.iter().map(|(_, key)| self.keys[key]).collect();
+                let engines = self.open_engines(home, waiting.only);
                 chosen = engines.into_iter().find(|engine| self.admit(home, *engine, waiting.work));
                 chosen.is_some()
             });
@@ -520,11 +575,28 @@
             let (Some(waiting), Some(engine)) = (popped, chosen) else { return };
             let Some((request, since_ms)) = self.waiting.remove(&waiting.ticket) else { return };
             self.start(&request, engine, home, waiting.work, now_ms - since_ms, None);
-            self.told.insert(ChatKey(request.chat), home);
-            let life = Incarnation(self.engines[engine as usize].life);
-            let tokens = request.prompt + request.output;
-            let memory = &mut self.routers[home as usize].memory;
-            memory.note(ChatKey(request.chat), engine_key(engine), life, tokens);
+            self.note_chat(home, &request, engine, home);
+        }
+    }
+
+    fn open_engines(&self, home: u32, only: Option<UpstreamKey>) -> Vec<u32> {
+        let homed = self.routers[home as usize].homes.homed();
+        let open = homed.filter(|(key, slot)| !slot.closed && only.is_none_or(|only| only == *key));
+        let mut open: Vec<(u64, UpstreamKey)> =
+            open.map(|(key, slot)| (slot.load(), key)).collect();
+        open.sort_unstable();
+        open.iter().map(|(_, key)| self.keys[key]).collect()
+    }
+
+    /// Who waited for its holder in vain goes on to the other candidates.
+    fn end_wait(&mut self, home: u32, over: &WaitingRequest) {
+        let Some((request, since_ms)) = self.waiting.remove(&over.ticket) else { return };
+        match (over.only, self.rule) {
+            (Some(_), ReplayRule::Home(rule, rates)) => {
+                let waited_ms = (self.now_ms - since_ms).max(1);
+                self.place(home, &request, &rule, rates, waited_ms);
+            }
+            _ => self.outcome.refused += 1,
         }
     }
 
@@ -544,7 +616,7 @@
         let share = found as f64 / request.prompt.max(1) as f64;
         let mut prefill = request.prefill_ms as f64 * (1.0 - share);
         if let Some((cached, Some(rates))) = moved.filter(|(cached, _)| *cached > held) {
-            prefill += rates.transfer_start_ms + cached as f64 / rates.transfer_per_ms;
+            prefill += import_ms(&rates, cached).unwrap_or(0.0);
             self.outcome.imports += 1;
         }
         let anywhere = self.engines.iter().any(|other| other.cached(request.chat) > 0);
@@ -565,7 +637,8 @@
             truth.work -= work;
         }
         if let ReplayRule::Home(..) = self.rule {
-            self.routers[home as usize].homes.release(engine_key(engine), work);
+            let now_ms = self.now_ms;
+            self.routers[home as usize].homes.release(engine_key(engine), work, now_ms);
             self.pump(home);
         } else {
             let own = &mut self.routers[home as usize].own_work[engine as usize];
--- a/lib/src/coordination/replay_outcome.rs
+++ b/lib/src/coordination/replay_outcome.rs
@@ -53,6 +53,12 @@
     pub reused_by_import: u64,
     /// Those for which some live engine had it at all.
     pub held_anywhere: u64,
+    /// Those that did not, though another live engine had it.
+    pub missed_elsewhere: u64,
+    /// Of those, the ones whose holder the placing router knew, and found at its bound.
+    pub missed_at_bound: u64,
+    /// Requests that waited for the engine that holds their prefix.
+    pub holder_waits: u64,
     /// Imports made.
     pub imports: u64,
     /// Requests that went on to another router.
@@ -92,6 +98,9 @@
             reused: 0,
             reused_by_import: 0,
             held_anywhere: 0,
+            missed_elsewhere: 0,
+            missed_at_bound: 0,
+            holder_waits: 0,
             imports: 0,
             hops: 0,
             remote_tries: 0,
@@ -121,6 +130,9 @@
             let context =
                 self.contexts.get(&request.chat).copied().unwrap_or(0).min(request.prompt);
             let enough = |tokens: u32| tokens > 0 && tokens as f64 >= 0.9 * context as f64;
+            if !enough(held) && anywhere {
+                self.missed_elsewhere += 1;
+            }
             if enough(held) {
                 self.reused += 1;
             } else if enough(found) {
--- a/lib/src/coordination/router_lease.rs
+++ b/lib/src/coordination/router_lease.rs
@@ -4,7 +4,7 @@
 /// A lease lasts this long from the sending of the renewal that was granted.
 pub const LEASE_MS: u64 = 2500;
 /// A renewal is sent this often.
-pub const RENEW_MS: u64 = 250;
+pub const RENEW_MS: u64 = 125;
 
 /// The state of one router's lease.
 #[derive(Clone, Debug, Default)]
--- a/lib/src/protocol/caller.rs
+++ b/lib/src/protocol/caller.rs
@@ -36,6 +36,8 @@
 pub const RAN_HEADER: &str = "wingshed-ran";
 /// In each reply: the upstream that served it, when one did.
 pub const UPSTREAM_HEADER: &str = "wingshed-upstream";
+/// In each reply of a chat: the router to use for the chat's next request.
+pub const USE_HEADER: &str = "wingshed-use";
 /// In each reply: routers passed after the first.
 pub const HOPS_HEADER: &str = "wingshed-hops";
 
@@ -162,6 +164,8 @@
     pub max_tokens: Option<u32>,
     /// The prompt's size, about.
     pub prompt_tokens: u32,
+    /// No answer is among its messages: the chat begins with it.
+    pub fresh: bool,
 }
 
 /// A caller's request, checked.
@@ -306,6 +310,7 @@
         return Err(bad("messages", "A chat needs at least one message."));
     }
     let mut characters = 0;
+    let mut fresh = true;
     for (at, message) in messages.iter().enumerate() {
         let content = message.get("content").and_then(Value::as_str);
         let Some(content) = content.filter(|_| message.get("role").is_some_and(Value::is_string))
@@ -314,6 +319,7 @@
             return Err(bad(&field, "A message needs a role and a content, both texts."));
         };
         characters += content.len();
+        fresh &= message.get("role").and_then(Value::as_str) != Some("assistant");
     }
     let stream = match value.get("stream") {
         None | Some(Value::Null) => false,
@@ -328,7 +334,7 @@
         },
     };
     let prompt_tokens = (characters / CHARACTERS_PER_TOKEN).max(1) as u32;
-    Ok(ChatFacts { stream, max_tokens, prompt_tokens })
+    Ok(ChatFacts { stream, max_tokens, prompt_tokens, fresh })
 }
 
 fn bad(field: &str, message: &str) -> CallerError {
--- a/lib/src/protocol/engine.rs
+++ b/lib/src/protocol/engine.rs
@@ -66,9 +66,10 @@
 }
 
 /// Has an engine import a chat's KV from another.
-pub fn import_call(chat: ChatKey, from: SocketAddr) -> HttpCall {
-    let body =
-        serde_json::json!({ "cache_key": format!("{:x}", chat.0), "from": from.to_string() });
+pub fn import_call(chat: ChatKey, from: SocketAddr, tokens: u32) -> HttpCall {
+    let body = serde_json::json!({
+        "cache_key": format!("{:x}", chat.0), "from": from.to_string(), "tokens": tokens,
+    });
     HttpCall::post("/v1/kv/import", body.to_string().into_bytes())
         .with("content-type", "application/json")
 }
--- a/lib/src/protocol/keeper_wire.rs
+++ b/lib/src/protocol/keeper_wire.rs
@@ -7,7 +7,7 @@
 use crate::coordination::load_spread::LoadRow;
 use crate::coordination::raft::RaftMessage;
 use crate::state::claim_table::{ClaimAnswer, ClaimReport, ClaimRequest};
-use crate::state::ids::{Incarnation, KeeperId, RouterId};
+use crate::state::ids::{ChatKey, Incarnation, KeeperId, RouterId, UpstreamKey};
 use crate::state::keeper_machine::ChangeRecord;
 use crate::state::roster::{RouterRoster, RouterSession};
 
@@ -88,6 +88,8 @@
     },
     /// A short message between keepers; long ones go by HTTP.
     Raft(RaftMessage),
+    /// A router tells a chat's home where the chat went.
+    Chats(Vec<ChatNote>),
     /// Routers tell each other while no keeper leads.
     Sums {
         /// The teller.
@@ -99,6 +101,19 @@
     },
 }
 
+/// See [`Datagram::Chats`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatNote {
+    /// The chat.
+    pub chat: ChatKey,
+    /// The engine that holds it now.
+    pub engine: UpstreamKey,
+    /// The engine's life.
+    pub life: Incarnation,
+    /// The tokens held.
+    pub tokens: u32,
+}
+
 /// See [`Datagram::Renew`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRenewal {
--- a/lib/src/protocol/peer_wire.rs
+++ b/lib/src/protocol/peer_wire.rs
@@ -45,6 +45,8 @@
         engine: UpstreamKey,
         /// Tokens of the prompt that it should hold.
         cached_tokens: u32,
+        /// The engine that holds the prefix, when it should be imported from there.
+        import_from: Option<UpstreamKey>,
         /// Whether it may wait in the engine's queue.
         may_wait: bool,
     },
--- a/lib/src/state/configuration.rs
+++ b/lib/src/state/configuration.rs
@@ -75,8 +75,25 @@
     pub queue: usize,
     /// Whether the upstreams check the fence of an order themselves.
     pub checks_fence: bool,
+    /// What computing and moving KV costs on its engines.
+    pub rates: MoveRates,
 }
 
+/// The rates of a fleet of engines, measured by the operator.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MoveRates {
+    /// Prompt tokens that an engine computes in a millisecond.
+    pub prefill_per_ms: f64,
+    /// Tokens of KV that travel between engines in a millisecond; 0 when they do not.
+    pub import_per_ms: f64,
+    /// What an import costs before its first byte, in milliseconds.
+    pub import_start_ms: f64,
+}
+
+/// Rates without imports.
+pub const NO_IMPORT_RATES: MoveRates =
+    MoveRates { prefill_per_ms: 8.0, import_per_ms: 0.0, import_start_ms: 30.0 };
+
 /// One server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
@@ -340,6 +357,7 @@
             set_aside_share: reader.ratio("set_aside_share", 0.3, 0.0..=0.9, list),
             queue: reader.number("queue", Some(64), 0..=100_000, list) as usize,
             checks_fence: reader.flag("checks_fence", false, list),
+            rates: read_rates(&mut reader, list),
         }),
         Section::Upstreams => ConfigEntry::Upstream(UpstreamEntry {
             fleet: reader.text("fleet", list),
@@ -364,6 +382,20 @@
     entry
 }
 
+fn read_rates(reader: &mut ObjectReader<'_>, list: &mut FindingList) -> MoveRates {
+    let path = reader.path_of("rates");
+    let Some(value) = reader.value("rates") else { return NO_IMPORT_RATES };
+    let mut rates = ObjectReader::new(&path, value, list);
+    let none = NO_IMPORT_RATES;
+    let read = MoveRates {
+        prefill_per_ms: rates.ratio("prefill_per_ms", none.prefill_per_ms, 0.001..=1e6, list),
+        import_per_ms: rates.ratio("import_per_ms", none.import_per_ms, 0.0..=1e6, list),
+        import_start_ms: rates.ratio("import_start_ms", none.import_start_ms, 0.0..=1e6, list),
+    };
+    rates.finish(list);
+    read
+}
+
 fn read_kind(reader: &mut ObjectReader<'_>, list: &mut FindingList) -> FleetKind {
     match reader.text("kind", list).as_str() {
         "engine" | "" => FleetKind::Engine,
--- a/lib/src/transport/datagram.rs
+++ b/lib/src/transport/datagram.rs
@@ -100,6 +100,7 @@
         Datagram::Grant(_) => "grant",
         Datagram::Notice { .. } => "notice",
         Datagram::Raft(_) => "raft",
+        Datagram::Chats(_) => "chats",
         Datagram::Sums { .. } => "sums",
     }
 }
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -11,7 +11,9 @@
 use crate::coordination::leaving::LeavingMark;
 use crate::coordination::router_lease::RENEW_MS;
 use crate::protocol::engine;
-use crate::protocol::keeper_wire::{Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal};
+use crate::protocol::keeper_wire::{
+    ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal,
+};
 use crate::protocol::vm_list::{list_call, read_list, VmStanding};
 use crate::state::configuration::{read_configuration, Configuration};
 use crate::state::ids::{FleetKey, UpstreamKey};
@@ -27,6 +29,7 @@
 /// Another keeper is tried when the last one seen leading has not answered for this long.
 const LEADER_SILENT_MS: u64 = 600;
 const NEWS_KEEP_MS: u64 = 3000;
+const NOTES_PER_DATAGRAM: usize = 24;
 const LONGEST_STATE: usize = 4 << 20;
 
 /// When each recurring task is due next.
@@ -47,6 +50,7 @@
     Notice { version: u64, epoch: u64 },
     Sums(crate::state::ids::RouterId, Vec<crate::coordination::load_spread::LoadRow>),
     Marks(Vec<LeavingMark>),
+    Chats(Vec<ChatNote>),
 }
 
 /// Runs until the router stops.
@@ -72,6 +76,7 @@
             times.renew_ms = now_ms + RENEW_MS;
             renew(shared, &mut times, now_ms);
         }
+        tell_chat_homes(shared);
         tell_peers_when_alone(shared, &mut times, now_ms);
         poll_engines(shared, &pool, &mut times, now_ms);
         poll_list(shared, &pool, &mut times, now_ms);
@@ -97,6 +102,12 @@
                 desk.others.tell(&rows, now_ms.saturating_sub(SUMS_MS));
             }
         }
+        ControlEvent::Chats(notes) => {
+            let mut desk = lock(&shared.desk);
+            for note in notes {
+                desk.memory.note(note.chat, note.engine, note.life, note.tokens);
+            }
+        }
         ControlEvent::Marks(marks) => marks.into_iter().for_each(|mark| shared.note_leaving(mark)),
     }
 }
@@ -271,6 +282,18 @@
     lock(&shared.limits).expire(now_ms);
 }
 
+/// Chats that went elsewhere are told to their homes, many in one datagram.
+fn tell_chat_homes(shared: &Arc<RouterShared>) {
+    let notes = std::mem::take(&mut lock(&shared.desk).notes);
+    let view = shared.view();
+    for (home, notes) in notes {
+        let Some(session) = view.roster.routers.get(&home) else { continue };
+        for notes in notes.chunks(NOTES_PER_DATAGRAM) {
+            shared.port.send(session.address, &Datagram::Chats(notes.to_vec()));
+        }
+    }
+}
+
 // ---- while no keeper leads ----
 
 fn tell_peers_when_alone(shared: &Arc<RouterShared>, times: &mut ControlTimes, now_ms: u64) {
--- a/lib/src/transport/router_engines.rs
+++ b/lib/src/transport/router_engines.rs
@@ -27,6 +27,7 @@
 /// A caller that was cut off may resume for this long before its run is cancelled.
 const HANG_UP_GRACE: Duration = Duration::from_millis(2000);
 const LONGEST_REFUSAL: usize = 64 << 10;
+const IMPORT_MS: u64 = 3000;
 
 /// What became of a try on one engine.
 pub(super) enum RunEnd {
@@ -63,6 +64,9 @@
     let Some(sight) = view.upstreams.get(&slot.engine) else {
         return RunEnd::TryElsewhere(gone_error());
     };
+    if let Some(holder) = ask.import_from {
+        import_prefix(cx, ask, sight.address, holder);
+    }
     if ask.decision.run_once && held.is_none() {
         match claim(shared, ask.request) {
             Ok(claim) => *held = Some(claim),
@@ -74,6 +78,7 @@
         }
     }
     sink.set_upstream(&sight.name);
+    sink.set_router(Some(shared.settings.address));
     let waited = arrived.elapsed().as_micros() as u64;
     shared.seen.record(ask.decision.class, &ask.request.workspace, SeenPhase::Wait, waited);
     let mut run = EngineRun {
@@ -91,6 +96,16 @@
     run.start(held)
 }
 
+/// Has the engine import the chat's KV from its holder; without it, it computes the prefix.
+fn import_prefix(cx: &ServeContext, ask: &HomeAsk<'_>, address: SocketAddr, holder: UpstreamKey) {
+    let Some(from) = cx.view.upstreams.get(&holder) else { return };
+    let call = engine::import_call(ask.chat, from.address, ask.prompt_tokens());
+    let times = CallTimes::of_ms(IMPORT_MS);
+    let reply = cx.shared.client.call(address, &call, times, LONGEST_REFUSAL, "engine");
+    let done = reply.is_ok_and(|reply| reply.status == 200);
+    cx.shared.seen.count(if done { "kv.imported" } else { "kv.not_imported" });
+}
+
 fn gone_error() -> CallerError {
     CallerError::not_run(503, "no_upstream", "The engine is not in the configuration any more.")
 }
@@ -261,9 +276,7 @@
 
     fn note_chat(&self, head: &EngineHead) {
         let tokens = self.ask.prompt_tokens() + self.ask.output_tokens();
-        let mut desk = lock(&self.shared.desk);
-        desk.memory.note(self.ask.chat, self.engine, self.life, tokens);
-        drop(desk);
+        self.shared.note_chat(self.ask.fleet, self.ask.chat, self.engine, self.life, tokens);
         let reused = head.cached_tokens > 0;
         self.shared.seen.count(if reused { "cache.reused" } else { "cache.cold" });
     }
--- a/lib/src/transport/router_forward.rs
+++ b/lib/src/transport/router_forward.rs
@@ -17,6 +17,7 @@
 use crate::coordination::relay::PieceOrder;
 use crate::protocol::caller::{
     CallerError, CallerRequest, RanMark, ResumePlace, HOPS_HEADER, RAN_HEADER, UPSTREAM_HEADER,
+    USE_HEADER,
 };
 use crate::protocol::http::{find_header, HttpCall, HttpReply};
 use crate::protocol::keeper_wire::{decode, encode};
@@ -77,6 +78,7 @@
     sink.set_hops(hops.unwrap_or(1));
     let upstream = find_header(&open.headers, UPSTREAM_HEADER).unwrap_or("").to_string();
     sink.set_upstream(&upstream);
+    sink.set_router(find_header(&open.headers, USE_HEADER).and_then(|text| text.parse().ok()));
     let kind = find_header(&open.headers, "content-type").unwrap_or("");
     if open.status == 200 && kind.starts_with("text/event-stream") {
         relay_from_peer(cx, &request, open, &upstream, sink);
@@ -197,8 +199,8 @@
     match aim {
         ForwardAim::AsEntry => serve_entry(&cx, &request, &mut sink),
         ForwardAim::ToChatHome(decision) => serve_at_home(&cx, &request, &decision, &mut sink),
-        ForwardAim::ToEngine { decision, engine, cached_tokens, may_wait } => {
-            let target = EngineTarget { engine, cached_tokens, may_wait };
+        ForwardAim::ToEngine { decision, engine, cached_tokens, import_from, may_wait } => {
+            let target = EngineTarget { engine, cached_tokens, import_from, may_wait };
             serve_at_engine(&cx, &request, &decision, target, &mut sink);
         }
     }
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -6,8 +6,10 @@
 use crossbeam::channel::bounded;
 
 use super::router_shared::{lock, HomeDesk, RouterShared, RouterView};
+use crate::coordination::admission::admission_bound;
 use crate::coordination::fair_queue::WaitingRequest;
 use crate::coordination::home::AdmitRefusal;
+use crate::coordination::kv_move::{choose_move, MoveChoice};
 use crate::coordination::placement::{place_candidates, request_work, PlaceCandidate, BEST_RULE};
 use crate::protocol::caller::CallerRequest;
 use crate::protocol::peer_wire::RouteDecision;
@@ -26,17 +28,20 @@
     fn drop(&mut self) {
         let view = self.shared.view();
         let mut desk = lock(&self.shared.desk);
-        desk.homes.release(self.engine, self.work);
+        desk.homes.release(self.engine, self.work, self.shared.clock.now_ms());
         pump(&self.shared, &mut desk, self.fleet, &view);
     }
 }
 
 /// What a request brings to a home.
+#[derive(Clone, Copy)]
 pub(super) struct HomeAsk<'a> {
     pub(super) request: &'a CallerRequest,
     pub(super) decision: &'a RouteDecision,
     pub(super) chat: ChatKey,
     pub(super) fleet: FleetKey,
+    /// The engine to import the prefix from, before it runs elsewhere.
+    pub(super) import_from: Option<UpstreamKey>,
 }
 
 impl HomeAsk<'_> {
@@ -68,7 +73,7 @@
 ) -> Vec<PlaceCandidate> {
     let Some(sight) = view.fleets.get(&ask.fleet) else { return Vec::new() };
     let desk = lock(&shared.desk);
-    place_candidates(ask.chat, &shared.known(&desk, ask.fleet, sight), &BEST_RULE)
+    place_candidates(ask.chat, &shared.known(&desk, ask.fleet, sight, ask.work(0)), &BEST_RULE)
 }
 
 /// Admits a request to an engine of this home, or says why not.
@@ -94,17 +99,19 @@
     Ok(AdmittedSlot { shared, engine, fleet: ask.fleet, work })
 }
 
-/// Waits in this home's queue for one of its engines; `None` when the time is over or the
+/// Waits in this home's queue for one of its engines, or for a certain one; `None` when the time is over or the
 /// queue is full.
 pub(super) fn wait_for_place(
     shared: &Arc<RouterShared>,
     view: &RouterView,
     ask: &HomeAsk<'_>,
+    only: Option<PlaceCandidate>,
     wait_ms: u64,
 ) -> Option<AdmittedSlot> {
     let sight = view.fleets.get(&ask.fleet)?;
     let ticket = shared.next_number();
-    let work = ask.work(0);
+    let work = ask.work(only.map_or(0, |place| place.cached_tokens));
+    let only = only.map(|place| place.engine);
     let (sender, receiver) = bounded(1);
     let now_ms = shared.clock.now_ms();
     {
@@ -117,6 +124,7 @@
             work,
             since_ms: now_ms,
             until_ms: now_ms + wait_ms,
+            only,
         };
         let queue = desk.queues.entry(ask.fleet).or_default();
         if !queue.push(waiting, sight.entry.queue) {
@@ -137,6 +145,24 @@
     Some(AdmittedSlot { shared: shared.clone(), engine, fleet: ask.fleet, work })
 }
 
+/// What to do about a prefix whose holder, an engine of this home, is at its bound.
+pub(super) fn move_choice(
+    shared: &RouterShared,
+    view: &RouterView,
+    ask: &HomeAsk<'_>,
+    holder: &PlaceCandidate,
+) -> MoveChoice {
+    let Some(sight) = view.fleets.get(&ask.fleet) else { return MoveChoice::Recompute };
+    let work = ask.work(holder.cached_tokens);
+    let desk = lock(&shared.desk);
+    let known = shared.known(&desk, ask.fleet, sight, work);
+    let bound = admission_bound(&known.load, known.multiple, work);
+    let own = known.homes.slot(holder.engine).filter(|_| holder.home == shared.id());
+    let wait = own.and_then(|slot| slot.wait_ms(bound));
+    let cached = holder.cached_tokens.min(ask.prompt_tokens());
+    choose_move(&sight.entry.rates, cached, wait)
+}
+
 /// Gives waiting requests the places that have come free.
 pub(super) fn pump(shared: &RouterShared, desk: &mut HomeDesk, fleet: FleetKey, view: &RouterView) {
     let Some(sight) = view.fleets.get(&fleet) else { return };
@@ -150,7 +176,11 @@
         let mut given = None;
         let homes = &mut desk.homes;
         let popped = queue.pop(now_ms, |waiting| {
-            let open = homes.homed().filter(|(_, s)| s.fleet == fleet && !s.closed);
+            let open = homes.homed().filter(|(engine, slot)| {
+                slot.fleet == fleet
+                    && !slot.closed
+                    && waiting.only.is_none_or(|only| only == *engine)
+            });
             let mut open: Vec<_> = open.map(|(engine, slot)| (slot.load(), engine)).collect();
             open.sort_unstable();
             given = open.into_iter().map(|(_, engine)| engine).find(|engine| {
@@ -161,7 +191,7 @@
         let (Some(waiting), Some(engine)) = (popped, given) else { break };
         let sender = desk.tickets.remove(&waiting.ticket);
         if sender.is_none_or(|sender| sender.send(engine).is_err()) {
-            desk.homes.release(engine, waiting.work);
+            desk.homes.release(engine, waiting.work, now_ms);
         }
     }
     if !queue.is_empty() {
--- a/lib/src/transport/router_node.rs
+++ b/lib/src/transport/router_node.rs
@@ -62,6 +62,7 @@
             let event = match datagram {
                 Datagram::Grant(grant) => ControlEvent::Grant(from, grant),
                 Datagram::Notice { version, epoch } => ControlEvent::Notice { version, epoch },
+                Datagram::Chats(notes) => ControlEvent::Chats(notes),
                 Datagram::Sums { router, rows, marks } => {
                     let _ = events.send(ControlEvent::Marks(marks));
                     ControlEvent::Sums(router, rows)
--- a/lib/src/transport/router_place.rs
+++ b/lib/src/transport/router_place.rs
@@ -3,10 +3,13 @@
 use super::router_claims::HeldClaim;
 use super::router_engines::{run_on_engine, RunEnd};
 use super::router_forward::{forward, ForwardEnd};
-use super::router_home::{admit, candidates, chat_key, wait_for_place, AdmittedSlot, HomeAsk};
+use super::router_home::{
+    admit, candidates, chat_key, move_choice, wait_for_place, AdmittedSlot, HomeAsk,
+};
 use super::router_relay::AnswerSink;
 use super::router_serve::ServeContext;
 use super::router_shared::lock;
+use crate::coordination::kv_move::MoveChoice;
 use crate::coordination::placement::PlaceCandidate;
 use crate::protocol::caller::{CallerError, CallerRequest, RanMark};
 use crate::protocol::peer_wire::{ForwardAim, RouteDecision, MOST_HOPS, NO_ROOM_CODE};
@@ -31,18 +34,30 @@
         decision,
         chat: chat_key(request),
         fleet: FleetKey::of(&decision.fleet),
+        import_from: None,
     };
     lock(&cx.shared.desk).retries.earn();
     let mut held: Option<HeldClaim> = None;
     let mut spent = None;
     let places = candidates(&cx.shared, &cx.view, &ask);
+    let holder = places.first().filter(|place| place.cached_tokens > 0);
+    let mut plan = MoveChoice::Recompute;
     for candidate in &places {
+        let import = plan == MoveChoice::Import && candidate.cached_tokens == 0;
+        let import_from = holder.filter(|_| import).map(|holder| holder.engine);
+        let ask = HomeAsk { import_from, ..ask };
         let end = match candidate.home == cx.shared.id() {
             true => try_here(cx, &ask, candidate, &mut held, sink),
             false if held.is_some() => continue,
             false => try_there(cx, &ask, candidate, sink, false),
         };
         match end {
+            None if holder.is_some_and(|holder| holder == candidate) => {
+                plan = move_choice(&cx.shared, &cx.view, &ask, candidate);
+                if wait_for_holder(cx, &ask, candidate, plan, &mut held, sink) {
+                    return;
+                }
+            }
             None => {}
             Some(RunEnd::Answered) => return,
             Some(RunEnd::TryElsewhere(error)) => {
@@ -66,6 +81,22 @@
     }
 }
 
+/// Waits for the holder when that is the cheapest; true when the request was answered there.
+fn wait_for_holder(
+    cx: &ServeContext,
+    ask: &HomeAsk<'_>,
+    holder: &PlaceCandidate,
+    plan: MoveChoice,
+    held: &mut Option<HeldClaim>,
+    sink: &mut AnswerSink<'_>,
+) -> bool {
+    let MoveChoice::Wait(patience_ms) = plan else { return false };
+    cx.shared.seen.count("requests.waited_for_holder");
+    let slot = wait_for_place(&cx.shared, &cx.view, ask, Some(*holder), patience_ms);
+    let end = slot.map(|slot| run_on_engine(cx, ask, &slot, held, sink));
+    matches!(end, Some(RunEnd::Answered))
+}
+
 fn claim_end_of(ran: RanMark) -> ClaimEnd {
     match ran {
         RanMark::No => ClaimEnd::NotDispatched,
@@ -103,14 +134,14 @@
         decision: ask.decision.clone(),
         engine: candidate.engine,
         cached_tokens: candidate.cached_tokens,
+        import_from: ask.import_from,
         may_wait,
     };
     match forward(cx, session.address, ask.request, aim, sink) {
         ForwardEnd::Answered => {
             let tokens = ask.prompt_tokens() + ask.output_tokens();
-            let mut desk = lock(&cx.shared.desk);
-            let life = desk.leaving.life(candidate.engine);
-            desk.memory.note(ask.chat, candidate.engine, life, tokens);
+            let life = lock(&cx.shared.desk).leaving.life(candidate.engine);
+            cx.shared.note_chat(ask.fleet, ask.chat, candidate.engine, life, tokens);
             Some(RunEnd::Answered)
         }
         ForwardEnd::TryElsewhere(error) if error.code == NO_ROOM_CODE => None,
@@ -140,7 +171,7 @@
             _ => return refuse_busy(cx, held, sink, retry_after),
         }
     }
-    let Some(slot) = wait_for_place(&cx.shared, &cx.view, ask, left) else {
+    let Some(slot) = wait_for_place(&cx.shared, &cx.view, ask, None, left) else {
         return refuse_busy(cx, held, sink, retry_after);
     };
     serve_on_slot(cx, ask, &slot, held, sink);
@@ -183,6 +214,7 @@
 pub(super) struct EngineTarget {
     pub(super) engine: UpstreamKey,
     pub(super) cached_tokens: u32,
+    pub(super) import_from: Option<UpstreamKey>,
     pub(super) may_wait: bool,
 }
 
@@ -195,11 +227,14 @@
     sink: &mut AnswerSink<'_>,
 ) {
     let fleet = FleetKey::of(&decision.fleet);
-    let ask = HomeAsk { request, decision, chat: chat_key(request), fleet };
+    let import_from = target.import_from;
+    let ask = HomeAsk { request, decision, chat: chat_key(request), fleet, import_from };
     let no_room = CallerError::not_run(503, NO_ROOM_CODE, "The engine has no room.");
     let slot = match admit(&cx.shared, &cx.view, &ask, target.engine, target.cached_tokens) {
         Ok(slot) => Some(slot),
-        Err(_) if target.may_wait => wait_for_place(&cx.shared, &cx.view, &ask, decision.wait_ms),
+        Err(_) if target.may_wait => {
+            wait_for_place(&cx.shared, &cx.view, &ask, None, decision.wait_ms)
+        }
         Err(_) => None,
     };
     let Some(slot) = slot else { return sink.fail(&no_room) };
--- a/lib/src/transport/router_relay.rs
+++ b/lib/src/transport/router_relay.rs
@@ -1,13 +1,14 @@
 //! The relay: pieces from an engine or a peer router, in order, to one caller.
 
 use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use super::http_server::ResponseWriter;
 use crate::coordination::relay::{PieceOrder, PieceStep};
 use crate::protocol::caller::{
     event_id, whole_answer, CallerError, RanMark, HOPS_HEADER, RAN_HEADER, REQUEST_ID_HEADER,
-    UPSTREAM_HEADER,
+    UPSTREAM_HEADER, USE_HEADER,
 };
 use crate::protocol::engine::{piece_text, read_piece, EnginePiece};
 use crate::protocol::http::HttpReply;
@@ -28,6 +29,7 @@
     request_id: String,
     hops: u8,
     upstream: String,
+    router: Option<SocketAddr>,
     text: String,
     begun: bool,
 }
@@ -40,7 +42,16 @@
         hops: u8,
     ) -> AnswerSink<'a> {
         let (request_id, upstream) = (request_id.to_string(), String::new());
-        AnswerSink { writer, stream, request_id, hops, upstream, text: String::new(), begun: false }
+        AnswerSink {
+            writer,
+            stream,
+            request_id,
+            hops,
+            upstream,
+            router: None,
+            text: String::new(),
+            begun: false,
+        }
     }
 
     /// Names the upstream that serves.
@@ -48,6 +59,11 @@
         self.upstream = name.to_string();
     }
 
+    /// Names the router that the chat's next request should come to.
+    pub(super) fn set_router(&mut self, router: Option<SocketAddr>) {
+        self.router = router;
+    }
+
     /// Counts routers passed after this one.
     pub(super) fn set_hops(&mut self, hops: u8) {
         self.hops = hops;
@@ -70,6 +86,9 @@
             (RAN_HEADER.to_string(), ran.text().to_string()),
             (HOPS_HEADER.to_string(), self.hops.to_string()),
         ];
+        if let Some(router) = self.router {
+            headers.push((USE_HEADER.to_string(), router.to_string()));
+        }
         if !self.upstream.is_empty() {
             headers.push((UPSTREAM_HEADER.to_string(), self.upstream.clone()));
         }
--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -211,7 +211,7 @@
 fn next_home(cx: &ServeContext, fleet: FleetKey, chat: ChatKey) -> Option<RouterId> {
     let sight = cx.view.fleets.get(&fleet)?;
     let desk = lock(&cx.shared.desk);
-    match holds_chat(chat, &cx.shared.known(&desk, fleet, sight)) {
+    match holds_chat(chat, &cx.shared.known(&desk, fleet, sight, 0)) {
         true => Some(cx.shared.id()),
         false => sight.view.chat_home(chat),
     }
@@ -228,7 +228,8 @@
     }
     let chat = chat_key(request);
     let fleet = FleetKey::of(&decision.fleet);
-    let home = next_home(cx, fleet, chat);
+    let fresh = request.facts.as_ref().is_some_and(|facts| facts.fresh);
+    let home = if fresh { None } else { next_home(cx, fleet, chat) };
     let session = home.filter(|home| *home != cx.shared.id());
     let session = session.and_then(|home| cx.view.roster.routers.get(&home));
     if let Some(session) = session {
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -24,11 +24,12 @@
 use crate::coordination::retry::RetryBudget;
 use crate::coordination::router_lease::RouterLease;
 use crate::coordination::workspace_limit::LimitTable;
+use crate::protocol::keeper_wire::ChatNote;
 use crate::protocol::seal::{SealChecker, SealMaker};
 use crate::state::chat_memory::ChatMemory;
 use crate::state::claim_table::ClaimAnswer;
 use crate::state::configuration::{Configuration, FleetEntry, FleetKind};
-use crate::state::ids::{FleetKey, Incarnation, RouterId, UpstreamKey};
+use crate::state::ids::{ChatKey, FleetKey, Incarnation, RouterId, UpstreamKey};
 use crate::state::roster::RouterRoster;
 use crate::state::settings::RouterSettings;
 
@@ -141,6 +142,7 @@
     pub(super) outliers: OutlierTable,
     pub(super) leaving: LeavingTable,
     pub(super) news: Vec<(LeavingMark, u64)>,
+    pub(super) notes: HashMap<RouterId, Vec<ChatNote>>,
     pub(super) events_seen: HashMap<UpstreamKey, u64>,
     pub(super) plain_in_flight: HashMap<UpstreamKey, u32>,
     pub(super) retries: RetryBudget,
@@ -216,6 +218,7 @@
                 outliers: OutlierTable::default(),
                 leaving: LeavingTable::default(),
                 news: Vec::new(),
+                notes: HashMap::new(),
                 events_seen: HashMap::new(),
                 plain_in_flight: HashMap::new(),
                 retries: RetryBudget::default(),
@@ -305,6 +308,7 @@
         desk: &'a HomeDesk,
         fleet: FleetKey,
         sight: &'a FleetSight,
+        work: u64,
     ) -> PlacementKnowledge<'a> {
         let own_work = desk.homes.fleet_work(fleet);
         let engines = sight.view.engines.len() as u32;
@@ -316,6 +320,28 @@
             memory: &desk.memory,
             hints: desk.others.hints(fleet),
             load: desk.others.fleet_load(fleet, own_work, engines, self.clock.now_ms()),
+            multiple: sight.entry.multiple,
+            work,
+        }
+    }
+
+    /// Notes where a chat went, here and for the chat's home.
+    pub(super) fn note_chat(
+        &self,
+        fleet: FleetKey,
+        chat: ChatKey,
+        engine: UpstreamKey,
+        life: Incarnation,
+        tokens: u32,
+    ) {
+        let view = self.view();
+        let home = view.fleets.get(&fleet).and_then(|sight| sight.view.chat_home(chat));
+        let mut desk = lock(&self.desk);
+        let known = desk.memory.holders(chat).iter().any(|holder| holder.engine == engine);
+        desk.memory.note(chat, engine, life, tokens);
+        // The chat's home is told once for each engine; it need not know of each turn.
+        if let Some(home) = home.filter(|home| *home != self.settings.id && !known) {
+            desk.notes.entry(home).or_default().push(ChatNote { chat, engine, life, tokens });
         }
     }
 
--- a/lib/src/transport/router_status.rs
+++ b/lib/src/transport/router_status.rs
@@ -5,7 +5,7 @@
 
 use super::router_serve::no_lease_error;
 use super::router_shared::{lock, RouterShared, RouterView};
-use crate::coordination::directory::addresses;
+use crate::coordination::directory::{addresses, AddressQuestion};
 use crate::coordination::policy::{decide_policy, PolicyFacts};
 use crate::protocol::caller::CHAT_PATH;
 use crate::protocol::http::{HttpCall, HttpReply};
@@ -19,12 +19,16 @@
     let workspace = call.query("workspace").unwrap_or_default();
     let chat = call.query("chat").filter(|chat| !chat.is_empty());
     let service = call.query("service").unwrap_or_else(|| "chat".to_string());
-    let fleet = chat.as_ref().and_then(|_| directory_fleet(&view, &workspace, &service));
+    let fleet = directory_fleet(&view, &workspace, &service);
     let sight = fleet.and_then(|fleet| view.fleets.get(&fleet));
     let chat = chat.map(|chat| ChatKey::of(&workspace, &chat));
+    let hints = match fleet {
+        Some(fleet) => lock(&shared.desk).others.hints(fleet).to_vec(),
+        None => Vec::new(),
+    };
     let spread = shared.next_number();
-    let zone = &shared.settings.zone;
-    let answer = addresses(&view.roster, sight.map(|sight| &sight.view), chat, zone, spread);
+    let question = AddressQuestion { chat, zone: &shared.settings.zone, spread, hints: &hints };
+    let answer = addresses(&view.roster, sight.map(|sight| &sight.view), &question);
     let keep = format!("max-age={}", answer.keep_seconds);
     HttpReply::json(200, &answer).with("cache-control", keep)
 }
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -7,7 +7,7 @@
 use serde_json::{json, Value};
 use wingshed_lib::protocol::caller::{
     RanMark, CHAT_HEADER, CHAT_PATH, HOPS_HEADER, ISSUED_HEADER, RAN_HEADER, REQUEST_ID_HEADER,
-    RUN_ONCE_HEADER, SERVICE_HEADER, UPSTREAM_HEADER, WORKSPACE_HEADER,
+    RUN_ONCE_HEADER, SERVICE_HEADER, UPSTREAM_HEADER, USE_HEADER, WORKSPACE_HEADER,
 };
 use wingshed_lib::protocol::engine::piece_text;
 use wingshed_lib::protocol::http::{find_header, HttpCall};
@@ -34,6 +34,8 @@
     pub upstream: String,
     /// Routers passed after the first.
     pub hops: u32,
+    /// The router to use for the chat's next request.
+    pub next: Option<SocketAddr>,
     /// The id of the last event.
     pub last_id: Option<String>,
     /// To the first piece, in microseconds.
@@ -75,14 +77,20 @@
     pub stream: bool,
     /// At most one run.
     pub run_once: bool,
+    /// The chat has an answer already.
+    pub returning: bool,
 }
 
 /// The call of a chat.
 pub fn chat_call(ask: &ChatAsk) -> HttpCall {
     let prompt = "word".repeat(ask.prompt_tokens);
+    let mut messages = vec![json!({ "role": "user", "content": prompt })];
+    if ask.returning {
+        messages.push(json!({ "role": "assistant", "content": "so be it" }));
+        messages.push(json!({ "role": "user", "content": "and then" }));
+    }
     let body = json!({
-        "model": "m", "stream": ask.stream, "max_tokens": ask.max_tokens,
-        "messages": [{ "role": "user", "content": prompt }],
+        "model": "m", "stream": ask.stream, "max_tokens": ask.max_tokens, "messages": messages,
     });
     let mut call = HttpCall::post(CHAT_PATH, body.to_string().into_bytes())
         .with("authorization", format!("Bearer {}", ask.key))
@@ -149,6 +157,7 @@
     answer.upstream = find_header(&open.headers, UPSTREAM_HEADER).unwrap_or("").to_string();
     let hops = find_header(&open.headers, HOPS_HEADER).and_then(|text| text.parse().ok());
     answer.hops = hops.unwrap_or(0);
+    answer.next = find_header(&open.headers, USE_HEADER).and_then(|text| text.parse().ok());
     let kind = find_header(&open.headers, "content-type").unwrap_or("").to_string();
     if kind.starts_with("text/event-stream") {
         read_stream(open.body, started, stop_after, &mut answer);
