placement: what gaps leave open is expected in part, not forgotten

Change: a holder is expected to have its tokens less 1/256 for each gap since; a router with such a holder serves the chat itself. A slack of 1% is taken off the mean besides the margin for its age.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -11,6 +11,8 @@
 ///
 /// Taken from `wingshed replay`: see `docs/design/admission.md` for the measurement.
 pub const MEAN_FALL_PER_S: f64 = 0.3;
+/// How much less than told the mean is taken for at any age: single large requests end at once.
+pub const MEAN_SLACK: f64 = 0.01;
 /// However old the mean is, at least this share of it is counted on.
 pub const MEAN_FLOOR: f64 = 0.5;
 
@@ -30,7 +32,8 @@
 /// The request itself counts in the mean, so that an idle fleet takes a first request.
 pub fn admission_bound(load: &FleetLoad, multiple: f64, work: u64) -> f64 {
     let age_s = load.age_ms as f64 / 1000.0;
-    let kept = (1.0 - MEAN_FALL_PER_S * age_s).max(MEAN_FLOOR);
+    let slack = if load.age_ms > 0 { MEAN_SLACK } else { 0.0 };
+    let kept = (1.0 - MEAN_FALL_PER_S * age_s - slack).max(MEAN_FLOOR);
     let mean = (load.work as f64 * kept + work as f64) / load.engines.max(1) as f64;
     multiple * mean
 }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -16,7 +16,7 @@
 
 use crate::coordination::admission::{admission_bound, FleetLoad};
 use crate::coordination::home::HomeTable;
-use crate::state::chat_memory::{ChatMemory, HolderCertainty};
+use crate::state::chat_memory::ChatMemory;
 use crate::state::ids::{ChatKey, FleetKey, RouterId, UpstreamKey};
 use crate::state::rendezvous::{rendezvous_order, rendezvous_score};
 use crate::state::roster::RouterRoster;
@@ -98,7 +98,7 @@
     pub engine: UpstreamKey,
     /// Its home.
     pub home: RouterId,
-    /// Tokens of the prompt that it surely holds.
+    /// Tokens of the prompt that it is expected to hold.
     pub cached_tokens: u32,
 }
 
@@ -156,11 +156,11 @@
     candidates
 }
 
-/// Whether this router surely holds the chat on an engine of its own.
+/// Whether this router knows an engine of its own that holds the chat, surely or perhaps.
 pub fn holds_chat(chat: ChatKey, known: &PlacementKnowledge<'_>) -> bool {
     known.memory.holders(chat).iter().any(|holder| {
         known.view.engines.get(&holder.engine) == Some(&known.own)
-            && known.memory.certainty(holder) == Some(HolderCertainty::Surely)
+            && known.memory.certainty(holder).is_some()
     })
 }
 
@@ -175,10 +175,9 @@
     let mut sure: Vec<_> =
         holders.filter_map(|holder| Some((memory.certainty(holder)?, holder))).collect();
     sure.sort_by_key(|(certainty, holder)| std::cmp::Reverse((*certainty, holder.tokens)));
-    let placed = sure.into_iter().filter_map(|(certainty, holder)| {
+    let placed = sure.into_iter().filter_map(|(_, holder)| {
         let home = *known.view.engines.get(&holder.engine)?;
-        let surely = certainty == HolderCertainty::Surely;
-        let cached_tokens = if surely { holder.tokens } else { 0 };
+        let cached_tokens = memory.expected_tokens(holder);
         Some(PlaceCandidate { engine: holder.engine, home, cached_tokens })
     });
     placed.collect()
--- a/lib/src/state/chat_memory.rs
+++ b/lib/src/state/chat_memory.rs
@@ -10,6 +10,9 @@
 /// How many holders of one chat are remembered.
 pub const HOLDERS_KEPT: usize = 4;
 
+/// After so many gaps nothing is expected of a holder.
+const GAPS_TO_FORGET: f64 = 256.0;
+
 /// How sure it is that a holder still has the prefix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HolderCertainty {
@@ -85,6 +88,17 @@
         self.chats.get(&chat).map_or(&[], |record| &record.holders)
     }
 
+    /// The tokens that a holder is expected to have still.
+    ///
+    /// Each gap may hide one drop, and an engine holds some hundreds of chats; so one gap makes
+    /// little difference to one chat, and many make it worthless.
+    pub fn expected_tokens(&self, holder: &ChatHolder) -> u32 {
+        let gaps = self.gap_epochs.get(&holder.engine).copied().unwrap_or(0);
+        let missed = gaps.saturating_sub(holder.gap_epoch) as f64;
+        let share = (1.0 - missed / GAPS_TO_FORGET).max(0.0);
+        (holder.tokens as f64 * share) as u32
+    }
+
     /// An engine told its life; what an earlier life held is gone.
     pub fn set_life(&mut self, engine: UpstreamKey, life: Incarnation) {
         self.lives.insert(engine, life);
