admission: the margin takes off the largest request told, and less for age

Cause: a flat margin (0.3 a second and 1%) cost reuse where requests are small and still let one case through where a digest of 16,000 tokens ended.

Change: each row of the load exchange tells the largest request in flight; the largest of the others is taken off the sum, and 0.2 a second for its age.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -10,9 +10,7 @@
 /// By how much of itself the mean may have fallen in one second since it was told.
 ///
 /// Taken from `wingshed replay`: see `docs/design/admission.md` for the measurement.
-pub const MEAN_FALL_PER_S: f64 = 0.3;
-/// How much less than told the mean is taken for at any age: single large requests end at once.
-pub const MEAN_SLACK: f64 = 0.01;
+pub const MEAN_FALL_PER_S: f64 = 0.2;
 /// However old the mean is, at least this share of it is counted on.
 pub const MEAN_FLOOR: f64 = 0.5;
 
@@ -23,6 +21,8 @@
     pub work: u64,
     /// Engines that take work.
     pub engines: u32,
+    /// The largest request elsewhere, which may have ended since it was told.
+    pub largest_told: u64,
     /// The age of the oldest part of `work`, in milliseconds.
     pub age_ms: u64,
 }
@@ -32,9 +32,10 @@
 /// The request itself counts in the mean, so that an idle fleet takes a first request.
 pub fn admission_bound(load: &FleetLoad, multiple: f64, work: u64) -> f64 {
     let age_s = load.age_ms as f64 / 1000.0;
-    let slack = if load.age_ms > 0 { MEAN_SLACK } else { 0.0 };
-    let kept = (1.0 - MEAN_FALL_PER_S * age_s - slack).max(MEAN_FLOOR);
-    let mean = (load.work as f64 * kept + work as f64) / load.engines.max(1) as f64;
+    let kept = (1.0 - MEAN_FALL_PER_S * age_s).max(MEAN_FLOOR);
+    // A large request may have ended since, all at once.
+    let told = load.work.saturating_sub(load.largest_told);
+    let mean = (told as f64 * kept + work as f64) / load.engines.max(1) as f64;
     multiple * mean
 }
 
--- a/lib/src/coordination/home.rs
+++ b/lib/src/coordination/home.rs
@@ -6,7 +6,7 @@
 //! with a lease has seen the epoch: at no time do two routers admit to one engine.
 //! See `docs/design/homes.md`.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::admission::{may_admit, FleetLoad};
 use super::load_spread::{LoadRow, HINTS_TOLD};
@@ -87,6 +87,7 @@
 pub struct HomeTable {
     slots: HashMap<UpstreamKey, HomeSlot>,
     settled_epoch: u64,
+    sizes: BTreeMap<(FleetKey, u64), u32>,
 }
 
 impl HomeTable {
@@ -139,22 +140,20 @@
         }
         slot.requests += 1;
         slot.work += work;
+        *self.sizes.entry((slot.fleet, work)).or_default() += 1;
         Ok(())
     }
 
-    /// Counts work on an engine without asking the bound, for what is already running there
-    /// (a resumed stream).
-    pub fn add(&mut self, engine: UpstreamKey, fleet: FleetKey, work: u64) {
-        let slot = self.slots.entry(engine).or_default();
-        slot.fleet = fleet;
-        slot.requests += 1;
-        slot.work += work;
-    }
-
     /// A request ended.
     pub fn release(&mut self, engine: UpstreamKey, work: u64, now_ms: u64) {
         let Some(slot) = self.slots.get_mut(&engine) else { return };
         slot.note_release(work, now_ms);
+        if let Some(count) = self.sizes.get_mut(&(slot.fleet, work)) {
+            *count -= 1;
+            if *count == 0 {
+                self.sizes.remove(&(slot.fleet, work));
+            }
+        }
         slot.requests = slot.requests.saturating_sub(1);
         slot.work = slot.work.saturating_sub(work);
         if slot.requests == 0 && slot.home_since_epoch.is_none() {
@@ -214,6 +213,11 @@
         slots.map(|slot| slot.work).sum()
     }
 
+    fn largest_of(&self, fleet: FleetKey) -> u64 {
+        let sizes = self.sizes.range((fleet, 0)..=(fleet, u64::MAX));
+        sizes.last().map_or(0, |((_, work), _)| *work)
+    }
+
     /// This router's row of the load exchange: its work, and its lightest open engines.
     pub fn load_row(&self, fleet: FleetKey, engines: u32) -> LoadRow {
         let open = self.homed().filter(|(_, slot)| slot.fleet == fleet && !slot.closed);
@@ -221,7 +225,8 @@
             open.map(|(engine, slot)| EngineHint { engine, work: slot.load() }).collect();
         lightest.sort_unstable_by_key(|hint| (hint.work, hint.engine));
         lightest.truncate(HINTS_TOLD);
-        LoadRow { fleet, work: self.fleet_work(fleet), engines, lightest }
+        let largest = self.largest_of(fleet);
+        LoadRow { fleet, work: self.fleet_work(fleet), engines, largest, lightest }
     }
 
     /// Requests in flight by this router over all fleets.
--- a/lib/src/coordination/load_spread.rs
+++ b/lib/src/coordination/load_spread.rs
@@ -26,6 +26,8 @@
     pub work: u64,
     /// Engines that the teller counts as taking work.
     pub engines: u32,
+    /// The teller's largest request, or the largest of several tellers.
+    pub largest: u64,
     /// The teller's lightest engines, or the lightest of several tellers.
     pub lightest: Vec<EngineHint>,
 }
@@ -38,7 +40,7 @@
 impl LoadRow {
     /// A row of no load.
     pub fn empty(fleet: FleetKey) -> LoadRow {
-        LoadRow { fleet, work: 0, engines: 0, lightest: Vec::new() }
+        LoadRow { fleet, work: 0, engines: 0, largest: 0, lightest: Vec::new() }
     }
 }
 
@@ -69,6 +71,7 @@
             let sum = sums.entry(*fleet).or_insert_with(|| LoadRow::empty(*fleet));
             if *router != except {
                 sum.work += row.work;
+                sum.largest = sum.largest.max(row.largest);
                 sum.lightest.extend_from_slice(&row.lightest);
             }
             // The largest count keeps the mean low while views of the fleet differ.
@@ -121,6 +124,7 @@
         FleetLoad {
             work: own_work + others.map_or(0, |row| row.work),
             engines: own_engines.max(others.map_or(0, |row| row.engines)),
+            largest_told: others.map_or(0, |row| row.largest),
             age_ms: match others {
                 Some(_) => now_ms.saturating_sub(self.told_ms) + RENEW_MS,
                 None => 0,
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -352,7 +352,7 @@
     fn true_load(&self) -> FleetLoad {
         let live = self.engines.iter().filter(|e| e.standing == TraceStanding::Live);
         let work = self.engines.iter().map(|engine| engine.work).sum();
-        FleetLoad { work, engines: live.count() as u32, age_ms: 0 }
+        FleetLoad { work, engines: live.count() as u32, ..FleetLoad::default() }
     }
 
     /// The router that the caller comes to: the one that served the chat last, as the reply
@@ -687,7 +687,8 @@
             ReplayRule::BoundedAlone => {
                 let own = &self.routers[router as usize].own_work;
                 let total: u64 = seen.iter().map(|engine| own[*engine as usize]).sum();
-                let load = FleetLoad { work: total, engines: seen.len() as u32, age_ms: 0 };
+                let load =
+                    FleetLoad { work: total, engines: seen.len() as u32, ..FleetLoad::default() };
                 let bound = admission_bound(&load, self.setup.multiple, work);
                 let keys = seen.iter().map(|engine| engine_key(*engine).0);
                 let order = rendezvous_order(request.chat, keys, seen.len());
