--- /dev/null
+++ b/cli/src/check.rs
@@ -0,0 +1,109 @@
+//! `wingshed check` and `wingshed policy test`: files checked without a running system.
+
+use std::path::{Path, PathBuf};
+
+use argh::FromArgs;
+use wingshed_lib::coordination::check::{check_text, read_configuration_file};
+use wingshed_lib::coordination::policy_cases::{read_cases, run_cases};
+use wingshed_lib::state::configuration::Configuration;
+use wingshed_lib::state::finding::Finding;
+
+/// check settings and configuration files, and print every finding with its place
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckCommand {
+    /// the files
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+/// work with policies
+#[derive(FromArgs)]
+#[argh(subcommand, name = "policy")]
+pub struct PolicyCommand {
+    #[argh(subcommand)]
+    command: PolicyAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum PolicyAction {
+    Test(PolicyTest),
+}
+
+/// run tables of cases against their policy
+#[derive(FromArgs)]
+#[argh(subcommand, name = "test")]
+struct PolicyTest {
+    /// the case tables, in JSON
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+/// Reads a file that a document names, from beside that document.
+fn beside(path: &Path) -> impl Fn(&str) -> Result<String, String> + '_ {
+    move |name| {
+        let folder = path.parent().unwrap_or(Path::new("."));
+        std::fs::read_to_string(folder.join(name)).map_err(|error| error.to_string())
+    }
+}
+
+/// Reads a configuration document with the files that it names.
+pub fn load_configuration(path: &Path) -> Result<Configuration, String> {
+    let text = read(path)?;
+    read_configuration_file(&text, &beside(path)).map_err(|findings| to_lines(path, &findings))
+}
+
+fn to_lines(path: &Path, findings: &[Finding]) -> String {
+    let lines = findings.iter().map(|finding| format!("{}: {finding}", path.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// Prints all findings of all files; true when there is none.
+pub fn run(command: &CheckCommand) -> Result<bool, String> {
+    if command.files.is_empty() {
+        return Err("name at least one file".to_string());
+    }
+    let mut good = true;
+    for path in &command.files {
+        let text = match read(path) {
+            Ok(text) => text,
+            Err(error) => {
+                println!("{error}");
+                good = false;
+                continue;
+            }
+        };
+        match check_text(&text, &beside(path)) {
+            Ok(kind) => println!("{}: a good {kind}.", path.display()),
+            Err(findings) => {
+                println!("{}", to_lines(path, &findings));
+                good = false;
+            }
+        }
+    }
+    Ok(good)
+}
+
+/// Runs case tables; true when every case came out.
+pub fn policy(command: &PolicyCommand) -> Result<bool, String> {
+    let PolicyAction::Test(test) = &command.command;
+    let mut good = true;
+    for path in &test.files {
+        let table = read_cases(&read(path)?).map_err(|findings| to_lines(path, &findings))?;
+        let source = beside(path)(&table.policy).map_err(|e| format!("{}: {e}", table.policy))?;
+        let outcomes =
+            run_cases(&table, &source).map_err(|error| format!("{}: {error}", table.policy))?;
+        for outcome in &outcomes {
+            let mark = if outcome.missed.is_empty() { "ok" } else { "MISSED" };
+            println!("{}: {}: {mark}", path.display(), outcome.name);
+            outcome.missed.iter().for_each(|text| println!("    {text}"));
+        }
+        good &= outcomes.iter().all(|outcome| outcome.missed.is_empty());
+    }
+    Ok(good)
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,7 +1,11 @@
 //! `wingshed`: the operator's command line. Thin: it words results and hints, and
 //! leaves all logic to the library.
 
+mod check;
+mod config;
 mod demo;
+mod operate;
+mod operator_client;
 mod replay;
 mod table;
 
@@ -20,6 +24,13 @@
     Demo(demo::DemoCommand),
     Trace(replay::TraceCommand),
     Replay(replay::ReplayCommand),
+    Check(check::CheckCommand),
+    Policy(check::PolicyCommand),
+    Config(config::ConfigCommand),
+    Status(operate::StatusCommand),
+    Drain(operate::DrainCommand),
+    Keeper(operate::KeeperCommand),
+    Orders(operate::OrdersCommand),
 }
 
 fn main() -> std::process::ExitCode {
@@ -28,6 +39,13 @@
         Command::Demo(command) => demo::run(&command),
         Command::Trace(command) => replay::make(&command),
         Command::Replay(command) => replay::run(&command),
+        Command::Check(command) => check::run(&command),
+        Command::Policy(command) => check::policy(&command),
+        Command::Config(command) => config::run(&command),
+        Command::Status(command) => operate::status(&command),
+        Command::Drain(command) => operate::drain(&command),
+        Command::Keeper(command) => operate::keeper(&command),
+        Command::Orders(command) => operate::orders(&command),
     };
     match result {
         Ok(true) => std::process::ExitCode::SUCCESS,
--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -76,7 +76,7 @@
     match RouterNode::start(settings) {
         Err(error) => fail(&error.to_string()),
         Ok(node) => {
-            wait_for_signal(signals, || false);
+            wait_for_signal(signals, || node.is_told_to_leave());
             match node.drain() {
                 true => ExitCode::SUCCESS,
                 false => fail("requests were in flight at the end of the drain"),
@@ -103,8 +103,8 @@
     }
 }
 
-fn wait_for_signal(signals: &mut Signals, failed: impl Fn() -> bool) {
-    while signals.pending().next().is_none() && !failed() {
+fn wait_for_signal(signals: &mut Signals, ended: impl Fn() -> bool) {
+    while signals.pending().next().is_none() && !ended() {
         std::thread::sleep(Duration::from_millis(50));
     }
 }
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! No sockets, no clocks, no locks, so that every decision can be tested and replayed.
 
 pub mod admission;
+pub mod check;
 pub mod claim_batch;
 pub mod directory;
 pub mod fair_queue;
@@ -13,6 +14,7 @@
 pub mod outlier;
 pub mod placement;
 pub mod policy;
+pub mod policy_cases;
 pub mod raft;
 pub mod relay;
 pub mod replay;
--- a/lib/src/protocol/operator.rs
+++ b/lib/src/protocol/operator.rs
@@ -41,6 +41,14 @@
     pub action: OrderAction,
 }
 
+/// A router that should drain.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmittedLeave {
+    /// Its number.
+    pub router: RouterId,
+}
+
 /// A step of repair.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "step")]
--- a/lib/src/state/configuration.rs
+++ b/lib/src/state/configuration.rs
@@ -103,6 +103,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// An operator lets it drain: it takes no new work.
+    pub draining: bool,
 }
 
 /// A customer, its key and its limits.
@@ -363,6 +365,7 @@
             fleet: reader.text("fleet", list),
             address: reader.address("address", list),
             zone: reader.text("zone", list),
+            draining: reader.flag("draining", false, list),
         }),
         Section::Workspaces => ConfigEntry::Workspace(WorkspaceEntry {
             key_hash: read_key_hash(&mut reader, list),
@@ -422,8 +425,17 @@
 
 /// Reads a whole document into a configuration at version 0, or every finding.
 pub fn read_configuration(text: &str) -> Result<Configuration, Vec<Finding>> {
+    read_configuration_with(text, |_, _| {})
+}
+
+/// The same, after `prepare` has changed the document or added findings of its own.
+pub fn read_configuration_with(
+    text: &str,
+    prepare: impl FnOnce(&mut Value, &mut FindingList),
+) -> Result<Configuration, Vec<Finding>> {
     let mut list = FindingList::default();
-    let Some(value) = parse_document(text, &mut list) else { return Err(list.locate(text)) };
+    let Some(mut value) = parse_document(text, &mut list) else { return Err(list.locate(text)) };
+    prepare(&mut value, &mut list);
     let mut operations = Vec::new();
     let mut reader = ObjectReader::new("$", &value, &mut list);
     for section in Section::ALL {
--- a/lib/src/state/settings.rs
+++ b/lib/src/state/settings.rs
@@ -160,7 +160,8 @@
         fleet_key: read_fleet_key(&mut reader, &mut list),
         limits: read_limits(reader.value("limits"), &mut list),
     };
-    if settings.keepers.iter().any(|keeper| keeper.address == settings.address) {
+    let usable = settings.address.port() != 0;
+    if usable && settings.keepers.iter().any(|keeper| keeper.address == settings.address) {
         list.add("$.address", "a keeper has this address");
     }
     reader.finish(&mut list);
--- a/lib/src/transport/keeper_operator.rs
+++ b/lib/src/transport/keeper_operator.rs
@@ -11,11 +11,14 @@
 use super::http_client::{CallTimes, HttpClient};
 use super::keeper_loop::{KeeperEvent, KeeperLoop, OperateReply};
 use super::keeper_node::{read_loop, KeeperDesk};
+use crate::coordination::check::check_operations;
 use crate::coordination::raft::{MemberChange, RaftRefusal};
 use crate::protocol::engine;
 use crate::protocol::http::{HttpCall, HttpReply};
 use crate::protocol::keeper_wire::{KeeperCall, KeeperReply};
-use crate::protocol::operator::{operator_of, MemberStep, SubmittedChange, SubmittedOrder};
+use crate::protocol::operator::{
+    operator_of, MemberStep, SubmittedChange, SubmittedLeave, SubmittedOrder,
+};
 use crate::state::configuration::Configuration;
 use crate::state::keeper_machine::{
     ChangeAnswer, ConfigChange, KeeperAnswer, KeeperOperation, OrderRecord, OrderState,
@@ -52,6 +55,7 @@
         ("GET", "/operator/backup") => backup_reply(desk),
         ("POST", "/operator/changes") => change_reply(desk, call, operator),
         ("POST", "/operator/orders") => order_reply(desk, call, &configuration),
+        ("POST", "/operator/leave") => leave_reply(desk, call),
         ("POST", "/operator/members") => member_reply(desk, call),
         _ => failure(404, "no_such_call", "There is no such call."),
     }
@@ -136,6 +140,10 @@
     if submitted.id.is_empty() || submitted.operations.is_empty() {
         return failure(400, "bad_request", "A change needs an id and at least one operation.");
     }
+    let findings = check_operations(&submitted.operations);
+    if !findings.is_empty() {
+        return HttpReply::json(400, &ChangeAnswer::Invalid { findings });
+    }
     let SubmittedChange { id, base, operations } = submitted;
     let change = ConfigChange { id, base, operator, operations };
     match operate(desk, KeeperOperation::Change(change)) {
@@ -168,6 +176,22 @@
     }
 }
 
+/// A router that is told to leave drains and ends; its VM may then be taken away.
+fn leave_reply(desk: &KeeperDesk, call: &HttpCall) -> HttpReply {
+    let submitted: SubmittedLeave = match body_of(call) {
+        Ok(submitted) => submitted,
+        Err(reply) => return reply,
+    };
+    let id = submitted.router;
+    let session = read_loop(&desk.events, move |keeper, _| {
+        keeper.machine.roster.routers.get(&id).map(|session| session.incarnation)
+    });
+    match session.flatten() {
+        Some(incarnation) => to_reply(operate(desk, KeeperOperation::Leave(id, incarnation))),
+        None => failure(404, "no_such_router", "There is no such router in the roster."),
+    }
+}
+
 fn member_reply(desk: &KeeperDesk, call: &HttpCall) -> HttpReply {
     let step: MemberStep = match body_of(call) {
         Ok(step) => step,
--- a/lib/src/transport/router_node.rs
+++ b/lib/src/transport/router_node.rs
@@ -112,6 +112,13 @@
         false
     }
 
+    /// Whether an operator has told this life of the router to leave.
+    pub fn is_told_to_leave(&self) -> bool {
+        let view = self.shared.view();
+        let session = view.roster.routers.get(&self.shared.id());
+        session.is_some_and(|s| s.leaving && s.incarnation == self.shared.incarnation)
+    }
+
     /// Leaves the directory, passes newcomers to peers, and ends when the last request has:
     /// true when nothing was cut.
     pub fn drain(mut self) -> bool {
--- a/lib/src/transport/router_plain.rs
+++ b/lib/src/transport/router_plain.rs
@@ -97,6 +97,7 @@
     let subject = UpstreamKey::of(request_id).0;
     let open = sight.members.iter().copied().filter(|upstream| {
         !tried.contains(upstream)
+            && sight.view.engines.contains_key(upstream)
             && !desk.leaving.is_leaving(*upstream)
             && !desk.outliers.is_aside(*upstream, now_ms)
     });
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -84,7 +84,11 @@
         let policies = compile_all(&configuration, before);
         let mut upstreams = HashMap::new();
         let mut members: HashMap<FleetKey, Vec<UpstreamKey>> = HashMap::new();
+        let mut draining = std::collections::HashSet::new();
         for (name, entry) in &configuration.upstreams {
+            if entry.draining {
+                draining.insert(UpstreamKey::of(name));
+            }
             let (key, fleet) = (UpstreamKey::of(name), FleetKey::of(&entry.fleet));
             members.entry(fleet).or_default().push(key);
             let sight = UpstreamSight { name: name.clone(), address: entry.address, fleet };
@@ -94,7 +98,10 @@
         for (name, entry) in &configuration.fleets {
             let key = FleetKey::of(name);
             let members = members.remove(&key).unwrap_or_default();
-            let open = members.iter().copied().filter(|upstream| !closed(*upstream));
+            let open = members
+                .iter()
+                .copied()
+                .filter(|upstream| !closed(*upstream) && !draining.contains(upstream));
             let view = FleetView::new(open, &roster);
             fleets.insert(key, FleetSight { entry: entry.clone(), view, members });
         }
