raft: a member's new life starts from nothing, and lagging followers can hear it

Cause: test_keepers `a_lost_disk_comes_back_without_a_vote_and_is_replaced` failed: a replaced keeper never caught up.

Change: progress is renewed with each change of life; the settings' addresses serve until members are known; a leader must hand over before it is removed; what asks is heard from anyone, what is counted only from the very life that is a member.

--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -140,6 +140,8 @@
     NoSuchMember,
     /// Leadership is being handed over.
     HandingOver,
+    /// The member leads; it must hand over first.
+    Leads,
 }
 
 /// One change of membership; never more than one at a time.
@@ -477,15 +479,19 @@
 
     // ---- who counts ----
 
+    /// Whether a message is taken at all.
+    ///
+    /// What asks is heard from anyone: this keeper's own view of the group may be old, and the
+    /// asker alone counts. What answers is counted here, so it must come from the very life
+    /// that is a member: a disk that was lost must not count as what it once held.
     fn hears(&self, message: &RaftMessage) -> bool {
         if message.from == self.id {
             return false;
         }
-        match self.membership.members.get(&message.from) {
-            Some(member) => member.incarnation == message.incarnation,
-            // A keeper that is being brought in knows no group yet, and must hear its leader.
-            None => matches!(message.body, RaftBody::Append { .. } | RaftBody::Piece { .. }),
-        }
+        let counted =
+            matches!(message.body, RaftBody::VoteReply { .. } | RaftBody::AppendReply { .. });
+        let member = self.membership.members.get(&message.from);
+        !counted || member.is_some_and(|member| member.incarnation == message.incarnation)
     }
 
     /// While a leader is heard, or leads here, nobody is helped to unseat it.
@@ -582,7 +588,9 @@
     ) {
         let fresh = term > self.term()
             || (term == self.term() && self.hard_state.voted_for.is_none_or(|id| id == from));
-        let granted = self.may_vote() && fresh && last_place >= self.last_place();
+        // Whoever is asked answers, whatever its own log says of the group: the asker counts
+        // only members of the group that it knows, by their lives.
+        let granted = fresh && last_place >= self.last_place();
         if granted && !pre {
             self.hard_state = HardState { term, voted_for: Some(from) };
             output.batch.hard_state = Some(self.hard_state);
@@ -684,18 +692,28 @@
 
     fn push_entry(&mut self, entry: LogEntry, output: &mut RaftOutput) {
         if let EntryPayload::Membership(membership) = &entry.payload {
-            self.membership = membership.clone();
+            let before = std::mem::replace(&mut self.membership, membership.clone());
             self.membership_index = entry.index;
-            for id in self.others() {
-                let next = entry.index;
-                let new = FollowerProgress { next, ..FollowerProgress::default() };
-                self.progress.entry(id).or_insert(new);
-            }
+            self.renew_progress(&before, entry.index);
         }
         output.batch.entries.push(entry.clone());
         self.entries.push(entry);
     }
 
+    /// What an earlier life of a member held says nothing of its new one.
+    fn renew_progress(&mut self, before: &GroupMembership, next: u64) {
+        let members = &self.membership.members;
+        let same_life = |id: &KeeperId| {
+            let (old, new) = (before.members.get(id), members.get(id));
+            old.map(|member| member.incarnation) == new.map(|member| member.incarnation)
+        };
+        self.progress.retain(|id, _| members.contains_key(id) && same_life(id));
+        for id in self.others() {
+            let new = FollowerProgress { next, ..FollowerProgress::default() };
+            self.progress.entry(id).or_insert(new);
+        }
+    }
+
     fn send_append(&mut self, to: KeeperId, now_ms: u64, output: &mut RaftOutput) {
         let last_index = self.last_index();
         let progress = self.progress.entry(to).or_default();
@@ -829,6 +847,8 @@
                 }
                 member.votes = true;
             }
+            // A removed leader could be the only one with the entry that removes it.
+            MemberChange::Remove(id) if *id == self.id => return Err(RaftRefusal::Leads),
             MemberChange::Remove(id) => {
                 if next.members.remove(id).is_none() {
                     return Err(RaftRefusal::NoSuchMember);
@@ -1017,11 +1037,6 @@
             output.committed.push(entry.clone());
             self.handed_out += 1;
         }
-        let removed = !self.membership.members.contains_key(&self.id);
-        if removed && self.role == RaftRole::Leader && self.commit >= self.membership_index {
-            self.role = RaftRole::Follower;
-            self.leader = None;
-        }
     }
 
     fn send_at(&self, to: KeeperId, term: u64, body: RaftBody, output: &mut RaftOutput) {
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -135,6 +135,8 @@
     pub seed: u64,
     /// How many loads the weight store takes at once.
     pub most_loads: usize,
+    /// The keepers that the settings name.
+    pub named: BTreeMap<KeeperId, SocketAddr>,
 }
 
 /// See the module.
@@ -158,13 +160,14 @@
     sending: HashMap<u64, bool>,
     order_retry_ms: BTreeMap<u64, u64>,
     most_loads: usize,
+    named: BTreeMap<KeeperId, SocketAddr>,
     applied: u64,
 }
 
 impl KeeperLoop {
     /// A loop over what the disk held.
     pub fn new(start: LoopStart, outlets: LoopOutlets) -> KeeperLoop {
-        let LoopStart { id, core, machine, store, clock, seed, most_loads } = start;
+        let LoopStart { id, core, machine, store, clock, seed, most_loads, named } = start;
         let applied = core.snapshot_index();
         KeeperLoop {
             id,
@@ -183,6 +186,7 @@
             sending: HashMap::new(),
             order_retry_ms: BTreeMap::new(),
             most_loads,
+            named,
             applied,
         }
     }
@@ -464,7 +468,9 @@
     fn send(&mut self, output: &mut RaftOutput) {
         for (to, message) in output.messages.drain(..) {
             let member = self.core.membership().members.get(&to);
-            let Some(address) = member.map(|member| member.address) else { continue };
+            // A keeper that is being brought in knows no members yet, but must answer its leader.
+            let address = member.map(|member| member.address);
+            let Some(address) = address.or_else(|| self.named.get(&to).copied()) else { continue };
             let datagram = Datagram::Raft(message);
             if !self.outlets.port.send(address, &datagram) {
                 if let Datagram::Raft(message) = datagram {
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -122,7 +122,9 @@
             wire: Box::new(move || wire.rows()),
         };
         let most_loads = settings.weight_loads;
-        let start = LoopStart { id: settings.id, core, machine, store, clock, seed, most_loads };
+        let named = settings.keepers.iter().map(|keeper| (keeper.id, keeper.address)).collect();
+        let id = settings.id;
+        let start = LoopStart { id, core, machine, store, clock, seed, most_loads, named };
         let keeper = KeeperLoop::new(start, outlets);
         let failure = Arc::new(Mutex::new(None));
         let stop = Arc::new(AtomicBool::new(false));
--- a/lib/src/transport/keeper_operator.rs
+++ b/lib/src/transport/keeper_operator.rs
@@ -127,6 +127,9 @@
         RaftRefusal::NotCaughtUp => {
             (409, "not_caught_up", "The keeper does not hold the log yet; try again.")
         }
+        RaftRefusal::Leads => {
+            (409, "leads", "It leads; hand leadership over first (`wingshed keeper transfer`).")
+        }
         RaftRefusal::NoSuchMember => (404, "no_such_member", "It is not such a member."),
     };
     failure(status, code, text)
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -2,3 +2,36 @@
 #![allow(dead_code)]
 
 pub mod raft_bench;
+
+use wingshed_standin::caller::ChatAsk;
+use wingshed_standin::system::{SystemMake, SystemStandIn};
+
+/// A system with a folder of its own; the folder goes when the fixture does.
+pub struct SystemFixture {
+    pub system: SystemStandIn,
+    _folder: tempfile::TempDir,
+}
+
+/// Starts a system; `change` makes it other than the small one.
+pub fn system_with(change: impl FnOnce(&mut SystemMake)) -> SystemFixture {
+    let folder = tempfile::tempdir().unwrap();
+    let mut make = SystemMake::small(folder.path().to_path_buf());
+    change(&mut make);
+    SystemFixture { system: SystemStandIn::start(make), _folder: folder }
+}
+
+/// A chat of workspace `w0` that has an answer already.
+pub fn returning_chat(request_id: &str, service: &str) -> ChatAsk {
+    ChatAsk {
+        workspace: "w0".to_string(),
+        key: "k0".to_string(),
+        request_id: request_id.to_string(),
+        chat: "chat-1".to_string(),
+        service: service.to_string(),
+        prompt_tokens: 50,
+        max_tokens: 12,
+        stream: true,
+        run_once: false,
+        returning: true,
+    }
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -80,6 +80,8 @@
     pub fail_after: AtomicU64,
     /// Resuming finds nothing.
     pub forget_runs: AtomicBool,
+    /// It tells this life instead of its own.
+    pub told_life: AtomicU64,
     /// Each piece takes this many milliseconds more.
     pub slow_ms: AtomicU64,
 }
@@ -359,10 +361,17 @@
 fn own_headers(shared: &EngineShared, reply: HttpReply) -> HttpReply {
     let leaving = shared.leaving.load(Ordering::Relaxed);
     reply
-        .with(INCARNATION_HEADER, shared.make.incarnation.to_string())
+        .with(INCARNATION_HEADER, told_life(shared).to_string())
         .with(LEAVING_HEADER, leaving.to_string())
 }
 
+fn told_life(shared: &EngineShared) -> u64 {
+    match shared.faults.told_life.load(Ordering::Relaxed) {
+        0 => shared.make.incarnation,
+        told => told,
+    }
+}
+
 fn start(shared: &Arc<EngineShared>, call: &HttpCall, writer: &mut ResponseWriter) {
     let refuse = shared.faults.refuse_status.load(Ordering::Relaxed) as u16;
     let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
