http: hyper over blocking sockets in place of tiny_http

With 100 half-open callers arriving at once, tiny_http started no thread for them: its pool queued all behind its 4 idle threads, each held until the read time-out, so a good caller among them would have waited up to 25 s. After running out of descriptors a router served nobody for 60 s, since connections that an old server had queued outlived it. Ruled out: the time-outs inherited from the listening socket (silent connections did end after them), and reopening the server (it did accept again).

Change: an accept loop of our own over a blocking socket, a thread a connection up to a limit, hyper's HTTP/1 without a runtime, answers as a bounded queue of parts. A request without a place looks again until its policy's wait is over, since homes and leases move while keepers change.

--- /dev/null
+++ b/daemons/tests/test_processes.rs
@@ -0,0 +1,371 @@
+//! The daemons as real processes: kills, signals, and running out of descriptors.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+use wingshed_lib::protocol::engine::run_id;
+use wingshed_lib::protocol::http::HttpCall;
+use wingshed_lib::transport::http_client::{CallTimes, HttpClient};
+use wingshed_standin::address::free_address;
+use wingshed_standin::caller::{chat_call, send, ChatAsk};
+use wingshed_standin::engine::{whole_text, EngineMake, EngineStandIn};
+use wingshed_standin::system::POLICY;
+
+const FLEET_KEY: &str = "0123456789abcdef";
+
+/// A process that is killed when the test is over.
+struct Daemon(Child);
+
+impl Daemon {
+    fn signal(&self, signal: i32) {
+        // SAFETY: the child is ours and has not been waited for.
+        unsafe { libc::kill(self.0.id() as i32, signal) };
+    }
+
+    fn wait(&mut self, most: Duration) -> Option<i32> {
+        let until = Instant::now() + most;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.0.try_wait() {
+                return Some(status.code().unwrap_or(-1));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn spawn(program: &str, settings: &Path, descriptors: Option<u64>) -> Daemon {
+    let mut command = Command::new(program);
+    command.arg("--settings").arg(settings).arg("--log").arg("error");
+    command.stderr(Stdio::null());
+    if let Some(most) = descriptors {
+        let limit = libc::rlimit { rlim_cur: most, rlim_max: most };
+        // SAFETY: only a system call that is safe after fork.
+        unsafe {
+            command.pre_exec(move || {
+                libc::setrlimit(libc::RLIMIT_NOFILE, &limit);
+                Ok(())
+            });
+        }
+    }
+    Daemon(command.spawn().unwrap())
+}
+
+fn keeper(path: &Path) -> Daemon {
+    spawn(env!("CARGO_BIN_EXE_wingshed-keeper"), path, None)
+}
+
+fn router(path: &Path, descriptors: Option<u64>) -> Daemon {
+    spawn(env!("CARGO_BIN_EXE_wingshed-router"), path, descriptors)
+}
+
+/// The files and addresses of a system of processes.
+struct Site {
+    folder: tempfile::TempDir,
+    keepers: Vec<SocketAddr>,
+    routers: Vec<SocketAddr>,
+    client: HttpClient,
+}
+
+impl Site {
+    fn new(keepers: usize, routers: usize) -> Site {
+        let site = Site {
+            folder: tempfile::tempdir().unwrap(),
+            keepers: (0..keepers).map(|_| free_address()).collect(),
+            routers: (0..routers).map(|_| free_address()).collect(),
+            client: HttpClient::default(),
+        };
+        let list: Vec<Value> = site
+            .keepers
+            .iter()
+            .enumerate()
+            .map(|(at, address)| json!({ "id": at + 1, "address": address.to_string() }))
+            .collect();
+        for (at, address) in site.keepers.iter().enumerate() {
+            let data = site.folder.path().join(format!("data-{at}"));
+            site.write(
+                &format!("keeper-{at}"),
+                &json!({
+                    "role": "keeper", "id": at + 1, "zone": "a", "address": address.to_string(),
+                    "keepers": list, "data_folder": data, "fleet_key": FLEET_KEY,
+                }),
+            );
+        }
+        for (at, address) in site.routers.iter().enumerate() {
+            site.write(
+                &format!("router-{at}"),
+                &json!({
+                    "role": "router", "id": at + 1, "zone": "a", "address": address.to_string(),
+                    "keepers": list, "fleet_key": FLEET_KEY,
+                    "limits": { "read_timeout_ms": 1000, "drain_ms": 30000 },
+                }),
+            );
+        }
+        site
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name).with_extension("json")
+    }
+
+    fn write(&self, name: &str, value: &Value) {
+        std::fs::write(self.path(name), value.to_string()).unwrap();
+    }
+
+    /// An operator's call at whichever keeper leads.
+    fn operate(&self, method: &str, path: &str, body: Option<&Value>) -> Option<(u16, Value)> {
+        let call = HttpCall {
+            method: method.to_string(),
+            target: path.to_string(),
+            headers: Vec::new(),
+            body: body.map(|body| body.to_string().into_bytes()).unwrap_or_default(),
+        };
+        let call = call.with("authorization", format!("Bearer {FLEET_KEY}"));
+        self.keepers.iter().find_map(|address| {
+            let times = CallTimes::of_ms(3000);
+            let reply = self.client.call(*address, &call, times, 16 << 20, "operator").ok()?;
+            let good = !matches!(reply.status, 421 | 503);
+            good.then(|| (reply.status, serde_json::from_slice(&reply.body).unwrap_or_default()))
+        })
+    }
+
+    fn operate_until(&self, method: &str, path: &str, body: Option<&Value>) -> (u16, Value) {
+        let until = Instant::now() + Duration::from_secs(20);
+        loop {
+            if let Some(answer) = self.operate(method, path, body) {
+                return answer;
+            }
+            assert!(Instant::now() < until, "no keeper leads");
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    fn configure(&self, engines: &[EngineStandIn]) {
+        let put = |section: &str, name: &str, value: Value| json!({ "Put": { "section": section, "name": name, "value": value } });
+        let mut operations = vec![
+            put("fleets", "engines", json!({ "kind": "engine" })),
+            put("fleets", "plain", json!({ "kind": "plain" })),
+            put("policies", "main", json!({ "source": POLICY })),
+            put("workspaces", "w0", json!({ "key": "k0", "policy": "main" })),
+        ];
+        for (at, engine) in engines.iter().enumerate() {
+            let entry =
+                json!({ "fleet": "engines", "address": engine.address.to_string(), "zone": "a" });
+            operations.push(put("upstreams", &format!("engine-{at}"), entry));
+        }
+        let change = json!({ "id": "first", "base": 0, "operations": operations });
+        let (status, answer) = self.operate_until("POST", "/operator/changes", Some(&change));
+        assert_eq!(status, 200, "{answer}");
+    }
+
+    fn wait_serving(&self) {
+        let until = Instant::now() + Duration::from_secs(20);
+        for address in &self.routers {
+            let serving = || {
+                let call = HttpCall::get("/status");
+                let times = CallTimes::of_ms(1000);
+                let reply = self.client.call(*address, &call, times, 1 << 20, "status").ok()?;
+                let value: Value = serde_json::from_slice(&reply.body).ok()?;
+                value["serves"].as_bool()
+            };
+            while serving() != Some(true) {
+                assert!(Instant::now() < until, "a router does not serve");
+                std::thread::sleep(Duration::from_millis(30));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(600));
+    }
+}
+
+fn ask(id: &str, service: &str, max_tokens: u32) -> ChatAsk {
+    ChatAsk {
+        workspace: "w0".to_string(),
+        key: "k0".to_string(),
+        request_id: id.to_string(),
+        chat: format!("chat-{id}"),
+        service: service.to_string(),
+        prompt_tokens: 20,
+        max_tokens,
+        stream: true,
+        run_once: false,
+        returning: false,
+    }
+}
+
+#[test]
+fn every_acknowledged_change_and_claim_survives_kill_9_of_the_leader() {
+    let site = Site::new(3, 2);
+    let mut keepers: Vec<Daemon> =
+        (0..3).map(|at| keeper(&site.path(&format!("keeper-{at}")))).collect();
+    let engines = [EngineStandIn::start(EngineMake::default())];
+    site.configure(&engines);
+    let _routers: Vec<Daemon> =
+        (0..2).map(|at| router(&site.path(&format!("router-{at}")), None)).collect();
+    site.wait_serving();
+    let mut version = 1;
+    let mut accepted = Vec::new();
+    let mut claimed = Vec::new();
+
+    for number in 0..30 {
+        if number % 10 == 5 {
+            let leads = |at: &usize| {
+                let call = HttpCall::get("/operator/status")
+                    .with("authorization", format!("Bearer {FLEET_KEY}"));
+                let times = CallTimes::of_ms(1000);
+                let reply =
+                    site.client.call(site.keepers[*at], &call, times, 1 << 20, "status").ok()?;
+                let value: Value = serde_json::from_slice(&reply.body).ok()?;
+                Some(value["role"] == "Leader")
+            };
+            let leader = (0..3).find(|at| leads(at) == Some(true)).expect("a keeper leads");
+            keepers[leader].signal(libc::SIGKILL);
+            keepers[leader].wait(Duration::from_secs(5));
+            keepers[leader] = keeper(&site.path(&format!("keeper-{leader}")));
+        }
+        let entry = json!({ "key": "x", "policy": "main" });
+        let name = format!("n{number}");
+        let put = json!({ "Put": { "section": "workspaces", "name": name, "value": entry } });
+        let change = json!({ "id": format!("c{number}"), "base": version, "operations": [put] });
+        let (status, answer) = site.operate_until("POST", "/operator/changes", Some(&change));
+        assert_eq!(status, 200, "{answer}");
+        version += 1;
+        accepted.push(name);
+        let id = format!("alert-{number}");
+        let answer =
+            send(&site.client, site.routers[number % 2], &chat_call(&ask(&id, "alert", 4)), None);
+        if answer.whole {
+            claimed.push(id);
+        }
+    }
+
+    let (_, found) = site.operate_until("GET", "/operator/config", None);
+    assert_eq!(found["version"], json!(version));
+    for name in accepted {
+        assert!(found["configuration"]["workspaces"][&name].is_object(), "{name} was lost");
+    }
+    assert!(claimed.len() >= 20, "only {} of 30 alerts ran", claimed.len());
+    for id in claimed {
+        let again = send(&site.client, site.routers[0], &chat_call(&ask(&id, "alert", 4)), None);
+        assert_eq!(again.status, 409, "{id} was claimed before: {again:?}");
+        assert_eq!(engines[0].starts().get(&run_id("w0", &id)), Some(&1));
+    }
+}
+
+#[test]
+fn sigterm_drains_a_router_without_cutting_its_streams() {
+    let site = Site::new(1, 2);
+    let _keeper = keeper(&site.path("keeper-0"));
+    let engines = [EngineStandIn::start(EngineMake { piece_ms: 5, ..EngineMake::default() })];
+    site.configure(&engines);
+    let mut first = router(&site.path("router-0"), None);
+    let _second = router(&site.path("router-1"), None);
+    site.wait_serving();
+
+    let (answers, code) = std::thread::scope(|scope| {
+        let running: Vec<_> = (0..8)
+            .map(|number| {
+                let call = chat_call(&ask(&format!("long-{number}"), "chat", 300));
+                let site = &site;
+                scope.spawn(move || send(&site.client, site.routers[0], &call, None))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(400));
+        first.signal(libc::SIGTERM);
+        let code = first.wait(Duration::from_secs(20));
+        let answers: Vec<_> = running.into_iter().map(|thread| thread.join().unwrap()).collect();
+        (answers, code)
+    });
+
+    for (number, answer) in answers.iter().enumerate() {
+        let run = run_id("w0", &format!("long-{number}"));
+        assert_eq!(answer.text, whole_text(&run, 300), "{answer:?}");
+    }
+    assert_eq!(code, Some(0));
+}
+
+#[test]
+fn a_router_that_ran_out_of_descriptors_serves_again() {
+    let site = Site::new(1, 1);
+    let _keeper = keeper(&site.path("keeper-0"));
+    let engines = [EngineStandIn::start(EngineMake::default())];
+    site.configure(&engines);
+    let _router = router(&site.path("router-0"), Some(64));
+    site.wait_serving();
+
+    let idle: Vec<TcpStream> =
+        (0..90).filter_map(|_| TcpStream::connect(site.routers[0]).ok()).collect();
+    std::thread::sleep(Duration::from_millis(500));
+    let count = idle.len();
+    drop(idle);
+    let until = Instant::now() + Duration::from_secs(15);
+    let mut number = 0;
+    let answer = loop {
+        number += 1;
+        let call = chat_call(&ask(&format!("after-{number}"), "chat", 4));
+        let answer = send(&site.client, site.routers[0], &call, None);
+        if answer.whole || Instant::now() > until {
+            break answer;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    };
+
+    assert!(count > 64, "the limit was passed");
+    assert!(answer.whole, "{answer:?}");
+}
+
+#[test]
+fn half_open_callers_do_not_hold_threads_for_ever() {
+    let site = Site::new(1, 1);
+    let _keeper = keeper(&site.path("keeper-0"));
+    site.configure(&[]);
+    let router = router(&site.path("router-0"), None);
+    site.wait_serving();
+    let threads = || {
+        let path = format!("/proc/{}/task", router.0.id());
+        std::fs::read_dir(path).unwrap().count()
+    };
+
+    let before = threads();
+    let mut half_open: Vec<TcpStream> =
+        (0..100).map(|_| TcpStream::connect(site.routers[0]).unwrap()).collect();
+    half_open.iter_mut().for_each(|stream| stream.write_all(b"GET / HT").unwrap());
+    std::thread::sleep(Duration::from_millis(400));
+    let during = threads();
+    let until = Instant::now() + Duration::from_secs(20);
+    while threads() > before + 10 && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+
+    // Some threads of the pool were idle and are used again.
+    assert!(during >= before + 90, "each holds a thread at first: {before} {during}");
+    assert!(threads() <= before + 10, "silent connections are given up");
+}
+
+#[test]
+fn a_daemon_refuses_bad_settings_with_every_finding() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("bad.json");
+    std::fs::write(&path, "{\n \"id\": 0,\n \"adress\": \"x\",\n \"keepers\": []\n}").unwrap();
+
+    for program in [env!("CARGO_BIN_EXE_wingshed-router"), env!("CARGO_BIN_EXE_wingshed-keeper")] {
+        let output = Command::new(program).arg("--settings").arg(&path).output().unwrap();
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+
+        assert_eq!(output.status.code(), Some(1));
+        for part in ["line 2: $.id", "line 3: $.adress: unknown key", "$.zone", "$.fleet_key"] {
+            assert!(text.contains(part), "{part} is missing in:\n{text}");
+        }
+    }
+}
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -1,28 +1,46 @@
-//! HTTP in, by `tiny_http`, with what it lacks added around it.
+//! HTTP in: `hyper`'s HTTP/1 over blocking sockets, a thread a connection.
 //!
-//! - One accept error ends `tiny_http`'s accept loop, so a new `Server` is opened on
-//!   the same socket.
-//! - It sets no time-outs. On Linux an accepted socket inherits those of its
-//!   listening socket, so they are set there; a quiet listening socket then reports an
-//!   accept error as well, which the first point covers.
-//! - `respond` holds a stream back until its end, so answers are written by
-//!   `into_writer`, head and chunks by hand, flushed each.
+//! `tiny_http` was used first and did not fit: its pool hands a burst of connections to
+//! the few threads that were idle a moment ago, so a good request may wait behind silent
+//! or long ones, and each accept error ends its loop. See `docs/house-style.md` for the
+//! figures, and `lib/tests/test_http_server.rs` for each finding as a test.
 //!
-//! See `docs/house-style.md`, and `lib/tests/test_http_server.rs` for each as a test.
+//! A connection's thread reads the request and writes the answer; a worker runs the
+//! handler. Between them is a short queue of parts, so that a slow caller holds back the
+//! handler instead of filling memory. A future here waits for the socket's next bytes, which
+//! [`drive`] does, or for that queue and for room to write, which simply block.
 
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::future::Future;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::io::AsRawFd;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::task::{Context, Poll, Wake};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel::{bounded, Receiver, Sender};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
 
 use crate::protocol::http::{HttpCall, HttpReply};
 use crate::transport::worker_pool::WorkerPool;
 
-const POLL: Duration = Duration::from_millis(50);
-const REOPEN_PAUSE: Duration = Duration::from_millis(20);
+/// How often the accept loop looks whether it should stop.
+const ACCEPT_POLL: Duration = Duration::from_millis(100);
+/// After an accept error, such as running out of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const BACKLOG: i32 = 1024;
+/// Parts of an answer that may wait for a slow caller.
+const PARTS_WAITING: usize = 32;
+/// Idle connections may be this many more than requests in flight.
+const IDLE_CONNECTIONS: usize = 512;
+const SMALLEST_READ_BUFFER: usize = 8192;
 
 /// What a server refuses beyond.
 #[derive(Clone, Copy, Debug)]
@@ -60,83 +78,45 @@
     pub writer: ResponseWriter,
 }
 
-/// Writes one answer: whole, or as a stream.
+enum ResponsePart {
+    Whole(HttpReply),
+    Begin(u16, Vec<(String, String)>),
+    Chunk(Vec<u8>),
+    Finish,
+}
+
+/// Writes one answer: whole, or as a stream. One that is dropped before its end is cut
+/// visibly: the connection closes without a clean end.
 pub struct ResponseWriter {
-    out: Box<dyn Write + Send>,
-    head_only: bool,
-    streaming: bool,
+    parts: Sender<ResponsePart>,
 }
 
 impl ResponseWriter {
+    fn part(&mut self, part: ResponsePart) -> io::Result<()> {
+        self.parts.send(part).map_err(|_| io::ErrorKind::BrokenPipe.into())
+    }
+
     /// Sends a whole answer.
     pub fn send(&mut self, reply: &HttpReply) -> io::Result<()> {
-        let mut bytes = head_bytes(reply.status, &reply.headers);
-        bytes.extend_from_slice(format!("content-length: {}\r\n\r\n", reply.body.len()).as_bytes());
-        if !self.head_only {
-            bytes.extend_from_slice(&reply.body);
-        }
-        self.out.write_all(&bytes)?;
-        self.out.flush()
+        self.part(ResponsePart::Whole(reply.clone()))
     }
 
     /// Sends the head of a stream.
     pub fn begin(&mut self, status: u16, headers: &[(String, String)]) -> io::Result<()> {
-        let mut bytes = head_bytes(status, headers);
-        bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
-        self.streaming = true;
-        self.out.write_all(&bytes)?;
-        self.out.flush()
+        self.part(ResponsePart::Begin(status, headers.to_vec()))
     }
 
-    /// Sends a chunk at once.
+    /// Sends a chunk at once; waits while the caller does not read.
     pub fn chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
-        if bytes.is_empty() {
-            return Ok(());
+        match bytes.is_empty() {
+            true => Ok(()),
+            false => self.part(ResponsePart::Chunk(bytes.to_vec())),
         }
-        let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
-        chunk.extend_from_slice(bytes);
-        chunk.extend_from_slice(b"\r\n");
-        self.out.write_all(&chunk)?;
-        self.out.flush()
     }
 
-    /// Ends a stream cleanly. A stream that is dropped without this ends visibly cut.
+    /// Ends a stream cleanly.
     pub fn finish(&mut self) -> io::Result<()> {
-        self.out.write_all(b"0\r\n\r\n")?;
-        self.out.flush()
-    }
-
-    /// Whether a stream's head was sent.
-    pub fn is_streaming(&self) -> bool {
-        self.streaming
-    }
-}
-
-fn head_bytes(status: u16, headers: &[(String, String)]) -> Vec<u8> {
-    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
-    for (name, value) in headers {
-        head.push_str(name);
-        head.push_str(": ");
-        head.extend(value.chars().filter(|c| !c.is_control()));
-        head.push_str("\r\n");
-    }
-    // A kept connection would stay with the `Server` that accepted it, which may be closed.
-    head.push_str("connection: close\r\n");
-    head.into_bytes()
-}
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200..=299 => "OK",
-        400 => "Bad Request",
-        401 => "Unauthorized",
-        404 => "Not Found",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        429 => "Too Many Requests",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
+        self.part(ResponsePart::Finish)
     }
 }
 
@@ -153,16 +133,15 @@
     pub address: SocketAddr,
 }
 
-/// A listening socket at `address`, with the given time-outs for what it accepts.
-pub fn listen(address: SocketAddr, read_timeout: Duration) -> io::Result<TcpListener> {
+/// A listening socket at `address`.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let domain = socket2::Domain::for_address(address);
     let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
-    socket.set_read_timeout(Some(read_timeout))?;
-    socket.set_write_timeout(Some(read_timeout))?;
-    socket.set_nodelay(true)?;
+    // Lets `accept` return now and then, to see whether to stop.
+    socket.set_read_timeout(Some(ACCEPT_POLL))?;
     Ok(socket.into())
 }
 
@@ -176,20 +155,21 @@
     ) -> io::Result<HttpServer> {
         let address = listener.local_addr()?;
         let stop = Arc::new(AtomicBool::new(false));
-        let accept = AcceptLoop {
-            pool: WorkerPool::new("request", limits.in_flight),
+        let accept = Arc::new(AcceptLoop {
+            connections: WorkerPool::new("connection", limits.in_flight + IDLE_CONNECTIONS),
+            handlers: WorkerPool::new("request", limits.in_flight),
             limits,
             handler,
             refusal,
             stop: stop.clone(),
-        };
+        });
         let thread = std::thread::Builder::new()
             .name("accept".to_string())
-            .spawn(move || accept.run(listener))?;
+            .spawn(move || accept.run(&listener))?;
         Ok(HttpServer { stop, thread: Some(thread), address })
     }
 
-    /// Takes no further request and waits until the accept loop is over.
+    /// Accepts no further connection and waits until the accept loop is over.
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         if let Some(thread) = self.thread.take() {
@@ -204,9 +184,9 @@
     }
 }
 
-#[derive(Clone)]
 struct AcceptLoop {
-    pool: WorkerPool,
+    connections: WorkerPool,
+    handlers: WorkerPool,
     limits: ServerLimits,
     handler: ExchangeHandler,
     refusal: RefusalReply,
@@ -214,113 +194,267 @@
 }
 
 impl AcceptLoop {
-    /// Opens one `Server` after another on the socket, whenever one stops accepting.
-    fn run(self, listener: TcpListener) {
-        while !self.stop.load(Ordering::Relaxed) {
-            let server = listener.try_clone().map_err(|error| error.to_string()).and_then(|copy| {
-                tiny_http::Server::from_listener(copy, None).map_err(|error| error.to_string())
-            });
-            match server {
-                Ok(server) => self.serve_until_error(server),
-                Err(error) => tracing::warn!("http: cannot open the server: {error}."),
-            }
-            std::thread::sleep(REOPEN_PAUSE);
-        }
-    }
-
-    fn serve_until_error(&self, server: tiny_http::Server) {
+    fn run(self: &Arc<Self>, listener: &TcpListener) {
         while !self.stop.load(Ordering::Relaxed) {
-            match server.recv_timeout(POLL) {
-                Ok(Some(request)) => self.dispatch(request),
-                Ok(None) => {}
+            match listener.accept() {
+                Ok((stream, peer)) => self.take(stream, peer),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => {
-                    if error.kind() != io::ErrorKind::WouldBlock {
-                        tracing::warn!("http: accepting stopped, opening anew: {error}.");
-                    }
-                    self.drain(server);
-                    return;
+                    tracing::warn!("http: cannot accept: {error}.");
+                    std::thread::sleep(ACCEPT_PAUSE);
                 }
             }
         }
     }
 
-    /// Connections that a closed `Server` accepted may still bring their one request.
-    fn drain(&self, server: tiny_http::Server) {
+    fn take(self: &Arc<Self>, stream: TcpStream, peer: SocketAddr) {
+        let timeout = Some(self.limits.read_timeout);
+        let prepared = stream
+            .set_read_timeout(timeout)
+            .and_then(|()| stream.set_write_timeout(timeout))
+            .and_then(|()| stream.set_nodelay(true));
+        if prepared.is_err() {
+            return;
+        }
         let this = self.clone();
-        let until = Instant::now() + 3 * self.limits.read_timeout;
-        let drain = move || {
-            while Instant::now() < until && !this.stop.load(Ordering::Relaxed) {
-                if let Ok(Some(request)) = server.recv_timeout(POLL) {
-                    this.dispatch(request);
-                }
-            }
-        };
-        let _ = std::thread::Builder::new().name("accept-drain".to_string()).spawn(drain);
+        // Without a thread for it, the connection is closed; the caller has sent nothing yet
+        // that could have run.
+        let _ = self.connections.run(Box::new(move || this.serve(stream, peer)));
     }
 
-    fn dispatch(&self, request: tiny_http::Request) {
-        let slot = Arc::new(std::sync::Mutex::new(Some(request)));
-        let job_slot = slot.clone();
+    fn serve(self: &Arc<Self>, stream: TcpStream, peer: SocketAddr) {
         let this = self.clone();
-        let job = move || {
-            let request = job_slot.lock().unwrap_or_else(|poison| poison.into_inner()).take();
-            if let Some(request) = request {
-                this.handle(request);
-            }
+        let service = service_fn(move |request| {
+            let this = this.clone();
+            async move { this.answer(request, peer).await }
+        });
+        let buffer = (self.limits.header_bytes * 2).max(SMALLEST_READ_BUFFER);
+        let Ok(waited) = stream.try_clone() else { return };
+        let connection = hyper::server::conn::http1::Builder::new()
+            .max_buf_size(buffer)
+            .serve_connection(BlockingStream(stream), service);
+        drive(connection, &waited, self.limits.read_timeout);
+    }
+
+    async fn answer(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> io::Result<Response<PartBody>> {
+        let call = match self.read(request).await {
+            Ok(call) => call,
+            Err(refusal) => return Ok(whole_response((self.refusal)(refusal))),
         };
-        if self.pool.run(Box::new(job)).is_err() {
-            let request = slot.lock().unwrap_or_else(|poison| poison.into_inner()).take();
-            if let Some(request) = request {
-                self.refuse(request, ServerRefusal::Busy);
+        let (sender, parts) = bounded(PARTS_WAITING);
+        let exchange =
+            HttpExchange { call, peer: Some(peer), writer: ResponseWriter { parts: sender } };
+        let handler = self.handler.clone();
+        if self.handlers.run(Box::new(move || handler(exchange))).is_err() {
+            return Ok(whole_response((self.refusal)(ServerRefusal::Busy)));
+        }
+        match parts.recv() {
+            Ok(ResponsePart::Whole(reply)) => Ok(whole_response(reply)),
+            Ok(ResponsePart::Begin(status, headers)) => {
+                Ok(response(status, &headers, PartBody::stream(parts)))
             }
+            // A handler that ends without an answer cuts the connection.
+            _ => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+
+    async fn read(&self, request: Request<Incoming>) -> Result<HttpCall, ServerRefusal> {
+        let (head, body) = request.into_parts();
+        let headers: Vec<(String, String)> = head
+            .headers
+            .iter()
+            .map(|(name, value)| {
+                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                (name.as_str().to_string(), value)
+            })
+            .collect();
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_string();
+        let pairs = headers.iter().map(|(name, value)| name.len() + value.len());
+        if pairs.sum::<usize>() + target.len() > self.limits.header_bytes {
+            return Err(ServerRefusal::HeadersTooLong);
+        }
+        let most = self.limits.body_bytes;
+        if body.size_hint().exact().is_some_and(|length| length > most as u64) {
+            return Err(ServerRefusal::BodyTooLong);
+        }
+        let collected = Limited::new(body, most).collect().await;
+        let body =
+            collected.map_err(|error| match error.is::<http_body_util::LengthLimitError>() {
+                true => ServerRefusal::BodyTooLong,
+                false => ServerRefusal::BodyBroken,
+            })?;
+        let method = head.method.as_str().to_string();
+        Ok(HttpCall { method, target, headers, body: body.to_bytes().to_vec() })
+    }
+}
+
+fn whole_response(reply: HttpReply) -> Response<PartBody> {
+    let body = PartBody { whole: Some(Bytes::from(reply.body)), parts: None, flushed: false };
+    response(reply.status, &reply.headers, body)
+}
+
+/// A header that HTTP cannot carry is left out: it came from a name that was checked before,
+/// or from an upstream that may say anything.
+fn response(status: u16, headers: &[(String, String)], body: PartBody) -> Response<PartBody> {
+    let mut builder = Response::builder().status(status);
+    for (name, value) in headers {
+        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
+        let value = hyper::header::HeaderValue::from_str(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            builder = builder.header(name, value);
         }
     }
+    builder.body(body).unwrap_or_else(|_| Response::new(PartBody::default()))
+}
+
+/// An answer's body: whole, or parts as the handler makes them.
+#[derive(Default)]
+struct PartBody {
+    whole: Option<Bytes>,
+    parts: Option<Receiver<ResponsePart>>,
+    flushed: bool,
+}
+
+impl PartBody {
+    fn stream(parts: Receiver<ResponsePart>) -> PartBody {
+        PartBody { whole: None, parts: Some(parts), flushed: false }
+    }
+}
 
-    fn handle(&self, mut request: tiny_http::Request) {
-        let headers = headers_of(&request);
-        let header_bytes: usize =
-            headers.iter().map(|(name, value)| name.len() + value.len()).sum();
-        if header_bytes + request.url().len() > self.limits.header_bytes {
-            return self.refuse(request, ServerRefusal::HeadersTooLong);
+impl Body for PartBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(whole) = self.whole.take() {
+            return Poll::Ready(Some(Ok(Frame::data(whole))));
         }
-        if request.body_length().is_some_and(|length| length > self.limits.body_bytes) {
-            return self.refuse(request, ServerRefusal::BodyTooLong);
+        let Some(parts) = self.parts.clone() else { return Poll::Ready(None) };
+        let part = match parts.try_recv() {
+            Ok(part) => Ok(part),
+            // What was handed over is only flushed when the body has nothing more for now; so
+            // it says so once, and waits when it is asked again.
+            Err(_) if !self.flushed => {
+                self.flushed = true;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            Err(_) => parts.recv(),
+        };
+        self.flushed = false;
+        match part {
+            Ok(ResponsePart::Chunk(bytes)) => {
+                Poll::Ready(Some(Ok(Frame::data(Bytes::from(bytes)))))
+            }
+            Ok(ResponsePart::Finish) => {
+                self.parts = None;
+                Poll::Ready(None)
+            }
+            _ => Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into()))),
         }
-        let mut body = Vec::new();
-        let most = self.limits.body_bytes as u64 + 1;
-        let read = request.as_reader().take(most).read_to_end(&mut body);
-        if body.len() > self.limits.body_bytes {
-            return self.refuse(request, ServerRefusal::BodyTooLong);
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.whole.is_none() && self.parts.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match (&self.whole, &self.parts) {
+            (Some(whole), _) => SizeHint::with_exact(whole.len() as u64),
+            (None, None) => SizeHint::with_exact(0),
+            (None, Some(_)) => SizeHint::default(),
         }
-        let expected = request.body_length();
-        if read.is_err() || expected.is_some_and(|length| length != body.len()) {
-            return self.refuse(request, ServerRefusal::BodyBroken);
+    }
+}
+
+#[derive(Default)]
+struct WakeFlag(AtomicBool);
+
+impl Wake for WakeFlag {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Polls a connection to its end. When it waits and nothing woke it, it waits for bytes; a
+/// caller that stays silent for too long is given up.
+fn drive(connection: impl Future, socket: &TcpStream, silence: Duration) {
+    let flag = Arc::new(WakeFlag::default());
+    let waker = flag.clone().into();
+    let mut context = Context::from_waker(&waker);
+    let mut connection = std::pin::pin!(connection);
+    while connection.as_mut().poll(&mut context).is_pending() {
+        let woken = flag.0.swap(false, Ordering::Relaxed);
+        if !woken && !wait_readable(socket, silence) {
+            return;
         }
-        let call = HttpCall {
-            method: request.method().as_str().to_string(),
-            target: request.url().to_string(),
-            headers,
-            body,
+    }
+}
+
+fn wait_readable(socket: &TcpStream, most: Duration) -> bool {
+    let mut wanted = libc::pollfd { fd: socket.as_raw_fd(), events: libc::POLLIN, revents: 0 };
+    // SAFETY: one descriptor, open for as long as `socket` lives.
+    unsafe { libc::poll(&mut wanted, 1, most.as_millis() as i32) > 0 }
+}
+
+/// A socket whose writes block, up to their time-out; reads take what is there.
+struct BlockingStream(TcpStream);
+
+impl hyper::rt::Read for BlockingStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        mut buffer: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut bytes = [0; 16 << 10];
+        let most = buffer.remaining().min(bytes.len());
+        // SAFETY: the buffer is ours and as long as said; the descriptor is open.
+        let length = unsafe {
+            let start = bytes.as_mut_ptr().cast();
+            libc::recv(self.0.as_raw_fd(), start, most, libc::MSG_DONTWAIT)
         };
-        let peer = request.remote_addr().copied();
-        let head_only = call.method == "HEAD";
-        let writer = ResponseWriter { out: request.into_writer(), head_only, streaming: false };
-        (self.handler)(HttpExchange { call, peer, writer });
+        match usize::try_from(length) {
+            Ok(length) => {
+                buffer.put_slice(&bytes[..length]);
+                Poll::Ready(Ok(()))
+            }
+            Err(_) => match io::Error::last_os_error() {
+                error if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+                error => Poll::Ready(Err(error)),
+            },
+        }
     }
+}
 
-    fn refuse(&self, request: tiny_http::Request, refusal: ServerRefusal) {
-        let reply = (self.refusal)(refusal);
-        let out = request.into_writer();
-        let mut writer = ResponseWriter { out, head_only: false, streaming: false };
-        let _ = writer.send(&reply);
+impl hyper::rt::Write for BlockingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(self.0.write(bytes).map_err(timed_out))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.shutdown(std::net::Shutdown::Write))
     }
 }
 
-fn headers_of(request: &tiny_http::Request) -> Vec<(String, String)> {
-    let headers = request.headers().iter();
-    let pair = |header: &tiny_http::Header| {
-        let name = header.field.as_str().as_str().to_ascii_lowercase();
-        (name, header.value.as_str().to_string())
-    };
-    headers.map(pair).collect()
+/// A socket's time-out shows as "would block", which must not look like "ask again".
+fn timed_out(error: io::Error) -> io::Error {
+    match error.kind() {
+        io::ErrorKind::WouldBlock => io::ErrorKind::TimedOut.into(),
+        _ => error,
+    }
 }
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -108,7 +108,7 @@
             header_bytes: 16 << 10,
             read_timeout: Duration::from_secs(10),
         };
-        let listener = listen(address, limits.read_timeout).context(ListenSnafu { address })?;
+        let listener = listen(address).context(ListenSnafu { address })?;
         let blank = stored.blank;
         let incarnation = store.incarnation;
         let seed: u64 = rand::random();
--- a/lib/src/transport/router_node.rs
+++ b/lib/src/transport/router_node.rs
@@ -54,7 +54,7 @@
             header_bytes: settings.limits.header_bytes,
             read_timeout: Duration::from_millis(settings.limits.read_timeout_ms),
         };
-        let listener = listen(address, limits.read_timeout).context(ListenSnafu { address })?;
+        let listener = listen(address).context(ListenSnafu { address })?;
         let shared = Arc::new(RouterShared::new(settings, client, maker, keepers, port.clone()));
         let (events, receiver) = unbounded();
         let mut threads = Vec::new();
--- a/lib/src/transport/router_place.rs
+++ b/lib/src/transport/router_place.rs
@@ -1,5 +1,7 @@
 //! Placing a chat at its home: the candidates in order, then the queue, then a refusal.
 
+use std::time::Duration;
+
 use super::router_claims::HeldClaim;
 use super::router_engines::{run_on_engine, RunEnd};
 use super::router_forward::{forward, ForwardEnd};
@@ -16,6 +18,9 @@
 use crate::state::claim_table::ClaimEnd;
 use crate::state::ids::{FleetKey, UpstreamKey};
 
+/// A request that found no place looks again after this.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
 /// A request that the system gives up on is answered at once, with a time to come back.
 pub(super) fn busy_error(after_ms: u64) -> CallerError {
     let text = "Every engine that may serve this is at its bound.";
@@ -77,7 +82,7 @@
             }
             sink.fail(&error);
         }
-        None => wait_and_serve(cx, &ask, &places, &mut held, sink),
+        None => wait_and_serve(cx, &ask, &mut held, sink),
     }
 }
 
@@ -149,32 +154,40 @@
     }
 }
 
-/// Nobody has room: waits here for an engine of this home, or at the first place's home.
+/// Nobody has room: waits here for an engine of this home, or at the first place's home. While
+/// homes and leases move, the places are looked up anew until the policy's wait is over.
 fn wait_and_serve(
     cx: &ServeContext,
     ask: &HomeAsk<'_>,
-    places: &[PlaceCandidate],
     held: &mut Option<HeldClaim>,
     sink: &mut AnswerSink<'_>,
 ) {
-    let waited = cx.arrived.elapsed().as_millis() as u64;
-    let left = ask.decision.wait_ms.saturating_sub(waited);
-    let retry_after = 500 + ask.decision.wait_ms / 4;
-    if left == 0 || places.is_empty() {
-        return refuse_busy(cx, held, sink, retry_after);
-    }
     cx.shared.seen.count("requests.queued");
-    let own = places.iter().any(|candidate| candidate.home == cx.shared.id());
-    if !own && held.is_none() {
-        match try_there(cx, ask, &places[0], sink, true) {
-            Some(RunEnd::Answered) => return,
-            _ => return refuse_busy(cx, held, sink, retry_after),
+    let wait_ms = ask.decision.wait_ms;
+    loop {
+        let waited_ms = cx.arrived.elapsed().as_millis() as u64;
+        let left_ms = wait_ms.saturating_sub(waited_ms);
+        if left_ms == 0 {
+            return refuse_busy(cx, held, sink, 500 + wait_ms / 4);
         }
+        let cx = cx.renewed();
+        let places = candidates(&cx.shared, &cx.view, ask);
+        let own = places.iter().any(|candidate| candidate.home == cx.shared.id());
+        if own || held.is_some() {
+            if let Some(slot) = wait_for_place(&cx.shared, &cx.view, ask, None, left_ms) {
+                return serve_on_slot(&cx, ask, &slot, held, sink);
+            }
+        } else if let Some(first) = places.first() {
+            match try_there(&cx, ask, first, sink, true) {
+                Some(RunEnd::Answered) => return,
+                Some(RunEnd::TryElsewhere(error)) if error.ran != RanMark::No => {
+                    return sink.fail(&error);
+                }
+                _ => {}
+            }
+        }
+        std::thread::sleep(LOOK_AGAIN);
     }
-    let Some(slot) = wait_for_place(&cx.shared, &cx.view, ask, None, left) else {
-        return refuse_busy(cx, held, sink, retry_after);
-    };
-    serve_on_slot(cx, ask, &slot, held, sink);
 }
 
 /// What was tried before did not run, or may be repeated: a claim is given back.
--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -40,6 +40,14 @@
     pub(super) hops: u8,
 }
 
+impl ServeContext {
+    /// The same with the view of now.
+    pub(super) fn renewed(&self) -> ServeContext {
+        let (shared, view) = (self.shared.clone(), self.shared.view());
+        ServeContext { shared, view, arrived: self.arrived, hops: self.hops }
+    }
+}
+
 /// Counts a request in and out.
 struct InFlight<'a>(&'a RouterShared);
 
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -53,7 +53,7 @@
             header_bytes: 64 << 10,
             read_timeout: Duration::from_secs(30),
         };
-        let listener = listen(address, limits.read_timeout).expect("the port is free");
+        let listener = listen(address).expect("the port is free");
         let handler = shared.clone();
         let server = HttpServer::start(
             listener,
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -31,7 +31,7 @@
             header_bytes: 64 << 10,
             read_timeout: Duration::from_secs(10),
         };
-        let listener = listen(address, limits.read_timeout).expect("the port is free");
+        let listener = listen(address).expect("the port is free");
         let shown = list.clone();
         let server = HttpServer::start(
             listener,
