--- /dev/null
+++ b/cli/src/bench.rs
@@ -0,0 +1,28 @@
+//! `wingshed bench`: the measurements behind the design notes, each by one command.
+
+use argh::FromArgs;
+
+use crate::{bench_control, bench_decision, bench_keeper, bench_relay};
+
+/// measure: decision, relay, streams, keeper, control or memory
+#[derive(FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct BenchCommand {
+    /// which measurement
+    #[argh(positional)]
+    what: String,
+}
+
+/// Runs one measurement.
+pub fn run(command: &BenchCommand) -> Result<bool, String> {
+    match command.what.as_str() {
+        "decision" => bench_decision::decision(),
+        "memory" => bench_decision::memory(),
+        "relay" => bench_relay::relay()?,
+        "streams" => bench_relay::streams()?,
+        "keeper" => bench_keeper::keeper()?,
+        "control" => bench_control::control()?,
+        other => return Err(format!("there is no measurement `{other}`")),
+    }
+    Ok(true)
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,12 +1,19 @@
 //! `wingshed`: the operator's command line. Thin: it words results and hints, and
 //! leaves all logic to the library.
 
+mod bench;
+mod bench_control;
+mod bench_decision;
+mod bench_keeper;
+mod bench_relay;
 mod check;
 mod config;
 mod demo;
 mod operate;
 mod operator_client;
+mod process;
 mod replay;
+mod report;
 mod table;
 
 use argh::FromArgs;
@@ -24,7 +31,9 @@
     Demo(demo::DemoCommand),
     Trace(replay::TraceCommand),
     Replay(replay::ReplayCommand),
+    Report(report::ReportCommand),
     Check(check::CheckCommand),
+    Bench(bench::BenchCommand),
     Policy(check::PolicyCommand),
     Config(config::ConfigCommand),
     Status(operate::StatusCommand),
@@ -39,6 +48,8 @@
         Command::Demo(command) => demo::run(&command),
         Command::Trace(command) => replay::make(&command),
         Command::Replay(command) => replay::run(&command),
+        Command::Report(command) => report::run(&command),
+        Command::Bench(command) => bench::run(&command),
         Command::Check(command) => check::run(&command),
         Command::Policy(command) => check::policy(&command),
         Command::Config(command) => config::run(&command),
--- /dev/null
+++ b/cli/tests/test_cli.rs
@@ -0,0 +1,122 @@
+//! The command line's words, held in snapshots, and the examples checked.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples")
+}
+
+/// Runs `wingshed` and gives its exit code and all that it said.
+fn wingshed(arguments: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_wingshed")).args(arguments).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    format!("exit {}\n{said}{errors}", output.status.code().unwrap_or(-1))
+}
+
+fn in_folder(name: &str, text: &str) -> (tempfile::TempDir, String) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join(name);
+    std::fs::write(&path, text).unwrap();
+    let path = path.to_string_lossy().into_owned();
+    (folder, path)
+}
+
+#[test]
+fn every_example_is_good() {
+    let mut files = Vec::new();
+    for deployment in ["hotare", "campanario"] {
+        let root = examples().join(deployment);
+        files.push(root.join("configuration.json"));
+        let settings = std::fs::read_dir(root.join("settings")).unwrap().flatten();
+        files.extend(settings.map(|entry| entry.path()));
+    }
+    let names: Vec<String> = files.iter().map(|file| file.to_string_lossy().into_owned()).collect();
+    let mut arguments = vec!["check"];
+    arguments.extend(names.iter().map(String::as_str));
+
+    let said = wingshed(&arguments);
+
+    assert!(said.starts_with("exit 0"), "{said}");
+    assert_eq!(said.matches(": a good ").count(), 32);
+}
+
+#[test]
+fn every_policy_case_of_the_examples_comes_out() {
+    for deployment in ["hotare", "campanario"] {
+        let path = examples().join(deployment).join("policy-cases.json");
+        let said = wingshed(&["policy", "test", &path.to_string_lossy()]);
+        assert!(said.starts_with("exit 0") && said.matches(": ok").count() == 6, "{said}");
+    }
+}
+
+#[test]
+fn check_prints_every_finding_with_its_place() {
+    let text = r#"{
+  "role": "router",
+  "id": 0,
+  "zone": "",
+  "adress": "127.0.0.1:1",
+  "keepers": [
+    { "id": 1, "address": "127.0.0.1:2" },
+    { "id": 1, "address": "keeper:2" }
+  ],
+  "fleet_key": "short",
+  "limits": { "drain_ms": 1000, "in_flight": 0 }
+}"#;
+    let (folder, path) = in_folder("router.json", text);
+
+    let said = wingshed(&["check", &path]);
+
+    let said = said.replace(&*folder.path().to_string_lossy(), "FOLDER");
+    insta::assert_snapshot!(said);
+}
+
+#[test]
+fn check_of_a_configuration_names_doubled_keys_and_broken_policies() {
+    let text = r#"{
+  "fleets": { "f": { "kind": "engine" }, "f": { "kind": "plain" } },
+  "upstreams": {
+    "a": { "fleet": "f", "address": "127.0.0.1:9", "zone": "z" },
+    "b": { "fleet": "g", "address": "127.0.0.1:9", "zone": "z" }
+  },
+  "policies": {
+    "p": { "source": "let a = 1;\nif {" },
+    "q": { "source_file": "absent.rhai" }
+  }
+}"#;
+    let (folder, path) = in_folder("configuration.json", text);
+
+    let said = wingshed(&["check", &path]);
+
+    let said = said.replace(&*folder.path().to_string_lossy(), "FOLDER");
+    insta::assert_snapshot!(said);
+}
+
+#[test]
+fn a_policy_case_that_misses_is_told() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("p.rhai"), "#{ fleet: \"f\", class: \"live\" }").unwrap();
+    let cases = r#"{ "policy": "p.rhai", "cases": [
+        { "name": "hit", "expect": { "fleet": "f" } },
+        { "name": "miss", "expect": { "class": "batch", "run_once": true } }
+    ] }"#;
+    let path = folder.path().join("cases.json");
+    std::fs::write(&path, cases).unwrap();
+
+    let said = wingshed(&["policy", "test", &path.to_string_lossy()]);
+
+    let said = said.replace(&*folder.path().to_string_lossy(), "FOLDER");
+    insta::assert_snapshot!(said);
+}
+
+#[test]
+fn a_trace_that_is_no_trace_is_refused_with_its_lines() {
+    let (folder, path) = in_folder("bad.jsonl", "{\"at\": 0}\nnot json\n");
+
+    let said = wingshed(&["replay", &path]);
+
+    let said = said.replace(&*folder.path().to_string_lossy(), "FOLDER");
+    insta::assert_snapshot!(said);
+}
--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -246,6 +246,10 @@
         };
         core.read_membership();
         core.reset_deadline(now_ms);
+        if core.voters() == [id] {
+            // Nobody else can lead, so there is nobody to wait for.
+            core.deadline_ms = now_ms;
+        }
         core
     }
 
--- a/lib/src/coordination/replay_outcome.rs
+++ b/lib/src/coordination/replay_outcome.rs
@@ -8,7 +8,7 @@
 use super::trace::{TraceExpectation, TraceRequest, TraceSetup};
 
 /// The loads at one moment.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct ReplaySample {
     /// When, in milliseconds.
     pub at_ms: u64,
@@ -18,13 +18,28 @@
     pub mean: f64,
     /// Requests in flight.
     pub requests: u32,
+    /// Each live engine's load.
+    pub loads: Vec<u64>,
+    /// Returning requests so far.
+    pub returning: u64,
+    /// Those of them that found their prefix.
+    pub reused: u64,
+    /// Renewals and tries at other routers so far.
+    pub messages: u64,
 }
 
 impl ReplaySample {
     /// The sample of the live engines' loads.
     pub fn of(at_ms: u64, loads: &[u64], requests: u32) -> ReplaySample {
         let mean = loads.iter().sum::<u64>() as f64 / loads.len().max(1) as f64;
-        ReplaySample { at_ms, most: loads.iter().copied().max().unwrap_or(0), mean, requests }
+        ReplaySample {
+            at_ms,
+            most: loads.iter().copied().max().unwrap_or(0),
+            mean,
+            requests,
+            loads: loads.to_vec(),
+            ..ReplaySample::default()
+        }
     }
 }
 
@@ -146,7 +161,9 @@
     }
 
     pub(super) fn note_sample(&mut self, sample: ReplaySample) {
-        self.samples.push(sample);
+        let messages = self.exchanges + self.remote_tries;
+        let (returning, reused) = (self.returning, self.reused);
+        self.samples.push(ReplaySample { returning, reused, messages, ..sample });
     }
 
     /// The share of returning requests that landed where their prefix was cached.
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -36,7 +36,8 @@
 /// A snapshot is taken after this many entries.
 pub const COMPACT_ENTRIES: u64 = 4096;
 const POLL: Duration = Duration::from_millis(10);
-const MOST_EVENTS: usize = 512;
+/// Events that one sync covers, unless a bench asks for less.
+pub const MOST_EVENTS: usize = 512;
 const MARK_KEEP_MS: u64 = 10_000;
 const ORDER_RETRY_MS: u64 = 1000;
 
@@ -137,6 +138,8 @@
     pub most_loads: usize,
     /// The keepers that the settings name.
     pub named: BTreeMap<KeeperId, SocketAddr>,
+    /// Events that one sync may cover.
+    pub most_events: usize,
 }
 
 /// See the module.
@@ -161,13 +164,15 @@
     order_retry_ms: BTreeMap<u64, u64>,
     most_loads: usize,
     named: BTreeMap<KeeperId, SocketAddr>,
+    most_events: usize,
     applied: u64,
 }
 
 impl KeeperLoop {
     /// A loop over what the disk held.
     pub fn new(start: LoopStart, outlets: LoopOutlets) -> KeeperLoop {
-        let LoopStart { id, core, machine, store, clock, seed, most_loads, named } = start;
+        let LoopStart { id, core, machine, store, clock, seed, most_loads, named, most_events } =
+            start;
         let applied = core.snapshot_index();
         KeeperLoop {
             id,
@@ -187,6 +192,7 @@
             order_retry_ms: BTreeMap::new(),
             most_loads,
             named,
+            most_events,
             applied,
         }
     }
@@ -198,7 +204,7 @@
             let mut running = true;
             if let Ok(event) = events.recv_timeout(POLL) {
                 running = self.take(event, &mut output);
-                for event in events.try_iter().take(MOST_EVENTS) {
+                for event in events.try_iter().take(self.most_events - 1) {
                     running &= self.take(event, &mut output);
                 }
             }
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -16,7 +16,9 @@
 use super::http_client::{CallTimes, HttpClient};
 use super::http_server::{listen, HttpExchange, HttpServer, ServerLimits, ServerRefusal};
 use super::keeper_client::KeeperClient;
-use super::keeper_loop::{KeeperEvent, KeeperLoop, LoopOutlets, LoopStart, OperateReply};
+use super::keeper_loop::{
+    KeeperEvent, KeeperLoop, LoopOutlets, LoopStart, OperateReply, MOST_EVENTS,
+};
 use super::keeper_operator::{operator_reply, send_order};
 use super::wire_count::WireCount;
 use super::worker_pool::WorkerPool;
@@ -85,6 +87,14 @@
 impl KeeperNode {
     /// Opens the data folder and starts.
     pub fn start(settings: KeeperSettings) -> Result<KeeperNode, NodeError> {
+        KeeperNode::start_batched(settings, MOST_EVENTS)
+    }
+
+    /// Starts with another limit of events for one sync; 1 is the baseline of the bench.
+    pub fn start_batched(
+        settings: KeeperSettings,
+        most_events: usize,
+    ) -> Result<KeeperNode, NodeError> {
         let clock = NodeClock::default();
         let new_life = Incarnation(rand::random::<u64>() | 1);
         let opened = LogStore::open(&settings.data_folder, settings.id, new_life);
@@ -124,7 +134,8 @@
         let most_loads = settings.weight_loads;
         let named = settings.keepers.iter().map(|keeper| (keeper.id, keeper.address)).collect();
         let id = settings.id;
-        let start = LoopStart { id, core, machine, store, clock, seed, most_loads, named };
+        let start =
+            LoopStart { id, core, machine, store, clock, seed, most_loads, named, most_events };
         let keeper = KeeperLoop::new(start, outlets);
         let failure = Arc::new(Mutex::new(None));
         let stop = Arc::new(AtomicBool::new(false));
@@ -211,7 +222,7 @@
     failure: Arc<Mutex<Option<StoreError>>>,
     stop: Arc<AtomicBool>,
 ) -> JoinHandle<()> {
-    std::thread::spawn(move || {
+    spawn_named("keeper-loop", move || {
         if let Err(error) = keeper.run(receiver) {
             tracing::error!("keeper: stops, for it cannot write: {error}.");
             *failure.lock().unwrap_or_else(|poison| poison.into_inner()) = Some(error);
@@ -220,6 +231,11 @@
     })
 }
 
+fn spawn_named(name: &str, run: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
+    let thread = std::thread::Builder::new().name(name.to_string()).spawn(run);
+    thread.expect("the system has room for a thread at the start")
+}
+
 fn receive_datagrams(
     port: &DatagramPort,
     events: &Sender<KeeperEvent>,
--- a/lib/src/transport/router_node.rs
+++ b/lib/src/transport/router_node.rs
@@ -75,10 +75,12 @@
         let receiving = port.receive(shared.checker.clone(), stop.clone(), take);
         threads.push(receiving.context(ListenSnafu { address })?);
         let control = shared.clone();
-        threads.push(std::thread::spawn(move || {
+        let control_thread = std::thread::Builder::new().name("control".to_string());
+        let running = control_thread.spawn(move || {
             run_control(&control, &receiver);
             stop.store(true, Ordering::Relaxed);
-        }));
+        });
+        threads.push(running.context(ListenSnafu { address })?);
         for _ in 0..CLAIM_THREADS {
             let claims = shared.clone();
             threads.push(std::thread::spawn(move || run_claims(&claims)));
--- /dev/null
+++ b/lib/tests/test_decisions.rs
@@ -0,0 +1,551 @@
+//! The pure decisions, as tables.
+
+use std::collections::BTreeMap;
+
+use wingshed_lib::coordination::admission::{admission_bound, FleetLoad};
+use wingshed_lib::coordination::directory::{addresses, AddressQuestion};
+use wingshed_lib::coordination::fair_queue::{
+    FairQueue, RequestClass, WaitingRequest, AGE_STEP_MS,
+};
+use wingshed_lib::coordination::home::{AdmitRefusal, HomeTable};
+use wingshed_lib::coordination::kv_move::{choose_move, MoveChoice};
+use wingshed_lib::coordination::leaving::{LeavingMark, LeavingTable};
+use wingshed_lib::coordination::outlier::{OutlierTable, FAILURES_IN_A_ROW, FIRST_ASIDE_MS};
+use wingshed_lib::coordination::placement::FleetView;
+use wingshed_lib::coordination::policy::{compile_policy, decide_policy, PolicyFacts};
+use wingshed_lib::coordination::relay::{PieceOrder, PieceStep};
+use wingshed_lib::coordination::retry::{may_retry, RetryBudget};
+use wingshed_lib::coordination::router_lease::{RouterLease, LEASE_MS};
+use wingshed_lib::coordination::session_watch::{SessionWatch, LAPSE_MS};
+use wingshed_lib::coordination::workspace_limit::{LimitRefusal, LimitTable};
+use wingshed_lib::protocol::seal::{SealChecker, SealMaker, SealRefusal, SEAL_AGE_MS};
+use wingshed_lib::state::chat_memory::{ChatMemory, HolderCertainty};
+use wingshed_lib::state::claim_table::*;
+use wingshed_lib::state::configuration::{MoveRates, WorkspaceEntry, NO_IMPORT_RATES};
+use wingshed_lib::state::ids::{
+    ChatKey, FleetKey, Incarnation, RouterId, UpstreamKey, WorkspaceKey,
+};
+use wingshed_lib::state::roster::{RouterRoster, RouterSession};
+
+const FLEET: FleetKey = FleetKey(1);
+
+fn roster(epoch: u64, routers: impl IntoIterator<Item = u32>) -> RouterRoster {
+    let session = |router: u32| RouterSession {
+        incarnation: Incarnation(1),
+        address: format!("127.0.0.1:{}", 1000 + router).parse().unwrap(),
+        zone: if router % 2 == 0 { "a" } else { "b" }.to_string(),
+        leaving: false,
+    };
+    let routers = routers.into_iter().map(|router| (RouterId(router), session(router))).collect();
+    RouterRoster { epoch, routers }
+}
+
+fn load(work: u64, engines: u32) -> FleetLoad {
+    FleetLoad { work, engines, ..FleetLoad::default() }
+}
+
+// ---- the bound ----
+
+#[test]
+fn the_bound_counts_the_request_and_falls_with_the_age_of_the_mean() {
+    let fresh = admission_bound(&load(4000, 4), 1.25, 0);
+    let old = FleetLoad { age_ms: 1000, ..load(4000, 4) };
+    let large = FleetLoad { largest_told: 400, ..load(4000, 4) };
+    let ancient = FleetLoad { age_ms: 1_000_000, ..load(4000, 4) };
+
+    assert_eq!(fresh, 1250.0);
+    assert_eq!(admission_bound(&load(0, 4), 1.25, 400), 125.0, "an idle fleet takes a first one");
+    assert!(admission_bound(&old, 1.25, 0) < fresh);
+    assert_eq!(admission_bound(&large, 1.25, 0), 1125.0);
+    assert_eq!(admission_bound(&ancient, 1.25, 0), 625.0, "however old, half is counted on");
+}
+
+#[test]
+fn no_two_routers_admit_to_an_engine_while_their_rosters_differ() {
+    let engines: Vec<UpstreamKey> = (0..60).map(|n| UpstreamKey::of(&format!("e{n}"))).collect();
+    let before = roster(1, 0..6);
+    let after = roster(2, [0, 1, 2, 4, 5, 6]);
+    let assign = |homes: &mut HomeTable, own: u32, roster: &RouterRoster| {
+        for engine in &engines {
+            homes.assign(*engine, FLEET, roster.home(*engine) == Some(RouterId(own)), roster.epoch);
+        }
+    };
+    let mut routers: Vec<HomeTable> = (0..7).map(|_| HomeTable::default()).collect();
+    for (own, homes) in routers.iter_mut().enumerate() {
+        assign(homes, own as u32, &before);
+        homes.settle(1);
+    }
+
+    // The routers learn of the new roster one by one; the keepers tell what all have seen.
+    for learned in 0..=7 {
+        if learned > 0 {
+            assign(&mut routers[learned - 1], learned as u32 - 1, &after);
+        }
+        for engine in &engines {
+            let admit = |homes: &mut HomeTable| {
+                homes.admit(*engine, 0, &load(1000, 60), 2.0).map(|()| homes.release(*engine, 0, 1))
+            };
+            let admitting = routers.iter_mut().filter_map(|homes| admit(homes).ok()).count();
+            assert!(admitting <= 1, "{admitting} routers admit after {learned} have learned");
+        }
+    }
+    routers.iter_mut().for_each(|homes| homes.settle(2));
+
+    for engine in &engines {
+        let admitting = routers.iter().filter(|homes| homes.is_home(*engine)).count();
+        assert_eq!(admitting, 1, "once all have seen it, each engine has its home");
+    }
+}
+
+#[test]
+fn homes_move_only_from_the_router_that_went() {
+    let engines: Vec<UpstreamKey> = (0..200).map(|n| UpstreamKey::of(&format!("e{n}"))).collect();
+    let (before, after) = (roster(1, 0..12), roster(2, (0..12).filter(|router| *router != 7)));
+
+    for engine in engines {
+        let home = before.home(engine);
+        if home != Some(RouterId(7)) {
+            assert_eq!(after.home(engine), home);
+        }
+    }
+}
+
+#[test]
+fn work_of_an_earlier_home_only_falls_and_never_counts_in_the_mean() {
+    let engine = UpstreamKey(1);
+    let mut homes = HomeTable::default();
+    homes.assign(engine, FLEET, true, 2);
+    homes.settle(2);
+
+    let mut loads = Vec::new();
+    for (reported, now_ms) in [(500, 1000), (900, 2000), (200, 3000), (700, 4000), (700, 90_000)] {
+        homes.report(engine, Incarnation(1), reported, now_ms);
+        loads.push(homes.slot(engine).unwrap().load());
+    }
+
+    assert_eq!(loads, [500, 500, 200, 200, 0]);
+    assert_eq!(homes.fleet_work(FLEET), 0);
+    let refused = homes.admit(UpstreamKey(2), 1, &load(10, 1), 1.25);
+    assert_eq!(refused, Err(AdmitRefusal::NotHome));
+}
+
+// ---- the queue ----
+
+fn waiting(ticket: u64, workspace: u64, class: RequestClass, since_ms: u64) -> WaitingRequest {
+    WaitingRequest {
+        ticket,
+        workspace: WorkspaceKey(workspace),
+        weight: 1,
+        class,
+        work: 100,
+        since_ms,
+        until_ms: since_ms + 600_000,
+        only: None,
+    }
+}
+
+fn drain_queue(queue: &mut FairQueue, now_ms: u64) -> Vec<u64> {
+    std::iter::from_fn(|| queue.pop(now_ms, |_| true)).map(|request| request.ticket).collect()
+}
+
+#[test]
+fn classes_go_in_order_and_a_digest_that_waited_is_never_starved() {
+    let mut queue = FairQueue::default();
+    queue.push(waiting(1, 1, RequestClass::Batch, 0), 100);
+    queue.push(waiting(2, 1, RequestClass::Normal, 0), 100);
+    queue.push(waiting(3, 1, RequestClass::Live, 0), 100);
+    assert_eq!(drain_queue(&mut queue, 10), [3, 2, 1]);
+
+    // A digest beside an endless stream of teasers.
+    let mut queue = FairQueue::default();
+    queue.push(waiting(1, 1, RequestClass::Batch, 0), 10_000);
+    let mut served_ms = None;
+    for step in 0..300u64 {
+        let now_ms = step * 100;
+        queue.push(waiting(1000 + 2 * step, 2, RequestClass::Live, now_ms), 10_000);
+        queue.push(waiting(1001 + 2 * step, 2, RequestClass::Live, now_ms), 10_000);
+        if queue.pop(now_ms, |_| true).is_some_and(|request| request.ticket == 1) {
+            served_ms = Some(now_ms);
+            break;
+        }
+    }
+    let served_ms = served_ms.expect("the digest is served");
+    assert!(served_ms >= 2 * AGE_STEP_MS, "it waited for the live ones first");
+    assert!(served_ms <= 2 * AGE_STEP_MS + 1000, "and no longer than two steps of ageing");
+}
+
+#[test]
+fn a_quiet_workspace_does_not_wait_behind_a_surge() {
+    let mut queue = FairQueue::default();
+    for ticket in 0..1000 {
+        queue.push(waiting(ticket, 1, RequestClass::Normal, 0), 10_000);
+    }
+    queue.push(waiting(5000, 2, RequestClass::Normal, 0), 10_000);
+
+    let order = drain_queue(&mut queue, 1);
+
+    let place = order.iter().position(|ticket| *ticket == 5000).unwrap();
+    assert!(place <= 2, "served as number {place}");
+}
+
+#[test]
+fn workspaces_share_by_weight() {
+    let mut queue = FairQueue::default();
+    for ticket in 0..300 {
+        let weight = if ticket % 2 == 0 { 3 } else { 1 };
+        let request = waiting(ticket, 1 + ticket % 2, RequestClass::Normal, 0);
+        queue.push(WaitingRequest { weight, ..request }, 10_000);
+    }
+
+    let first: Vec<u64> = drain_queue(&mut queue, 1).into_iter().take(80).collect();
+
+    let heavy = first.iter().filter(|ticket| **ticket % 2 == 0).count();
+    assert!((55..=65).contains(&heavy), "{heavy} of 80 went to the workspace of weight 3");
+}
+
+#[test]
+fn who_waits_for_a_certain_engine_holds_up_nobody() {
+    let mut queue = FairQueue::default();
+    let only = Some(UpstreamKey(9));
+    queue.push(WaitingRequest { only, ..waiting(1, 1, RequestClass::Normal, 0) }, 100);
+    queue.push(waiting(2, 1, RequestClass::Normal, 0), 100);
+
+    let popped = queue.pop(1, |request| request.only.is_none());
+
+    assert_eq!(popped.map(|request| request.ticket), Some(2));
+    assert!(!queue.has_rank(RequestClass::Live));
+    let expired = queue.expire(700_000);
+    assert_eq!(expired.len(), 1);
+    assert!(queue.is_empty());
+}
+
+// ---- claims ----
+
+fn claim_request(attempt: u64, holder: u32, issued_ms: u64) -> ClaimRequest {
+    ClaimRequest {
+        key: ClaimKey::of("w", "r"),
+        holder: RouterId(holder),
+        incarnation: Incarnation(1),
+        attempt,
+        issued_ms,
+    }
+}
+
+#[test]
+fn a_claim_has_one_holder_in_every_case() {
+    let now = 100_000_000;
+    let key = ClaimKey::of("w", "r");
+    type Between = fn(&mut ClaimTable, ClaimKey);
+    let report = |table: &mut ClaimTable, key, end| {
+        table.report(ClaimReport { key, attempt: 1, holder: RouterId(1), end });
+    };
+    let rows: [(&str, Between, ClaimAnswer); 6] = [
+        ("while it runs", |_, _| {}, ClaimAnswer::Taken(ClaimState::Running)),
+        (
+            "after it was done",
+            |table, key| {
+                let end = ClaimEnd::Done;
+                table.report(ClaimReport { key, attempt: 1, holder: RouterId(1), end });
+            },
+            ClaimAnswer::Taken(ClaimState::Done),
+        ),
+        (
+            "after its holder was lost",
+            |table, _| table.lose_holder(RouterId(1), Incarnation(1)),
+            ClaimAnswer::Taken(ClaimState::Unknown),
+        ),
+        (
+            "after it surely was not dispatched",
+            |table, key| {
+                let end = ClaimEnd::NotDispatched;
+                table.report(ClaimReport { key, attempt: 1, holder: RouterId(1), end });
+            },
+            ClaimAnswer::Granted,
+        ),
+        (
+            "after another attempt reports that it was not dispatched",
+            |table, key| {
+                let end = ClaimEnd::NotDispatched;
+                table.report(ClaimReport { key, attempt: 7, holder: RouterId(1), end });
+            },
+            ClaimAnswer::Taken(ClaimState::Running),
+        ),
+        (
+            "after the claim was forgotten",
+            |table, _| table.expire(100_000_000 + CLAIM_KEEP_MS + 120_000),
+            ClaimAnswer::TooOld,
+        ),
+    ];
+
+    for (case, between, expected) in rows {
+        let mut table = ClaimTable::default();
+        assert_eq!(table.claim(claim_request(1, 1, now), now), ClaimAnswer::Granted);
+        assert_eq!(table.claim(claim_request(1, 1, now), now), ClaimAnswer::Granted, "resent");
+        between(&mut table, key);
+        let (oldest, records) = table.records();
+        let mut copy = ClaimTable::from_records(oldest, records);
+        assert_eq!(table.claim(claim_request(2, 2, now), now), expected, "{case}");
+        assert_eq!(copy.claim(claim_request(2, 2, now), now), expected, "{case}, from a snapshot");
+    }
+    let mut table = ClaimTable::default();
+    let early = claim_request(1, 1, now + 2 * ISSUE_AHEAD_MS);
+    assert_eq!(table.claim(early, now), ClaimAnswer::TooNew);
+    report(&mut table, key, ClaimEnd::Done);
+    assert!(table.is_empty(), "a report of nothing makes nothing");
+}
+
+// ---- retries, outliers, leaving, leases, limits ----
+
+#[test]
+fn retries_are_tried_only_where_safe_and_within_the_budget() {
+    // bytes sent, repeatable, caller saw bytes => may retry
+    let rows = [
+        (false, false, false, true),
+        (true, false, false, false),
+        (true, true, false, true),
+        (true, true, true, false),
+    ];
+    for (sent, repeatable, seen, expected) in rows {
+        assert_eq!(may_retry(sent, repeatable, seen), expected);
+    }
+
+    let mut budget = RetryBudget::default();
+    let spent = (0..1000).filter(|_| {
+        budget.earn();
+        budget.spend()
+    });
+    assert!(spent.count() <= 105 + 5, "failures add at most a tenth to the load");
+}
+
+#[test]
+fn never_more_than_a_share_of_a_fleet_is_set_aside() {
+    let fleet: Vec<UpstreamKey> = (0..10).map(UpstreamKey).collect();
+    let mut table = OutlierTable::default();
+
+    for upstream in &fleet {
+        for _ in 0..FAILURES_IN_A_ROW {
+            table.note_failure(*upstream, fleet.iter().copied(), 0.3, 1000);
+        }
+    }
+    let aside = |table: &OutlierTable, now_ms| {
+        fleet.iter().filter(|upstream| table.is_aside(**upstream, now_ms)).count()
+    };
+
+    assert_eq!(aside(&table, 1001), 3);
+    let later = 1000 + FIRST_ASIDE_MS;
+    assert_eq!(aside(&table, later), 0, "after its time it is tried again");
+    table.begin_trial(fleet[0], later);
+    assert!(table.is_aside(fleet[0], later), "by one request only");
+    table.note_success(fleet[0]);
+    assert!(!table.is_aside(fleet[0], later));
+}
+
+#[test]
+fn leaving_is_sticky_for_a_life_and_ends_with_a_new_one() {
+    let upstream = UpstreamKey(1);
+    let mark = |life| LeavingMark { upstream, incarnation: Incarnation(life) };
+    let mut table = LeavingTable::default();
+    table.note_life(upstream, Incarnation(3));
+
+    assert!(table.note_leaving(mark(3)), "news");
+    assert!(!table.note_leaving(mark(3)), "told twice");
+    assert!(!table.note_leaving(mark(2)), "an old list");
+    table.note_life(upstream, Incarnation(2));
+    assert!(table.is_leaving(upstream), "a late report of an earlier life opens nothing");
+    table.note_life(upstream, Incarnation(4));
+    assert!(!table.is_leaving(upstream));
+    assert!(!table.note_leaving(mark(3)), "a late mark of the earlier life closes nothing");
+    assert!(!table.is_leaving(upstream));
+}
+
+#[test]
+fn a_router_serves_only_with_a_lease_and_the_version_in_force() {
+    let mut lease = RouterLease::default();
+    lease.grant(1000, 7);
+    assert!(!lease.may_serve(1001), "nothing is applied yet");
+    assert!(lease.apply(7));
+    assert!(lease.may_serve(1001));
+    assert!(!lease.apply(6), "versions never fall");
+    lease.grant(1200, 8);
+    assert!(!lease.may_serve(1201), "a newer version is in force");
+    lease.apply(8);
+    lease.grant(900, 3);
+    assert_eq!(lease.version_in_force, 8, "a late grant takes nothing back");
+    assert!(lease.may_serve(1200 + LEASE_MS - 1));
+    assert!(!lease.may_serve(1200 + LEASE_MS));
+}
+
+#[test]
+fn an_epoch_is_settled_once_every_lease_holder_has_seen_it() {
+    let roster = roster(5, 1..=2);
+    let mut watch = SessionWatch::new(1000);
+    let hear = |watch: &mut SessionWatch, router, epoch, now_ms| {
+        watch.hear(RouterId(router), Incarnation(1), epoch, 0, now_ms);
+    };
+    assert_eq!(watch.settled_epoch(&roster, 1000), 0, "a new leader knows nothing");
+    hear(&mut watch, 1, 5, 1100);
+    assert_eq!(watch.settled_epoch(&roster, 1100), 0, "the second may hold a lease yet");
+    hear(&mut watch, 2, 4, 1200);
+    assert_eq!(watch.settled_epoch(&roster, 1200), 4);
+    hear(&mut watch, 1, 5, 1200 + LAPSE_MS);
+    assert_eq!(watch.settled_epoch(&roster, 1200 + LAPSE_MS), 5, "its lease is over by now");
+    let lapsed = watch.lapsed(&roster, 1200 + LAPSE_MS);
+    assert_eq!(lapsed, [(RouterId(2), Incarnation(1))]);
+    const { assert!(LAPSE_MS > LEASE_MS, "no lease outlives its session") };
+}
+
+#[test]
+fn a_workspace_is_held_to_its_rate_and_places() {
+    let entry = WorkspaceEntry {
+        key_hash: String::new(),
+        policy: String::new(),
+        rate: 10,
+        in_flight: 4,
+        weight: 1,
+    };
+    let key = WorkspaceKey(1);
+    let mut table = LimitTable::default();
+
+    let places: Vec<_> = (0..5).map(|_| table.enter(key, &entry, 1, 1000)).collect();
+    assert_eq!(places[4], Err(LimitRefusal::InFlight));
+    let passed = (0..20).filter(|_| {
+        table.leave(key);
+        table.enter(key, &entry, 1, 1000).is_ok()
+    });
+    assert_eq!(passed.count(), 6, "ten in the first second");
+    table.leave(key);
+    let refused = table.enter(key, &entry, 1, 1000);
+    assert!(matches!(refused, Err(LimitRefusal::Rate(after)) if after > 0 && after <= 100));
+    assert_eq!(table.enter(key, &entry, 1, 1101), Ok(()));
+}
+
+// ---- relay, memory, moves, directory ----
+
+#[test]
+fn pieces_pass_once_and_in_order_whatever_order_they_come_in() {
+    let mut order = PieceOrder::after(0);
+    let mut passed = Vec::new();
+    for number in [2, 1, 1, 3, 6, 5, 2, 4, 4, 7] {
+        if let PieceStep::Pass(pieces) = order.take(number, number) {
+            passed.extend(pieces);
+        }
+    }
+    assert_eq!(passed, [1, 2, 3, 4, 5, 6, 7]);
+    assert_eq!(order.take(9, 9), PieceStep::Gap { last: 7 });
+    assert!(order.has_gap());
+    let overflow = (10..400).map(|number| order.take(number, number)).last();
+    assert_eq!(overflow, Some(PieceStep::Overflow { last: 7 }));
+}
+
+#[test]
+fn a_gap_turns_surely_into_perhaps_and_a_new_life_into_nothing() {
+    let (chat, engine) = (ChatKey(1), UpstreamKey(1));
+    let mut memory = ChatMemory::new(2);
+    memory.note(chat, engine, Incarnation(1), 1000);
+    let holder = |memory: &ChatMemory| memory.holders(chat)[0];
+    assert_eq!(memory.certainty(&holder(&memory)), Some(HolderCertainty::Surely));
+
+    memory.note_gap(engine);
+    assert_eq!(memory.certainty(&holder(&memory)), Some(HolderCertainty::Perhaps));
+    assert!(memory.expected_tokens(&holder(&memory)) < 1000);
+    memory.note(chat, engine, Incarnation(1), 1200);
+    assert_eq!(memory.certainty(&holder(&memory)), Some(HolderCertainty::Surely));
+    memory.set_life(engine, Incarnation(2));
+    assert_eq!(memory.certainty(&holder(&memory)), None);
+
+    memory.note(ChatKey(2), engine, Incarnation(2), 1);
+    memory.note(ChatKey(3), engine, Incarnation(2), 1);
+    assert_eq!(memory.len(), 2, "the memory is bounded");
+    assert!(memory.holders(chat).is_empty(), "and forgets the oldest first");
+}
+
+#[test]
+fn the_cheapest_of_waiting_importing_and_computing_wins() {
+    let imports = MoveRates { import_per_ms: 40.0, ..NO_IMPORT_RATES };
+    let rows: [(MoveRates, u32, Option<f64>, MoveChoice); 6] = [
+        (NO_IMPORT_RATES, 4000, None, MoveChoice::Recompute),
+        (NO_IMPORT_RATES, 4000, Some(200.0), MoveChoice::Wait(500)),
+        (NO_IMPORT_RATES, 4000, Some(800.0), MoveChoice::Recompute),
+        (imports, 4000, Some(200.0), MoveChoice::Import),
+        (imports, 4000, Some(100.0), MoveChoice::Wait(130)),
+        (imports, 100, None, MoveChoice::Recompute),
+    ];
+    for (rates, tokens, wait, expected) in rows {
+        assert_eq!(choose_move(&rates, tokens, wait), expected, "{tokens} tokens, wait {wait:?}");
+    }
+}
+
+#[test]
+fn the_directory_never_names_a_leaving_router() {
+    let mut roster = roster(1, 0..6);
+    let engines: Vec<UpstreamKey> = (0..40).map(UpstreamKey).collect();
+    roster.leave(RouterId(3), Incarnation(1));
+    let view = FleetView::new(engines.into_iter(), &roster);
+    let leaving = roster.routers[&RouterId(3)].address;
+
+    for chat in 0..200 {
+        let chat = ChatKey(chat * 7919);
+        let question = AddressQuestion { chat: Some(chat), zone: "a", spread: chat.0, hints: &[] };
+        let answer = addresses(&roster, Some(&view), &question);
+        let home = roster.routers[&view.chat_home(chat).unwrap()].address;
+        assert!(!answer.addresses.contains(&leaving));
+        assert_eq!(answer.addresses[0], home, "the home comes first");
+    }
+}
+
+// ---- policies and seals ----
+
+#[test]
+fn a_policy_that_fails_names_its_line_and_a_loop_costs_a_bounded_time() {
+    let facts =
+        PolicyFacts { service: "x".to_string(), labels: BTreeMap::new(), ..Default::default() };
+    let rows = [
+        ("let a = 1;\nif {", Some(2), "compile"),
+        ("let a = 1;\n\nthrow \"no\";", Some(3), "no"),
+        ("let a = 1;\nloop { a += 1; }", Some(2), "operations"),
+        ("#{ fleet: 7 }", None, "fleet"),
+        ("#{ class: \"live\" }", None, "names no fleet"),
+        ("#{ fleet: \"f\", speed: 9 }", None, "speed"),
+        ("1", None, "must end in a map"),
+        ("fn f(n) { f(n + 1) }\nf(0)", Some(2), "overflow"),
+    ];
+    for (source, line, text) in rows {
+        let decided = compile_policy(source).and_then(|program| decide_policy(&program, &facts));
+        let error = decided.expect_err(source);
+        if let Some(line) = line {
+            assert_eq!(error.line, line, "{source}: {error}");
+        }
+        let compiles = text == "compile";
+        let said = error.to_string().to_lowercase();
+        assert!(compiles || said.contains(&text.to_lowercase()), "{source}: {error}");
+    }
+}
+
+#[test]
+fn a_seal_is_refused_when_altered_replayed_old_or_of_another_key() {
+    let now = 10_000_000;
+    let maker = SealMaker::new("the fleet key here", 1);
+    let mut checker = SealChecker::new("the fleet key here", now - 1);
+    let header = maker.header("/a", b"body", now);
+    let mut check = |header: &str, target: &str, body: &[u8], wall_ms| {
+        checker.check_header(Some(header), target, body, wall_ms)
+    };
+
+    assert_eq!(check(&header, "/a", b"Body", now), Err(SealRefusal::Mismatch));
+    assert_eq!(check(&header, "/b", b"body", now), Err(SealRefusal::Mismatch));
+    assert_eq!(check("1.2.3", "/a", b"body", now), Err(SealRefusal::Malformed));
+    assert_eq!(check(&header, "/a", b"body", now + SEAL_AGE_MS + 1), Err(SealRefusal::OutOfTime));
+    assert_eq!(check(&header, "/a", b"body", now), Ok(()));
+    assert_eq!(check(&header, "/a", b"body", now), Err(SealRefusal::Replayed));
+    let other = SealMaker::new("another fleet key!", 2).header("/a", b"body", now);
+    assert_eq!(check(&other, "/a", b"body", now), Err(SealRefusal::Mismatch));
+
+    // Out of order is good once, within the window.
+    let datagrams: Vec<Vec<u8>> = (0..6000).map(|_| maker.datagram(b"x", now)).collect();
+    let mut open = |at: usize| checker.open_datagram(&datagrams[at], now).map(<[u8]>::to_vec);
+    assert!(open(10).is_ok());
+    assert!(open(5).is_ok());
+    assert_eq!(open(5), Err(SealRefusal::Replayed));
+    assert!(open(5999).is_ok());
+    assert_eq!(open(6), Err(SealRefusal::Replayed), "too far behind to be told from a replay");
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -24,6 +24,7 @@
 
 const TICK: Duration = Duration::from_millis(1);
 const POLL: Duration = Duration::from_millis(50);
+const KEEP_FINISHED: Duration = Duration::from_secs(20);
 
 /// How an engine is made.
 #[derive(Clone, Copy, Debug)]
@@ -98,6 +99,7 @@
     done: bool,
     cancelled: bool,
     readers: u64,
+    done_at: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -238,6 +240,7 @@
         if make_pieces(shared, &mut inside, now) {
             shared.changed.notify_all();
         }
+        forget_finished(&mut inside, now);
         report(shared, &mut inside, now);
     }
 }
@@ -272,6 +275,7 @@
             run.made += 1;
             run.next_at = run.next_at.map(|at| at + step);
             run.done = run.made >= run.pieces;
+            run.done_at = run.done.then_some(now);
             run.running = !run.done;
             made = true;
             if step.is_zero() && !run.running {
@@ -282,6 +286,11 @@
     made
 }
 
+/// Finished runs can be resumed for a while, then they are forgotten.
+fn forget_finished(inside: &mut EngineInside, now: Instant) {
+    inside.runs.retain(|_, run| run.done_at.is_none_or(|at| now < at + KEEP_FINISHED));
+}
+
 fn report(shared: &EngineShared, inside: &mut EngineInside, now: Instant) {
     let running = inside.runs.values().filter(|run| run.running).count() as u32;
     let waiting = inside.waiting.len() as u32;
