queue: engines are given what they run together, and the batch class leaves a quarter

The bound compares engines with each other, so under load every engine was given more than it runs at once and the queue formed inside the engines, where no class or workspace takes turns.

Change: requests_per_engine; the batch class fills at most three quarters of it; a queued request keeps its place while it looks elsewhere, and asks only engines that hints call below the bound. Claims travel by datagram when few.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -2,9 +2,9 @@
 
 use argh::FromArgs;
 
-use crate::{bench_control, bench_decision, bench_keeper, bench_relay};
+use crate::{bench_classes, bench_control, bench_decision, bench_keeper, bench_relay};
 
-/// measure: decision, relay, streams, keeper, control or memory
+/// measure: decision, relay, streams, keeper, control, classes or memory
 #[derive(FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub struct BenchCommand {
@@ -21,6 +21,7 @@
         "relay" => bench_relay::relay()?,
         "streams" => bench_relay::streams()?,
         "keeper" => bench_keeper::keeper()?,
+        "classes" => bench_classes::classes()?,
         "control" => bench_control::control()?,
         other => return Err(format!("there is no measurement `{other}`")),
     }
--- /dev/null
+++ b/cli/src/bench_classes.rs
@@ -0,0 +1,163 @@
+//! What teasers and quiet workspaces feel of digests, surges and slow engines beside them.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use wingshed_standin::caller::{chat_call, send, CallerAnswer, ChatAsk};
+use wingshed_standin::engine::EngineMake;
+use wingshed_standin::system::{SystemMake, SystemStandIn};
+
+use crate::bench_decision::percentile;
+use crate::table::to_text;
+
+const RUN: Duration = Duration::from_secs(6);
+const WATCHED_CALLERS: usize = 12;
+const OTHER_CALLERS: usize = 60;
+const SLOW_MS: u64 = 20;
+
+/// One kind of caller.
+#[derive(Clone, Copy)]
+struct CallerKind {
+    workspace: usize,
+    service: &'static str,
+    prompt_tokens: usize,
+    max_tokens: u32,
+    pause: Duration,
+}
+
+const TEASER: CallerKind = CallerKind {
+    workspace: 0,
+    service: "teaser",
+    prompt_tokens: 200,
+    max_tokens: 24,
+    pause: Duration::from_millis(20),
+};
+const DIGEST: CallerKind = CallerKind {
+    workspace: 1,
+    service: "digest",
+    prompt_tokens: 6000,
+    max_tokens: 64,
+    pause: Duration::ZERO,
+};
+const EVERYDAY: CallerKind = CallerKind { service: "chat", ..TEASER };
+const SURGE: CallerKind = CallerKind { workspace: 2, pause: Duration::ZERO, ..EVERYDAY };
+
+/// Prints first token and gaps of the watched callers, with and without each disturbance.
+pub fn classes() -> Result<(), String> {
+    let rows: [(&str, CallerKind, Option<CallerKind>, bool); 6] = [
+        ("teasers alone", TEASER, None, false),
+        ("teasers beside digests", TEASER, Some(DIGEST), false),
+        ("a quiet workspace alone", EVERYDAY, None, false),
+        ("a quiet workspace beside a surge", EVERYDAY, Some(SURGE), false),
+        ("teasers, half the engines slow", TEASER, None, true),
+        ("teasers beside digests, half the engines slow", TEASER, Some(DIGEST), true),
+    ];
+    let mut table = Vec::new();
+    for (name, watched, other, slow) in rows {
+        let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+        let mut make = SystemMake::small(folder.path().to_path_buf());
+        make.engine =
+            EngineMake { slots: 8, piece_ms: 5, prefill_per_ms: 40, ..EngineMake::default() };
+        make.requests_per_engine = make.engine.slots as u32;
+        let system = SystemStandIn::start(make);
+        if slow {
+            for engine in system.engines.iter().flatten().step_by(2) {
+                engine.faults().slow_ms.store(SLOW_MS, Ordering::Relaxed);
+            }
+        }
+        let (answers, others) = run_callers(&system, watched, other);
+        table.push(to_row(name, &answers, &others));
+    }
+    let head = [
+        "run",
+        "answers",
+        "refused",
+        "first p50 ms",
+        "p95",
+        "p99",
+        "gap p50 ms",
+        "p99",
+        "others answered",
+        "refused",
+    ];
+    println!("{}", to_text(&head, &table));
+    Ok(())
+}
+
+fn run_callers(
+    system: &SystemStandIn,
+    watched: CallerKind,
+    other: Option<CallerKind>,
+) -> (Vec<CallerAnswer>, Vec<CallerAnswer>) {
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let spawn = |kind: CallerKind, count: usize, name: &'static str| {
+            let stop = &stop;
+            let start = move |caller| {
+                scope.spawn(move || call_until(system, kind, &format!("{name}{caller}"), stop))
+            };
+            (0..count).map(start).collect::<Vec<_>>()
+        };
+        let others = other.map_or(Vec::new(), |kind| spawn(kind, OTHER_CALLERS, "o"));
+        std::thread::sleep(Duration::from_millis(500));
+        let watched = spawn(watched, WATCHED_CALLERS, "w");
+        std::thread::sleep(RUN);
+        stop.store(true, Ordering::Relaxed);
+        let join = |threads: Vec<std::thread::ScopedJoinHandle<'_, Vec<CallerAnswer>>>| {
+            threads.into_iter().filter_map(|thread| thread.join().ok()).flatten().collect()
+        };
+        (join(watched), join(others))
+    })
+}
+
+fn call_until(
+    system: &SystemStandIn,
+    kind: CallerKind,
+    caller: &str,
+    stop: &AtomicBool,
+) -> Vec<CallerAnswer> {
+    let routers = system.router_addresses();
+    let mut answers = Vec::new();
+    let mut router = routers[caller.len() % routers.len()];
+    while !stop.load(Ordering::Relaxed) {
+        let number = answers.len();
+        let ask = ChatAsk {
+            workspace: format!("w{}", kind.workspace),
+            key: format!("k{}", kind.workspace),
+            request_id: format!("{caller}-{number}"),
+            chat: format!("{caller}-{}", number % 3),
+            service: kind.service.to_string(),
+            prompt_tokens: kind.prompt_tokens,
+            max_tokens: kind.max_tokens,
+            stream: true,
+            run_once: false,
+            returning: number >= 3,
+        };
+        let answer = send(&system.client, router, &chat_call(&ask), None);
+        router = answer.next.unwrap_or(routers[number % routers.len()]);
+        answers.push(answer);
+        let until = Instant::now() + kind.pause;
+        std::thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+    answers
+}
+
+fn to_row(name: &str, answers: &[CallerAnswer], others: &[CallerAnswer]) -> Vec<String> {
+    let whole: Vec<&CallerAnswer> = answers.iter().filter(|answer| answer.whole).collect();
+    let first: Vec<f64> = whole.iter().map(|answer| answer.first_us as f64 / 1000.0).collect();
+    let gaps: Vec<f64> =
+        whole.iter().flat_map(|a| a.gaps_us.iter().map(|us| *us as f64 / 1000.0)).collect();
+    let others_whole = others.iter().filter(|answer| answer.whole).count();
+    vec![
+        name.to_string(),
+        whole.len().to_string(),
+        (answers.len() - whole.len()).to_string(),
+        format!("{:.1}", percentile(&first, 0.5)),
+        format!("{:.1}", percentile(&first, 0.95)),
+        format!("{:.1}", percentile(&first, 0.99)),
+        format!("{:.1}", percentile(&gaps, 0.5)),
+        format!("{:.1}", percentile(&gaps, 0.99)),
+        others_whole.to_string(),
+        (others.len() - others_whole).to_string(),
+    ]
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! leaves all logic to the library.
 
 mod bench;
+mod bench_classes;
 mod bench_control;
 mod bench_decision;
 mod bench_keeper;
--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -14,6 +14,15 @@
 /// However old the mean is, at least this share of it is counted on.
 pub const MEAN_FLOOR: f64 = 0.5;
 
+/// What a fleet's rules say of one engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionRule {
+    /// No engine is given work at or above this multiple of the mean.
+    pub multiple: f64,
+    /// Nor more requests at once than this.
+    pub most_requests: u32,
+}
+
 /// The load of one fleet, as one router knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetLoad {
--- a/lib/src/coordination/fair_queue.rs
+++ b/lib/src/coordination/fair_queue.rs
@@ -48,6 +48,15 @@
         RequestClass::ALL.into_iter().find(|class| class.name() == name)
     }
 
+    /// How many of an engine's places this class may fill: the batch class leaves a quarter, so
+    /// that a live request finds one at once.
+    pub fn places(self, all: u32) -> u32 {
+        match self {
+            RequestClass::Live | RequestClass::Normal => all,
+            RequestClass::Batch => (all - all / 4).max(1),
+        }
+    }
+
     /// The priority that engines are told: higher goes first.
     pub fn priority(self) -> u8 {
         match self {
--- a/lib/src/coordination/home.rs
+++ b/lib/src/coordination/home.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::admission::{may_admit, FleetLoad};
+use super::admission::{may_admit, AdmissionRule, FleetLoad};
 use super::load_spread::{LoadRow, HINTS_TOLD};
 use super::placement::EngineHint;
 use crate::state::ids::{FleetKey, Incarnation, UpstreamKey};
@@ -126,7 +126,7 @@
         engine: UpstreamKey,
         work: u64,
         load: &FleetLoad,
-        multiple: f64,
+        rule: AdmissionRule,
     ) -> Result<(), AdmitRefusal> {
         if !self.is_home(engine) {
             return Err(AdmitRefusal::NotHome);
@@ -135,7 +135,8 @@
         if slot.closed {
             return Err(AdmitRefusal::Closed);
         }
-        if !may_admit(slot.load(), load, multiple, work) {
+        let full = slot.requests >= rule.most_requests;
+        if full || !may_admit(slot.load(), load, rule.multiple, work) {
             return Err(AdmitRefusal::AtBound);
         }
         slot.requests += 1;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -152,7 +152,10 @@
         }
         FreshRule::LightestOfFleet => push_lightest(chat, &mut candidates, known),
     }
-    push_all(&mut candidates, order.into_iter(), known.view);
+    // Places along the order whose load is not known are asked only when nothing is known.
+    if rule.fresh != FreshRule::LightestOfFleet || known.hints.is_empty() {
+        push_all(&mut candidates, order.into_iter(), known.view);
+    }
     candidates
 }
 
@@ -204,8 +207,11 @@
     let mut hinted: Vec<UpstreamKey> = hinted.map(|hint| hint.engine).collect();
     hinted.sort_by_key(|engine| std::cmp::Reverse(rendezvous_score(chat.0, engine.0)));
     push_all(candidates, hinted.into_iter(), known.view);
+    // An engine that was at its bound a moment ago is not asked: under a surge that would be
+    // most of them, for each request anew.
+    let admits = known.hints.iter().filter(|hint| (hint.work as f64) < bound);
     let mut rest: Vec<(u64, UpstreamKey)> =
-        known.hints.iter().map(|hint| (hint.work, hint.engine)).chain(own).collect();
+        admits.map(|hint| (hint.work, hint.engine)).chain(own).collect();
     rest.sort_unstable();
     push_all(candidates, rest.into_iter().map(|(_, key)| key), known.view);
 }
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::admission::{admission_bound, FleetLoad};
+use super::admission::{admission_bound, AdmissionRule, FleetLoad};
 use super::directory::{light_home, AddressQuestion};
 use super::fair_queue::{FairQueue, WaitingRequest};
 use super::home::HomeTable;
@@ -502,7 +502,8 @@
         let own_work = view.homes.fleet_work(FLEET);
         let load = view.others.fleet_load(FLEET, own_work, own_engines, now_ms);
         let key = engine_key(engine);
-        if view.homes.admit(key, work, &load, self.setup.multiple).is_err() {
+        let rule = AdmissionRule { multiple: self.setup.multiple, most_requests: u32::MAX };
+        if view.homes.admit(key, work, &load, rule).is_err() {
             return false;
         }
         let true_engine = &self.engines[engine as usize];
--- a/lib/src/protocol/keeper_wire.rs
+++ b/lib/src/protocol/keeper_wire.rs
@@ -88,6 +88,22 @@
     },
     /// A short message between keepers; long ones go by HTTP.
     Raft(RaftMessage),
+    /// A few claims and ends of claims; many go by HTTP.
+    Claims {
+        /// Echoed by the answer; the same batch sent again has the same number.
+        number: u64,
+        /// The claims.
+        claims: Vec<ClaimRequest>,
+        /// The ends.
+        reports: Vec<ClaimReport>,
+    },
+    /// The answer, once committed; `None` from a keeper that cannot take it.
+    ClaimAnswers {
+        /// Echoed.
+        number: u64,
+        /// In the order of the claims.
+        answers: Option<Vec<ClaimAnswer>>,
+    },
     /// A router tells a chat's home where the chat went.
     Chats(Vec<ChatNote>),
     /// Routers tell each other while no keeper leads.
--- a/lib/src/protocol/peer_wire.rs
+++ b/lib/src/protocol/peer_wire.rs
@@ -47,8 +47,6 @@
         cached_tokens: u32,
         /// The engine that holds the prefix, when it should be imported from there.
         import_from: Option<UpstreamKey>,
-        /// Whether it may wait in the engine's queue.
-        may_wait: bool,
     },
 }
 
--- a/lib/src/state/configuration.rs
+++ b/lib/src/state/configuration.rs
@@ -71,8 +71,11 @@
     pub multiple: f64,
     /// At most this share of the fleet is set aside on passive signs at once.
     pub set_aside_share: f64,
-    /// Requests that may wait for one upstream.
+    /// Requests that may wait at one router.
     pub queue: usize,
+    /// Requests that one engine is given at once, at the most: as many as it runs together, so
+    /// that what waits does so at its home, where classes and workspaces take turns.
+    pub requests_per_engine: u32,
     /// Whether the upstreams check the fence of an order themselves.
     pub checks_fence: bool,
     /// What computing and moving KV costs on its engines.
@@ -358,6 +361,8 @@
             multiple: reader.ratio("multiple", 1.25, 1.01..=10.0, list),
             set_aside_share: reader.ratio("set_aside_share", 0.3, 0.0..=0.9, list),
             queue: reader.number("queue", Some(64), 0..=100_000, list) as usize,
+            requests_per_engine: reader.number("requests_per_engine", Some(256), 1..=100_000, list)
+                as u32,
             checks_fence: reader.flag("checks_fence", false, list),
             rates: read_rates(&mut reader, list),
         }),
--- a/lib/src/transport/datagram.rs
+++ b/lib/src/transport/datagram.rs
@@ -101,6 +101,7 @@
         Datagram::Notice { .. } => "notice",
         Datagram::Raft(_) => "raft",
         Datagram::Chats(_) => "chats",
+        Datagram::Claims { .. } | Datagram::ClaimAnswers { .. } => "claims",
         Datagram::Sums { .. } => "sums",
     }
 }
--- a/lib/src/transport/keeper_client.rs
+++ b/lib/src/transport/keeper_client.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// The keeper last seen leading does not answer: the next one is tried.
+    pub fn pass_leader(&self) {
+        self.leader.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// All keepers.
     pub fn keepers(&self) -> &[KeeperAddress] {
         &self.keepers
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -23,6 +23,7 @@
     decode, encode, Datagram, KeeperCall, KeeperIdentity, KeeperReply, LeaseGrant, LeaseRenewal,
 };
 use crate::protocol::operator::{KeeperStatus, MemberStatus, RouterStanding, WireRow};
+use crate::state::claim_table::{ClaimReport, ClaimRequest};
 use crate::state::configuration::Configuration;
 use crate::state::ids::{Incarnation, KeeperId, RouterId};
 use crate::state::keeper_machine::{
@@ -52,6 +53,8 @@
     Call(KeeperCall, Sender<KeeperReply>),
     /// A router's renewal, with where to answer.
     Renew(SocketAddr, LeaseRenewal),
+    /// Claims by datagram, with where to answer.
+    Claims(SocketAddr, u64, Vec<ClaimRequest>, Vec<ClaimReport>),
     /// An operator's operation, already authorized.
     Operate(KeeperOperation, Sender<OperateReply>),
     /// A change of membership.
@@ -84,6 +87,7 @@
 enum Waiter {
     Operate(Sender<OperateReply>),
     Call(Sender<KeeperReply>),
+    Datagram(DatagramPort, SocketAddr, u64),
 }
 
 impl Waiter {
@@ -97,6 +101,11 @@
                 };
                 drop(sender.send(reply));
             }
+            Waiter::Datagram(port, from, number) => {
+                if let KeeperAnswer::Claim(answers) = answer {
+                    port.send(from, &Datagram::ClaimAnswers { number, answers: Some(answers) });
+                }
+            }
         }
     }
 
@@ -104,6 +113,8 @@
         match self {
             Waiter::Operate(sender) => drop(sender.send(OperateReply::Unsure)),
             Waiter::Call(sender) => drop(sender.send(KeeperReply::Unsure)),
+            // It asks again, perhaps elsewhere: claims carry their attempt.
+            Waiter::Datagram(..) => {}
         }
     }
 }
@@ -232,6 +243,10 @@
             KeeperEvent::Raft(message) => self.core.receive(message, now_ms, output),
             KeeperEvent::Call(call, sender) => self.take_call(call, sender, output),
             KeeperEvent::Renew(from, renewal) => self.take_renewal(from, renewal, now_ms),
+            KeeperEvent::Claims(from, number, claims, reports) => {
+                let waiter = Waiter::Datagram(self.outlets.port.clone(), from, number);
+                self.take_claims(claims, reports, waiter, output);
+            }
             KeeperEvent::Operate(operation, sender) => {
                 self.propose(operation, Waiter::Operate(sender), output);
             }
@@ -274,18 +289,28 @@
                 return self.propose(operation, Waiter::Call(sender), output);
             }
             KeeperCall::Claims(claims, reports) => {
-                if !reports.is_empty() {
-                    let operation = KeeperOperation::Report(reports);
-                    let (ignored, _) = crossbeam::channel::bounded(1);
-                    self.propose(operation, Waiter::Call(ignored), output);
-                }
-                let operation = KeeperOperation::Claim(claims);
-                return self.propose(operation, Waiter::Call(sender), output);
+                return self.take_claims(claims, reports, Waiter::Call(sender), output);
             }
         };
         let _ = sender.send(reply);
     }
 
+    /// Ends first, so that a claim given back can be taken in the same batch.
+    fn take_claims(
+        &mut self,
+        claims: Vec<ClaimRequest>,
+        reports: Vec<ClaimReport>,
+        waiter: Waiter,
+        output: &mut RaftOutput,
+    ) {
+        if !reports.is_empty() {
+            let operation = KeeperOperation::Report(reports);
+            let (ignored, _) = crossbeam::channel::bounded(1);
+            self.propose(operation, Waiter::Call(ignored), output);
+        }
+        self.propose(KeeperOperation::Claim(claims), waiter, output);
+    }
+
     fn propose(&mut self, operation: KeeperOperation, waiter: Waiter, output: &mut RaftOutput) {
         let at_ms = wall_ms().max(self.machine.now_ms);
         let command = KeeperCommand { at_ms, operation };
@@ -304,6 +329,9 @@
             (Err(refusal), Waiter::Operate(sender)) => {
                 let _ = sender.send(OperateReply::Refused(refusal));
             }
+            (Err(_), Waiter::Datagram(port, from, number)) => {
+                port.send(from, &Datagram::ClaimAnswers { number, answers: None });
+            }
             (Err(_), Waiter::Call(sender)) => {
                 let hint = self.core.leader().filter(|leader| *leader != self.id);
                 let _ = sender.send(KeeperReply::NotLeader(hint));
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -247,6 +247,9 @@
         let event = match datagram {
             Datagram::Renew(renewal) => KeeperEvent::Renew(from, renewal),
             Datagram::Raft(message) => KeeperEvent::Raft(message),
+            Datagram::Claims { number, claims, reports } => {
+                KeeperEvent::Claims(from, number, claims, reports)
+            }
             _ => return,
         };
         let _ = events.send(event);
--- a/lib/src/transport/router_claims.rs
+++ b/lib/src/transport/router_claims.rs
@@ -9,7 +9,7 @@
 use super::router_shared::{lock, RouterShared};
 use crate::coordination::claim_batch::ClaimBatch;
 use crate::protocol::caller::{CallerError, CallerRequest, RanMark};
-use crate::protocol::keeper_wire::{KeeperCall, KeeperReply};
+use crate::protocol::keeper_wire::{Datagram, KeeperCall, KeeperReply};
 use crate::state::claim_table::{
     ClaimAnswer, ClaimEnd, ClaimKey, ClaimReport, ClaimRequest, ClaimState,
 };
@@ -17,6 +17,11 @@
 const CLAIM_WAIT: Duration = Duration::from_secs(4);
 const IDLE: Duration = Duration::from_millis(100);
 const TRIES: usize = 3;
+/// So many claims, and so many ends, fit into a datagram.
+const FEW: usize = 8;
+const DATAGRAM_TRIES: usize = 4;
+/// A commit takes a few milliseconds; a lost datagram costs this much.
+const DATAGRAM_WAIT: Duration = Duration::from_millis(80);
 
 /// A claim that was granted. It must be ended; dropped without, it counts as unknown.
 pub(super) struct HeldClaim {
@@ -122,16 +127,13 @@
 
 fn send_batch(shared: &Arc<RouterShared>, batch: ClaimBatch) {
     let asked: Vec<ClaimRequest> = batch.claims.iter().map(|(_, claim)| *claim).collect();
-    let call = KeeperCall::Claims(asked, batch.reports.clone());
+    let few = asked.len() <= FEW && batch.reports.len() <= FEW;
     // Claims and reports carry their attempt, so that sending them again changes nothing.
-    let answers = (0..TRIES).find_map(|_| match shared.keepers.ask_leader(&call) {
-        Ok(KeeperReply::Claims(answers)) => Some(answers),
-        Ok(_) => None,
-        Err(failure) => {
-            tracing::warn!("claims: {failure}.");
-            None
-        }
-    });
+    let answers = match few {
+        true => send_datagrams(shared, &asked, &batch.reports),
+        false => None,
+    };
+    let answers = answers.or_else(|| send_http(shared, asked, &batch.reports));
     let mut claims = lock(&shared.claims);
     if answers.is_none() {
         claims.batch.reports.extend(batch.reports);
@@ -148,3 +150,50 @@
         std::thread::sleep(IDLE);
     }
 }
+
+/// A few claims by datagram cost a tenth of the bytes of a call; what is lost is sent again.
+fn send_datagrams(
+    shared: &Arc<RouterShared>,
+    claims: &[ClaimRequest],
+    reports: &[ClaimReport],
+) -> Option<Vec<ClaimAnswer>> {
+    let number = shared.next_number();
+    let (sender, receiver) = bounded(DATAGRAM_TRIES);
+    lock(&shared.claims).batches.insert(number, sender);
+    let (claims, reports) = (claims.to_vec(), reports.to_vec());
+    let message = Datagram::Claims { number, claims, reports };
+    let mut answers = None;
+    for _ in 0..DATAGRAM_TRIES {
+        shared.port.send(shared.keepers.leader(), &message);
+        answers = receiver.recv_timeout(DATAGRAM_WAIT).ok().flatten();
+        if answers.is_some() {
+            break;
+        }
+        shared.keepers.pass_leader();
+    }
+    lock(&shared.claims).batches.remove(&number);
+    answers
+}
+
+fn send_http(
+    shared: &Arc<RouterShared>,
+    claims: Vec<ClaimRequest>,
+    reports: &[ClaimReport],
+) -> Option<Vec<ClaimAnswer>> {
+    let call = KeeperCall::Claims(claims, reports.to_vec());
+    (0..TRIES).find_map(|_| match shared.keepers.ask_leader(&call) {
+        Ok(KeeperReply::Claims(answers)) => Some(answers),
+        Ok(_) => None,
+        Err(failure) => {
+            tracing::warn!("claims: {failure}.");
+            None
+        }
+    })
+}
+
+/// An answer came by datagram.
+pub(super) fn take_answers(shared: &RouterShared, number: u64, answers: Option<Vec<ClaimAnswer>>) {
+    if let Some(sender) = lock(&shared.claims).batches.get(&number) {
+        let _ = sender.try_send(answers);
+    }
+}
--- a/lib/src/transport/router_forward.rs
+++ b/lib/src/transport/router_forward.rs
@@ -199,8 +199,8 @@
     match aim {
         ForwardAim::AsEntry => serve_entry(&cx, &request, &mut sink),
         ForwardAim::ToChatHome(decision) => serve_at_home(&cx, &request, &decision, &mut sink),
-        ForwardAim::ToEngine { decision, engine, cached_tokens, import_from, may_wait } => {
-            let target = EngineTarget { engine, cached_tokens, import_from, may_wait };
+        ForwardAim::ToEngine { decision, engine, cached_tokens, import_from } => {
+            let target = EngineTarget { engine, cached_tokens, import_from };
             serve_at_engine(&cx, &request, &decision, target, &mut sink);
         }
     }
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::bounded;
+use crossbeam::channel::{bounded, Receiver};
 
-use super::router_shared::{lock, HomeDesk, RouterShared, RouterView};
-use crate::coordination::admission::admission_bound;
-use crate::coordination::fair_queue::WaitingRequest;
+use super::router_shared::{lock, FleetSight, HomeDesk, RouterShared, RouterView};
+use crate::coordination::admission::{admission_bound, AdmissionRule};
+use crate::coordination::fair_queue::{RequestClass, WaitingRequest};
 use crate::coordination::home::AdmitRefusal;
 use crate::coordination::kv_move::{choose_move, MoveChoice};
 use crate::coordination::placement::{place_candidates, request_work, PlaceCandidate, BEST_RULE};
@@ -92,29 +92,43 @@
     }
     let work = ask.work(cached_tokens);
     let load = shared.fleet_load(&desk, ask.fleet, view);
-    desk.homes.admit(engine, work, &load, sight.entry.multiple)?;
+    desk.homes.admit(engine, work, &load, admission_rule(sight, ask.decision.class))?;
     let now_ms = shared.clock.now_ms();
     desk.outliers.begin_trial(engine, now_ms);
     let shared = shared.clone();
     Ok(AdmittedSlot { shared, engine, fleet: ask.fleet, work })
 }
 
-/// Waits in this home's queue for one of its engines, or for a certain one; `None` when the time is over or the
-/// queue is full.
-pub(super) fn wait_for_place(
-    shared: &Arc<RouterShared>,
-    view: &RouterView,
-    ask: &HomeAsk<'_>,
-    only: Option<PlaceCandidate>,
-    wait_ms: u64,
-) -> Option<AdmittedSlot> {
-    let sight = view.fleets.get(&ask.fleet)?;
-    let ticket = shared.next_number();
-    let work = ask.work(only.map_or(0, |place| place.cached_tokens));
-    let only = only.map(|place| place.engine);
-    let (sender, receiver) = bounded(1);
-    let now_ms = shared.clock.now_ms();
-    {
+fn admission_rule(sight: &FleetSight, class: RequestClass) -> AdmissionRule {
+    let entry = &sight.entry;
+    let most_requests = class.places(entry.requests_per_engine);
+    AdmissionRule { multiple: entry.multiple, most_requests }
+}
+
+/// A place in this home's queue. Dropping it gives the place up, and a slot that came too late.
+pub(super) struct QueueTicket {
+    shared: Arc<RouterShared>,
+    fleet: FleetKey,
+    ticket: u64,
+    work: u64,
+    given: Receiver<UpstreamKey>,
+}
+
+impl QueueTicket {
+    /// Queues for one of this home's engines, or for a certain one; `None` when the queue is
+    /// full.
+    pub(super) fn enter(
+        shared: &Arc<RouterShared>,
+        view: &RouterView,
+        ask: &HomeAsk<'_>,
+        only: Option<PlaceCandidate>,
+        wait_ms: u64,
+    ) -> Option<QueueTicket> {
+        let sight = view.fleets.get(&ask.fleet)?;
+        let ticket = shared.next_number();
+        let work = ask.work(only.map_or(0, |place| place.cached_tokens));
+        let (sender, given) = bounded(1);
+        let now_ms = shared.clock.now_ms();
         let mut desk = lock(&shared.desk);
         let waiting = WaitingRequest {
             ticket,
@@ -124,7 +138,7 @@
             work,
             since_ms: now_ms,
             until_ms: now_ms + wait_ms,
-            only,
+            only: only.map(|place| place.engine),
         };
         let queue = desk.queues.entry(ask.fleet).or_default();
         if !queue.push(waiting, sight.entry.queue) {
@@ -132,17 +146,31 @@
         }
         desk.tickets.insert(ticket, sender);
         pump(shared, &mut desk, ask.fleet, view);
+        Some(QueueTicket { shared: shared.clone(), fleet: ask.fleet, ticket, work, given })
     }
-    let given = receiver.recv_timeout(Duration::from_millis(wait_ms)).ok();
-    let mut desk = lock(&shared.desk);
-    desk.tickets.remove(&ticket);
-    if let Some(queue) = desk.queues.get_mut(&ask.fleet) {
-        queue.remove(ticket);
+
+    /// Waits for a slot.
+    pub(super) fn wait(&self, most_ms: u64) -> Option<AdmittedSlot> {
+        let engine = self.given.recv_timeout(Duration::from_millis(most_ms)).ok()?;
+        Some(self.slot(engine))
+    }
+
+    fn slot(&self, engine: UpstreamKey) -> AdmittedSlot {
+        AdmittedSlot { shared: self.shared.clone(), engine, fleet: self.fleet, work: self.work }
+    }
+}
+
+impl Drop for QueueTicket {
+    fn drop(&mut self) {
+        let mut desk = lock(&self.shared.desk);
+        desk.tickets.remove(&self.ticket);
+        if let Some(queue) = desk.queues.get_mut(&self.fleet) {
+            queue.remove(self.ticket);
+        }
+        drop(desk);
+        // A slot that came in the moment that the wait ended is given back.
+        drop(self.given.try_recv().ok().map(|engine| self.slot(engine)));
     }
-    // The place may have come in the moment that the wait ended.
-    let engine = given.or_else(|| receiver.try_recv().ok())?;
-    drop(desk);
-    Some(AdmittedSlot { shared: shared.clone(), engine, fleet: ask.fleet, work })
 }
 
 /// What to do about a prefix whose holder, an engine of this home, is at its bound.
@@ -176,6 +204,7 @@
         let mut given = None;
         let homes = &mut desk.homes;
         let popped = queue.pop(now_ms, |waiting| {
+            let rule = admission_rule(sight, waiting.class);
             let open = homes.homed().filter(|(engine, slot)| {
                 slot.fleet == fleet
                     && !slot.closed
@@ -183,9 +212,10 @@
             });
             let mut open: Vec<_> = open.map(|(engine, slot)| (slot.load(), engine)).collect();
             open.sort_unstable();
-            given = open.into_iter().map(|(_, engine)| engine).find(|engine| {
-                homes.admit(*engine, waiting.work, &load, sight.entry.multiple).is_ok()
-            });
+            given = open
+                .into_iter()
+                .map(|(_, engine)| engine)
+                .find(|engine| homes.admit(*engine, waiting.work, &load, rule).is_ok());
             given.is_some()
         });
         let (Some(waiting), Some(engine)) = (popped, given) else { break };
--- a/lib/src/transport/router_node.rs
+++ b/lib/src/transport/router_node.rs
@@ -14,7 +14,7 @@
 use super::http_server::{listen, HttpServer, ServerLimits, ServerRefusal};
 use super::keeper_client::KeeperClient;
 use super::keeper_node::{ListenSnafu, NodeError};
-use super::router_claims::run_claims;
+use super::router_claims::{run_claims, take_answers};
 use super::router_control::{run_control, ControlEvent};
 use super::router_serve::serve;
 use super::router_shared::RouterShared;
@@ -58,10 +58,15 @@
         let shared = Arc::new(RouterShared::new(settings, client, maker, keepers, port.clone()));
         let (events, receiver) = unbounded();
         let mut threads = Vec::new();
+        let answered = shared.clone();
         let take = move |from, datagram| {
             let event = match datagram {
                 Datagram::Grant(grant) => ControlEvent::Grant(from, grant),
                 Datagram::Notice { version, epoch } => ControlEvent::Notice { version, epoch },
+                Datagram::ClaimAnswers { number, answers } => {
+                    take_answers(&answered, number, answers);
+                    return;
+                }
                 Datagram::Chats(notes) => ControlEvent::Chats(notes),
                 Datagram::Sums { router, rows, marks } => {
                     let _ = events.send(ControlEvent::Marks(marks));
--- a/lib/src/transport/router_place.rs
+++ b/lib/src/transport/router_place.rs
@@ -6,7 +6,7 @@
 use super::router_engines::{run_on_engine, RunEnd};
 use super::router_forward::{forward, ForwardEnd};
 use super::router_home::{
-    admit, candidates, chat_key, move_choice, wait_for_place, AdmittedSlot, HomeAsk,
+    admit, candidates, chat_key, move_choice, AdmittedSlot, HomeAsk, QueueTicket,
 };
 use super::router_relay::AnswerSink;
 use super::router_serve::ServeContext;
@@ -18,8 +18,10 @@
 use crate::state::claim_table::ClaimEnd;
 use crate::state::ids::{FleetKey, UpstreamKey};
 
-/// A request that found no place looks again after this.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// A request that found no place looks again after this, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 40;
+/// So many engines of other homes are asked each time.
+const PLACES_LOOKED_AT_AGAIN: usize = 2;
 
 /// A request that the system gives up on is answered at once, with a time to come back.
 pub(super) fn busy_error(after_ms: u64) -> CallerError {
@@ -54,7 +56,7 @@
         let end = match candidate.home == cx.shared.id() {
             true => try_here(cx, &ask, candidate, &mut held, sink),
             false if held.is_some() => continue,
-            false => try_there(cx, &ask, candidate, sink, false),
+            false => try_there(cx, &ask, candidate, sink),
         };
         match end {
             None if holder.is_some_and(|holder| holder == candidate) => {
@@ -97,7 +99,9 @@
 ) -> bool {
     let MoveChoice::Wait(patience_ms) = plan else { return false };
     cx.shared.seen.count("requests.waited_for_holder");
-    let slot = wait_for_place(&cx.shared, &cx.view, ask, Some(*holder), patience_ms);
+    let view = &cx.view;
+    let ticket = QueueTicket::enter(&cx.shared, view, ask, Some(*holder), patience_ms);
+    let slot = ticket.and_then(|ticket| ticket.wait(patience_ms));
     let end = slot.map(|slot| run_on_engine(cx, ask, &slot, held, sink));
     matches!(end, Some(RunEnd::Answered))
 }
@@ -128,7 +132,6 @@
     ask: &HomeAsk<'_>,
     candidate: &PlaceCandidate,
     sink: &mut AnswerSink<'_>,
-    may_wait: bool,
 ) -> Option<RunEnd> {
     let session = cx.view.roster.routers.get(&candidate.home)?;
     if cx.hops >= MOST_HOPS {
@@ -140,7 +143,6 @@
         engine: candidate.engine,
         cached_tokens: candidate.cached_tokens,
         import_from: ask.import_from,
-        may_wait,
     };
     match forward(cx, session.address, ask.request, aim, sink) {
         ForwardEnd::Answered => {
@@ -154,8 +156,8 @@
     }
 }
 
-/// Nobody has room: waits here for an engine of this home, or at the first place's home. While
-/// homes and leases move, the places are looked up anew until the policy's wait is over.
+/// Nobody has room: queues at this home, and meanwhile looks again elsewhere now and then, since
+/// engines of other homes grow light and homes and leases move; until the policy's wait is over.
 fn wait_and_serve(
     cx: &ServeContext,
     ask: &HomeAsk<'_>,
@@ -164,30 +166,41 @@
 ) {
     cx.shared.seen.count("requests.queued");
     let wait_ms = ask.decision.wait_ms;
-    loop {
-        let waited_ms = cx.arrived.elapsed().as_millis() as u64;
-        let left_ms = wait_ms.saturating_sub(waited_ms);
-        if left_ms == 0 {
-            return refuse_busy(cx, held, sink, 500 + wait_ms / 4);
-        }
-        let cx = cx.renewed();
-        let places = candidates(&cx.shared, &cx.view, ask);
-        let own = places.iter().any(|candidate| candidate.home == cx.shared.id());
-        if own || held.is_some() {
-            if let Some(slot) = wait_for_place(&cx.shared, &cx.view, ask, None, left_ms) {
-                return serve_on_slot(&cx, ask, &slot, held, sink);
-            }
-        } else if let Some(first) = places.first() {
-            match try_there(&cx, ask, first, sink, true) {
-                Some(RunEnd::Answered) => return,
-                Some(RunEnd::TryElsewhere(error)) if error.ran != RanMark::No => {
-                    return sink.fail(&error);
+    let left_ms = || wait_ms.saturating_sub(cx.arrived.elapsed().as_millis() as u64);
+    let ticket = QueueTicket::enter(&cx.shared, &cx.view, ask, None, left_ms());
+    while left_ms() > 0 {
+        let slice_ms = left_ms().min(LOOK_AGAIN_MS);
+        match &ticket {
+            Some(ticket) => {
+                if let Some(slot) = ticket.wait(slice_ms) {
+                    return serve_on_slot(&cx.renewed(), ask, &slot, held, sink);
                 }
-                _ => {}
             }
+            // The queue here is full; elsewhere there may be room.
+            None => std::thread::sleep(Duration::from_millis(slice_ms)),
+        }
+        if held.is_none() && serve_elsewhere(&cx.renewed(), ask, sink) {
+            return;
+        }
+    }
+    refuse_busy(cx, held, sink, 500 + wait_ms / 4);
+}
+
+/// Tries the engines of other homes; true when the request was answered.
+fn serve_elsewhere(cx: &ServeContext, ask: &HomeAsk<'_>, sink: &mut AnswerSink<'_>) -> bool {
+    let places = candidates(&cx.shared, &cx.view, ask);
+    let others = places.iter().filter(|place| place.home != cx.shared.id());
+    for place in others.take(PLACES_LOOKED_AT_AGAIN) {
+        match try_there(cx, ask, place, sink) {
+            Some(RunEnd::Answered) => return true,
+            Some(RunEnd::TryElsewhere(error)) if error.ran != RanMark::No => {
+                sink.fail(&error);
+                return true;
+            }
+            _ => {}
         }
-        std::thread::sleep(LOOK_AGAIN);
     }
+    false
 }
 
 /// What was tried before did not run, or may be repeated: a claim is given back.
@@ -228,7 +241,6 @@
     pub(super) engine: UpstreamKey,
     pub(super) cached_tokens: u32,
     pub(super) import_from: Option<UpstreamKey>,
-    pub(super) may_wait: bool,
 }
 
 /// Serves on one engine of this home, or says that there is no room.
@@ -243,13 +255,7 @@
     let import_from = target.import_from;
     let ask = HomeAsk { request, decision, chat: chat_key(request), fleet, import_from };
     let no_room = CallerError::not_run(503, NO_ROOM_CODE, "The engine has no room.");
-    let slot = match admit(&cx.shared, &cx.view, &ask, target.engine, target.cached_tokens) {
-        Ok(slot) => Some(slot),
-        Err(_) if target.may_wait => {
-            wait_for_place(&cx.shared, &cx.view, &ask, None, decision.wait_ms)
-        }
-        Err(_) => None,
-    };
-    let Some(slot) = slot else { return sink.fail(&no_room) };
+    let slot = admit(&cx.shared, &cx.view, &ask, target.engine, target.cached_tokens);
+    let Ok(slot) = slot else { return sink.fail(&no_room) };
     serve_on_slot(cx, &ask, &slot, &mut None, sink);
 }
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -135,6 +135,8 @@
     pub(super) batch: ClaimBatch,
     /// By the caller's handle.
     pub(super) waiting: HashMap<u64, Sender<Option<ClaimAnswer>>>,
+    /// Batches that were sent by datagram, by number.
+    pub(super) batches: HashMap<u64, Sender<Option<Vec<ClaimAnswer>>>>,
 }
 
 /// The tables of a home, behind one lock because one decision reads most of them.
@@ -234,6 +236,7 @@
             claims: Mutex::new(ClaimWaiters {
                 batch: ClaimBatch::default(),
                 waiting: HashMap::new(),
+                batches: HashMap::new(),
             }),
             claims_ready: std::sync::Condvar::new(),
             next_number: AtomicU64::new(1),
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use wingshed_lib::coordination::admission::{admission_bound, FleetLoad};
+use wingshed_lib::coordination::admission::{admission_bound, AdmissionRule, FleetLoad};
 use wingshed_lib::coordination::directory::{addresses, AddressQuestion};
 use wingshed_lib::coordination::fair_queue::{
     FairQueue, RequestClass, WaitingRequest, AGE_STEP_MS,
@@ -28,6 +28,7 @@
 use wingshed_lib::state::roster::{RouterRoster, RouterSession};
 
 const FLEET: FleetKey = FleetKey(1);
+const RULE: AdmissionRule = AdmissionRule { multiple: 1.25, most_requests: 3 };
 
 fn roster(epoch: u64, routers: impl IntoIterator<Item = u32>) -> RouterRoster {
     let session = |router: u32| RouterSession {
@@ -83,7 +84,9 @@
         }
         for engine in &engines {
             let admit = |homes: &mut HomeTable| {
-                homes.admit(*engine, 0, &load(1000, 60), 2.0).map(|()| homes.release(*engine, 0, 1))
+                homes
+                    .admit(*engine, 0, &load(1000, 60), RULE)
+                    .map(|()| homes.release(*engine, 0, 1))
             };
             let admitting = routers.iter_mut().filter_map(|homes| admit(homes).ok()).count();
             assert!(admitting <= 1, "{admitting} routers admit after {learned} have learned");
@@ -125,10 +128,24 @@
 
     assert_eq!(loads, [500, 500, 200, 200, 0]);
     assert_eq!(homes.fleet_work(FLEET), 0);
-    let refused = homes.admit(UpstreamKey(2), 1, &load(10, 1), 1.25);
+    let refused = homes.admit(UpstreamKey(2), 1, &load(10, 1), RULE);
     assert_eq!(refused, Err(AdmitRefusal::NotHome));
 }
 
+#[test]
+fn an_engine_is_never_given_more_requests_than_it_runs_together() {
+    let engine = UpstreamKey(1);
+    let mut homes = HomeTable::default();
+    homes.assign(engine, FLEET, true, 1);
+    homes.settle(1);
+
+    let admitted = (0..5).filter(|_| homes.admit(engine, 1, &load(1000, 1), RULE).is_ok()).count();
+    homes.release(engine, 1, 1);
+
+    assert_eq!(admitted, 3);
+    assert_eq!(homes.admit(engine, 1, &load(1000, 1), RULE), Ok(()));
+}
+
 // ---- the queue ----
 
 fn waiting(ticket: u64, workspace: u64, class: RequestClass, since_ms: u64) -> WaitingRequest {
--- a/standin/src/system.rs
+++ b/standin/src/system.rs
@@ -57,6 +57,8 @@
     pub workspaces: usize,
     /// How each engine is made.
     pub engine: EngineMake,
+    /// Requests that one engine is given at once.
+    pub requests_per_engine: u32,
     /// The multiple of the engine fleet.
     pub multiple: f64,
     /// The VM list's address, if there is one.
@@ -77,6 +79,7 @@
             plains: 2,
             workspaces: 3,
             engine: EngineMake::default(),
+            requests_per_engine: 256,
             multiple: 1.25,
             vm_list: None,
             weight_store: None,
@@ -244,7 +247,7 @@
         }
         json!({
             "fleets": {
-                "engines": { "kind": "engine", "multiple": self.make.multiple, "queue": 10_000 },
+                "engines": { "kind": "engine", "multiple": self.make.multiple, "queue": 10_000, "requests_per_engine": self.make.requests_per_engine },
                 "plain": { "kind": "plain", "set_aside_share": 0.5 },
             },
             "upstreams": upstreams, "workspaces": workspaces,
