placement: hints leave out engines without room, and homes where requests wait

Cause: beside a surge a queued request still asked engines of other homes 5 times on average (5,191 tries for 1,107 requests at one router), and waited for a busy holder behind others, which the estimate of its wait did not know.

Change: a row names light engines only while they have room and nobody waits at their home; with hints known, unknown places are not asked; no wait for a holder while others wait for any engine.

--- a/cli/src/bench_classes.rs
+++ b/cli/src/bench_classes.rs
@@ -10,7 +10,7 @@
 use crate::bench_decision::percentile;
 use crate::table::to_text;
 
-const RUN: Duration = Duration::from_secs(6);
+const RUN: Duration = Duration::from_secs(10);
 const WATCHED_CALLERS: usize = 12;
 const OTHER_CALLERS: usize = 60;
 const SLOW_MS: u64 = 20;
@@ -29,14 +29,14 @@
     workspace: 0,
     service: "teaser",
     prompt_tokens: 200,
-    max_tokens: 24,
-    pause: Duration::from_millis(20),
+    max_tokens: 40,
+    pause: Duration::from_millis(200),
 };
 const DIGEST: CallerKind = CallerKind {
     workspace: 1,
     service: "digest",
     prompt_tokens: 6000,
-    max_tokens: 64,
+    max_tokens: 120,
     pause: Duration::ZERO,
 };
 const EVERYDAY: CallerKind = CallerKind { service: "chat", ..TEASER };
@@ -57,7 +57,7 @@
         let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
         let mut make = SystemMake::small(folder.path().to_path_buf());
         make.engine =
-            EngineMake { slots: 8, piece_ms: 5, prefill_per_ms: 40, ..EngineMake::default() };
+            EngineMake { slots: 8, piece_ms: 20, prefill_per_ms: 40, ..EngineMake::default() };
         make.requests_per_engine = make.engine.slots as u32;
         let system = SystemStandIn::start(make);
         if slow {
--- a/cli/src/bench_decision.rs
+++ b/cli/src/bench_decision.rs
@@ -73,6 +73,7 @@
                 homes: &homes,
                 memory: &memory,
                 hints: &hints,
+                hints_known: true,
                 load,
                 multiple: 1.25,
                 work: 600,
--- a/lib/src/coordination/home.rs
+++ b/lib/src/coordination/home.rs
@@ -219,9 +219,18 @@
         sizes.last().map_or(0, |((_, work), _)| *work)
     }
 
-    /// This router's row of the load exchange: its work, and its lightest open engines.
-    pub fn load_row(&self, fleet: FleetKey, engines: u32) -> LoadRow {
-        let open = self.homed().filter(|(_, slot)| slot.fleet == fleet && !slot.closed);
+    /// This router's row of the load exchange: its work, and its lightest engines that have room
+    /// for more than `most_requests`; none while requests wait here, since those go first.
+    pub fn load_row(
+        &self,
+        fleet: FleetKey,
+        engines: u32,
+        most_requests: u32,
+        waiting: bool,
+    ) -> LoadRow {
+        let open = self.homed().filter(|(_, slot)| {
+            slot.fleet == fleet && !slot.closed && slot.requests < most_requests && !waiting
+        });
         let mut lightest: Vec<EngineHint> =
             open.map(|(engine, slot)| EngineHint { engine, work: slot.load() }).collect();
         lightest.sort_unstable_by_key(|hint| (hint.work, hint.engine));
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -117,6 +117,8 @@
     pub memory: &'a ChatMemory,
     /// Light engines of other homes.
     pub hints: &'a [EngineHint],
+    /// Whether hints were told at all; then none means that nobody has room.
+    pub hints_known: bool,
     /// The fleet's load.
     pub load: FleetLoad,
     /// The fleet's multiple.
@@ -153,7 +155,7 @@
         FreshRule::LightestOfFleet => push_lightest(chat, &mut candidates, known),
     }
     // Places along the order whose load is not known are asked only when nothing is known.
-    if rule.fresh != FreshRule::LightestOfFleet || known.hints.is_empty() {
+    if rule.fresh != FreshRule::LightestOfFleet || !known.hints_known {
         push_all(&mut candidates, order.into_iter(), known.view);
     }
     candidates
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -10,7 +10,7 @@
 
 use super::admission::{admission_bound, AdmissionRule, FleetLoad};
 use super::directory::{light_home, AddressQuestion};
-use super::fair_queue::{FairQueue, WaitingRequest};
+use super::fair_queue::{FairQueue, RequestClass, WaitingRequest};
 use super::home::HomeTable;
 use super::kv_move::{choose_move, import_ms, MoveChoice};
 use super::load_spread::{LoadTable, OtherLoad};
@@ -258,7 +258,12 @@
         let at = router as usize;
         if self.routers[at].live {
             let view = &self.routers[at];
-            let row = view.homes.load_row(FLEET, view.view.engines.len() as u32);
+            let row = view.homes.load_row(
+                FLEET,
+                view.view.engines.len() as u32,
+                u32::MAX,
+                view.queue.has_rank(RequestClass::Batch),
+            );
             self.keeper_loads.tell(RouterId(router), &[row], self.now_ms);
             self.keeper_loads.expire(self.now_ms);
             let rows = self.keeper_loads.others(RouterId(router));
@@ -396,6 +401,7 @@
             homes: &view.homes,
             memory: &view.memory,
             hints: view.others.hints(FLEET),
+            hints_known: view.others.told_ms() > 0,
             load: view.others.fleet_load(FLEET, own_work, engines, self.now_ms),
             multiple: self.setup.multiple,
             work,
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -183,9 +183,12 @@
     let Some(sight) = view.fleets.get(&ask.fleet) else { return MoveChoice::Recompute };
     let work = ask.work(holder.cached_tokens);
     let desk = lock(&shared.desk);
+    // Behind others that wait already, how long the holder will be busy cannot be told.
+    let ahead = desk.queues.get(&ask.fleet).is_some_and(|queue| queue.has_rank(ask.decision.class));
     let known = shared.known(&desk, ask.fleet, sight, work);
     let bound = admission_bound(&known.load, known.multiple, work);
-    let own = known.homes.slot(holder.engine).filter(|_| holder.home == shared.id());
+    let own = known.homes.slot(holder.engine);
+    let own = own.filter(|_| holder.home == shared.id() && !ahead);
     let wait = own.and_then(|slot| slot.wait_ms(bound));
     let cached = holder.cached_tokens.min(ask.prompt_tokens());
     choose_move(&sight.entry.rates, cached, wait)
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -14,7 +14,7 @@
 use super::seen::SeenTable;
 use crate::coordination::admission::FleetLoad;
 use crate::coordination::claim_batch::ClaimBatch;
-use crate::coordination::fair_queue::FairQueue;
+use crate::coordination::fair_queue::{FairQueue, RequestClass};
 use crate::coordination::home::HomeTable;
 use crate::coordination::leaving::{LeavingMark, LeavingTable};
 use crate::coordination::load_spread::{LoadRow, LoadTable, OtherLoad};
@@ -307,7 +307,10 @@
         let desk = lock(&self.desk);
         let engines = view.fleets.iter().filter(|(_, s)| s.entry.kind == FleetKind::Engine);
         let row = |(fleet, sight): (&FleetKey, &FleetSight)| {
-            desk.homes.load_row(*fleet, sight.view.engines.len() as u32)
+            let queue = desk.queues.get(fleet);
+            let waiting = queue.is_some_and(|queue| queue.has_rank(RequestClass::Batch));
+            let most = sight.entry.requests_per_engine;
+            desk.homes.load_row(*fleet, sight.view.engines.len() as u32, most, waiting)
         };
         engines.map(row).collect()
     }
@@ -329,6 +332,7 @@
             homes: &desk.homes,
             memory: &desk.memory,
             hints: desk.others.hints(fleet),
+            hints_known: desk.others.told_ms() > 0,
             load: desk.others.fleet_load(fleet, own_work, engines, self.clock.now_ms()),
             multiple: sight.entry.multiple,
             work,
