load spread: rows take turns, so that every exchange fits a datagram

Change: six rows an exchange, in turn; the keeper sums only the fleets asked for, and each fleet's mean has its own age. Leaving marks are limited likewise.

Before: no test, and a grant of 38 fleets with six hints each is some 4,200 bytes.

--- a/lib/src/coordination/load_spread.rs
+++ b/lib/src/coordination/load_spread.rs
@@ -51,9 +51,8 @@
 }
 
 impl LoadTable {
-    /// Notes what `router` told at `now_ms`; its earlier rows are replaced.
+    /// Notes what `router` told at `now_ms` of some fleets; its earlier rows of others stay.
     pub fn tell(&mut self, router: RouterId, rows: &[LoadRow], now_ms: u64) {
-        self.rows.retain(|(from, _), _| *from != router);
         for row in rows {
             self.rows.insert((router, row.fleet), (row.clone(), now_ms));
         }
@@ -64,10 +63,11 @@
         self.rows.retain(|_, (_, told_ms)| *told_ms + ROW_KEEP_MS > now_ms);
     }
 
-    /// The sum over all routers but `except`, one row a fleet.
-    pub fn others(&self, except: RouterId) -> Vec<LoadRow> {
+    /// The sum over all routers but `except`, one row for each of `fleets`.
+    pub fn others(&self, except: RouterId, fleets: &[FleetKey]) -> Vec<LoadRow> {
         let mut sums: HashMap<FleetKey, LoadRow> = HashMap::new();
-        for ((router, fleet), (row, _)) in &self.rows {
+        let asked = self.rows.iter().filter(|((_, fleet), _)| fleets.contains(fleet));
+        for ((router, fleet), (row, _)) in asked {
             let sum = sums.entry(*fleet).or_insert_with(|| LoadRow::empty(*fleet));
             if *router != except {
                 sum.work += row.work;
@@ -90,15 +90,30 @@
 /// The latest sum of the others, at one router.
 #[derive(Clone, Debug, Default)]
 pub struct OtherLoad {
-    rows: HashMap<FleetKey, LoadRow>,
+    rows: HashMap<FleetKey, (LoadRow, u64)>,
     told_ms: u64,
 }
 
+/// Rows in one exchange, so that it fits a datagram. With more fleets they take turns, and
+/// each one's mean is older by as many renewals.
+pub const ROWS_TOLD: usize = 6;
+
+/// The rows whose turn it is at the exchange of number `turn`.
+pub fn rows_in_turn(mut rows: Vec<LoadRow>, turn: u64) -> Vec<LoadRow> {
+    if rows.len() > ROWS_TOLD {
+        rows.sort_by_key(|row| row.fleet);
+        let start = (turn as usize * ROWS_TOLD) % rows.len();
+        rows.rotate_left(start);
+        rows.truncate(ROWS_TOLD);
+    }
+    rows
+}
+
 impl OtherLoad {
     /// Notes sums that came with the answer to a renewal sent at `told_ms`; each router's part
     /// of them was told up to one renewal earlier.
     pub fn tell(&mut self, rows: &[LoadRow], told_ms: u64) {
-        self.rows = rows.iter().map(|row| (row.fleet, row.clone())).collect();
+        self.rows.extend(rows.iter().map(|row| (row.fleet, (row.clone(), told_ms))));
         self.told_ms = told_ms;
     }
 
@@ -109,7 +124,7 @@
 
     /// Light engines of other homes.
     pub fn hints(&self, fleet: FleetKey) -> &[EngineHint] {
-        self.rows.get(&fleet).map_or(&[], |row| &row.lightest)
+        self.rows.get(&fleet).map_or(&[], |(row, _)| &row.lightest)
     }
 
     /// The whole fleet's load: the own exact part plus the others' last sum.
@@ -122,11 +137,11 @@
     ) -> FleetLoad {
         let others = self.rows.get(&fleet);
         FleetLoad {
-            work: own_work + others.map_or(0, |row| row.work),
-            engines: own_engines.max(others.map_or(0, |row| row.engines)),
-            largest_told: others.map_or(0, |row| row.largest),
+            work: own_work + others.map_or(0, |(row, _)| row.work),
+            engines: own_engines.max(others.map_or(0, |(row, _)| row.engines)),
+            largest_told: others.map_or(0, |(row, _)| row.largest),
             age_ms: match others {
-                Some(_) => now_ms.saturating_sub(self.told_ms) + RENEW_MS,
+                Some((_, told_ms)) => now_ms.saturating_sub(*told_ms) + RENEW_MS,
                 None => 0,
             },
         }
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -266,7 +266,7 @@
             );
             self.keeper_loads.tell(RouterId(router), &[row], self.now_ms);
             self.keeper_loads.expire(self.now_ms);
-            let rows = self.keeper_loads.others(RouterId(router));
+            let rows = self.keeper_loads.others(RouterId(router), &[FLEET]);
             let live = self.routers.iter().filter(|other| other.live);
             let settled = live.map(|other| other.roster.epoch).min().unwrap_or(0);
             let now_ms = self.now_ms;
--- a/lib/src/protocol/keeper_wire.rs
+++ b/lib/src/protocol/keeper_wire.rs
@@ -11,6 +11,8 @@
 use crate::state::keeper_machine::ChangeRecord;
 use crate::state::roster::{RouterRoster, RouterSession};
 
+/// Leaving lives in one datagram, so that it fits; the rest follow as these grow old.
+pub const MARKS_TOLD: usize = 12;
 /// The path of raft messages.
 pub const RAFT_PATH: &str = "/keeper/raft";
 /// The path of calls.
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -21,11 +21,12 @@
 use crate::coordination::session_watch::SessionWatch;
 use crate::protocol::keeper_wire::{
     decode, encode, Datagram, KeeperCall, KeeperIdentity, KeeperReply, LeaseGrant, LeaseRenewal,
+    MARKS_TOLD,
 };
 use crate::protocol::operator::{KeeperStatus, MemberStatus, RouterStanding, WireRow};
 use crate::state::claim_table::{ClaimReport, ClaimRequest};
 use crate::state::configuration::Configuration;
-use crate::state::ids::{Incarnation, KeeperId, RouterId};
+use crate::state::ids::{FleetKey, Incarnation, KeeperId, RouterId};
 use crate::state::keeper_machine::{
     KeeperAnswer, KeeperCommand, KeeperMachine, KeeperOperation, OrderAction, OrderRecord,
     OrderState,
@@ -427,6 +428,7 @@
             self.loads.tell(router, &renewal.rows, now_ms);
         }
         self.loads.expire(now_ms);
+        let asked: Vec<FleetKey> = renewal.rows.iter().map(|row| row.fleet).collect();
         self.marks.retain(|(_, told_ms)| now_ms < told_ms + MARK_KEEP_MS);
         for mark in renewal.marks {
             if !self.marks.iter().any(|(known, _)| *known == mark) {
@@ -439,8 +441,8 @@
             version: self.machine.configuration.version,
             epoch: self.machine.roster.epoch,
             settled_epoch: self.watch.settled_epoch(&self.machine.roster, now_ms),
-            rows: self.loads.others(router),
-            marks: self.marks.iter().map(|(mark, _)| *mark).take(16).collect(),
+            rows: self.loads.others(router, &asked),
+            marks: self.marks.iter().map(|(mark, _)| *mark).take(MARKS_TOLD).collect(),
         };
         self.outlets.port.send(from, &Datagram::Grant(grant));
     }
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -9,10 +9,11 @@
 use super::router_shared::{lock, RouterShared};
 use super::worker_pool::WorkerPool;
 use crate::coordination::leaving::LeavingMark;
+use crate::coordination::load_spread::rows_in_turn;
 use crate::coordination::router_lease::RENEW_MS;
 use crate::protocol::engine;
 use crate::protocol::keeper_wire::{
-    ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal,
+    ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal, MARKS_TOLD,
 };
 use crate::protocol::vm_list::{list_call, read_list, VmStanding};
 use crate::state::configuration::{read_configuration, Configuration};
@@ -41,6 +42,7 @@
     view_ms: u64,
     polls: std::collections::HashMap<UpstreamKey, u64>,
     joined: bool,
+    turn: u64,
     keeper_turn: usize,
 }
 
@@ -98,7 +100,8 @@
             desk.peer_loads.expire(now_ms);
             // Sums of peers count only while no keeper sums up.
             if now_ms > desk.others.told_ms() + ALONE_MS {
-                let rows = desk.peer_loads.others(shared.id());
+                let fleets: Vec<FleetKey> = rows.iter().map(|row| row.fleet).collect();
+                let rows = desk.peer_loads.others(shared.id(), &fleets);
                 desk.others.tell(&rows, now_ms.saturating_sub(SUMS_MS));
             }
         }
@@ -135,7 +138,7 @@
     let marks = {
         let mut desk = lock(&shared.desk);
         desk.news.retain(|(_, noted_ms)| now_ms < noted_ms + NEWS_KEEP_MS);
-        desk.news.iter().map(|(mark, _)| *mark).take(16).collect()
+        desk.news.iter().map(|(mark, _)| *mark).take(MARKS_TOLD).collect()
     };
     let renewal = LeaseRenewal {
         router: shared.id(),
@@ -143,9 +146,10 @@
         sent_ms: now_ms,
         version,
         epoch,
-        rows: shared.load_rows(),
+        rows: rows_in_turn(shared.load_rows(), times.turn),
         marks,
     };
+    times.turn += 1;
     let told_ms = lock(&shared.desk).others.told_ms();
     let mut to = shared.keepers.leader();
     if now_ms > told_ms + LEADER_SILENT_MS {
@@ -303,8 +307,10 @@
     }
     times.sums_ms = now_ms + SUMS_MS;
     let view = shared.view();
-    let marks: Vec<LeavingMark> = lock(&shared.desk).leaving.marks().into_iter().take(16).collect();
-    let sums = Datagram::Sums { router: shared.id(), rows: shared.load_rows(), marks };
+    let marks: Vec<LeavingMark> =
+        lock(&shared.desk).leaving.marks().into_iter().take(MARKS_TOLD).collect();
+    let rows = rows_in_turn(shared.load_rows(), times.turn);
+    let sums = Datagram::Sums { router: shared.id(), rows, marks };
     for (id, session) in &view.roster.routers {
         if *id != shared.id() {
             shared.port.send(session.address, &sums);
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -10,14 +10,16 @@
 use wingshed_lib::coordination::home::{AdmitRefusal, HomeTable};
 use wingshed_lib::coordination::kv_move::{choose_move, MoveChoice};
 use wingshed_lib::coordination::leaving::{LeavingMark, LeavingTable};
+use wingshed_lib::coordination::load_spread::{rows_in_turn, LoadRow, HINTS_GIVEN};
 use wingshed_lib::coordination::outlier::{OutlierTable, FAILURES_IN_A_ROW, FIRST_ASIDE_MS};
-use wingshed_lib::coordination::placement::FleetView;
+use wingshed_lib::coordination::placement::{EngineHint, FleetView};
 use wingshed_lib::coordination::policy::{compile_policy, decide_policy, PolicyFacts};
 use wingshed_lib::coordination::relay::{PieceOrder, PieceStep};
 use wingshed_lib::coordination::retry::{may_retry, RetryBudget};
 use wingshed_lib::coordination::router_lease::{RouterLease, LEASE_MS};
 use wingshed_lib::coordination::session_watch::{SessionWatch, LAPSE_MS};
 use wingshed_lib::coordination::workspace_limit::{LimitRefusal, LimitTable};
+use wingshed_lib::protocol::keeper_wire::{encode, Datagram, LeaseGrant, MARKS_TOLD};
 use wingshed_lib::protocol::seal::{SealChecker, SealMaker, SealRefusal, SEAL_AGE_MS};
 use wingshed_lib::state::chat_memory::{ChatMemory, HolderCertainty};
 use wingshed_lib::state::claim_table::*;
@@ -26,6 +28,7 @@
     ChatKey, FleetKey, Incarnation, RouterId, UpstreamKey, WorkspaceKey,
 };
 use wingshed_lib::state::roster::{RouterRoster, RouterSession};
+use wingshed_lib::transport::datagram::LONGEST_DATAGRAM;
 
 const FLEET: FleetKey = FleetKey(1);
 const RULE: AdmissionRule = AdmissionRule { multiple: 1.25, most_requests: 3 };
@@ -510,6 +513,38 @@
     }
 }
 
+#[test]
+fn an_exchange_fits_a_datagram_however_many_fleets_and_all_take_their_turn() {
+    let lightest = vec![EngineHint { engine: UpstreamKey(u64::MAX), work: u64::MAX }; HINTS_GIVEN];
+    let row = |fleet: u64| LoadRow {
+        fleet: FleetKey(u64::MAX - fleet),
+        work: u64::MAX,
+        engines: u32::MAX,
+        largest: u64::MAX,
+        lightest: lightest.clone(),
+    };
+    let mark = LeavingMark { upstream: UpstreamKey(u64::MAX), incarnation: Incarnation(u64::MAX) };
+    let mut seen = std::collections::BTreeSet::new();
+
+    for turn in 0..20 {
+        let rows = rows_in_turn((0..38).map(row).collect(), turn);
+        seen.extend(rows.iter().map(|row| row.fleet));
+        let grant = LeaseGrant {
+            sent_ms: u64::MAX,
+            known: true,
+            version: u64::MAX,
+            epoch: u64::MAX,
+            settled_epoch: u64::MAX,
+            rows,
+            marks: vec![mark; MARKS_TOLD],
+        };
+        let bytes = encode(&Datagram::Grant(grant)).len();
+        assert!(bytes <= LONGEST_DATAGRAM, "{bytes} bytes");
+    }
+
+    assert_eq!(seen.len(), 38);
+}
+
 // ---- policies and seals ----
 
 #[test]
