keepers: a whole group is restored from a backup

Cause: a backup could be written but nothing could be made of it.

Change: wingshed keeper restore writes it into one keeper's empty folder as a group of that keeper alone; the others are brought in as after lost disks.

Result: a_whole_group_comes_back_from_a_backup: after all three disks are gone, the answer to a change and a claim from before are given again, and the next loss is survived; a damaged backup and a folder in use are refused.

--- a/cli/src/operate.rs
+++ b/cli/src/operate.rs
@@ -9,8 +9,10 @@
 use wingshed_lib::protocol::http::HttpCall;
 use wingshed_lib::state::configuration::Section;
 use wingshed_lib::state::keeper_machine::put;
+use wingshed_lib::state::settings::read_keeper_settings;
 use wingshed_lib::transport::clock::wall_ms;
 use wingshed_lib::transport::http_client::{CallTimes, HttpClient};
+use wingshed_lib::transport::keeper_node::restore_backup;
 
 use crate::config::{in_force, leader_status, submit};
 use crate::operator_client::{read_connection, Connection};
@@ -67,6 +69,7 @@
     Replace(KeeperReplace),
     Transfer(KeeperTransfer),
     Backup(KeeperBackup),
+    Restore(KeeperRestore),
 }
 
 /// bring in a new keeper in place of a lost one
@@ -125,6 +128,32 @@
     id: Option<String>,
 }
 
+/// write a backup into a keeper's empty data folder, before that keeper is started
+#[derive(FromArgs)]
+#[argh(subcommand, name = "restore")]
+struct KeeperRestore {
+    /// the keeper's settings
+    #[argh(option)]
+    settings: PathBuf,
+    /// the backup
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+fn restore(restore: &KeeperRestore) -> Result<bool, String> {
+    let place = |error: &dyn std::fmt::Display| format!("{}: {error}", restore.settings.display());
+    let text = std::fs::read_to_string(&restore.settings).map_err(|error| place(&error))?;
+    let settings = read_keeper_settings(&text).map_err(|findings| {
+        let lines = findings.iter().map(|finding| place(finding));
+        lines.collect::<Vec<_>>().join("\n")
+    })?;
+    let image = std::fs::read(&restore.file)
+        .map_err(|error| format!("{}: {error}", restore.file.display()))?;
+    restore_backup(&settings, &image).map_err(|error| error.to_string())?;
+    println!("Keeper {} holds the backup. Start it, then bring the others in.", settings.id);
+    Ok(true)
+}
+
 fn router_status(address: &str) -> Value {
     let Ok(address) = address.parse() else { return Value::Null };
     let call = HttpCall::get("/status");
@@ -245,8 +274,12 @@
 
 /// Runs a command of `wingshed keeper`.
 pub fn keeper(command: &KeeperCommand) -> Result<bool, String> {
+    if let KeeperAction::Restore(command) = &command.command {
+        return restore(command);
+    }
     let connection = read_connection(&command.connect)?;
     match &command.command {
+        KeeperAction::Restore(_) => Ok(true),
         KeeperAction::Transfer(_) => {
             connection.json("POST", "/operator/members", Some(&json!({ "step": "transfer" })))?;
             println!("Leadership is handed over.");
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -31,7 +31,9 @@
 use crate::protocol::weight_store;
 use crate::state::ids::{Incarnation, KeeperId};
 use crate::state::keeper_machine::KeeperMachine;
-use crate::state::log_store::{GroupMember, GroupMembership, LogStore, StoreError};
+use crate::state::log_store::{
+    GroupMember, GroupMembership, HardState, LogSnapshot, LogStore, StoreError,
+};
 use crate::state::settings::KeeperSettings;
 
 const IN_FLIGHT: usize = 512;
@@ -65,6 +67,26 @@
     },
 }
 
+/// Writes a backup into this keeper's empty data folder, as a group of this keeper alone; the
+/// others are then brought in as after the loss of their disks.
+pub fn restore_backup(settings: &KeeperSettings, image: &[u8]) -> Result<(), NodeError> {
+    KeeperMachine::from_image(image).map_err(|text| NodeError::Image { text })?;
+    let life = Incarnation(rand::random::<u64>() | 1);
+    let folder = &settings.data_folder;
+    let (mut store, stored) = LogStore::open(folder, settings.id, life).context(StoreSnafu)?;
+    if !stored.blank {
+        let path = folder.clone();
+        let what = "holds a group already; a backup goes into an empty folder".to_string();
+        return Err(NodeError::Store { source: StoreError::Foreign { path, what } });
+    }
+    let incarnation = store.incarnation;
+    let member = GroupMember { incarnation, address: settings.address, votes: true };
+    let membership = GroupMembership { members: [(settings.id, member)].into() };
+    let snapshot = LogSnapshot { index: 1, term: 1, membership, image: image.to_vec() };
+    let hard_state = HardState { term: 1, voted_for: None };
+    store.install(&snapshot, hard_state, &[]).context(StoreSnafu)
+}
+
 /// What the handlers of a keeper share.
 pub(super) struct KeeperDesk {
     pub(super) settings: KeeperSettings,
--- a/lib/tests/test_keepers.rs
+++ b/lib/tests/test_keepers.rs
@@ -7,7 +7,7 @@
 use serde_json::{json, Value};
 use testutils::{returning_chat, system_with, SystemFixture};
 use wingshed_lib::state::settings::KeeperSettings;
-use wingshed_lib::transport::keeper_node::KeeperNode;
+use wingshed_lib::transport::keeper_node::{restore_backup, KeeperNode};
 use wingshed_standin::address::free_address;
 use wingshed_standin::caller::{chat_call, send};
 use wingshed_standin::system::SystemStandIn;
@@ -162,21 +162,10 @@
     let vouched = system.leader();
     system.start_keeper(other);
     system.wait_leader();
-    let step = |system: &SystemStandIn, body: Value| {
-        let until = Instant::now() + Duration::from_secs(10);
-        loop {
-            let reply = system.operate("POST", "/operator/members", Some(&body));
-            if reply.as_ref().is_some_and(|reply| reply.status == 200) {
-                return;
-            }
-            assert!(Instant::now() < until, "{body}: {reply:?}");
-            std::thread::sleep(Duration::from_millis(100));
-        }
-    };
     let address = system.keeper_settings(lost).address;
-    step(&system, json!({ "step": "remove", "id": lost_id }));
-    step(&system, json!({ "step": "add", "id": lost_id, "address": address }));
-    step(&system, json!({ "step": "promote", "id": lost_id }));
+    step_until(&system, &json!({ "step": "remove", "id": lost_id }));
+    step_until(&system, &json!({ "step": "add", "id": lost_id, "address": address }));
+    step_until(&system, &json!({ "step": "promote", "id": lost_id }));
     let after = votes(&system);
 
     // A second loss right after the repair is survived.
@@ -193,6 +182,54 @@
     assert_eq!(status, 200);
 }
 
+fn step_until(system: &SystemStandIn, body: &Value) {
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let reply = system.operate("POST", "/operator/members", Some(body));
+        if reply.as_ref().is_some_and(|reply| reply.status == 200) {
+            return;
+        }
+        assert!(Instant::now() < until, "{body}: {reply:?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn a_whole_group_comes_back_from_a_backup() {
+    let fixture = three_keepers();
+    let mut system = fixture.system;
+    let base = version(&system);
+    let change = workspace_change("kept", base, "kept");
+    let first = submit(&system, &change);
+    let chat = chat_call(&returning_chat("kept", "alert"));
+    assert!(send(&system.client, system.router_addresses()[0], &chat, None).whole);
+    std::thread::sleep(Duration::from_millis(300));
+    let backup = system.operate("GET", "/operator/backup", None).unwrap().body;
+    for at in 0..3 {
+        system.keepers[at].take().unwrap().stop_now();
+        std::fs::remove_dir_all(system.keeper_settings(at).data_folder).unwrap();
+    }
+
+    let damaged = restore_backup(&system.keeper_settings(0), &backup[..backup.len() / 2]);
+    restore_backup(&system.keeper_settings(0), &backup).unwrap();
+    let twice = restore_backup(&system.keeper_settings(0), &backup);
+    (0..3).for_each(|at| system.start_keeper(at));
+    for at in 1..3 {
+        let (id, address) = (at as u32 + 1, system.keeper_settings(at).address);
+        step_until(&system, &json!({ "step": "add", "id": id, "address": address }));
+        step_until(&system, &json!({ "step": "promote", "id": id }));
+    }
+    system.keepers[0].take().unwrap().stop_now();
+    let resent = submit(&system, &change);
+    system.wait_ready();
+    let again = send(&system.client, system.router_addresses()[0], &chat, None);
+
+    assert!(damaged.is_err() && twice.is_err());
+    assert_eq!(resent, first, "answers are in the backup, and survive the next loss");
+    assert_eq!(version(&system), base + 1);
+    assert_eq!(again.status, 409, "claims are in the backup: {again:?}");
+}
+
 #[test]
 fn a_change_of_members_that_would_lose_the_quorum_is_refused() {
     let fixture = three_keepers();
