fairness: a surging workspace leaves a quarter of each engine while others are present

Change: a workspace that holds half of a home's places while others asked within 5 s fills at most three quarters of each engine; a router without engines of the fleet passes fresh chats to the chat's home. The consensus, the replay's baselines and the stand-ins' server move into modules of their own, behaviour unchanged.

--- a/cli/src/bench_keeper.rs
+++ b/cli/src/bench_keeper.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use wingshed_lib::coordination::raft::RaftRole;
+use wingshed_lib::coordination::raft_message::RaftRole;
 use wingshed_lib::protocol::keeper_wire::{encode, KeeperCall, KeeperReply};
 use wingshed_lib::protocol::seal::SealMaker;
 use wingshed_lib::state::claim_table::{ClaimAnswer, ClaimKey, ClaimRequest};
--- a/lib/src/coordination/order_pace.rs
+++ b/lib/src/coordination/order_pace.rs
@@ -5,7 +5,7 @@
 //! For one that does not, a new leader first waits out the lease of the old.
 //! See `docs/design/orders.md`.
 
-use crate::coordination::raft::LEASE_MS;
+use crate::coordination::raft_message::LEASE_MS;
 use crate::state::configuration::Configuration;
 use crate::state::keeper_machine::{KeeperMachine, OrderAction, OrderRecord, OrderState};
 
--- /dev/null
+++ b/lib/src/coordination/raft_election.rs
@@ -0,0 +1,142 @@
+//! The consensus: elections.
+
+use super::raft::{FollowerProgress, RaftCore};
+use super::raft_message::{RaftBody, RaftOutput, RaftRole, ELECTION_MS};
+use crate::state::ids::KeeperId;
+use crate::state::log_store::{EntryPayload, HardState, LogEntry};
+
+impl RaftCore {
+    pub(super) fn reset_deadline(&mut self, now_ms: u64) {
+        self.jitter ^= self.jitter << 13;
+        self.jitter ^= self.jitter >> 7;
+        self.jitter ^= self.jitter << 17;
+        self.deadline_ms = now_ms + ELECTION_MS + self.jitter % ELECTION_MS;
+    }
+
+    pub(super) fn enter_term(&mut self, term: u64, now_ms: u64, output: &mut RaftOutput) {
+        self.hard_state = HardState { term, voted_for: None };
+        output.batch.hard_state = Some(self.hard_state);
+        self.step_down(now_ms);
+    }
+
+    pub(super) fn step_down(&mut self, now_ms: u64) {
+        if self.role == RaftRole::Leader {
+            self.reset_deadline(now_ms);
+        }
+        self.role = RaftRole::Follower;
+        self.leader = None;
+        self.transfer = None;
+        self.votes.clear();
+    }
+
+    pub(super) fn follow(&mut self, leader: KeeperId, now_ms: u64) {
+        self.role = RaftRole::Follower;
+        self.leader = Some(leader);
+        self.heard_ms = now_ms;
+        self.reset_deadline(now_ms);
+    }
+
+    pub(super) fn campaign(
+        &mut self,
+        pre: bool,
+        transfer: bool,
+        now_ms: u64,
+        output: &mut RaftOutput,
+    ) {
+        self.reset_deadline(now_ms);
+        self.leader = None;
+        self.votes.clear();
+        self.votes.insert(self.id, true);
+        let term = self.term() + 1;
+        if pre {
+            self.role = RaftRole::PreCandidate;
+        } else {
+            self.role = RaftRole::Candidate;
+            self.hard_state = HardState { term, voted_for: Some(self.id) };
+            output.batch.hard_state = Some(self.hard_state);
+        }
+        let (last_term, last_index) = self.last_place();
+        for id in self.others().into_iter().filter(|id| self.votes_in_group(*id)) {
+            let body = RaftBody::Vote { pre, transfer, last_index, last_term };
+            self.send_at(id, term, body, output);
+        }
+        self.check_election(now_ms, output);
+    }
+
+    pub(super) fn answer_vote(
+        &mut self,
+        from: KeeperId,
+        term: u64,
+        pre: bool,
+        last_place: (u64, u64),
+        now_ms: u64,
+        output: &mut RaftOutput,
+    ) {
+        let fresh = term > self.term()
+            || (term == self.term() && self.hard_state.voted_for.is_none_or(|id| id == from));
+        // Whoever is asked answers, whatever its own log says of the group: the asker counts
+        // only members of the group that it knows, by their lives.
+        let granted = fresh && last_place >= self.last_place();
+        if granted && !pre {
+            self.hard_state = HardState { term, voted_for: Some(from) };
+            output.batch.hard_state = Some(self.hard_state);
+            self.reset_deadline(now_ms);
+        }
+        // A granted pre-vote is for the asker's coming term; a refusal tells our own.
+        let reply_term = if granted { term } else { self.term() };
+        self.send_at(from, reply_term, RaftBody::VoteReply { pre, granted }, output);
+    }
+
+    pub(super) fn count_vote(
+        &mut self,
+        from: KeeperId,
+        term: u64,
+        pre: bool,
+        granted: bool,
+        now_ms: u64,
+        output: &mut RaftOutput,
+    ) {
+        let expected = match (self.role, pre) {
+            (RaftRole::PreCandidate, true) => self.term() + 1,
+            (RaftRole::Candidate, false) => self.term(),
+            _ => return,
+        };
+        if granted && term == expected {
+            self.votes.insert(from, true);
+            self.check_election(now_ms, output);
+        }
+    }
+
+    pub(super) fn check_election(&mut self, now_ms: u64, output: &mut RaftOutput) {
+        let counted = self.votes.keys().filter(|id| self.votes_in_group(**id)).count();
+        if counted < self.quorum() {
+            return;
+        }
+        match self.role {
+            RaftRole::PreCandidate => self.campaign(false, false, now_ms, output),
+            RaftRole::Candidate => self.lead(now_ms, output),
+            _ => {}
+        }
+    }
+
+    pub(super) fn lead(&mut self, now_ms: u64, output: &mut RaftOutput) {
+        self.role = RaftRole::Leader;
+        self.leader = Some(self.id);
+        self.transfer = None;
+        self.beat_ms = now_ms;
+        self.heard_ms = now_ms;
+        self.progress.clear();
+        let next = self.last_index() + 1;
+        for id in self.others() {
+            let progress = FollowerProgress { next, ..FollowerProgress::default() };
+            self.progress.insert(id, progress);
+        }
+        self.term_start = next;
+        let entry =
+            LogEntry { index: next, term: self.term(), payload: EntryPayload::Command(Vec::new()) };
+        self.push_entry(entry, output);
+        for id in self.others() {
+            self.send_append(id, now_ms, output);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/raft_follower.rs
@@ -0,0 +1,127 @@
+//! The consensus: what a follower takes from its leader.
+
+use super::raft::{IncomingSnapshot, RaftCore};
+use super::raft_message::{RaftBody, RaftOutput};
+use crate::state::ids::KeeperId;
+use crate::state::log_store::{LogEntry, LogSnapshot};
+
+impl RaftCore {
+    /// Takes entries that fit; `Err` tells where the leader should go on.
+    pub(super) fn take_entries(
+        &mut self,
+        prev_index: u64,
+        prev_term: u64,
+        entries: Vec<LogEntry>,
+        output: &mut RaftOutput,
+    ) -> Result<u64, u64> {
+        let last = prev_index + entries.len() as u64;
+        if prev_index < self.snapshot.index {
+            // What the snapshot covers is committed, so it matches.
+            let skip = (self.snapshot.index - prev_index) as usize;
+            let rest: Vec<LogEntry> = entries.into_iter().skip(skip).collect();
+            if rest.is_empty() {
+                return Ok(last.min(self.snapshot.index));
+            }
+            let (index, term) = (self.snapshot.index, self.snapshot.term);
+            return self.take_entries(index, term, rest, output);
+        }
+        if prev_index > self.last_index() {
+            return Err(self.last_index());
+        }
+        if self.term_at(prev_index) != Some(prev_term) {
+            return Err(self.before_term(prev_index));
+        }
+        for entry in entries {
+            if self.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= self.last_index() {
+                self.truncate(entry.index, output);
+            }
+            self.push_entry(entry, output);
+        }
+        Ok(last)
+    }
+
+    /// The last entry before the term that stands at `index`: skips a whole term at once.
+    pub(super) fn before_term(&self, index: u64) -> u64 {
+        let term = self.term_at(index);
+        let mut at = index;
+        while at > self.snapshot.index && self.term_at(at) == term {
+            at -= 1;
+        }
+        at
+    }
+
+    pub(super) fn truncate(&mut self, from: u64, output: &mut RaftOutput) {
+        self.entries.retain(|entry| entry.index < from);
+        output.batch.entries.retain(|entry| entry.index < from);
+        let earliest = output.batch.truncate_from.map_or(from, |other| other.min(from));
+        output.batch.truncate_from = Some(earliest);
+        self.synced = self.synced.min(from - 1);
+        self.read_membership();
+    }
+
+    pub(super) fn take_piece(
+        &mut self,
+        from: KeeperId,
+        head: LogSnapshot,
+        place: (u64, u64, u64),
+        bytes: Vec<u8>,
+        output: &mut RaftOutput,
+    ) {
+        let (offset, total, sent_ms) = place;
+        if head.index <= self.commit {
+            self.reply(from, true, self.commit, sent_ms, 0, output);
+            return;
+        }
+        if (self.incoming.index, self.incoming.term) != (head.index, head.term) {
+            let (index, term) = (head.index, head.term);
+            self.incoming = IncomingSnapshot { index, term, bytes: Vec::new() };
+        }
+        if offset == self.incoming.bytes.len() as u64 {
+            self.incoming.bytes.extend_from_slice(&bytes);
+        }
+        let received = self.incoming.bytes.len() as u64;
+        if received < total {
+            self.reply(from, false, self.commit, sent_ms, received, output);
+            return;
+        }
+        let image = std::mem::take(&mut self.incoming).bytes;
+        let snapshot = LogSnapshot { image, ..head };
+        self.install(snapshot, output);
+        self.reply(from, true, self.snapshot.index, sent_ms, 0, output);
+    }
+
+    pub(super) fn install(&mut self, snapshot: LogSnapshot, output: &mut RaftOutput) {
+        // Entries that follow on the snapshot stay; anything else is not known to match.
+        if self.term_at(snapshot.index) == Some(snapshot.term) {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+        } else {
+            self.entries.clear();
+        }
+        self.commit = snapshot.index;
+        self.handed_out = snapshot.index;
+        self.synced = self
+            .synced
+            .max(snapshot.index)
+            .min(self.entries.last().map_or(snapshot.index, |entry| entry.index));
+        self.snapshot = snapshot.clone();
+        self.read_membership();
+        output.batch.entries.retain(|entry| entry.index > snapshot.index);
+        output.install = Some(snapshot);
+    }
+
+    pub(super) fn reply(
+        &self,
+        to: KeeperId,
+        matched: bool,
+        index: u64,
+        sent_ms: u64,
+        snapshot_offset: u64,
+        output: &mut RaftOutput,
+    ) {
+        let body = RaftBody::AppendReply { matched, index, sent_ms, snapshot_offset };
+        self.send_at(to, self.term(), body, output);
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/raft_leader.rs
@@ -0,0 +1,236 @@
+//! The consensus: what a leader does.
+
+use super::raft::{FollowerProgress, RaftCore};
+use super::raft_message::*;
+use crate::state::ids::KeeperId;
+use crate::state::log_store::{EntryPayload, GroupMember, GroupMembership, LogEntry};
+
+impl RaftCore {
+    pub(super) fn tick_leader(&mut self, now_ms: u64, output: &mut RaftOutput) {
+        let lost = self.lease_start_ms(now_ms).max(self.heard_ms) + 2 * ELECTION_MS <= now_ms;
+        if lost {
+            self.step_down(now_ms);
+            return;
+        }
+        if self.transfer.is_some_and(|(_, until)| now_ms >= until) {
+            // The target may still act on a late word to stand, which overrides the followers'
+            // protection of this leader's lease. So the lease must end with this leadership.
+            self.step_down(now_ms);
+            return;
+        }
+        if now_ms < self.beat_ms + HEARTBEAT_MS {
+            return;
+        }
+        self.beat_ms = now_ms;
+        for id in self.others() {
+            self.send_append(id, now_ms, output);
+        }
+    }
+
+    /// The latest time at which a quorum, this keeper included, surely heard this leader.
+    pub(super) fn lease_start_ms(&self, now_ms: u64) -> u64 {
+        let mut heard: Vec<u64> = Vec::new();
+        for id in self.voters() {
+            heard.push(match id == self.id {
+                true => now_ms,
+                false => self.progress.get(&id).map_or(0, |progress| progress.acked_sent_ms),
+            });
+        }
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        heard.get(self.quorum() - 1).copied().unwrap_or(0)
+    }
+
+    pub(super) fn push_entry(&mut self, entry: LogEntry, output: &mut RaftOutput) {
+        if let EntryPayload::Membership(membership) = &entry.payload {
+            let before = std::mem::replace(&mut self.membership, membership.clone());
+            self.membership_index = entry.index;
+            self.renew_progress(&before, entry.index);
+        }
+        output.batch.entries.push(entry.clone());
+        self.entries.push(entry);
+    }
+
+    /// What an earlier life of a member held says nothing of its new one.
+    pub(super) fn renew_progress(&mut self, before: &GroupMembership, next: u64) {
+        let members = &self.membership.members;
+        let same_life = |id: &KeeperId| {
+            let (old, new) = (before.members.get(id), members.get(id));
+            old.map(|member| member.incarnation) == new.map(|member| member.incarnation)
+        };
+        self.progress.retain(|id, _| members.contains_key(id) && same_life(id));
+        for id in self.others() {
+            let new = FollowerProgress { next, ..FollowerProgress::default() };
+            self.progress.entry(id).or_insert(new);
+        }
+    }
+
+    pub(super) fn send_append(&mut self, to: KeeperId, now_ms: u64, output: &mut RaftOutput) {
+        let last_index = self.last_index();
+        let progress = self.progress.entry(to).or_default();
+        let next = progress.next.clamp(1, last_index + 1);
+        if next <= self.snapshot.index {
+            self.send_piece(to, now_ms, output);
+            return;
+        }
+        progress.snapshot_offset = None;
+        // Until an answer comes, heartbeats go on empty, so that a slow follower is not flooded.
+        let waited = progress.waiting_since.is_some_and(|since| now_ms < since + ELECTION_MS);
+        let from = (next - self.snapshot.index - 1) as usize;
+        let mut bytes = 0;
+        let fits = |entry: &&LogEntry| {
+            bytes += payload_bytes(entry);
+            bytes <= BYTES_PER_MESSAGE
+        };
+        let mut entries: Vec<LogEntry> = Vec::new();
+        if !waited {
+            let pending = self.entries[from..].iter().take(ENTRIES_PER_MESSAGE);
+            entries = pending.take_while(fits).cloned().collect();
+            if entries.is_empty() {
+                entries.extend(self.entries.get(from).cloned());
+            }
+        }
+        if !entries.is_empty() {
+            progress.waiting_since = Some(now_ms);
+        }
+        let prev_index = next - 1;
+        let prev_term = self.term_at(prev_index).unwrap_or(0);
+        let commit = self.commit;
+        let body = RaftBody::Append { prev_index, prev_term, entries, commit, sent_ms: now_ms };
+        self.send_at(to, self.term(), body, output);
+    }
+
+    pub(super) fn send_piece(&mut self, to: KeeperId, now_ms: u64, output: &mut RaftOutput) {
+        let total = self.snapshot.image.len();
+        let progress = self.progress.entry(to).or_default();
+        let offset = (progress.snapshot_offset.unwrap_or(0) as usize).min(total);
+        progress.snapshot_offset = Some(offset as u64);
+        progress.waiting_since = Some(now_ms);
+        let end = (offset + SNAPSHOT_PIECE).min(total);
+        let body = RaftBody::Piece {
+            index: self.snapshot.index,
+            last_term: self.snapshot.term,
+            membership: self.snapshot.membership.clone(),
+            offset: offset as u64,
+            total: total as u64,
+            bytes: self.snapshot.image[offset..end].to_vec(),
+            sent_ms: now_ms,
+        };
+        self.send_at(to, self.term(), body, output);
+    }
+
+    pub(super) fn take_reply(
+        &mut self,
+        from: KeeperId,
+        reply: (bool, u64, u64, u64),
+        now_ms: u64,
+        output: &mut RaftOutput,
+    ) {
+        let (matched, index, sent_ms, snapshot_offset) = reply;
+        let last = self.last_index();
+        let snapshot_index = self.snapshot.index;
+        let progress = self.progress.entry(from).or_default();
+        progress.acked_sent_ms = progress.acked_sent_ms.max(sent_ms);
+        progress.waiting_since = None;
+        if !matched && snapshot_offset > 0 && progress.snapshot_offset.is_some() {
+            progress.snapshot_offset = Some(snapshot_offset);
+        } else if matched {
+            progress.matched = progress.matched.max(index.min(last));
+            progress.next = progress.next.max(progress.matched + 1);
+            if progress.matched >= snapshot_index {
+                progress.snapshot_offset = None;
+            }
+        } else {
+            progress.next = (index + 1).min(progress.next.saturating_sub(1)).max(1);
+            progress.next = progress.next.max(progress.matched + 1);
+        }
+        let more = progress.next <= last;
+        self.advance_commit();
+        if more {
+            self.send_append(from, now_ms, output);
+        }
+        self.push_transfer(output);
+    }
+
+    pub(super) fn push_transfer(&mut self, output: &mut RaftOutput) {
+        let Some((target, _)) = self.transfer else { return };
+        let caught_up = self.member_match(target) == Some(self.last_index());
+        if caught_up && self.synced == self.last_index() {
+            self.send_at(target, self.term(), RaftBody::StandNow, output);
+        }
+    }
+
+    pub(super) fn advance_commit(&mut self) {
+        let voters = self.voters();
+        let mut held: Vec<u64> =
+            voters.iter().map(|id| self.member_match(*id).unwrap_or(0)).collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let quorum = held.get(self.quorum() - 1).copied().unwrap_or(0);
+        // Only entries of the own term are committed by counting (Raft, section 5.4.2).
+        if quorum > self.commit && self.term_at(quorum) == Some(self.term()) {
+            self.commit = quorum;
+        }
+    }
+
+    pub(super) fn changed_membership(
+        &self,
+        change: &MemberChange,
+        now_ms: u64,
+    ) -> Result<GroupMembership, RaftRefusal> {
+        let mut next = self.membership.clone();
+        match change {
+            MemberChange::AddLearner(id, incarnation, address) => {
+                let known = next.members.get(id);
+                // A voter that lost its disk must be removed first, so that it never counts twice.
+                if known.is_some_and(|member| member.votes) {
+                    return Err(RaftRefusal::NoSuchMember);
+                }
+                let member =
+                    GroupMember { incarnation: *incarnation, address: *address, votes: false };
+                next.members.insert(*id, member);
+            }
+            MemberChange::Promote(id) => {
+                let member = next.members.get_mut(id).ok_or(RaftRefusal::NoSuchMember)?;
+                let gap = self.last_index() - self.member_match(*id).unwrap_or(0);
+                let alive = self.member_age_ms(*id, now_ms).is_some_and(|age| age < ELECTION_MS);
+                if gap > CAUGHT_UP_GAP || !alive {
+                    return Err(RaftRefusal::NotCaughtUp);
+                }
+                member.votes = true;
+            }
+            // A removed leader could be the only one with the entry that removes it.
+            MemberChange::Remove(id) if *id == self.id => return Err(RaftRefusal::Leads),
+            MemberChange::Remove(id) => {
+                if next.members.remove(id).is_none() {
+                    return Err(RaftRefusal::NoSuchMember);
+                }
+            }
+        }
+        self.check_quorum_after(&next, now_ms)?;
+        Ok(next)
+    }
+
+    /// Refuses a membership whose live voters could not commit it.
+    pub(super) fn check_quorum_after(
+        &self,
+        next: &GroupMembership,
+        now_ms: u64,
+    ) -> Result<(), RaftRefusal> {
+        let voters: Vec<KeeperId> =
+            next.members.iter().filter(|(_, member)| member.votes).map(|(id, _)| *id).collect();
+        let alive = |id: &&KeeperId| {
+            **id == self.id || self.member_age_ms(**id, now_ms).is_some_and(|age| age < ELECTION_MS)
+        };
+        let live = voters.iter().filter(alive).count();
+        match live > voters.len() / 2 {
+            true => Ok(()),
+            false => Err(RaftRefusal::WouldLoseQuorum),
+        }
+    }
+}
+
+fn payload_bytes(entry: &LogEntry) -> usize {
+    match &entry.payload {
+        EntryPayload::Command(bytes) => bytes.len() + 16,
+        EntryPayload::Membership(membership) => membership.members.len() * 64 + 16,
+    }
+}
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -25,7 +25,6 @@
 use crate::state::chat_memory::ChatMemory;
 use crate::state::configuration::MoveRates;
 use crate::state::ids::{ChatKey, FleetKey, Incarnation, RouterId, UpstreamKey, WorkspaceKey};
-use crate::state::rendezvous::rendezvous_order;
 use crate::state::roster::{RouterRoster, RouterSession};
 
 const FLEET: FleetKey = FleetKey(1);
@@ -52,7 +51,7 @@
 
 /// What comes later in a replay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum LaterEvent {
+pub(super) enum LaterEvent {
     Finish { engine: u32, life: u64, home: u32, work: u64 },
     CacheTold { engine: u32, life: u64, number: u64, chat: u64, tokens: u32 },
     ReadCache { router: u32, engine: u32 },
@@ -61,36 +60,36 @@
     Sample,
 }
 
-struct ReplayRouter {
-    live: bool,
-    roster: RouterRoster,
-    standings: Vec<TraceStanding>,
-    view: FleetView,
-    homes: HomeTable,
-    memory: ChatMemory,
-    others: OtherLoad,
-    queue: FairQueue,
-    own_work: Vec<u64>,
-    events_told: Vec<u64>,
+pub(super) struct ReplayRouter {
+    pub(super) live: bool,
+    pub(super) roster: RouterRoster,
+    pub(super) standings: Vec<TraceStanding>,
+    pub(super) view: FleetView,
+    pub(super) homes: HomeTable,
+    pub(super) memory: ChatMemory,
+    pub(super) others: OtherLoad,
+    pub(super) queue: FairQueue,
+    pub(super) own_work: Vec<u64>,
+    pub(super) events_told: Vec<u64>,
 }
 
 /// One replay under way.
 pub struct ReplayRun<'a> {
-    setup: &'a TraceSetup,
-    rule: ReplayRule,
-    rng: StdRng,
-    now_ms: u64,
-    routers: Vec<ReplayRouter>,
-    engines: Vec<TrueEngine>,
-    keys: HashMap<UpstreamKey, u32>,
-    keeper_loads: LoadTable,
-    later: BinaryHeap<Reverse<(u64, u64, LaterEvent)>>,
-    sequence: u64,
-    event_numbers: Vec<u64>,
-    waiting: HashMap<u64, (TraceRequest, u64)>,
-    tickets: u64,
-    told: HashMap<ChatKey, u32>,
-    outcome: ReplayOutcome,
+    pub(super) setup: &'a TraceSetup,
+    pub(super) rule: ReplayRule,
+    pub(super) rng: StdRng,
+    pub(super) now_ms: u64,
+    pub(super) routers: Vec<ReplayRouter>,
+    pub(super) engines: Vec<TrueEngine>,
+    pub(super) keys: HashMap<UpstreamKey, u32>,
+    pub(super) keeper_loads: LoadTable,
+    pub(super) later: BinaryHeap<Reverse<(u64, u64, LaterEvent)>>,
+    pub(super) sequence: u64,
+    pub(super) event_numbers: Vec<u64>,
+    pub(super) waiting: HashMap<u64, (TraceRequest, u64)>,
+    pub(super) tickets: u64,
+    pub(super) told: HashMap<ChatKey, u32>,
+    pub(super) outcome: ReplayOutcome,
 }
 
 /// The key of an engine of a trace.
@@ -354,7 +353,7 @@
         }
     }
 
-    fn true_load(&self) -> FleetLoad {
+    pub(super) fn true_load(&self) -> FleetLoad {
         let live = self.engines.iter().filter(|e| e.standing == TraceStanding::Live);
         let work = self.engines.iter().map(|engine| engine.work).sum();
         FleetLoad { work, engines: live.count() as u32, ..FleetLoad::default() }
@@ -523,7 +522,7 @@
         true
     }
 
-    fn check_bound(&mut self, engine: u32, work: u64, truth: &FleetLoad) {
+    pub(super) fn check_bound(&mut self, engine: u32, work: u64, truth: &FleetLoad) {
         let bound = admission_bound(truth, self.setup.multiple, work);
         let before = self.engines[engine as usize].work as f64;
         self.outcome.admissions += 1;
@@ -608,7 +607,7 @@
     }
 
     /// The request runs; what it finds in the cache is the truth.
-    fn start(
+    pub(super) fn start(
         &mut self,
         request: &TraceRequest,
         engine: u32,
@@ -653,82 +652,6 @@
         }
     }
 
-    // ---- rules without homes ----
-
-    fn request_alone(&mut self, request: &TraceRequest) {
-        let live: Vec<u32> =
-            (0..self.setup.routers).filter(|router| self.routers[*router as usize].live).collect();
-        if live.is_empty() {
-            self.outcome.refused += 1;
-            return;
-        }
-        let router = live[self.rng.gen_range(0..live.len())];
-        let seen: Vec<u32> = (0..self.setup.engines)
-            .filter(|e| {
-                self.routers[router as usize].standings[*e as usize] == TraceStanding::Live
-                    && self.engines[*e as usize].standing != TraceStanding::Gone
-            })
-            .collect();
-        let Some(engine) = self.choose_alone(router, &seen, request) else {
-            self.outcome.refused += 1;
-            return;
-        };
-        let cached = self.engines[engine as usize].cached(request.chat).min(request.prompt);
-        let work = request_work(request.prompt, request.output, cached);
-        let truth = self.true_load();
-        self.check_bound(engine, work, &truth);
-        self.routers[router as usize].own_work[engine as usize] += work;
-        self.start(request, engine, router, work, 0, None);
-    }
-
-    fn choose_alone(&mut self, router: u32, seen: &[u32], request: &TraceRequest) -> Option<u32> {
-        let work = request_work(request.prompt, request.output, 0);
-        match self.rule {
-            ReplayRule::LeastReported => {
-                let least = seen.iter().map(|e| self.engines[*e as usize].reported_work()).min()?;
-                let ties =
-                    seen.iter().filter(|e| self.engines[**e as usize].reported_work() == least);
-                let ties: Vec<u32> = ties.copied().collect();
-                Some(ties[self.rng.gen_range(0..ties.len())])
-            }
-            ReplayRule::BoundedAlone => {
-                let own = &self.routers[router as usize].own_work;
-                let total: u64 = seen.iter().map(|engine| own[*engine as usize]).sum();
-                let load =
-                    FleetLoad { work: total, engines: seen.len() as u32, ..FleetLoad::default() };
-                let bound = admission_bound(&load, self.setup.multiple, work);
-                let keys = seen.iter().map(|engine| engine_key(*engine).0);
-                let order = rendezvous_order(request.chat, keys, seen.len());
-                let order: Vec<u32> =
-                    order.into_iter().map(|key| self.keys[&UpstreamKey(key)]).collect();
-                let open = order.iter().find(|engine| (own[**engine as usize] as f64) < bound);
-                open.or(order.first()).copied()
-            }
-            ReplayRule::Random => {
-                (!seen.is_empty()).then(|| seen[self.rng.gen_range(0..seen.len())])
-            }
-            ReplayRule::ExactReuse => {
-                let load = self.true_load();
-                let best =
-                    seen.iter().max_by_key(|e| self.engines[**e as usize].cached(request.chat));
-                let holder = best.filter(|engine| {
-                    let truth = &self.engines[**engine as usize];
-                    let cached = truth.cached(request.chat).min(request.prompt);
-                    let work = request_work(request.prompt, request.output, cached);
-                    let bound = admission_bound(&load, self.setup.multiple, work);
-                    cached > 0 && (truth.work as f64) < bound
-                });
-                holder.copied().or_else(|| self.least_loaded(seen))
-            }
-            ReplayRule::ExactSkew => self.least_loaded(seen),
-            ReplayRule::Home(..) => None,
-        }
-    }
-
-    fn least_loaded(&self, seen: &[u32]) -> Option<u32> {
-        seen.iter().min_by_key(|engine| self.engines[**engine as usize].work).copied()
-    }
-
     // ---- the outcome ----
 
     fn sample(&mut self) {
--- a/lib/src/protocol/keeper_wire.rs
+++ b/lib/src/protocol/keeper_wire.rs
@@ -5,7 +5,7 @@
 
 use crate::coordination::leaving::LeavingMark;
 use crate::coordination::load_spread::LoadRow;
-use crate::coordination::raft::RaftMessage;
+use crate::coordination::raft_message::RaftMessage;
 use crate::state::claim_table::{ClaimAnswer, ClaimReport, ClaimRequest};
 use crate::state::ids::{ChatKey, Incarnation, KeeperId, RouterId, UpstreamKey};
 use crate::state::keeper_machine::ChangeRecord;
--- a/lib/src/protocol/operator.rs
+++ b/lib/src/protocol/operator.rs
@@ -7,7 +7,7 @@
 use subtle::ConstantTimeEq;
 
 use super::http::HttpCall;
-use crate::coordination::raft::RaftRole;
+use crate::coordination::raft_message::RaftRole;
 use crate::state::configuration::{hash_key, Configuration, EntryOperation};
 use crate::state::ids::{Incarnation, KeeperId, RouterId};
 use crate::state::keeper_machine::OrderAction;
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -15,8 +15,9 @@
 use crate::coordination::leaving::LeavingMark;
 use crate::coordination::load_spread::LoadTable;
 use crate::coordination::order_pace::orders_to_send;
-use crate::coordination::raft::{
-    MemberChange, RaftCore, RaftMessage, RaftOutput, RaftRefusal, RaftRole,
+use crate::coordination::raft::RaftCore;
+use crate::coordination::raft_message::{
+    MemberChange, RaftMessage, RaftOutput, RaftRefusal, RaftRole,
 };
 use crate::coordination::session_watch::SessionWatch;
 use crate::protocol::keeper_wire::{
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -22,7 +22,8 @@
 use super::keeper_operator::{operator_reply, send_order};
 use super::wire_count::WireCount;
 use super::worker_pool::WorkerPool;
-use crate::coordination::raft::{RaftCore, RaftMessage};
+use crate::coordination::raft::RaftCore;
+use crate::coordination::raft_message::RaftMessage;
 use crate::protocol::http::{HttpCall, HttpReply};
 use crate::protocol::keeper_wire::{
     decode, encode, Datagram, KeeperCall, KeeperReply, CALL_PATH, RAFT_PATH,
--- a/lib/src/transport/keeper_operator.rs
+++ b/lib/src/transport/keeper_operator.rs
@@ -12,7 +12,7 @@
 use super::keeper_loop::{KeeperEvent, KeeperLoop, OperateReply};
 use super::keeper_node::{read_loop, KeeperDesk};
 use crate::coordination::check::check_operations;
-use crate::coordination::raft::{MemberChange, RaftRefusal};
+use crate::coordination::raft_message::{MemberChange, RaftRefusal};
 use crate::protocol::engine;
 use crate::protocol::http::{HttpCall, HttpReply};
 use crate::protocol::keeper_wire::{KeeperCall, KeeperReply};
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -282,6 +282,7 @@
     for fleet in waiting {
         pump(shared, &mut desk, fleet, &view);
     }
+    desk.shares.expire(now_ms);
     drop(desk);
     lock(&shared.limits).expire(now_ms);
 }
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -21,6 +21,7 @@
     /// The engine.
     pub(super) engine: UpstreamKey,
     fleet: FleetKey,
+    workspace: WorkspaceKey,
     work: u64,
 }
 
@@ -29,6 +30,7 @@
         let view = self.shared.view();
         let mut desk = lock(&self.shared.desk);
         desk.homes.release(self.engine, self.work, self.shared.clock.now_ms());
+        desk.shares.leave(self.fleet, self.workspace);
         pump(&self.shared, &mut desk, self.fleet, &view);
     }
 }
@@ -85,22 +87,40 @@
     cached_tokens: u32,
 ) -> Result<AdmittedSlot, AdmitRefusal> {
     let sight = view.fleets.get(&ask.fleet).ok_or(AdmitRefusal::NotHome)?;
+    let workspace = WorkspaceKey::of(&ask.request.workspace);
+    let now_ms = shared.clock.now_ms();
     let mut desk = lock(&shared.desk);
+    desk.shares.ask(ask.fleet, workspace, now_ms);
     let ahead = desk.queues.get(&ask.fleet).is_some_and(|queue| queue.has_rank(ask.decision.class));
     if ahead {
         return Err(AdmitRefusal::AtBound);
     }
     let work = ask.work(cached_tokens);
     let load = shared.fleet_load(&desk, ask.fleet, view);
-    desk.homes.admit(engine, work, &load, admission_rule(sight, ask.decision.class))?;
-    let now_ms = shared.clock.now_ms();
+    let class = ask.decision.class;
+    let rule = admission_rule(&desk, sight, ask.fleet, class, workspace, now_ms);
+    desk.homes.admit(engine, work, &load, rule)?;
+    desk.shares.enter(ask.fleet, workspace);
     desk.outliers.begin_trial(engine, now_ms);
     let shared = shared.clone();
-    Ok(AdmittedSlot { shared, engine, fleet: ask.fleet, work })
+    Ok(AdmittedSlot { shared, engine, fleet: ask.fleet, workspace, work })
 }
 
-fn admission_rule(sight: &FleetSight, class: RequestClass) -> AdmissionRule {
+/// What a class and a workspace may fill of each engine of this home.
+fn admission_rule(
+    desk: &HomeDesk,
+    sight: &FleetSight,
+    fleet: FleetKey,
+    class: RequestClass,
+    workspace: WorkspaceKey,
+    now_ms: u64,
+) -> AdmissionRule {
     let entry = &sight.entry;
+    let open = desk.homes.homed().filter(|(_, slot)| slot.fleet == fleet && !slot.closed);
+    let places = open.count() as u32 * entry.requests_per_engine;
+    let heavy = desk.shares.is_heavy(fleet, workspace, places, now_ms);
+    // A heavy workspace is held to what the batch class may fill.
+    let class = if heavy { RequestClass::Batch } else { class };
     let most_requests = class.places(entry.requests_per_engine);
     AdmissionRule { multiple: entry.multiple, most_requests }
 }
@@ -110,6 +130,7 @@
     shared: Arc<RouterShared>,
     fleet: FleetKey,
     ticket: u64,
+    workspace: WorkspaceKey,
     work: u64,
     given: Receiver<UpstreamKey>,
 }
@@ -126,13 +147,14 @@
     ) -> Option<QueueTicket> {
         let sight = view.fleets.get(&ask.fleet)?;
         let ticket = shared.next_number();
+        let workspace = WorkspaceKey::of(&ask.request.workspace);
         let work = ask.work(only.map_or(0, |place| place.cached_tokens));
         let (sender, given) = bounded(1);
         let now_ms = shared.clock.now_ms();
         let mut desk = lock(&shared.desk);
         let waiting = WaitingRequest {
             ticket,
-            workspace: WorkspaceKey::of(&ask.request.workspace),
+            workspace,
             weight: ask.decision.weight,
             class: ask.decision.class,
             work,
@@ -146,7 +168,8 @@
         }
         desk.tickets.insert(ticket, sender);
         pump(shared, &mut desk, ask.fleet, view);
-        Some(QueueTicket { shared: shared.clone(), fleet: ask.fleet, ticket, work, given })
+        let (shared, fleet) = (shared.clone(), ask.fleet);
+        Some(QueueTicket { shared, fleet, ticket, workspace, work, given })
     }
 
     /// Waits for a slot.
@@ -156,7 +179,13 @@
     }
 
     fn slot(&self, engine: UpstreamKey) -> AdmittedSlot {
-        AdmittedSlot { shared: self.shared.clone(), engine, fleet: self.fleet, work: self.work }
+        AdmittedSlot {
+            shared: self.shared.clone(),
+            engine,
+            fleet: self.fleet,
+            workspace: self.workspace,
+            work: self.work,
+        }
     }
 }
 
@@ -205,10 +234,10 @@
     loop {
         let load = shared.fleet_load(desk, fleet, view);
         let mut given = None;
-        let homes = &mut desk.homes;
         let popped = queue.pop(now_ms, |waiting| {
-            let rule = admission_rule(sight, waiting.class);
-            let open = homes.homed().filter(|(engine, slot)| {
+            let (class, workspace) = (waiting.class, waiting.workspace);
+            let rule = admission_rule(desk, sight, fleet, class, workspace, now_ms);
+            let open = desk.homes.homed().filter(|(engine, slot)| {
                 slot.fleet == fleet
                     && !slot.closed
                     && waiting.only.is_none_or(|only| only == *engine)
@@ -218,13 +247,15 @@
             given = open
                 .into_iter()
                 .map(|(_, engine)| engine)
-                .find(|engine| homes.admit(*engine, waiting.work, &load, rule).is_ok());
+                .find(|engine| desk.homes.admit(*engine, waiting.work, &load, rule).is_ok());
             given.is_some()
         });
         let (Some(waiting), Some(engine)) = (popped, given) else { break };
+        desk.shares.enter(fleet, waiting.workspace);
         let sender = desk.tickets.remove(&waiting.ticket);
         if sender.is_none_or(|sender| sender.send(engine).is_err()) {
             desk.homes.release(engine, waiting.work, now_ms);
+            desk.shares.leave(fleet, waiting.workspace);
         }
     }
     if !queue.is_empty() {
--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -215,6 +215,12 @@
     })
 }
 
+fn is_home_of(cx: &ServeContext, fleet: FleetKey) -> bool {
+    let desk = lock(&cx.shared.desk);
+    let mut homed = desk.homes.homed();
+    homed.any(|(_, slot)| slot.fleet == fleet && !slot.closed)
+}
+
 /// The router that should place a chat: this one if it holds the chat, else the chat's home.
 fn next_home(cx: &ServeContext, fleet: FleetKey, chat: ChatKey) -> Option<RouterId> {
     let sight = cx.view.fleets.get(&fleet)?;
@@ -237,7 +243,8 @@
     let chat = chat_key(request);
     let fleet = FleetKey::of(&decision.fleet);
     let fresh = request.facts.as_ref().is_some_and(|facts| facts.fresh);
-    let home = if fresh { None } else { next_home(cx, fleet, chat) };
+    // A router that is home to none of the fleet has no queue to wait in.
+    let home = if fresh && is_home_of(cx, fleet) { None } else { next_home(cx, fleet, chat) };
     let session = home.filter(|home| *home != cx.shared.id());
     let session = session.and_then(|home| cx.view.roster.routers.get(&home));
     if let Some(session) = session {
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -24,6 +24,7 @@
 use crate::coordination::retry::RetryBudget;
 use crate::coordination::router_lease::RouterLease;
 use crate::coordination::workspace_limit::LimitTable;
+use crate::coordination::workspace_share::ShareTable;
 use crate::protocol::keeper_wire::ChatNote;
 use crate::protocol::seal::{SealChecker, SealMaker};
 use crate::state::chat_memory::ChatMemory;
@@ -155,6 +156,7 @@
     pub(super) events_seen: HashMap<UpstreamKey, u64>,
     pub(super) plain_in_flight: HashMap<UpstreamKey, u32>,
     pub(super) retries: RetryBudget,
+    pub(super) shares: ShareTable,
 }
 
 /// What all threads of a router reach.
@@ -231,6 +233,7 @@
                 events_seen: HashMap::new(),
                 plain_in_flight: HashMap::new(),
                 retries: RetryBudget::default(),
+                shares: ShareTable::default(),
             }),
             limits: Mutex::default(),
             claims: Mutex::new(ClaimWaiters {
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -19,6 +19,7 @@
 use wingshed_lib::coordination::router_lease::{RouterLease, LEASE_MS};
 use wingshed_lib::coordination::session_watch::{SessionWatch, LAPSE_MS};
 use wingshed_lib::coordination::workspace_limit::{LimitRefusal, LimitTable};
+use wingshed_lib::coordination::workspace_share::{ShareTable, PRESENT_MS};
 use wingshed_lib::protocol::keeper_wire::{encode, Datagram, LeaseGrant, MARKS_TOLD};
 use wingshed_lib::protocol::seal::{SealChecker, SealMaker, SealRefusal, SEAL_AGE_MS};
 use wingshed_lib::state::chat_memory::{ChatMemory, HolderCertainty};
@@ -239,6 +240,24 @@
     assert!(queue.is_empty());
 }
 
+#[test]
+fn a_surging_workspace_leaves_places_only_while_others_are_present() {
+    let (surging, quiet) = (WorkspaceKey(1), WorkspaceKey(2));
+    let mut shares = ShareTable::default();
+    shares.ask(FLEET, surging, 1000);
+    (0..8).for_each(|_| shares.enter(FLEET, surging));
+    assert!(!shares.is_heavy(FLEET, surging, 16, 1000), "it is alone");
+
+    shares.ask(FLEET, quiet, 2000);
+    assert!(shares.is_heavy(FLEET, surging, 16, 2001));
+    assert!(!shares.is_heavy(FLEET, quiet, 16, 2001), "the quiet one is not held back");
+    shares.leave(FLEET, surging);
+    assert!(!shares.is_heavy(FLEET, surging, 16, 2001), "below half of the places");
+    shares.enter(FLEET, surging);
+    shares.expire(2000 + PRESENT_MS);
+    assert!(!shares.is_heavy(FLEET, surging, 16, 2000 + PRESENT_MS), "alone again");
+}
+
 // ---- claims ----
 
 fn claim_request(attempt: u64, holder: u32, issued_ms: u64) -> ClaimRequest {
--- a/lib/tests/test_raft.rs
+++ b/lib/tests/test_raft.rs
@@ -5,7 +5,7 @@
 mod testutils;
 
 use testutils::raft_bench::{RaftBench, RaftFaults};
-use wingshed_lib::coordination::raft::RaftRole;
+use wingshed_lib::coordination::raft_message::RaftRole;
 
 const STEPS: usize = 4000;
 
--- a/lib/tests/test_raft_rules.rs
+++ b/lib/tests/test_raft_rules.rs
@@ -1,8 +1,9 @@
 //! Single rules of the consensus, each shown by the shortest exchange that needs it. The seeded
 //! mixes of `test_raft` pass through most of these rarely.
 
-use wingshed_lib::coordination::raft::{
-    MemberChange, RaftBody, RaftCore, RaftMessage, RaftOutput, RaftRole, ELECTION_MS,
+use wingshed_lib::coordination::raft::RaftCore;
+use wingshed_lib::coordination::raft_message::{
+    MemberChange, RaftBody, RaftMessage, RaftOutput, RaftRole, ELECTION_MS,
 };
 use wingshed_lib::state::ids::{Incarnation, KeeperId};
 use wingshed_lib::state::log_store::{
--- a/lib/tests/test_whole_path.rs
+++ b/lib/tests/test_whole_path.rs
@@ -1,42 +1,29 @@
 //! The whole path over real sockets: caller, directory, router, home, engine.
 
+mod testutils;
+
 use std::time::Duration;
 
+use testutils::{returning_chat, system_with};
 use wingshed_lib::protocol::caller::RanMark;
 use wingshed_lib::protocol::engine::run_id;
 use wingshed_standin::caller::{chat_call, directory, plain_call, send, ChatAsk};
 use wingshed_standin::engine::whole_text;
-use wingshed_standin::system::{SystemMake, SystemStandIn};
-
-fn small_system() -> (tempfile::TempDir, SystemStandIn) {
-    let folder = tempfile::tempdir().unwrap();
-    let system = SystemStandIn::start(SystemMake::small(folder.path().to_path_buf()));
-    (folder, system)
-}
-
-fn ask(request_id: &str, service: &str, stream: bool) -> ChatAsk {
-    ChatAsk {
-        workspace: "w0".to_string(),
-        key: "k0".to_string(),
-        request_id: request_id.to_string(),
-        chat: "chat-1".to_string(),
-        service: service.to_string(),
-        prompt_tokens: 50,
-        max_tokens: 12,
-        stream,
-        run_once: false,
-        returning: true,
-    }
-}
 
 #[test]
 fn a_chat_is_answered_whole_through_every_router() {
-    let (_folder, system) = small_system();
+    let fixture = system_with(|_| {});
+    let system = &fixture.system;
 
     for stream in [true, false] {
         for (at, router) in system.router_addresses().into_iter().enumerate() {
             let id = format!("chat-{stream}-{at}");
-            let answer = send(&system.client, router, &chat_call(&ask(&id, "chat", stream)), None);
+            let answer = send(
+                &system.client,
+                router,
+                &chat_call(&ChatAsk { stream, ..returning_chat(&id, "chat") }),
+                None,
+            );
 
             assert_eq!(answer.status, 200, "{answer:?}");
             assert!(answer.whole, "{answer:?}");
@@ -49,7 +36,8 @@
 
 #[test]
 fn the_directory_names_the_home_first_and_saves_the_hop() {
-    let (_folder, system) = small_system();
+    let fixture = system_with(|_| {});
+    let system = &fixture.system;
     let routers = system.router_addresses();
 
     for number in 0..8 {
@@ -57,7 +45,7 @@
         let query = format!("workspace=w0&chat={chat}");
         let firsts: Vec<_> =
             routers.iter().map(|r| directory(&system.client, *r, &query)[0]).collect();
-        let asked = ChatAsk { chat, ..ask(&format!("d{number}"), "chat", true) };
+        let asked = ChatAsk { chat, ..returning_chat(&format!("d{number}"), "chat") };
         let answer = send(&system.client, firsts[0], &chat_call(&asked), None);
         let again = ChatAsk { request_id: format!("again{number}"), ..asked };
         let next = answer.next.expect("each reply names the router to use next");
@@ -71,9 +59,10 @@
 
 #[test]
 fn a_run_once_request_runs_once_also_when_sent_to_all_routers_at_once() {
-    let (_folder, system) = small_system();
+    let fixture = system_with(|_| {});
+    let system = &fixture.system;
     let routers = system.router_addresses();
-    let call = chat_call(&ask("once", "alert", true));
+    let call = chat_call(&returning_chat("once", "alert"));
 
     let answers: Vec<_> = std::thread::scope(|scope| {
         let sent: Vec<_> = routers
@@ -90,7 +79,8 @@
 
 #[test]
 fn a_plain_request_reaches_its_service() {
-    let (_folder, system) = small_system();
+    let fixture = system_with(|_| {});
+    let system = &fixture.system;
     let call = plain_call("w0", "k0", "p1", "plain", "GET", "/optout/7?x=1");
 
     let answer = send(&system.client, system.router_addresses()[0], &call, None);
@@ -102,10 +92,11 @@
 
 #[test]
 fn a_drained_router_cuts_nothing_and_leaves_the_directory() {
-    let (_folder, mut system) = small_system();
+    let mut fixture = system_with(|_| {});
+    let system = &mut fixture.system;
     let routers = system.router_addresses();
     let drained = system.routers[0].take().unwrap();
-    let long = ChatAsk { max_tokens: 600, ..ask("long", "chat", true) };
+    let long = ChatAsk { max_tokens: 600, ..returning_chat("long", "chat") };
     let call = chat_call(&long);
 
     let (answer, clean, listed) = std::thread::scope(|scope| {
@@ -113,7 +104,7 @@
         std::thread::sleep(Duration::from_millis(300));
         let draining = scope.spawn(|| drained.drain());
         std::thread::sleep(Duration::from_millis(700));
-        let kept = chat_call(&ask("kept", "chat", true));
+        let kept = chat_call(&returning_chat("kept", "chat"));
         let late = send(&system.client, routers[0], &kept, None);
         assert!(late.whole, "a caller who kept the address is served by a peer: {late:?}");
         let listed = directory(&system.client, routers[1], "workspace=w0");
--- a/lib/tests/testutils/raft_bench.rs
+++ b/lib/tests/testutils/raft_bench.rs
@@ -5,8 +5,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use wingshed_lib::coordination::raft::{
-    MemberChange, RaftCore, RaftMessage, RaftOutput, RaftRole, ELECTION_MS,
+use wingshed_lib::coordination::raft::RaftCore;
+use wingshed_lib::coordination::raft_message::{
+    MemberChange, RaftMessage, RaftOutput, RaftRole, ELECTION_MS,
 };
 use wingshed_lib::state::ids::{Incarnation, KeeperId};
 use wingshed_lib::state::log_store::{
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -16,11 +16,10 @@
 };
 use wingshed_lib::protocol::http::{HttpCall, HttpReply};
 use wingshed_lib::protocol::sse::{write_event, SseEvent};
-use wingshed_lib::transport::http_server::{
-    listen, HttpExchange, HttpServer, ResponseWriter, ServerLimits,
-};
+use wingshed_lib::transport::http_server::{HttpExchange, HttpServer, ResponseWriter};
 
 use crate::address::free_address;
+use crate::server::serve;
 
 const TICK: Duration = Duration::from_millis(1);
 const POLL: Duration = Duration::from_millis(50);
@@ -165,23 +164,11 @@
             stop: AtomicBool::new(false),
             faults: EngineFaults::default(),
         });
-        let limits = ServerLimits {
-            in_flight: 4000,
-            body_bytes: 64 << 20,
-            header_bytes: 64 << 10,
-            read_timeout: Duration::from_secs(30),
-        };
-        let listener = listen(address).expect("the port is free");
         let handler = shared.clone();
-        let server = HttpServer::start(
-            listener,
-            limits,
-            Arc::new(move |exchange| handle(&handler, exchange)),
-            Arc::new(|_| HttpReply { status: 503, ..HttpReply::default() }),
-        );
+        let server = serve(address, 4000, move |exchange| handle(&handler, exchange));
         let batch = shared.clone();
         std::thread::spawn(move || run_batch(&batch));
-        EngineStandIn { shared, server: server.expect("the server starts"), address }
+        EngineStandIn { shared, server, address }
     }
 
     /// Its faults.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod plain;
 pub mod platform;
+pub mod server;
 pub mod system;
 pub mod trace;
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -9,9 +9,10 @@
 use serde_json::json;
 use wingshed_lib::protocol::http::HttpReply;
 use wingshed_lib::protocol::plain::{NOT_RUN_HEADER, REQUEST_ID_HEADER};
-use wingshed_lib::transport::http_server::{listen, HttpExchange, HttpServer, ServerLimits};
+use wingshed_lib::transport::http_server::{HttpExchange, HttpServer};
 
 use crate::address::free_address;
+use crate::server::serve;
 
 /// The faults of one plain upstream.
 #[derive(Debug, Default)]
@@ -47,21 +48,9 @@
     /// Starts one at an address.
     pub fn start_at(address: SocketAddr) -> PlainStandIn {
         let shared = Arc::new(PlainShared::default());
-        let limits = ServerLimits {
-            in_flight: 512,
-            body_bytes: 64 << 20,
-            header_bytes: 64 << 10,
-            read_timeout: Duration::from_secs(30),
-        };
-        let listener = listen(address).expect("the port is free");
         let handler = shared.clone();
-        let server = HttpServer::start(
-            listener,
-            limits,
-            Arc::new(move |exchange| handle(&handler, exchange)),
-            Arc::new(|_| HttpReply { status: 503, ..HttpReply::default() }),
-        );
-        PlainStandIn { shared, server: server.expect("the server starts"), address }
+        let server = serve(address, 512, move |exchange| handle(&handler, exchange));
+        PlainStandIn { shared, server, address }
     }
 
     /// Its faults.
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use serde_json::json;
 use wingshed_lib::protocol::http::HttpReply;
 use wingshed_lib::protocol::vm_list::VmEntry;
 use wingshed_lib::protocol::weight_store::StoreState;
-use wingshed_lib::transport::http_server::{listen, HttpExchange, HttpServer, ServerLimits};
+use wingshed_lib::transport::http_server::{HttpExchange, HttpServer};
 
 use crate::address::free_address;
+use crate::server::serve;
 
 /// A platform whose list and store are set by the test.
 pub struct PlatformStandIn {
@@ -25,31 +25,19 @@
     pub fn start(most_loads: usize) -> PlatformStandIn {
         let address = free_address();
         let list: Arc<Mutex<Vec<VmEntry>>> = Arc::default();
-        let limits = ServerLimits {
-            in_flight: 64,
-            body_bytes: 1 << 20,
-            header_bytes: 64 << 10,
-            read_timeout: Duration::from_secs(10),
-        };
-        let listener = listen(address).expect("the port is free");
         let shown = list.clone();
-        let server = HttpServer::start(
-            listener,
-            limits,
-            Arc::new(move |mut exchange: HttpExchange| {
-                let reply = match exchange.call.path() {
-                    "/vms" => {
-                        let list = shown.lock().unwrap_or_else(|poison| poison.into_inner());
-                        HttpReply::json(200, &json!({ "vms": *list }))
-                    }
-                    "/weights/state" => HttpReply::json(200, &StoreState { most_loads, loads: 0 }),
-                    _ => HttpReply { status: 404, ..HttpReply::default() },
-                };
-                let _ = exchange.writer.send(&reply);
-            }),
-            Arc::new(|_| HttpReply { status: 503, ..HttpReply::default() }),
-        );
-        PlatformStandIn { list, _server: server.expect("the server starts"), address }
+        let server = serve(address, 64, move |mut exchange: HttpExchange| {
+            let reply = match exchange.call.path() {
+                "/vms" => {
+                    let list = shown.lock().unwrap_or_else(|poison| poison.into_inner());
+                    HttpReply::json(200, &json!({ "vms": *list }))
+                }
+                "/weights/state" => HttpReply::json(200, &StoreState { most_loads, loads: 0 }),
+                _ => HttpReply { status: 404, ..HttpReply::default() },
+            };
+            let _ = exchange.writer.send(&reply);
+        });
+        PlatformStandIn { list, _server: server, address }
     }
 
     /// Sets the list of VMs.
