tests: a full disk at a keeper as a process, in place of a device that never ends

The test was wrong, not the store.

Change: a keeper as a process under a limit of a file's size, which fails its writes as a full disk does. It is stricter: the keeper must stop with an error, and what it acknowledged must be there when it is started again.

--- a/daemons/tests/test_processes.rs
+++ b/daemons/tests/test_processes.rs
@@ -46,16 +46,19 @@
     }
 }
 
-fn spawn(program: &str, settings: &Path, descriptors: Option<u64>) -> Daemon {
+/// Starts a daemon under a limit of the system, if one is given: the resource and its value.
+fn spawn(program: &str, settings: &Path, limit: Option<(u32, u64)>) -> Daemon {
     let mut command = Command::new(program);
     command.arg("--settings").arg(settings).arg("--log").arg("error");
     command.stderr(Stdio::null());
-    if let Some(most) = descriptors {
+    if let Some((resource, most)) = limit {
         let limit = libc::rlimit { rlim_cur: most, rlim_max: most };
-        // SAFETY: only a system call that is safe after fork.
+        // SAFETY: only system calls that are safe after fork.
         unsafe {
             command.pre_exec(move || {
-                libc::setrlimit(libc::RLIMIT_NOFILE, &limit);
+                // A write beyond the limit of a file's size is then an error, as on a full disk.
+                libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
+                libc::setrlimit(resource, &limit);
                 Ok(())
             });
         }
@@ -67,8 +70,8 @@
     spawn(env!("CARGO_BIN_EXE_wingshed-keeper"), path, None)
 }
 
-fn router(path: &Path, descriptors: Option<u64>) -> Daemon {
-    spawn(env!("CARGO_BIN_EXE_wingshed-router"), path, descriptors)
+fn router(path: &Path, limit: Option<(u32, u64)>) -> Daemon {
+    spawn(env!("CARGO_BIN_EXE_wingshed-router"), path, limit)
 }
 
 /// The files and addresses of a system of processes.
@@ -301,7 +304,7 @@
     let _keeper = keeper(&site.path("keeper-0"));
     let engines = [EngineStandIn::start(EngineMake::default())];
     site.configure(&engines);
-    let _router = router(&site.path("router-0"), Some(64));
+    let _router = router(&site.path("router-0"), Some((libc::RLIMIT_NOFILE, 64)));
     site.wait_serving();
 
     let idle: Vec<TcpStream> =
@@ -353,6 +356,38 @@
     assert!(threads() <= before + 10, "silent connections are given up");
 }
 
+#[test]
+fn a_keeper_whose_disk_is_full_stops_and_loses_nothing_that_it_acknowledged() {
+    const DISK: u64 = 40_000;
+    let site = Site::new(1, 0);
+    let program = env!("CARGO_BIN_EXE_wingshed-keeper");
+    let path = site.path("keeper-0");
+    let mut full = spawn(program, &path, Some((libc::RLIMIT_FSIZE, DISK)));
+    site.configure(&[]);
+    let mut version = 1;
+
+    let refused = (0..2000).find(|number| {
+        let entry = json!({ "key": "x", "policy": "main" });
+        let name = format!("n{number}");
+        let put = json!({ "Put": { "section": "workspaces", "name": name, "value": entry } });
+        let change = json!({ "id": format!("c{number}"), "base": version, "operations": [put] });
+        match site.operate("POST", "/operator/changes", Some(&change)) {
+            Some((200, _)) => {
+                version += 1;
+                false
+            }
+            _ => true,
+        }
+    });
+    let code = full.wait(Duration::from_secs(10));
+    let _healthy = keeper(&path);
+    let (_, found) = site.operate_until("GET", "/operator/config", None);
+
+    assert!(refused.is_some_and(|number| number > 10), "{refused:?}");
+    assert_eq!(code, Some(1), "it stops with an error");
+    assert_eq!(found["version"], json!(version), "what was acknowledged is there");
+}
+
 #[test]
 fn a_daemon_refuses_bad_settings_with_every_finding() {
     let folder = tempfile::tempdir().unwrap();
--- a/lib/tests/test_log_store.rs
+++ b/lib/tests/test_log_store.rs
@@ -149,21 +149,3 @@
     assert!(error.contains("no identity"), "{error}");
     assert_eq!((store.incarnation, state.blank), (Incarnation(7), true));
 }
-
-#[test]
-fn a_disk_that_refuses_to_write_is_an_error() {
-    // `/dev/full` takes no byte, as a full disk does.
-    let folder = folder_with(&[batch(1..=1)]);
-    let path = log_file(folder.path());
-    fs::remove_file(&path).unwrap();
-    std::os::unix::fs::symlink("/dev/full", &path).unwrap();
-    let (mut store, _) = match open(folder.path()) {
-        Ok(opened) => opened,
-        // Reading the device may already be refused; that is as good.
-        Err(_) => return,
-    };
-
-    let error = store.append(&batch(2..=2)).err().map(|error| error.to_string());
-
-    assert!(error.is_some_and(|error| error.contains("append to")));
-}
