--- a/cli/src/bench_keeper.rs
+++ b/cli/src/bench_keeper.rs
@@ -261,7 +261,7 @@
         }
         println!(
             "Restart after {RESTART_CHANGES} changes, {name}: {:.0} ms until it vouches for what \
-             is in force (an election's wait of 500 to 1,000 ms included).",
+             is in force (a lone keeper waits for no election).",
             started.elapsed().as_secs_f64() * 1000.0
         );
         node.stop_now();
