routers: a dead engine at another home costs no answer and no retry

A dead engine looks lightest, the share of engines set aside is bounded, so it was tried again and again: refused connections used up the retry budget, and a home's word that its engine was unreachable was passed to the caller as the answer instead of being tried elsewhere. Ruled out: leases and homes (settled by then), the queue (nothing waited).

Change: a connection that never opened costs no retry; a peer's refusal as not run is tried elsewhere. Also a test that a prefix is imported end to end.

--- a/lib/src/transport/router_engines.rs
+++ b/lib/src/transport/router_engines.rs
@@ -28,6 +28,10 @@
 const HANG_UP_GRACE: Duration = Duration::from_millis(2000);
 const LONGEST_REFUSAL: usize = 64 << 10;
 const IMPORT_MS: u64 = 3000;
+/// The code of a try that an engine refused as not run.
+pub(super) const REFUSED_CODE: &str = "upstream_refused";
+/// The code of a try whose connection never opened: it put no load on anyone.
+pub(super) const UNREACHABLE_CODE: &str = "upstream_unreachable";
 
 /// What became of a try on one engine.
 pub(super) enum RunEnd {
@@ -124,7 +128,8 @@
             Ok(reply) => self.refused(reply, held),
             Err(CallFailure::NotSent { text }) => {
                 self.note_failure();
-                RunEnd::TryElsewhere(self.not_run(&text))
+                let error = self.not_run(&text);
+                RunEnd::TryElsewhere(CallerError { code: UNREACHABLE_CODE.to_string(), ..error })
             }
             Err(CallFailure::Broken { text }) => {
                 self.note_failure();
@@ -260,7 +265,7 @@
 
     fn not_run(&self, text: &str) -> CallerError {
         let message = format!("The engine did not take the request ({text}).");
-        CallerError::not_run(503, "upstream_refused", message).after(1000)
+        CallerError::not_run(503, REFUSED_CODE, message).after(1000)
     }
 
     fn note_head(&mut self, head: &EngineHead) {
--- a/lib/src/transport/router_forward.rs
+++ b/lib/src/transport/router_forward.rs
@@ -8,7 +8,7 @@
 use super::clock::wall_ms;
 use super::http_client::{CallFailure, CallTimes, OpenReply};
 use super::http_server::ResponseWriter;
-use super::router_engines::resume_for_caller;
+use super::router_engines::{resume_for_caller, REFUSED_CODE, UNREACHABLE_CODE};
 use super::router_place::{serve_at_engine, serve_at_home, EngineTarget};
 use super::router_relay::{relay_stream, AnswerSink, StreamEnd};
 use super::router_serve::{no_lease_error, serve_entry, ServeContext};
@@ -121,11 +121,11 @@
     let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
     let code = value.pointer("/error/code").and_then(|code| code.as_str()).unwrap_or("");
     let ran = RanMark::of(find_header(&headers, RAN_HEADER));
-    if matches!(code, NO_ROOM_CODE | "no_lease" | "too_many_hops")
-        || status == 401 && code.is_empty()
-    {
+    let elsewhere = [NO_ROOM_CODE, "no_lease", "too_many_hops", REFUSED_CODE, UNREACHABLE_CODE];
+    let not_taken = status == 401 && code.is_empty();
+    if ran == RanMark::No && elsewhere.contains(&code) || not_taken {
         let error = CallerError::not_run(503, code, "The peer did not take the request.");
-        return ForwardEnd::TryElsewhere(error);
+        return ForwardEnd::TryElsewhere(error.after(1000));
     }
     sink.pass(HttpReply { status, headers, body }, ran);
     ForwardEnd::Answered
--- a/lib/src/transport/router_place.rs
+++ b/lib/src/transport/router_place.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::router_claims::HeldClaim;
-use super::router_engines::{run_on_engine, RunEnd};
+use super::router_engines::{run_on_engine, RunEnd, UNREACHABLE_CODE};
 use super::router_forward::{forward, ForwardEnd};
 use super::router_home::{
     admit, candidates, chat_key, move_choice, AdmittedSlot, HomeAsk, QueueTicket,
@@ -68,7 +68,9 @@
             None => {}
             Some(RunEnd::Answered) => return,
             Some(RunEnd::TryElsewhere(error)) => {
-                if !lock(&cx.shared.desk).retries.spend() {
+                // A connection that never opened multiplied no load, so it costs no retry.
+                let free = error.code == UNREACHABLE_CODE;
+                if !free && !lock(&cx.shared.desk).retries.spend() {
                     spent = Some(error);
                     break;
                 }
--- a/lib/tests/test_keepers.rs
+++ b/lib/tests/test_keepers.rs
@@ -9,7 +9,7 @@
 use wingshed_lib::state::settings::KeeperSettings;
 use wingshed_lib::transport::keeper_node::{restore_backup, KeeperNode};
 use wingshed_standin::address::free_address;
-use wingshed_standin::caller::{chat_call, send};
+use wingshed_standin::caller::{chat_call, directory, send};
 use wingshed_standin::system::SystemStandIn;
 
 fn three_keepers() -> SystemFixture {
@@ -323,3 +323,35 @@
     assert!(second.contains("in use"), "{second}");
     assert!(foreign.contains("belongs to keeper 1"), "{foreign}");
 }
+
+#[test]
+fn a_whole_availability_zone_may_go_at_once_with_a_keeper_in_it() {
+    let fixture = system_with(|make| make.keepers = 3);
+    let mut system = fixture.system;
+    let base = version(&system);
+    let before = chat_call(&returning_chat("before", "alert"));
+    assert!(send(&system.client, system.router_addresses()[1], &before, None).whole);
+
+    // Zone "a" holds keeper 1, router 1 and engines 0 and 3.
+    system.keepers[0].take().unwrap().stop_now();
+    system.routers[0].take().unwrap().stop_now();
+    system.kill_engine(0);
+    system.kill_engine(3);
+    let (status, _) = submit(&system, &workspace_change("zone", base, "zone"));
+    // Sessions lapse, and homes move, within a few seconds.
+    std::thread::sleep(Duration::from_millis(4500));
+    let routers = system.router_addresses();
+    for number in 0..30 {
+        let mut chat = returning_chat(&format!("after-{number}"), "chat");
+        chat.chat = format!("chat-{number}");
+        let answer = send(&system.client, routers[number % 2], &chat_call(&chat), None);
+        assert!(answer.whole, "the zones left serve everything: {answer:?}");
+    }
+    let again = send(&system.client, routers[0], &before, None);
+    let listed = directory(&system.client, routers[0], "workspace=w0");
+
+    assert_eq!(status, 200);
+    assert_eq!(again.status, 409, "claims survive: {again:?}");
+    assert_eq!(listed.len(), 2, "the lost router is in no directory: {listed:?}");
+    assert!(system.leader().is_some());
+}
--- a/lib/tests/test_promises.rs
+++ b/lib/tests/test_promises.rs
@@ -305,3 +305,37 @@
     assert_eq!(resent.status, 409, "the claim outlives the router: {resent:?}");
     assert_eq!(system.starts().get(&run_id("w0", "orphan")), Some(&1));
 }
+
+#[test]
+fn a_prefix_is_imported_when_its_holder_is_busy_and_that_is_cheapest() {
+    let fixture = system_with(|make| {
+        make.routers = 1;
+        make.engines = 2;
+        make.requests_per_engine = 1;
+        make.import_per_ms = 40.0;
+        make.engine.piece_ms = 5;
+    });
+    let system = &fixture.system;
+    let router = system.router_addresses()[0];
+    let chat = |id: &str, max_tokens| ChatAsk {
+        prompt_tokens: 4000,
+        max_tokens,
+        ..returning_chat(id, "chat")
+    };
+    let first = send(&system.client, router, &chat_call(&chat("first", 4)), None);
+
+    let (busy, second) = std::thread::scope(|scope| {
+        let long = chat_call(&chat("busy", 300));
+        let running = scope.spawn(move || send(&system.client, router, &long, None));
+        std::thread::sleep(Duration::from_millis(400));
+        let second = send(&system.client, router, &chat_call(&chat("second", 4)), None);
+        (running.join().unwrap(), second)
+    });
+    let counters = system.routers[0].as_ref().unwrap().shared().seen.counters();
+
+    assert!(first.whole && busy.whole && second.whole, "{second:?}");
+    assert_eq!(busy.upstream, first.upstream, "the holder is busy with the same chat");
+    assert_ne!(second.upstream, first.upstream);
+    assert_eq!(counters.get("kv.imported"), Some(&1), "{counters:?}");
+    assert_eq!(counters.get("cache.reused"), Some(&2), "both found the prefix: {counters:?}");
+}
--- a/standin/src/system.rs
+++ b/standin/src/system.rs
@@ -59,6 +59,8 @@
     pub engine: EngineMake,
     /// Requests that one engine is given at once.
     pub requests_per_engine: u32,
+    /// Tokens of KV that engines import in a millisecond; 0 when they do not.
+    pub import_per_ms: f64,
     /// The multiple of the engine fleet.
     pub multiple: f64,
     /// The VM list's address, if there is one.
@@ -80,6 +82,7 @@
             workspaces: 3,
             engine: EngineMake::default(),
             requests_per_engine: 256,
+            import_per_ms: 0.0,
             multiple: 1.25,
             vm_list: None,
             weight_store: None,
@@ -247,7 +250,8 @@
         }
         json!({
             "fleets": {
-                "engines": { "kind": "engine", "multiple": self.make.multiple, "queue": 10_000, "requests_per_engine": self.make.requests_per_engine },
+                "engines": { "kind": "engine", "multiple": self.make.multiple, "queue": 10_000, "requests_per_engine": self.make.requests_per_engine,
+                    "rates": { "import_per_ms": self.make.import_per_ms } },
                 "plain": { "kind": "plain", "set_aside_share": 0.5 },
             },
             "upstreams": upstreams, "workspaces": workspaces,
