reading: one way to a fleet's load, no channels that nobody reads, no unused functions

Cause: reading the whole change again.

Change: known() calls fleet_load(); Waiter::Nobody; the unused go.

--- a/lib/src/coordination/session_watch.rs
+++ b/lib/src/coordination/session_watch.rs
@@ -54,12 +54,15 @@
     /// The epoch that every router with a lease has surely seen: an engine's new home may
     /// begin once its epoch is settled.
     pub fn settled_epoch(&self, roster: &RouterRoster, now_ms: u64) -> u64 {
-        self.lowest(roster, now_ms, |mark| mark.epoch).unwrap_or(roster.epoch)
-    }
-
-    /// The version that every router with a lease has applied.
-    pub fn settled_version(&self, roster: &RouterRoster, now_ms: u64) -> Option<u64> {
-        self.lowest(roster, now_ms, |mark| mark.version)
+        let holders = roster
+            .routers
+            .iter()
+            .filter(|(id, session)| now_ms < self.heard_ms(**id, session.incarnation) + LAPSE_MS);
+        let seen = holders.map(|(id, session)| {
+            let mark = self.marks.get(id).filter(|mark| mark.incarnation == session.incarnation);
+            mark.map_or(0, |mark| mark.epoch)
+        });
+        seen.min().unwrap_or(roster.epoch)
     }
 
     /// Each router's applied version, for `wingshed config wait`.
@@ -72,22 +75,4 @@
         let mark = self.marks.get(&id).filter(|mark| mark.incarnation == incarnation);
         mark.map_or(self.since_ms, |mark| mark.heard_ms)
     }
-
-    fn lowest(
-        &self,
-        roster: &RouterRoster,
-        now_ms: u64,
-        value: impl Fn(&SessionMark) -> u64,
-    ) -> Option<u64> {
-        let mut lowest = None;
-        for (id, session) in &roster.routers {
-            if now_ms >= self.heard_ms(*id, session.incarnation) + LAPSE_MS {
-                continue;
-            }
-            let mark = self.marks.get(id).filter(|mark| mark.incarnation == session.incarnation);
-            let seen = mark.map_or(0, &value);
-            lowest = Some(lowest.map_or(seen, |lowest: u64| lowest.min(seen)));
-        }
-        lowest
-    }
 }
--- a/lib/src/state/chat_memory.rs
+++ b/lib/src/state/chat_memory.rs
@@ -129,13 +129,6 @@
         *self.gap_epochs.entry(engine).or_default() += 1;
     }
 
-    /// The chats that an engine holds, the most recently used first, at most `most`.
-    pub fn chats_of(&self, engine: UpstreamKey, most: usize) -> Vec<ChatKey> {
-        let recent = self.by_use.values().rev();
-        let held = recent.filter(|chat| self.holders(**chat).iter().any(|h| h.engine == engine));
-        held.take(most).copied().collect()
-    }
-
     /// How many chats are remembered.
     pub fn len(&self) -> usize {
         self.chats.len()
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -90,6 +90,7 @@
     Operate(Sender<OperateReply>),
     Call(Sender<KeeperReply>),
     Datagram(DatagramPort, SocketAddr, u64),
+    Nobody,
 }
 
 impl Waiter {
@@ -103,6 +104,7 @@
                 };
                 drop(sender.send(reply));
             }
+            Waiter::Nobody => {}
             Waiter::Datagram(port, from, number) => {
                 if let KeeperAnswer::Claim(answers) = answer {
                     port.send(from, &Datagram::ClaimAnswers { number, answers: Some(answers) });
@@ -116,7 +118,7 @@
             Waiter::Operate(sender) => drop(sender.send(OperateReply::Unsure)),
             Waiter::Call(sender) => drop(sender.send(KeeperReply::Unsure)),
             // It asks again, perhaps elsewhere: claims carry their attempt.
-            Waiter::Datagram(..) => {}
+            Waiter::Datagram(..) | Waiter::Nobody => {}
         }
     }
 }
@@ -307,8 +309,7 @@
     ) {
         if !reports.is_empty() {
             let operation = KeeperOperation::Report(reports);
-            let (ignored, _) = crossbeam::channel::bounded(1);
-            self.propose(operation, Waiter::Call(ignored), output);
+            self.propose(operation, Waiter::Nobody, output);
         }
         self.propose(KeeperOperation::Claim(claims), waiter, output);
     }
@@ -331,6 +332,7 @@
             (Err(refusal), Waiter::Operate(sender)) => {
                 let _ = sender.send(OperateReply::Refused(refusal));
             }
+            (Err(_), Waiter::Nobody) => {}
             (Err(_), Waiter::Datagram(port, from, number)) => {
                 port.send(from, &Datagram::ClaimAnswers { number, answers: None });
             }
@@ -409,9 +411,8 @@
         for (id, incarnation) in self.watch.lapsed(&self.machine.roster, now_ms) {
             if self.lapsing.insert((id, incarnation)) {
                 tracing::warn!("keeper: router {id} lapsed.");
-                let (ignored, _) = crossbeam::channel::bounded(1);
                 let operation = KeeperOperation::Lapse(id, incarnation);
-                self.propose(operation, Waiter::Operate(ignored), output);
+                self.propose(operation, Waiter::Nobody, output);
             }
         }
     }
@@ -478,8 +479,7 @@
             return;
         };
         self.order_retry_ms.remove(&number);
-        let (ignored, _) = crossbeam::channel::bounded(1);
-        self.propose(KeeperOperation::OrderEnd(number, end), Waiter::Operate(ignored), output);
+        self.propose(KeeperOperation::OrderEnd(number, end), Waiter::Nobody, output);
     }
 
     // ---- after a step ----
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -96,7 +96,7 @@
         return Err(AdmitRefusal::AtBound);
     }
     let work = ask.work(cached_tokens);
-    let load = shared.fleet_load(&desk, ask.fleet, view);
+    let load = shared.fleet_load(&desk, ask.fleet, sight);
     let class = ask.decision.class;
     let rule = admission_rule(&desk, sight, ask.fleet, class, workspace, now_ms);
     desk.homes.admit(engine, work, &load, rule)?;
@@ -232,7 +232,7 @@
         desk.tickets.remove(&over.ticket);
     }
     loop {
-        let load = shared.fleet_load(desk, fleet, view);
+        let load = shared.fleet_load(desk, fleet, sight);
         let mut given = None;
         let popped = queue.pop(now_ms, |waiting| {
             let (class, workspace) = (waiting.class, waiting.workspace);
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -297,10 +297,10 @@
         &self,
         desk: &HomeDesk,
         fleet: FleetKey,
-        view: &RouterView,
+        sight: &FleetSight,
     ) -> FleetLoad {
         let own_work = desk.homes.fleet_work(fleet);
-        let engines = view.fleets.get(&fleet).map_or(0, |sight| sight.view.engines.len() as u32);
+        let engines = sight.view.engines.len() as u32;
         desk.others.fleet_load(fleet, own_work, engines, self.clock.now_ms())
     }
 
@@ -326,8 +326,6 @@
         sight: &'a FleetSight,
         work: u64,
     ) -> PlacementKnowledge<'a> {
-        let own_work = desk.homes.fleet_work(fleet);
-        let engines = sight.view.engines.len() as u32;
         PlacementKnowledge {
             own: self.settings.id,
             fleet,
@@ -336,7 +334,7 @@
             memory: &desk.memory,
             hints: desk.others.hints(fleet),
             hints_known: desk.others.told_ms() > 0,
-            load: desk.others.fleet_load(fleet, own_work, engines, self.clock.now_ms()),
+            load: self.fleet_load(desk, fleet, sight),
             multiple: sight.entry.multiple,
             work,
         }
--- a/lib/src/transport/router_status.rs
+++ b/lib/src/transport/router_status.rs
@@ -71,11 +71,12 @@
         .configuration
         .fleets
         .keys()
-        .map(|name| {
-            let load = shared.fleet_load(&desk, FleetKey::of(name), &view);
-            serde_json::json!({
+        .filter_map(|name| {
+            let key = FleetKey::of(name);
+            let load = shared.fleet_load(&desk, key, view.fleets.get(&key)?);
+            Some(serde_json::json!({
                 "fleet": name, "work": load.work, "engines": load.engines, "age_ms": load.age_ms,
-            })
+            }))
         })
         .collect();
     let chats = desk.memory.len();
