platform: the whole path, thin: one process a VM, replicated configuration, forwarding

Cause: nothing of wingshed ran on the users' platform. One event loop a VM serves callers, operators and the directory; VMs with a disk replicate the configuration by the existing Raft core and log store; platform/ holds the names and formats. Ruled out for now: homes, KV events, reports. Before: nothing.

--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -1,5 +1,7 @@
 //! What the two daemons share: arguments, logs, signals.
 
+pub mod vm;
+
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -2,12 +2,16 @@
 //! No sockets, no clocks, no locks, so that every decision can be tested and replayed.
 
 pub mod admission;
+pub mod attempt_plan;
 pub mod check;
 pub mod claim_batch;
 pub mod directory;
+pub mod event_splice;
 pub mod fair_queue;
+pub mod group_plan;
 pub mod home;
 pub mod kv_move;
+pub mod leader_contact;
 pub mod leaving;
 pub mod load_spread;
 pub mod order_pace;
@@ -21,6 +25,7 @@
 mod raft_leader;
 pub mod raft_message;
 pub mod relay;
+pub mod repeat_budget;
 pub mod replay;
 mod replay_alone;
 pub mod replay_outcome;
@@ -29,5 +34,7 @@
 pub mod router_lease;
 pub mod session_watch;
 pub mod trace;
+pub mod upstream_choice;
+pub mod vm_roster;
 pub mod workspace_limit;
 pub mod workspace_share;
--- a/lib/src/coordination/outlier.rs
+++ b/lib/src/coordination/outlier.rs
@@ -59,6 +59,18 @@
         }
     }
 
+    /// Nothing listens at the upstream: one sign is enough to set it aside.
+    pub fn note_dead(
+        &mut self,
+        upstream: UpstreamKey,
+        fleet: impl Iterator<Item = UpstreamKey>,
+        share: f64,
+        now_ms: u64,
+    ) {
+        self.signs.entry(upstream).or_default().failures = FAILURES_IN_A_ROW;
+        self.note_failure(upstream, fleet, share, now_ms);
+    }
+
     /// Whether the upstream is set aside now.
     pub fn is_aside(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
         self.signs.get(&upstream).is_some_and(|signs| {
--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -141,6 +141,26 @@
         &self.entries
     }
 
+    /// The snapshot before the entries.
+    pub fn snapshot(&self) -> &LogSnapshot {
+        &self.snapshot
+    }
+
+    /// The last entry that is on this keeper's disk.
+    pub fn synced_index(&self) -> u64 {
+        self.synced
+    }
+
+    /// Whether everything committed was handed out for applying.
+    pub fn has_applied_all(&self) -> bool {
+        self.handed_out >= self.commit
+    }
+
+    /// Gives up leadership at once, when this keeper's disk doesn't take what it must hold.
+    pub fn resign(&mut self, now_ms: u64) {
+        self.step_down(now_ms);
+    }
+
     /// Term and vote.
     pub fn hard_state(&self) -> HardState {
         self.hard_state
--- /dev/null
+++ b/lib/src/coordination/repeat_budget.rs
@@ -0,0 +1,58 @@
+//! This VM's part of the budget for repeats, which all VMs share.
+//!
+//! The fleet may repeat a share of its requests in any window, and some beside it.
+//! A VM counts its own requests and takes an equal part of the rest, so that no
+//! exchange between VMs is needed. See `docs/design/platform.md`.
+
+use std::collections::VecDeque;
+
+/// The part of what is allowed that is used: windows slide, and VMs come and go.
+const USED_PART: f64 = 0.7;
+
+/// What the fleet may repeat.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatAllowance {
+    /// Repeats as a share of requests.
+    pub ratio: f64,
+    /// Repeats beside the share, for the whole fleet.
+    pub slack: f64,
+    /// The window, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// Requests and repeats of one service at this VM.
+#[derive(Clone, Debug, Default)]
+pub struct RepeatBudget {
+    firsts: VecDeque<u64>,
+    repeats: VecDeque<u64>,
+}
+
+impl RepeatBudget {
+    /// A request came.
+    pub fn note_first(&mut self, allowance: &RepeatAllowance, now_ms: u64) {
+        self.expire(allowance, now_ms);
+        self.firsts.push_back(now_ms);
+    }
+
+    /// Takes one repeat if this VM's part has one left; `vms` is the size of the fleet.
+    pub fn spend(&mut self, allowance: &RepeatAllowance, vms: usize, now_ms: u64) -> bool {
+        self.expire(allowance, now_ms);
+        let own = allowance.ratio * self.firsts.len() as f64;
+        let allowed = USED_PART * (own + allowance.slack / vms.max(1) as f64);
+        let affordable = (self.repeats.len() + 1) as f64 <= allowed;
+        if affordable {
+            self.repeats.push_back(now_ms);
+        }
+        affordable
+    }
+
+    fn expire(&mut self, allowance: &RepeatAllowance, now_ms: u64) {
+        let old = |told_ms: &u64| told_ms + allowance.window_ms <= now_ms;
+        while self.firsts.front().is_some_and(old) {
+            self.firsts.pop_front();
+        }
+        while self.repeats.front().is_some_and(old) {
+            self.repeats.pop_front();
+        }
+    }
+}
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -11,4 +11,6 @@
 pub mod seal;
 pub mod sse;
 pub mod vm_list;
+pub mod vm_wire;
 pub mod weight_store;
+pub mod wire_adapter;
--- /dev/null
+++ b/lib/src/protocol/vm_wire.rs
@@ -0,0 +1,157 @@
+//! What VMs of the fleet say to each other: frames over TCP, and datagrams for what
+//! recurs. A VM is named by its IPv4 address; the peer port is the same on each.
+
+use std::net::Ipv4Addr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::raft_message::RaftMessage;
+use crate::coordination::vm_roster::{RosterRow, UpstreamLoad};
+use crate::state::ids::Incarnation;
+use crate::state::upstream_list::UpstreamEntry;
+
+/// The largest frame, in bytes: a document of the largest size and its frame.
+pub const LARGEST_FRAME: usize = 16 << 20;
+/// The bytes of a frame's head: length of the body, sender.
+pub const FRAME_HEAD: usize = 8;
+
+/// A VM by its address.
+pub type VmId = u32;
+
+/// The address of a VM.
+pub fn vm_address(id: VmId) -> Ipv4Addr {
+    Ipv4Addr::from(id)
+}
+
+/// What travels over a link.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum VmMessage {
+    /// Between keepers.
+    Raft(RaftMessage),
+    /// To the leader: replicate this document.
+    Put {
+        /// The asker's number for it.
+        number: u64,
+        /// The document as the operator sent it.
+        #[serde(with = "serde_bytes")]
+        document: Vec<u8>,
+        /// Its version.
+        version: u64,
+    },
+    /// The answer.
+    PutReply {
+        /// The asker's number.
+        number: u64,
+        /// Whether a document of this version or a higher one is committed; `false` when
+        /// that isn't known.
+        committed: bool,
+    },
+    /// To the leader: the newest document, please.
+    WantDocument,
+    /// The newest document.
+    Document {
+        /// Its version.
+        version: u64,
+        /// The document as the operator sent it.
+        #[serde(with = "serde_bytes")]
+        document: Vec<u8>,
+    },
+    /// To the leader: the list of upstreams, please.
+    WantList,
+    /// The list of upstreams.
+    List {
+        /// Which state of the list it is.
+        mark: ListMark,
+        /// The rows.
+        rows: Vec<UpstreamEntry>,
+    },
+}
+
+/// Names one state of the list of upstreams, as one leader keeps it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListMark {
+    /// The leader's term.
+    pub term: u64,
+    /// Rises with each change within a term; 0 before the first.
+    pub change: u64,
+}
+
+/// What travels as a datagram.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum VmDatagram {
+    /// To the leader, a few times a second.
+    Renew(RenewalNote),
+    /// The leader's answer.
+    Grant(GrantNote),
+    /// The answer of a VM that doesn't lead.
+    Elsewhere {
+        /// The leader, as far as it knows.
+        leader: Option<VmId>,
+        /// The keepers that it knows.
+        keepers: Vec<VmId>,
+    },
+}
+
+/// What a VM tells with each renewal.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RenewalNote {
+    /// The sender's steady clock, echoed by the answer.
+    pub sent_ms: u64,
+    /// What others should know of the sender.
+    pub row: RosterRow,
+    /// The life of its disk, when it is a keeper.
+    pub keeper: Option<Incarnation>,
+    /// What it has in flight.
+    pub loads: Vec<UpstreamLoad>,
+}
+
+/// What the leader answers, while it surely leads.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GrantNote {
+    /// The renewal's own time.
+    pub sent_ms: u64,
+    /// The leader's term.
+    pub term: u64,
+    /// The newest committed version; 0 for none.
+    pub version: u64,
+    /// The state of the list of upstreams.
+    pub list: ListMark,
+    /// The keepers.
+    pub keepers: Vec<VmId>,
+    /// Whether the leader has led long enough to have heard every VM.
+    pub settled: bool,
+    /// The VMs that were heard lately.
+    pub roster: Vec<RosterRow>,
+    /// What all VMs have in flight, summed.
+    pub loads: Vec<UpstreamLoad>,
+}
+
+/// Encodes a message or datagram.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    rmp_serde::to_vec(value).expect("plain data always encodes")
+}
+
+/// Decodes a message or datagram.
+pub fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, String> {
+    rmp_serde::from_slice(bytes).map_err(|error| error.to_string())
+}
+
+/// A frame: its length, its sender, the message.
+pub fn encode_frame(from: VmId, message: &VmMessage) -> Vec<u8> {
+    let body = encode(message);
+    let mut frame = Vec::with_capacity(body.len() + FRAME_HEAD);
+    frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&from.to_le_bytes());
+    frame.extend_from_slice(&body);
+    frame
+}
+
+/// The length and the sender that a frame's head tells; an error when it can't be one.
+pub fn decode_frame_head(head: [u8; FRAME_HEAD]) -> Result<(usize, VmId), String> {
+    let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    let from = u32::from_le_bytes([head[4], head[5], head[6], head[7]]);
+    match length <= LARGEST_FRAME {
+        true => Ok((length, from)),
+        false => Err(format!("a frame of {length} bytes is too long")),
+    }
+}
--- /dev/null
+++ b/lib/src/transport/vm_contact.rs
@@ -0,0 +1,246 @@
+//! Renewals and grants: how a VM stays in contact with the leader, and what it learns.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tracing::{debug, info};
+
+use super::vm_node::VmNode;
+use crate::coordination::vm_roster::{RENEW_MS, SETTLE_MS};
+use crate::protocol::vm_wire::{
+    decode, encode, vm_address, GrantNote, RenewalNote, VmDatagram, VmId, VmMessage,
+};
+
+/// Without an answer for this long, a VM asks all keepers that it knows.
+const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
+/// The same thing isn't asked for again within this time, in milliseconds.
+const WANT_AGAIN_MS: u64 = 150;
+/// The largest datagram.
+const DATAGRAM_BYTES: usize = 64 << 10;
+/// VMs outside the keepers that are asked when no keeper answers.
+const OTHERS_ASKED: usize = 2;
+
+impl VmNode {
+    /// Renews, again and again.
+    pub async fn keep_contact(self: Rc<Self>) {
+        loop {
+            self.renew();
+            tokio::time::sleep(Duration::from_millis(RENEW_MS)).await;
+        }
+    }
+
+    /// Renews once, with the leader or with whoever may know it.
+    pub fn renew(&self) {
+        let now_ms = self.now_ms();
+        if self.grant_to_itself(now_ms) {
+            return;
+        }
+        let loads = self.own_loads();
+        let keeper = self.keeper.borrow().as_ref().map(|keeper| keeper.incarnation);
+        let note = RenewalNote { sent_ms: now_ms, row: self.own_row(), keeper, loads };
+        {
+            let mut view = self.view.borrow_mut();
+            view.own_told.insert(now_ms, note.loads.clone());
+            view.own_told.retain(|told_ms, _| told_ms + 2000 > now_ms);
+        }
+        let bytes = encode(&VmDatagram::Renew(note));
+        for to in self.whom_to_ask(now_ms) {
+            self.send_datagram(to, &bytes);
+        }
+    }
+
+    fn whom_to_ask(&self, now_ms: u64) -> Vec<VmId> {
+        let own_view = self.keeper.borrow().as_ref().and_then(|keeper| keeper.leader());
+        let view = self.view.borrow();
+        let leader = own_view.map(|id| id.0).or(view.leader).filter(|id| *id != self.id);
+        if let Some(leader) = leader {
+            if view.heard_ms + LEADER_SILENT_MS > now_ms {
+                return vec![leader];
+            }
+        }
+        let mut asked: Vec<VmId> = leader.into_iter().collect();
+        asked.extend(&view.keepers);
+        if let Some(keeper) = &*self.keeper.borrow() {
+            asked.extend(keeper.members().iter().map(|id| id.0));
+        }
+        asked.extend(self.settings.borrow().seeds.iter().map(|ip| VmId::from(*ip)));
+        if !view.roster.is_empty() {
+            let start = self.draw() as usize;
+            let others = (0..OTHERS_ASKED).map(|at| view.roster[(start + at) % view.roster.len()]);
+            asked.extend(others.map(|row| row.id));
+        }
+        asked.sort_unstable();
+        asked.dedup();
+        asked.retain(|id| *id != self.id);
+        asked
+    }
+
+    fn send_datagram(&self, to: VmId, bytes: &[u8]) {
+        let address = SocketAddr::from((vm_address(to), self.settings.borrow().peer_port));
+        if let Err(error) = self.datagrams.try_send_to(bytes, address) {
+            debug!(target: "contact", %address, "a datagram was not sent: {error}");
+        }
+    }
+
+    /// Takes datagrams, for ever.
+    pub async fn take_datagrams(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.datagrams.recv_from(&mut buffer).await {
+                Ok(told) => told,
+                Err(error) => {
+                    debug!(target: "contact", "cannot receive: {error}");
+                    continue;
+                }
+            };
+            let SocketAddr::V4(from) = from else { continue };
+            match decode(&buffer[..length]) {
+                Ok(datagram) => self.take_datagram(VmId::from(*from.ip()), datagram),
+                Err(error) => debug!(target: "contact", %from, "no datagram of ours: {error}"),
+            }
+        }
+    }
+
+    fn take_datagram(&self, from: VmId, datagram: VmDatagram) {
+        match datagram {
+            VmDatagram::Renew(note) => self.answer_renewal(from, note),
+            VmDatagram::Grant(grant) => self.take_grant(from, grant),
+            VmDatagram::Elsewhere { leader, keepers } => {
+                let now_ms = self.now_ms();
+                let mut view = self.view.borrow_mut();
+                if view.heard_ms + LEADER_SILENT_MS > now_ms {
+                    return;
+                }
+                if view.keepers.is_empty() {
+                    view.keepers = keepers;
+                }
+                if let Some(leader) = leader.filter(|id| *id != self.id) {
+                    if view.leader != Some(leader) {
+                        view.leader = Some(leader);
+                        drop(view);
+                        self.renew_at(leader);
+                    }
+                }
+            }
+        }
+    }
+
+    fn renew_at(&self, leader: VmId) {
+        let now_ms = self.now_ms();
+        let loads = self.own_loads();
+        let keeper = self.keeper.borrow().as_ref().map(|keeper| keeper.incarnation);
+        self.view.borrow_mut().own_told.insert(now_ms, loads.clone());
+        let note = RenewalNote { sent_ms: now_ms, row: self.own_row(), keeper, loads };
+        self.send_datagram(leader, &encode(&VmDatagram::Renew(note)));
+    }
+
+    fn answer_renewal(&self, from: VmId, note: RenewalNote) {
+        let now_ms = self.now_ms();
+        let mut keeper = self.keeper.borrow_mut();
+        let answer = match keeper.as_mut() {
+            Some(keeper) if keeper.may_vouch(now_ms) => {
+                keeper.roster.note(note.row, note.keeper, note.loads, now_ms);
+                let view = self.view.borrow();
+                VmDatagram::Grant(GrantNote {
+                    sent_ms: note.sent_ms,
+                    term: keeper.term(),
+                    version: keeper.held.version,
+                    list: view.list_mark,
+                    keepers: keeper.members().iter().map(|id| id.0).collect(),
+                    settled: keeper.led_ms(now_ms) >= SETTLE_MS,
+                    roster: keeper.roster.rows(),
+                    loads: keeper.roster.loads(),
+                })
+            }
+            Some(keeper) => VmDatagram::Elsewhere {
+                leader: keeper.leader().map(|id| id.0),
+                keepers: keeper.members().iter().map(|id| id.0).collect(),
+            },
+            None => {
+                let view = self.view.borrow();
+                let fresh = view.heard_ms + LEADER_SILENT_MS > now_ms;
+                VmDatagram::Elsewhere {
+                    leader: view.leader.filter(|_| fresh),
+                    keepers: view.keepers.clone(),
+                }
+            }
+        };
+        drop(keeper);
+        self.send_datagram(from, &encode(&answer));
+    }
+
+    fn take_grant(&self, from: VmId, grant: GrantNote) {
+        let now_ms = self.now_ms();
+        let (mut want_list, mut want_document) = (false, false);
+        {
+            let mut view = self.view.borrow_mut();
+            if view.leader != Some(from) {
+                info!(target: "contact", leader = %vm_address(from), term = grant.term, "renewed");
+            }
+            view.leader = Some(from);
+            view.heard_ms = now_ms;
+            if !grant.keepers.is_empty() {
+                view.keepers = grant.keepers;
+            }
+            if grant.settled || view.roster.is_empty() {
+                view.roster = grant.roster;
+            }
+            let own = view.own_told.get(&grant.sent_ms).cloned().unwrap_or_default();
+            view.told.tell(&grant.loads, &own);
+            if view.wanted_ms + WANT_AGAIN_MS <= now_ms {
+                want_list = grant.list.change > 0 && grant.list != view.list_mark;
+                want_document = grant.version > self.contact.borrow().applied();
+                if want_list || want_document {
+                    view.wanted_ms = now_ms;
+                }
+            }
+        }
+        self.contact.borrow_mut().note_grant(grant.sent_ms, grant.version);
+        self.contact_changed.notify_waiters();
+        if want_document {
+            self.links.send(from, &VmMessage::WantDocument);
+        }
+        if want_list {
+            self.links.send(from, &VmMessage::WantList);
+        }
+    }
+
+    /// A leader is in contact with itself; true when this VM leads.
+    fn grant_to_itself(&self, now_ms: u64) -> bool {
+        let row = self.own_row();
+        let loads = self.own_loads();
+        let mut keeper = self.keeper.borrow_mut();
+        let Some(keeper) = keeper.as_mut().filter(|keeper| keeper.may_vouch(now_ms)) else {
+            return false;
+        };
+        keeper.roster.note(row, Some(keeper.incarnation), loads.clone(), now_ms);
+        let mut view = self.view.borrow_mut();
+        view.leader = Some(self.id);
+        view.heard_ms = now_ms;
+        view.keepers = keeper.members().iter().map(|id| id.0).collect();
+        if keeper.led_ms(now_ms) >= SETTLE_MS || view.roster.is_empty() {
+            view.roster = keeper.roster.rows();
+        }
+        view.told.tell(&keeper.roster.loads(), &loads);
+        self.contact.borrow_mut().note_grant(now_ms, keeper.held.version);
+        self.contact_changed.notify_waiters();
+        true
+    }
+
+    /// Waits until the book in force is surely the newest as of `since_ms`; false when it
+    /// can't be told in time.
+    pub async fn confirm(&self, since_ms: u64, patience: Duration) -> bool {
+        let confirmed = async {
+            loop {
+                let changed = self.contact_changed.notified();
+                if self.contact.borrow().confirmed_ms() >= since_ms {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        self.renew();
+        tokio::time::timeout(patience, confirmed).await.is_ok()
+    }
+}
--- /dev/null
+++ b/lib/src/transport/vm_control.rs
@@ -0,0 +1,105 @@
+//! The operator's calls: put and get of the configuration.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::{Request, Response, StatusCode};
+use tokio::sync::oneshot;
+use tracing::info;
+
+use super::vm_front::{own_answer, refusal};
+use super::vm_node::VmNode;
+use super::vm_relay::AnswerBody;
+use crate::protocol::vm_wire::VmMessage;
+use crate::protocol::wire_adapter::ControlCall;
+
+/// The largest document, in bytes.
+const DOCUMENT_BYTES: usize = 8 << 20;
+/// Operators go on to another VM after a second without an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(850);
+/// How long a put waits before it looks for the leader again.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
+/// Serves one call of an operator.
+pub async fn serve_operator(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
+    match node.adapter.control_call(request.method(), request.uri()) {
+        ControlCall::Put => put_document(&node, request).await,
+        ControlCall::Get => get_document(&node).await,
+        ControlCall::Unknown => own_answer(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+async fn put_document(node: &Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let body = match Limited::new(request.into_body(), DOCUMENT_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return own_answer(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let version = match node.adapter.read_document(&body) {
+        Ok(book) => book.version,
+        Err(findings) => {
+            info!(target: "control", findings = findings.len(), "refuses a document");
+            return own_answer(StatusCode::BAD_REQUEST, node.adapter.write_findings(&findings));
+        }
+    };
+    let committed = tokio::time::timeout(ANSWER_TIME, node.replicate(version, &body)).await;
+    match committed {
+        Ok(()) => own_answer(StatusCode::OK, "{}"),
+        Err(_) => {
+            info!(target: "control", version, "a document is not known to be committed in time");
+            refusal(StatusCode::SERVICE_UNAVAILABLE, "not known to be committed", 300)
+        }
+    }
+}
+
+async fn get_document(node: &Rc<VmNode>) -> Response<AnswerBody> {
+    let since_ms = node.now_ms();
+    if !node.confirm(since_ms, ANSWER_TIME).await {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, "not sure to hold the newest", 300);
+    }
+    let Some(book) = node.book.borrow().clone() else {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, "there is none yet", 300);
+    };
+    let mut answer = own_answer(StatusCode::OK, book.document.clone());
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+impl VmNode {
+    /// Returns once a document of this version, or of a higher one, is committed.
+    async fn replicate(self: &Rc<Self>, version: u64, document: &[u8]) {
+        loop {
+            // What is in force was committed before it was told.
+            if self.contact.borrow().applied() >= version {
+                return;
+            }
+            if self.put_at_leader(version, document).await {
+                return;
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    async fn put_at_leader(self: &Rc<Self>, version: u64, document: &[u8]) -> bool {
+        let now_ms = self.now_ms();
+        let own = self.keeper.borrow().as_ref().and_then(|keeper| keeper.leader());
+        let leads = own.is_some_and(|id| id.0 == self.id);
+        if leads {
+            return self.put_here(version, document).await;
+        }
+        let Some(leader) = own.map(|id| id.0).or(self.view.borrow().leader) else { return false };
+        if leader == self.id {
+            return false;
+        }
+        let (sender, receiver) = oneshot::channel();
+        let number = self.draw() ^ now_ms;
+        self.asked_puts.borrow_mut().insert(number, sender);
+        let message = VmMessage::Put { number, document: document.to_vec(), version };
+        self.links.send(leader, &message);
+        let answer = tokio::time::timeout(ANSWER_TIME / 2, receiver).await;
+        self.asked_puts.borrow_mut().remove(&number);
+        matches!(answer, Ok(Ok(true)))
+    }
+}
--- /dev/null
+++ b/lib/src/transport/vm_front.rs
@@ -0,0 +1,211 @@
+//! The listeners of a VM: callers, addresses, readiness.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::task::spawn_local;
+use tracing::{info, warn};
+
+use super::vm_node::VmNode;
+use super::vm_relay::AnswerBody;
+use super::vm_sockets::{listen, set_stream};
+
+/// A caller's connection may rest this much longer than the book says, in milliseconds, so
+/// that a caller who keeps the bound never meets a closing connection.
+const REST_SLACK_MS: u64 = 1500;
+/// The rest allowed before any book is known, in milliseconds.
+const USUAL_REST_MS: u64 = 15_000;
+/// The largest head before any book is known, and the least that the library takes.
+const USUAL_HEAD_BYTES: usize = 16_384;
+const LEAST_BUFFER_BYTES: usize = 8192;
+/// Callers keep an answer about addresses this long, some of them three times as long; short,
+/// so that a VM that stops is soon left alone.
+pub const ADDRESSES_TTL_S: f64 = 1.0;
+/// The most addresses in one answer; callers count no more.
+const MOST_ADDRESSES: usize = 64;
+
+/// An answer of this VM's own.
+pub fn own_answer(status: StatusCode, body: impl Into<bytes::Bytes>) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// A refusal: the request has not run; it may come back after `retry_ms`.
+pub fn refusal(status: StatusCode, text: &str, retry_ms: u64) -> Response<AnswerBody> {
+    let mut answer = own_answer(status, text.to_string());
+    let seconds = format!("{:.3}", retry_ms as f64 / 1000.0);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// Marks the connection as ending with this answer.
+pub fn close_after(mut answer: Response<AnswerBody>) -> Response<AnswerBody> {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
+/// Serves one listener with one function, for ever.
+pub fn serve_listener<F, R>(node: &Rc<VmNode>, address: SocketAddr, serve: F) -> std::io::Result<()>
+where
+    F: Fn(Rc<VmNode>, Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let listener = listen(address)?;
+    let node = node.clone();
+    spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    set_stream(&stream);
+                    spawn_local(serve_connection(node.clone(), stream, serve.clone()));
+                }
+                Err(error) => {
+                    warn!(target: "front", %address, "cannot accept: {error}");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve_connection<F, R>(node: Rc<VmNode>, stream: tokio::net::TcpStream, serve: F)
+where
+    F: Fn(Rc<VmNode>, Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let limits = node.book.borrow().as_ref().map(|book| book.book.limits);
+    let rest_ms = limits.map_or(USUAL_REST_MS, |limits| limits.idle_ms) + REST_SLACK_MS;
+    let head_bytes = limits.map_or(USUAL_HEAD_BYTES, |limits| limits.head_bytes);
+    let service = {
+        let node = node.clone();
+        service_fn(move |request| {
+            let (node, serve) = (node.clone(), serve.clone());
+            async move {
+                let answer = serve(node.clone(), request).await;
+                let stopping = node.stopping_ms.get().is_some();
+                Ok::<_, Infallible>(if stopping { close_after(answer) } else { answer })
+            }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(rest_ms))
+        .max_buf_size(head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = node.closing.notified();
+    tokio::pin!(closing);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+/// Answers whether the VM is ready.
+pub async fn serve_ready(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
+    if !node.adapter.ready_call(request.method(), request.uri()) {
+        return own_answer(StatusCode::NOT_FOUND, "");
+    }
+    match node.is_ready() {
+        true => own_answer(StatusCode::OK, ""),
+        false => own_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+    }
+}
+
+/// Tells a caller where to go.
+pub async fn serve_addresses(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let Some(zone) = node.adapter.address_call(request.method(), request.uri()) else {
+        return own_answer(StatusCode::NOT_FOUND, "");
+    };
+    let addresses = node.addresses_for(&zone);
+    if addresses.is_empty() {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, "no VM is known to be ready", 500);
+    }
+    let ttl_s = ADDRESSES_TTL_S.min(node.settings.borrow().bounds.addresses_ttl_s);
+    let mut answer = own_answer(StatusCode::OK, node.adapter.write_addresses(&addresses, ttl_s));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+impl VmNode {
+    /// The addresses for a caller in `zone`: VMs of that zone while two or more are ready
+    /// there, since bytes between zones cost; else all.
+    fn addresses_for(&self, zone: &str) -> Vec<SocketAddr> {
+        let Some(port) = self.settings.borrow().front.map(|front| front.port()) else {
+            return Vec::new();
+        };
+        let zone = xxhash_rust::xxh3::xxh3_64(zone.as_bytes());
+        let view = self.view.borrow();
+        let ready = || view.roster.iter().filter(|row| row.ready);
+        let near: Vec<u32> = ready().filter(|row| row.zone == zone).map(|row| row.id).collect();
+        let mut ids = match near.len() >= 2 {
+            true => near,
+            false => ready().map(|row| row.id).collect(),
+        };
+        if ids.len() > MOST_ADDRESSES {
+            let start = self.draw() as usize % ids.len();
+            ids.rotate_left(start);
+            ids.truncate(MOST_ADDRESSES);
+        }
+        ids.into_iter().map(|id| SocketAddr::from((std::net::Ipv4Addr::from(id), port))).collect()
+    }
+
+    /// Starts all listeners of this VM.
+    pub fn start_listeners(self: &Rc<Self>) -> std::io::Result<()> {
+        let settings = self.settings.borrow().clone();
+        if let Some(address) = settings.front {
+            serve_listener(self, address, super::vm_forward::serve_caller)?;
+        }
+        if let Some(address) = settings.ready {
+            serve_listener(self, address, serve_ready)?;
+        }
+        if let Some(address) = settings.directory {
+            serve_listener(self, address, serve_addresses)?;
+        }
+        if let Some(address) = settings.control {
+            serve_listener(self, address, super::vm_control::serve_operator)?;
+        }
+        Ok(())
+    }
+
+    /// A planned stop: out of the directory at once, late callers still served, then the end.
+    pub async fn stop(self: Rc<Self>) {
+        info!(target: "node", serving = self.serving.get(), "stops");
+        self.stopping_ms.set(Some(self.now_ms()));
+        self.step_keeper(|keeper, now_ms| keeper.hand_over(now_ms));
+        self.renew();
+        let grace_ms = self.settings.borrow().bounds.grace_ms;
+        let linger = Duration::from_millis(LINGER_MS.min(grace_ms / 2));
+        tokio::time::sleep(linger).await;
+        self.closing.notify_waiters();
+        let end_ms = self.stopping_ms.get().unwrap_or(0) + grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        while self.serving.get() > 0 && self.now_ms() < end_ms {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        // What was written last must still leave.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        info!(target: "node", serving = self.serving.get(), "ends");
+    }
+}
+
+/// How long a stopping VM still takes callers who kept its address: three times what an
+/// answer about addresses says, in milliseconds.
+const LINGER_MS: u64 = 3200;
+/// A stopping VM ends this much before it is killed, in milliseconds.
+const GRACE_MARGIN_MS: u64 = 400;
--- /dev/null
+++ b/lib/src/transport/vm_node.rs
@@ -0,0 +1,372 @@
+//! One VM of the fleet: its tables and what drives them, on one event loop.
+//!
+//! Everything here runs on one thread, so tables are in cells and no borrow is held
+//! over an await. Only the disk has a thread of its own. See
+//! `docs/design/platform.md`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::spawn_local;
+use tracing::{error, info, warn};
+
+use super::clock::NodeClock;
+use super::vm_disk::{start_disk, DiskReport};
+use super::vm_keeper::{KeeperDriver, KeeperIdentity, KeeperOutcome};
+use super::vm_links::{accept_links, LinkTable};
+use super::vm_pool::ConnectionPool;
+use super::vm_sockets::listen;
+use crate::coordination::leader_contact::LeaderContact;
+use crate::coordination::outlier::OutlierTable;
+use crate::coordination::raft_message::HEARTBEAT_MS;
+use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
+use crate::coordination::upstream_choice::PrefixMemory;
+use crate::coordination::vm_roster::{RosterRow, ToldLoad, UpstreamLoad};
+use crate::protocol::vm_wire::{ListMark, VmId, VmMessage};
+use crate::protocol::wire_adapter::WireAdapter;
+use crate::state::ids::{Incarnation, KeeperId, UpstreamKey};
+use crate::state::route_book::RouteBook;
+use crate::state::upstream_list::UpstreamList;
+use crate::state::vm_settings::VmSettings;
+
+/// The loop's own pace; heartbeats are the shortest thing that it must keep.
+const TICK: Duration = Duration::from_millis(HEARTBEAT_MS / 2);
+
+/// A book in force, and the document that it was read from.
+pub struct BookInForce {
+    /// The book.
+    pub book: RouteBook,
+    /// The document, byte for byte.
+    pub document: Vec<u8>,
+}
+
+/// What a VM knows of the others.
+#[derive(Default)]
+pub struct FleetView {
+    /// The leader, as far as known.
+    pub leader: Option<VmId>,
+    /// The keepers.
+    pub keepers: Vec<VmId>,
+    /// The VMs that the leader heard lately.
+    pub roster: Vec<RosterRow>,
+    /// When the leader last answered.
+    pub heard_ms: u64,
+    /// What others have in flight.
+    pub told: ToldLoad,
+    /// What this VM told of its own, by the time of telling.
+    pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
+    /// The state of the list of upstreams that is in force here.
+    pub list_mark: ListMark,
+    /// When something was last asked for, so that it isn't asked for with each grant.
+    pub wanted_ms: u64,
+}
+
+/// One VM.
+pub struct VmNode {
+    /// What it was told at its start, or later.
+    pub settings: RefCell<VmSettings>,
+    /// The platform's wire.
+    pub adapter: Box<dyn WireAdapter>,
+    /// Its clock.
+    pub clock: NodeClock,
+    /// The VM's address as a number.
+    pub id: VmId,
+    /// The hash of its zone's name.
+    pub zone: u64,
+    /// The book in force.
+    pub book: RefCell<Option<Rc<BookInForce>>>,
+    /// How fresh that is.
+    pub contact: RefCell<LeaderContact>,
+    /// Told when the contact or the book changes.
+    pub contact_changed: Notify,
+    /// The upstreams.
+    pub upstreams: RefCell<UpstreamList>,
+    /// The other VMs.
+    pub view: RefCell<FleetView>,
+    /// The keeper, on a VM with a disk, once its disk is open.
+    pub keeper: RefCell<Option<KeeperDriver>>,
+    /// Connections to upstreams.
+    pub pool: ConnectionPool,
+    /// Requests in flight by upstream.
+    pub in_flight: RefCell<HashMap<UpstreamKey, u32>>,
+    /// Passive signs.
+    pub outliers: RefCell<OutlierTable>,
+    /// What this VM sent where.
+    pub prefixes: RefCell<PrefixMemory>,
+    /// Repeats, by service.
+    pub budgets: RefCell<HashMap<String, RepeatBudget>>,
+    /// Links to other VMs.
+    pub links: LinkTable,
+    /// Datagrams to other VMs.
+    pub datagrams: UdpSocket,
+    /// Puts that a leader elsewhere was asked for.
+    pub asked_puts: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    /// Numbers for those and for random choices.
+    pub draws: Cell<u64>,
+    /// Requests that are being served.
+    pub serving: Cell<u32>,
+    /// When SIGTERM came.
+    pub stopping_ms: Cell<Option<u64>>,
+    /// Told when the listeners should close what rests.
+    pub closing: Notify,
+}
+
+impl VmNode {
+    /// Binds the peer port and makes the tables.
+    pub async fn bind(
+        settings: VmSettings,
+        adapter: Box<dyn WireAdapter>,
+        seed: u64,
+    ) -> std::io::Result<Rc<VmNode>> {
+        let id = VmId::from(settings.ip);
+        let peer = SocketAddr::from((settings.ip, settings.peer_port));
+        let datagrams = UdpSocket::bind(peer).await?;
+        let zone = xxhash_rust::xxh3::xxh3_64(settings.zone.as_bytes());
+        let links = LinkTable::new(id, settings.peer_port);
+        Ok(Rc::new(VmNode {
+            settings: RefCell::new(settings),
+            adapter,
+            clock: NodeClock::default(),
+            id,
+            zone,
+            book: RefCell::default(),
+            contact: RefCell::default(),
+            contact_changed: Notify::new(),
+            upstreams: RefCell::default(),
+            view: RefCell::default(),
+            keeper: RefCell::default(),
+            pool: ConnectionPool::default(),
+            in_flight: RefCell::default(),
+            outliers: RefCell::default(),
+            prefixes: RefCell::default(),
+            budgets: RefCell::default(),
+            links,
+            datagrams,
+            asked_puts: RefCell::default(),
+            draws: Cell::new(seed | 1),
+            serving: Cell::new(0),
+            stopping_ms: Cell::new(None),
+            closing: Notify::new(),
+        }))
+    }
+
+    /// Milliseconds of the steady clock.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// A random number.
+    pub fn draw(&self) -> u64 {
+        let mut draw = self.draws.get();
+        draw ^= draw << 13;
+        draw ^= draw >> 7;
+        draw ^= draw << 17;
+        self.draws.set(draw);
+        draw
+    }
+
+    /// What the fleet may repeat.
+    pub fn allowance(&self) -> RepeatAllowance {
+        let bounds = self.settings.borrow().bounds;
+        RepeatAllowance {
+            ratio: bounds.repeat_ratio,
+            slack: bounds.repeat_slack,
+            window_ms: bounds.repeat_window_ms,
+        }
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let revoke_ms = self.settings.borrow().bounds.revoke_ms;
+        self.stopping_ms.get().is_none()
+            && self.book.borrow().is_some()
+            && self.contact.borrow().may_serve_keys(revoke_ms, self.now_ms())
+    }
+
+    /// What others should know of this VM.
+    pub fn own_row(&self) -> RosterRow {
+        RosterRow { id: self.id, zone: self.zone, ready: self.is_ready() }
+    }
+
+    /// What this VM has in flight.
+    pub fn own_loads(&self) -> Vec<UpstreamLoad> {
+        let in_flight = self.in_flight.borrow();
+        let loads = in_flight.iter().filter(|(_, requests)| **requests > 0);
+        loads
+            .map(|(upstream, requests)| UpstreamLoad { upstream: *upstream, requests: *requests })
+            .collect()
+    }
+
+    /// Puts a committed document in force, unless it is older than what is.
+    pub fn apply_document(&self, version: u64, document: &[u8]) {
+        if version <= self.contact.borrow().applied() {
+            return;
+        }
+        match self.adapter.read_document(document) {
+            Ok(book) => {
+                info!(target: "book", version, routes = book.routes.len(), "in force");
+                let in_force = BookInForce { book, document: document.to_vec() };
+                *self.book.borrow_mut() = Some(Rc::new(in_force));
+                self.contact.borrow_mut().note_applied(version);
+                self.contact_changed.notify_waiters();
+            }
+            // Every document was checked before it was proposed.
+            Err(findings) => error!(target: "book", version, "cannot be read: {findings:?}"),
+        }
+    }
+
+    /// Sends what a keeper's step asks for and applies what it committed.
+    pub fn carry_out(&self, outcome: KeeperOutcome) {
+        for (to, message) in outcome.messages {
+            self.links.send(to.0, &VmMessage::Raft(message));
+        }
+        if !outcome.changed {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let (held, vouches) = match &*self.keeper.borrow() {
+            Some(keeper) => (keeper.held.clone(), keeper.may_vouch(now_ms)),
+            None => return,
+        };
+        self.apply_document(held.version, &held.bytes);
+        if vouches {
+            // Keepers hear of it by the consensus itself.
+            let view = self.view.borrow();
+            let others = view.roster.iter().map(|row| row.id);
+            let others = others.filter(|id| *id != self.id && !view.keepers.contains(id));
+            let message = VmMessage::Document { version: held.version, document: held.bytes };
+            self.links.send_all(others, &message);
+        }
+    }
+
+    /// Takes a step of the keeper, if there is one, and carries it out.
+    pub fn step_keeper(&self, act: impl FnOnce(&mut KeeperDriver, u64) -> KeeperOutcome) {
+        let now_ms = self.now_ms();
+        let outcome = self.keeper.borrow_mut().as_mut().map(|keeper| act(keeper, now_ms));
+        if let Some(outcome) = outcome {
+            self.carry_out(outcome);
+        }
+    }
+
+    /// A message came over a link.
+    pub fn take_message(self: &Rc<Self>, from: VmId, message: VmMessage) {
+        match message {
+            VmMessage::Raft(message) => {
+                self.step_keeper(|keeper, now_ms| keeper.receive(message, now_ms));
+            }
+            VmMessage::Put { number, document, version } => {
+                let node = self.clone();
+                spawn_local(async move {
+                    let committed = node.put_here(version, &document).await;
+                    let reply = VmMessage::PutReply { number, committed };
+                    node.links.send(from, &reply);
+                });
+            }
+            VmMessage::PutReply { number, committed } => {
+                if let Some(asker) = self.asked_puts.borrow_mut().remove(&number) {
+                    let _ = asker.send(committed);
+                }
+            }
+            VmMessage::WantDocument => {
+                let held = self.keeper.borrow().as_ref().map(|keeper| keeper.held.clone());
+                if let Some(held) = held.filter(|held| held.version > 0) {
+                    let (version, document) = (held.version, held.bytes);
+                    self.links.send(from, &VmMessage::Document { version, document });
+                }
+            }
+            VmMessage::Document { version, document } => self.apply_document(version, &document),
+            VmMessage::WantList => {
+                let mark = self.view.borrow().list_mark;
+                let rows = self.upstreams.borrow().rows();
+                self.links.send(from, &VmMessage::List { mark, rows });
+            }
+            VmMessage::List { mark, rows } => {
+                let current = self.view.borrow().list_mark;
+                if (mark.term, mark.change) > (current.term, current.change) {
+                    self.view.borrow_mut().list_mark = mark;
+                    self.upstreams.borrow_mut().replace(rows, self.now_ms());
+                }
+            }
+        }
+    }
+
+    /// Proposes a document here; true when it is committed.
+    pub async fn put_here(&self, version: u64, document: &[u8]) -> bool {
+        let now_ms = self.now_ms();
+        let put =
+            self.keeper.borrow_mut().as_mut().map(|keeper| keeper.put(version, document, now_ms));
+        let Some((receiver, outcome)) = put else { return false };
+        self.carry_out(outcome);
+        receiver.await.unwrap_or(false)
+    }
+
+    fn start_keeper(self: &Rc<Self>) -> std::io::Result<()> {
+        let settings = self.settings.borrow();
+        let Some(folder) = settings.data_folder.clone() else { return Ok(()) };
+        let id = KeeperId(self.id);
+        let founder = settings.first_start && settings.seeds.first() == Some(&settings.ip);
+        let identity = KeeperIdentity {
+            id,
+            peer_port: settings.peer_port,
+            tolerated_losses: settings.tolerated_losses,
+            founder,
+            seed: self.draw(),
+        };
+        let (reports, receiver) = unbounded_channel();
+        let jobs = start_disk(folder, id, Incarnation(self.draw()), reports)?;
+        spawn_local(self.clone().drive_disk(identity, jobs, receiver));
+        Ok(())
+    }
+
+    async fn drive_disk(
+        self: Rc<Self>,
+        identity: KeeperIdentity,
+        jobs: crossbeam::channel::Sender<super::vm_disk::DiskJob>,
+        mut reports: UnboundedReceiver<DiskReport>,
+    ) {
+        let Some(DiskReport::Opened(life, stored)) = reports.recv().await else { return };
+        let keeper = KeeperDriver::new(identity, life, *stored, jobs, self.now_ms());
+        *self.keeper.borrow_mut() = Some(keeper);
+        while let Some(report) = reports.recv().await {
+            self.step_keeper(|keeper, now_ms| keeper.note_disk(report, now_ms));
+        }
+        warn!(target: "disk", "the disk thread has ended");
+    }
+
+    /// Starts everything that runs beside the listeners.
+    pub fn start(self: &Rc<Self>) -> std::io::Result<()> {
+        let settings = self.settings.borrow().clone();
+        let peer = SocketAddr::from((settings.ip, settings.peer_port));
+        let listener = listen(peer)?;
+        let node = self.clone();
+        let take = Rc::new(move |from, message| node.take_message(from, message));
+        spawn_local(accept_links(listener, take));
+        spawn_local(self.clone().take_datagrams());
+        self.start_keeper()?;
+        spawn_local(self.clone().tick_keeper());
+        spawn_local(self.clone().keep_contact());
+        spawn_local(self.clone().keep_list());
+        info!(
+            target: "node",
+            name = settings.name, zone = settings.zone, first = settings.first_start,
+            keeper = settings.data_folder.is_some(), "starts",
+        );
+        Ok(())
+    }
+
+    async fn tick_keeper(self: Rc<Self>) {
+        if self.settings.borrow().data_folder.is_none() {
+            return;
+        }
+        loop {
+            tokio::time::sleep(TICK).await;
+            self.step_keeper(KeeperDriver::tick);
+        }
+    }
+}
