recovery: a group that was killed whole wakes at once, and VMs seek faster

Ruled out: the disk (12 ms to open). Now a keeper that heard no leader in this life asks after 120 to 240 ms (a living leader is defended), VMs without a leader seek every 100 ms, and a new leader reads the list at once.

--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -56,6 +56,8 @@
     pub(super) transfer: Option<(KeeperId, u64)>,
     pub(super) term_start: u64,
     pub(super) jitter: u64,
+    /// A leader was heard, or led here, since the start of this life.
+    pub(super) woken: bool,
 }
 
 impl RaftCore {
@@ -91,6 +93,7 @@
             transfer: None,
             term_start: 0,
             jitter: seed | 1,
+            woken: false,
         };
         core.read_membership();
         core.reset_deadline(now_ms);
--- a/lib/src/coordination/raft_election.rs
+++ b/lib/src/coordination/raft_election.rs
@@ -1,7 +1,7 @@
 //! The consensus: elections.
 
 use super::raft::{FollowerProgress, RaftCore};
-use super::raft_message::{RaftBody, RaftOutput, RaftRole, ELECTION_MS};
+use super::raft_message::{RaftBody, RaftOutput, RaftRole, ELECTION_MS, WAKE_MS};
 use crate::state::ids::KeeperId;
 use crate::state::log_store::{EntryPayload, HardState, LogEntry};
 
@@ -10,7 +10,8 @@
         self.jitter ^= self.jitter << 13;
         self.jitter ^= self.jitter >> 7;
         self.jitter ^= self.jitter << 17;
-        self.deadline_ms = now_ms + ELECTION_MS + self.jitter % ELECTION_MS;
+        let least = if self.woken { ELECTION_MS } else { WAKE_MS };
+        self.deadline_ms = now_ms + least + self.jitter % least;
     }
 
     pub(super) fn enter_term(&mut self, term: u64, now_ms: u64, output: &mut RaftOutput) {
@@ -32,6 +33,7 @@
     pub(super) fn follow(&mut self, leader: KeeperId, now_ms: u64) {
         self.role = RaftRole::Follower;
         self.leader = Some(leader);
+        self.woken = true;
         self.heard_ms = now_ms;
         self.reset_deadline(now_ms);
     }
@@ -122,6 +124,7 @@
     pub(super) fn lead(&mut self, now_ms: u64, output: &mut RaftOutput) {
         self.role = RaftRole::Leader;
         self.leader = Some(self.id);
+        self.woken = true;
         self.transfer = None;
         self.beat_ms = now_ms;
         self.heard_ms = now_ms;
--- a/lib/src/transport/clock.rs
+++ b/lib/src/transport/clock.rs
@@ -20,7 +20,12 @@
 impl NodeClock {
     /// Milliseconds that never fall; comparable within this process only.
     pub fn now_ms(&self) -> u64 {
-        START_MS + self.start.elapsed().as_millis() as u64
+        START_MS + self.age_ms()
+    }
+
+    /// Milliseconds since this process made the clock.
+    pub fn age_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
     }
 }
 
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -14,6 +14,8 @@
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
 const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
+/// How often a VM without a leader looks for one, in milliseconds.
+const SEEK_MS: u64 = 100;
 /// The same thing isn't asked for again within this time, in milliseconds.
 const WANT_AGAIN_MS: u64 = 150;
 /// The largest datagram.
@@ -26,7 +28,9 @@
     pub async fn keep_contact(self: Rc<Self>) {
         loop {
             self.renew();
-            tokio::time::sleep(Duration::from_millis(RENEW_MS)).await;
+            let silent = self.view.borrow().heard_ms + LEADER_SILENT_MS <= self.now_ms();
+            let pause = if silent { SEEK_MS } else { RENEW_MS };
+            tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
 
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -40,6 +40,9 @@
 const HELD_BYTES: u64 = 64 << 10;
 /// When a refused caller may come back, in milliseconds.
 const RETRY_MS: u64 = 400;
+/// The same for a VM that has just started: a group that was killed whole leads again after
+/// half a second or so, as measured (docs/design/platform.md).
+const WAKE_RETRY_MS: u64 = 700;
 /// A request with less than this left isn't sent any more, in milliseconds.
 const LEAST_LEFT_MS: u64 = 10;
 /// An age of the contact at which this VM may no longer say that a route or key is unknown:
@@ -167,7 +170,7 @@
 fn deny(denial: &Denial) -> Response<AnswerBody> {
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     match denial {
-        Denial::NoBook => refusal(unavailable, "no configuration is known yet", RETRY_MS),
+        Denial::NoBook => refusal(unavailable, "no configuration is known yet", WAKE_RETRY_MS),
         Denial::OldContact => refusal(unavailable, "the configuration may be old", RETRY_MS),
         Denial::NoRoute => own_answer(StatusCode::NOT_FOUND, "no such route"),
         Denial::NoKey => own_answer(StatusCode::UNAUTHORIZED, "no such key"),
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, StatusCode};
 use tracing::{info, warn};
 
+use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
 use crate::protocol::vm_wire::{ListMark, VmMessage};
 use crate::state::ids::UpstreamKey;
@@ -22,6 +23,12 @@
 const READ_MS: u64 = 600;
 /// A VM that heard no leader for this long reads for itself, in milliseconds.
 const ALONE_MS: u64 = 2500;
+/// A VM that was told no list this long after its start reads one for itself, in milliseconds.
+const FIRST_LIST_MS: u64 = 150;
+/// The pause after a call that failed, times the failures in a row, in milliseconds.
+const FAIL_MS: u64 = 200;
+/// How often a VM looks whether it is its turn.
+const LOOK_TIME: Duration = Duration::from_millis(50);
 /// How long one call may take.
 const CALL_TIME: Duration = Duration::from_millis(1000);
 /// The largest page, in bytes.
@@ -33,27 +40,34 @@
     /// Reads the list, again and again, when it is this VM's turn.
     pub async fn keep_list(self: Rc<Self>) {
         let mut fails = 0u64;
+        let mut read_term = 0;
         loop {
-            let pause = READ_MS + fails.min(4) * READ_MS / 2 + self.draw() % 50;
-            tokio::time::sleep(Duration::from_millis(pause)).await;
             let now_ms = self.now_ms();
-            let leads = self.keeper.borrow().as_ref().is_some_and(|k| k.may_vouch(now_ms));
-            let alone = self.view.borrow().heard_ms + ALONE_MS < now_ms;
-            // Those alone share the calls by chance: one in three of them reads at a time.
-            let its_turn = leads || (alone && self.draw() % 3 == 0);
+            let vouches = |keeper: &KeeperDriver| keeper.may_vouch(now_ms);
+            let term = self.keeper.borrow().as_ref().filter(|k| vouches(k)).map(|k| k.term());
+            let due_ms = self.view.borrow().list_due_ms;
+            let new_leader = term.is_some_and(|term| term != read_term);
+            let its_turn = match term {
+                Some(_) => new_leader || now_ms >= due_ms,
+                None => now_ms >= due_ms && self.must_read_alone(now_ms),
+            };
             if !its_turn {
+                tokio::time::sleep(LOOK_TIME).await;
                 continue;
             }
+            read_term = term.unwrap_or(read_term);
             match self.read_list().await {
                 Ok(rows) => {
                     fails = 0;
                     self.take_list(rows);
+                    self.set_list_due(READ_MS + self.draw() % 50);
                 }
                 Err(error) => {
                     if fails == 0 {
                         warn!(target: "list", "cannot be read: {error}");
                     }
                     fails += 1;
+                    self.set_list_due(fails.min(5) * FAIL_MS + self.draw() % FAIL_MS);
                 }
             }
             let upstreams = self.upstreams.borrow();
@@ -64,6 +78,20 @@
         }
     }
 
+    fn set_list_due(&self, pause_ms: u64) {
+        self.view.borrow_mut().list_due_ms = self.now_ms() + pause_ms;
+    }
+
+    /// Whether a VM that doesn't lead must read for itself: it knows no upstream yet, or it
+    /// hears no leader. The latter share the calls by chance.
+    fn must_read_alone(&self, now_ms: u64) -> bool {
+        let started = self.clock.age_ms();
+        let knows_none = self.upstreams.borrow().read_ms == 0;
+        let silent = self.view.borrow().heard_ms + ALONE_MS < now_ms;
+        (knows_none && started >= FIRST_LIST_MS)
+            || (silent && started >= ALONE_MS && self.draw() % 3 == 0)
+    }
+
     fn list_key(&self) -> UpstreamKey {
         UpstreamKey(0)
     }
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -63,6 +63,8 @@
     pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
     /// The state of the list of upstreams that is in force here.
     pub list_mark: ListMark,
+    /// When the list of upstreams should be read again, by whoever reads it.
+    pub list_due_ms: u64,
     /// When something was last asked for, so that it isn't asked for with each grant.
     pub wanted_ms: u64,
 }
