placement: seats in place of lives, recorded by the keepers; roots are fetched

Now a life that replaces another takes its seat; seats are replicated, and an engine that lacks a prompt's root fetches it.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -35,6 +35,7 @@
 pub mod session_watch;
 pub mod trace;
 pub mod upstream_choice;
+pub mod upstream_seats;
 pub mod vm_roster;
 pub mod workspace_limit;
 pub mod workspace_share;
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -35,6 +35,10 @@
     pub aside: bool,
     /// The request was sent there before.
     pub tried: bool,
+    /// It takes no new work, but may still be asked for what it keeps.
+    pub leaving: bool,
+    /// Its place in the order of engines.
+    pub seat: Option<u64>,
     /// In this VM's zone.
     pub near: bool,
     /// When it was first seen, in milliseconds.
@@ -84,52 +88,69 @@
     moves: bool,
     now_ms: u64,
 ) -> Option<UpstreamPick> {
-    let Some(deep) = shared_parts(prompt).last() else {
+    let shared = shared_parts(prompt);
+    let (Some(root), Some(deep)) = (shared.first(), shared.last()) else {
         let upstream = choose_plain(candidates, now_ms)?;
         return Some(UpstreamPick { upstream, fetch_from: None });
     };
     let usable = usable(candidates);
-    let total: u32 = usable.iter().map(|candidate| candidate.load).sum();
-    let mean = (total + 1) as f64 / usable.len().max(1) as f64;
+    let order = engine_order(&usable, deep.id);
+    let taking = || order.iter().filter(|candidate| !candidate.leaving);
+    let total: u32 = taking().map(|candidate| candidate.load).sum();
+    let mean = (total + 1) as f64 / taking().count().max(1) as f64;
     let bound = LOAD_MULTIPLE * mean + LOAD_ABOVE;
+    let below = taking().find(|candidate| (candidate.load as f64) < bound);
+    let pick = below.or_else(|| taking().min_by_key(|candidate| candidate.load))?;
 
-    let mut order = usable.clone();
+    let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+    let mut source = None;
+    if moves && tokens >= LEAST_FETCH_TOKENS && !memory.holds(deep.id, pick.key, now_ms) {
+        source = holder(&order, deep.id, memory, now_ms).filter(|key| *key != pick.key);
+        if source.is_none() && root.tokens >= LEAST_FETCH_TOKENS {
+            // It is the first to read the deep part; the root may be had elsewhere.
+            let root_known = memory.holds(root.id, pick.key, now_ms);
+            let by_root = engine_order(&usable, root.id);
+            let root_holder = || holder(&by_root, root.id, memory, now_ms);
+            source = if root_known { None } else { root_holder() };
+        }
+    }
+    let fetch_from = source.filter(|key| *key != pick.key);
+    Some(UpstreamPick { upstream: pick.key, fetch_from })
+}
+
+/// All engines with a seat, the best for this part first; then those without one. Of two
+/// lives with one seat the one that stays goes first.
+fn engine_order<'a>(usable: &[&'a UpstreamCandidate], part: u64) -> Vec<&'a UpstreamCandidate> {
+    let mut order = usable.to_vec();
     order.sort_by_key(|candidate| {
-        std::cmp::Reverse((rendezvous_score(deep.id, candidate.key.0), candidate.key))
+        let rank = candidate.seat.map(|seat| rendezvous_score(part, seat));
+        (std::cmp::Reverse(rank), candidate.leaving, candidate.key)
     });
-    let below = order.iter().find(|candidate| (candidate.load as f64) < bound);
-    let pick = below.or_else(|| order.iter().min_by_key(|candidate| candidate.load))?;
-
-    let kept = memory.holds(deep.id, pick.key, now_ms);
-    let tokens: u32 = shared_parts(prompt).iter().map(|part| part.tokens).sum();
-    let worth = moves && !kept && tokens >= LEAST_FETCH_TOKENS;
-    let source = worth.then(|| fetch_source(&order, pick, now_ms)).flatten();
-    Some(UpstreamPick { upstream: pick.key, fetch_from: source })
+    order
 }
 
-/// Who likely keeps what `pick` lacks: the first of the order, or, when that is new, the next.
-fn fetch_source(
+/// Who likely keeps a part: an engine that this VM sent it to, or the first of the order
+/// that was there long enough to have been sent it.
+fn holder(
     order: &[&UpstreamCandidate],
-    pick: &UpstreamCandidate,
+    part: u64,
+    memory: &PrefixMemory,
     now_ms: u64,
 ) -> Option<UpstreamKey> {
-    let new = |candidate: &UpstreamCandidate| candidate.first_seen_ms + NEW_ENGINE_MS > now_ms;
+    let known = order.iter().find(|candidate| memory.holds(part, candidate.key, now_ms));
     let oldest = order.iter().map(|candidate| candidate.first_seen_ms).min()?;
-    let newer = |candidate: &UpstreamCandidate| {
-        new(candidate) && candidate.first_seen_ms > oldest + NEW_ENGINE_MS / 20
+    let new = |candidate: &UpstreamCandidate| {
+        candidate.first_seen_ms + NEW_ENGINE_MS > now_ms
+            && candidate.first_seen_ms > oldest + NEW_ENGINE_MS / 20
     };
-    let first = order.first()?;
-    if first.key != pick.key {
-        return Some(first.key);
-    }
-    let holder = order.iter().find(|candidate| candidate.key != pick.key && !newer(candidate));
-    newer(pick).then(|| holder.map(|holder| holder.key)).flatten()
+    let expected = || order.iter().find(|candidate| candidate.seat.is_some() && !new(candidate));
+    known.or_else(expected).map(|candidate| candidate.key)
 }
 
 /// The least loaded upstream; the near ones among equals, and `draw` among those.
 pub fn choose_plain(candidates: &[UpstreamCandidate], draw: u64) -> Option<UpstreamKey> {
     let usable = usable(candidates);
-    let best = usable.iter().min_by_key(|candidate| {
+    let best = usable.iter().filter(|candidate| !candidate.leaving).min_by_key(|candidate| {
         (candidate.load, !candidate.near, rendezvous_score(draw, candidate.key.0))
     });
     best.map(|candidate| candidate.key)
@@ -139,7 +160,7 @@
 fn usable(candidates: &[UpstreamCandidate]) -> Vec<&UpstreamCandidate> {
     let fresh: Vec<&UpstreamCandidate> =
         candidates.iter().filter(|candidate| !candidate.tried).collect();
-    match fresh.iter().any(|candidate| !candidate.aside) {
+    match fresh.iter().any(|candidate| !candidate.aside && !candidate.leaving) {
         true => fresh.into_iter().filter(|candidate| !candidate.aside).collect(),
         false => fresh,
     }
--- /dev/null
+++ b/lib/src/coordination/upstream_seats.rs
@@ -0,0 +1,83 @@
+//! Seats: what the order of engines is computed from, in place of their lives.
+//!
+//! A life that takes another's place takes its seat, so that the prompts that were kept
+//! there move to one engine and no others change theirs. A new upstream waits a little
+//! before it gets a seat of its own, since in a release the new one starts before the
+//! old one leaves. The leader seats; the rows tell the others. See
+//! `docs/design/platform.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::state::fleet_record::SeatRow;
+use crate::state::ids::UpstreamKey;
+use crate::state::upstream_list::{UpstreamEntry, UpstreamList};
+
+/// How long a new upstream waits for another to leave before it gets a seat of its own, in
+/// milliseconds; a release starts the new one shortly before the old one leaves.
+pub const WAIT_MS: u64 = 2500;
+
+/// Who holds or last held each seat.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SeatTable {
+    seats: BTreeMap<u64, SeatRow>,
+}
+
+impl SeatTable {
+    /// The table of these rows.
+    pub fn of(rows: &[SeatRow]) -> SeatTable {
+        SeatTable { seats: rows.iter().map(|row| (row.seat, row.clone())).collect() }
+    }
+
+    /// The rows, to record them.
+    pub fn rows(&self) -> Vec<SeatRow> {
+        self.seats.values().cloned().collect()
+    }
+
+    /// Gives the rows of a fresh list their seats; `list` is what was known before.
+    pub fn seat(&mut self, rows: &mut [UpstreamEntry], list: &UpstreamList, now_ms: u64) {
+        let first_list = self.seats.is_empty();
+        let held: BTreeMap<UpstreamKey, u64> =
+            self.seats.values().map(|row| (row.holder, row.seat)).collect();
+        for row in rows.iter_mut() {
+            let before = list.entries.get(&row.key()).and_then(|known| known.seat);
+            // One that leaves keeps the seat that another may have taken by now.
+            row.seat = held.get(&row.key()).copied().or(before.filter(|_| row.leaving));
+        }
+        let living: BTreeSet<UpstreamKey> =
+            rows.iter().filter(|row| !row.leaving).map(UpstreamEntry::key).collect();
+        for row in rows.iter_mut().filter(|row| row.seat.is_none() && !row.leaving) {
+            let key = row.key();
+            let seen_ms = list.first_seen_ms.get(&key).copied().unwrap_or(now_ms);
+            let vacant = self.vacant_seat(row, &living);
+            let own = first_list || seen_ms + WAIT_MS <= now_ms;
+            row.seat = vacant.or_else(|| own.then(|| self.fresh_seat(row)));
+            if let Some(seat) = row.seat {
+                let (service, address) = (row.service.clone(), row.address);
+                self.seats.insert(seat, SeatRow { seat, service, address, holder: key });
+            }
+        }
+    }
+
+    /// A seat of its own: named by its address, so that a VM that knows nothing of earlier
+    /// seats gives the same ones to all whose place nobody took.
+    fn fresh_seat(&self, row: &UpstreamEntry) -> u64 {
+        let mut seat = xxh3_64(row.address.to_string().as_bytes());
+        while self.seats.contains_key(&seat) {
+            seat = seat.wrapping_add(1);
+        }
+        seat
+    }
+
+    /// A seat of the same service whose holder leaves or is gone; the one at the same address
+    /// first, since that is a restart.
+    fn vacant_seat(&self, row: &UpstreamEntry, living: &BTreeSet<UpstreamKey>) -> Option<u64> {
+        let vacant = || {
+            let seats = self.seats.iter().filter(|(_, seat)| seat.service == row.service);
+            seats.filter(|(_, seat)| !living.contains(&seat.holder))
+        };
+        let restart = vacant().find(|(_, seat)| seat.address == row.address);
+        restart.or_else(|| vacant().next()).map(|(number, _)| *number)
+    }
+}
--- /dev/null
+++ b/lib/src/state/fleet_record.rs
@@ -0,0 +1,97 @@
+//! The keepers' state machine: the newest document, byte for byte as it was sent, and
+//! who holds which seat.
+//!
+//! The highest version holds. A document whose version is not above the held one
+//! changes nothing, so that a change which comes twice, or late, does no harm. Seats
+//! are recorded whole with each change, so that the last one recorded holds.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::ids::UpstreamKey;
+
+/// Who holds, or last held, a seat; see [`crate::coordination::upstream_seats`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatRow {
+    /// The seat.
+    pub seat: u64,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where its holder listens.
+    pub address: SocketAddr,
+    /// The life that holds it.
+    pub holder: UpstreamKey,
+}
+
+/// A document and its version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldDocument {
+    /// The version; 0 for none.
+    pub version: u64,
+    /// The bytes.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// What a command of the replicated log asks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetCommand {
+    /// Hold this document, if it is newer.
+    Document(HeldDocument),
+    /// These are the seats.
+    Seats(Vec<SeatRow>),
+}
+
+impl FleetCommand {
+    /// The command as bytes of the log.
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("plain data always encodes")
+    }
+}
+
+/// Everything that the keepers hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    /// The newest document.
+    pub document: HeldDocument,
+    /// The seats.
+    pub seats: Vec<SeatRow>,
+}
+
+impl FleetRecord {
+    /// Applies a command; true when the document changed. Bytes that are no command are an
+    /// error, which the caller logs.
+    pub fn apply(&mut self, command: &[u8]) -> Result<bool, String> {
+        let command = rmp_serde::from_slice(command).map_err(|error| error.to_string())?;
+        match command {
+            FleetCommand::Document(document) => Ok(self.take_document(document)),
+            FleetCommand::Seats(seats) => {
+                self.seats = seats;
+                Ok(false)
+            }
+        }
+    }
+
+    /// The image for a snapshot.
+    pub fn image(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("plain data always encodes")
+    }
+
+    /// Takes the state of an image; true when the document changed. An image never takes a
+    /// document back.
+    pub fn restore(&mut self, image: &[u8]) -> Result<bool, String> {
+        let record: FleetRecord =
+            rmp_serde::from_slice(image).map_err(|error| error.to_string())?;
+        self.seats = record.seats;
+        Ok(self.take_document(record.document))
+    }
+
+    fn take_document(&mut self, document: HeldDocument) -> bool {
+        let newer = document.version > self.document.version;
+        if newer {
+            self.document = document;
+        }
+        newer
+    }
+}
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -4,7 +4,7 @@
 pub mod claim_table;
 pub mod configuration;
 pub mod finding;
-pub mod held_document;
+pub mod fleet_record;
 pub mod ids;
 pub mod keeper_machine;
 pub mod log_store;
--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -22,6 +22,8 @@
     pub zone: String,
     /// It takes no new work.
     pub leaving: bool,
+    /// Its place in the order of engines; a life that replaces another takes its seat.
+    pub seat: Option<u64>,
 }
 
 impl UpstreamEntry {
@@ -71,14 +73,20 @@
         self.entries.values().cloned().collect()
     }
 
+    /// The upstreams of a service, those that leave included.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (UpstreamKey, &'a UpstreamEntry)> + 'a {
+        let entries = self.entries.iter();
+        entries.filter(move |(_, entry)| entry.service == service).map(|(key, entry)| (*key, entry))
+    }
+
     /// The upstreams of a service that take new work.
     pub fn taking<'a>(
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (UpstreamKey, &'a UpstreamEntry)> + 'a {
-        let entries = self.entries.iter();
-        entries
-            .filter(move |(_, entry)| entry.service == service && !entry.leaving)
-            .map(|(key, entry)| (*key, entry))
+        self.of_service(service).filter(|(_, entry)| !entry.leaving)
     }
 }
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -149,7 +149,7 @@
                 VmDatagram::Grant(GrantNote {
                     sent_ms: note.sent_ms,
                     term: keeper.term(),
-                    version: keeper.held.version,
+                    version: keeper.record.document.version,
                     list: view.list_mark,
                     keepers: keeper.members().iter().map(|id| id.0).collect(),
                     settled: keeper.led_ms(now_ms) >= SETTLE_MS,
@@ -227,7 +227,7 @@
             view.roster = keeper.roster.rows();
         }
         view.told.tell(&keeper.roster.loads(), &loads);
-        self.contact.borrow_mut().note_grant(now_ms, keeper.held.version);
+        self.contact.borrow_mut().note_grant(now_ms, keeper.record.document.version);
         self.contact_changed.notify_waiters();
         true
     }
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -334,10 +334,12 @@
             load: in_flight.get(&key).copied().unwrap_or(0) + view.told.others(key),
             aside: outliers.is_aside(key, now_ms),
             tried: tried.contains(&key),
+            leaving: entry.leaving,
+            seat: entry.seat,
             near: entry.zone == settings.zone,
             first_seen_ms: upstreams.first_seen_ms.get(&key).copied().unwrap_or(0),
         };
-        upstreams.taking(service).map(candidate).collect()
+        upstreams.of_service(service).map(candidate).collect()
     }
 
     fn place(
--- a/lib/src/transport/vm_keeper.rs
+++ b/lib/src/transport/vm_keeper.rs
@@ -8,14 +8,14 @@
 
 use crossbeam::channel::Sender;
 use tokio::sync::oneshot;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use super::vm_disk::{DiskJob, DiskReport};
 use crate::coordination::group_plan::{next_change, voters_wanted};
 use crate::coordination::raft::RaftCore;
 use crate::coordination::raft_message::{RaftBody, RaftMessage, RaftOutput, RaftRole};
 use crate::coordination::vm_roster::VmRoster;
-use crate::state::held_document::{put_command, HeldDocument};
+use crate::state::fleet_record::{FleetCommand, FleetRecord, HeldDocument, SeatRow};
 use crate::state::ids::{Incarnation, KeeperId};
 use crate::state::log_store::{
     EntryPayload, GroupMember, GroupMembership, LogBatch, LogEntry, StoredState,
@@ -54,8 +54,8 @@
     core: RaftCore,
     /// The life of its disk.
     pub incarnation: Incarnation,
-    /// The newest document known to be committed.
-    pub held: HeldDocument,
+    /// What is known to be committed.
+    pub record: FleetRecord,
     /// The VMs that a leader hears.
     pub roster: VmRoster,
     disk: Sender<DiskJob>,
@@ -100,8 +100,12 @@
             first_jobs.push(DiskJob::Append(batch));
             info!(target: "keeper", "forms the first group");
         }
-        let mut held = HeldDocument::default();
-        held.restore(&stored.snapshot.image);
+        let mut record = FleetRecord::default();
+        if !stored.snapshot.image.is_empty() {
+            if let Err(error) = record.restore(&stored.snapshot.image) {
+                error!(target: "keeper", "the snapshot cannot be read: {error}");
+            }
+        }
         info!(
             target: "keeper",
             term = stored.hard_state.term,
@@ -118,7 +122,7 @@
             wanted: voters_wanted(identity.tolerated_losses),
             core,
             incarnation,
-            held,
+            record,
             roster: VmRoster::default(),
             disk,
             job_since_ms: None,
@@ -222,7 +226,7 @@
     ) -> (oneshot::Receiver<bool>, KeeperOutcome) {
         let mut outcome = KeeperOutcome::default();
         let (reply, receiver) = oneshot::channel();
-        if version <= self.held.version {
+        if version <= self.record.document.version {
             let _ = reply.send(true);
             return (receiver, outcome);
         }
@@ -232,7 +236,8 @@
             let _ = reply.send(false);
             return (receiver, outcome);
         }
-        let payload = EntryPayload::Command(put_command(version, document));
+        let document = HeldDocument { version, bytes: document.to_vec() };
+        let payload = EntryPayload::Command(FleetCommand::Document(document).encode());
         let mut place = None;
         self.step(now_ms, &mut outcome, |core, output| {
             place = core.propose(payload, output).ok();
@@ -245,6 +250,20 @@
         (receiver, outcome)
     }
 
+    /// Records the seats, if this keeper leads; what isn't committed is recorded with the next
+    /// change.
+    pub fn record_seats(&mut self, seats: Vec<SeatRow>, now_ms: u64) -> KeeperOutcome {
+        let mut outcome = KeeperOutcome::default();
+        let payload = EntryPayload::Command(FleetCommand::Seats(seats).encode());
+        self.step(now_ms, &mut outcome, |core, output| {
+            if let Err(refusal) = core.propose(payload, output) {
+                info!(target: "keeper", "seats are not recorded: {refusal:?}");
+            }
+            core.flush(now_ms, output);
+        });
+        outcome
+    }
+
     /// Hands leadership over before a planned stop.
     pub fn hand_over(&mut self, now_ms: u64) -> KeeperOutcome {
         let mut outcome = KeeperOutcome::default();
@@ -281,7 +300,10 @@
         let mut output = RaftOutput::default();
         act(&mut self.core, &mut output);
         if let Some(snapshot) = output.install.take() {
-            outcome.changed |= self.held.restore(&snapshot.image);
+            match self.record.restore(&snapshot.image) {
+                Ok(changed) => outcome.changed |= changed,
+                Err(error) => error!(target: "keeper", "a snapshot cannot be read: {error}"),
+            }
             let entries = self.core.entries().to_vec();
             let job = DiskJob::Install(Box::new(snapshot), self.core.hard_state(), entries);
             self.queue_job(job);
@@ -355,7 +377,13 @@
         let mut changed = false;
         if let EntryPayload::Command(command) = &entry.payload {
             self.log_bytes += command.len();
-            changed = self.held.apply(command);
+            // A new leader's first entry is empty.
+            if !command.is_empty() {
+                match self.record.apply(command) {
+                    Ok(newer) => changed = newer,
+                    Err(error) => error!(target: "keeper", "a command cannot be read: {error}"),
+                }
+            }
         }
         let (done, waiting) =
             std::mem::take(&mut self.waiters).into_iter().partition(|w| w.index <= entry.index);
@@ -387,7 +415,7 @@
         if !large || !self.core.has_applied_all() || self.job_since_ms.is_some() {
             return;
         }
-        let image = self.held.image();
+        let image = self.record.image();
         let commit = self.core.commit();
         let Some(snapshot) = self.core.compact(commit, image) else { return };
         let snapshot = Box::new(snapshot.clone());
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -14,6 +14,7 @@
 
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
+use crate::coordination::upstream_seats::SeatTable;
 use crate::protocol::vm_wire::{ListMark, VmMessage};
 use crate::state::ids::UpstreamKey;
 use crate::state::upstream_list::UpstreamEntry;
@@ -96,20 +97,51 @@
         UpstreamKey(0)
     }
 
-    fn take_list(&self, rows: Vec<UpstreamEntry>) {
+    fn take_list(&self, mut rows: Vec<UpstreamEntry>) {
         let now_ms = self.now_ms();
-        let changed = self.upstreams.borrow_mut().replace(rows, now_ms);
-        let keeper = self.keeper.borrow();
-        let Some(keeper) = keeper.as_ref().filter(|keeper| keeper.may_vouch(now_ms)) else {
+        let led = match &*self.keeper.borrow() {
+            Some(keeper) if keeper.may_vouch(now_ms) => {
+                Some((keeper.term(), keeper.record.seats.clone()))
+            }
+            _ => None,
+        };
+        let Some((term, seats)) = led else {
+            self.take_list_alone(rows, now_ms);
             return;
         };
+        let before = SeatTable::of(&seats);
+        let mut seats = before.clone();
+        seats.seat(&mut rows, &self.upstreams.borrow(), now_ms);
+        if seats != before {
+            self.step_keeper(|keeper, now_ms| keeper.record_seats(seats.rows(), now_ms));
+        }
+        let changed = self.upstreams.borrow_mut().replace(rows, now_ms);
+        self.tell_list(term, changed);
+    }
+
+    /// A VM that doesn't lead keeps the seats that it was told of.
+    fn take_list_alone(&self, mut rows: Vec<UpstreamEntry>, now_ms: u64) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        let mut seats = SeatTable::default();
+        if upstreams.read_ms == 0 {
+            seats.seat(&mut rows, &upstreams, now_ms);
+        } else {
+            for row in &mut rows {
+                row.seat = upstreams.entries.get(&row.key()).and_then(|known| known.seat);
+            }
+        }
+        upstreams.replace(rows, now_ms);
+    }
+
+    /// Tells the others of a list that changed, or of a new leader's first.
+    fn tell_list(&self, term: u64, changed: bool) {
         let mut view = self.view.borrow_mut();
-        let new_term = view.list_mark.term != keeper.term();
+        let new_term = view.list_mark.term != term;
         if !changed && !new_term {
             return;
         }
         let change = if new_term { 1 } else { view.list_mark.change + 1 };
-        view.list_mark = ListMark { term: keeper.term(), change };
+        view.list_mark = ListMark { term, change };
         let rows = self.upstreams.borrow().rows();
         info!(target: "list", upstreams = rows.len(), change, "changed");
         let others = view.roster.iter().map(|row| row.id).filter(|id| *id != self.id);
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -233,7 +233,7 @@
         }
         let now_ms = self.now_ms();
         let (held, vouches) = match &*self.keeper.borrow() {
-            Some(keeper) => (keeper.held.clone(), keeper.may_vouch(now_ms)),
+            Some(keeper) => (keeper.record.document.clone(), keeper.may_vouch(now_ms)),
             None => return,
         };
         self.apply_document(held.version, &held.bytes);
@@ -276,7 +276,8 @@
                 }
             }
             VmMessage::WantDocument => {
-                let held = self.keeper.borrow().as_ref().map(|keeper| keeper.held.clone());
+                let keeper = self.keeper.borrow();
+                let held = keeper.as_ref().map(|keeper| keeper.record.document.clone());
                 if let Some(held) = held.filter(|held| held.version > 0) {
                     let (version, document) = (held.version, held.bytes);
                     self.links.send(from, &VmMessage::Document { version, document });
