--- /dev/null
+++ b/lib/tests/test_vm_decisions.rs
@@ -0,0 +1,360 @@
+//! The pure decisions of a VM of the fleet, as tables.
+
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use wingshed_lib::coordination::attempt_plan::{
+    AttemptCount, NextStep, SendOutcome, MOST_UNREACHED,
+};
+use wingshed_lib::coordination::event_splice::EventSplice;
+use wingshed_lib::coordination::group_plan::voters_wanted;
+use wingshed_lib::coordination::leader_contact::{LeaderContact, REVOKE_MARGIN_MS};
+use wingshed_lib::coordination::outlier::OutlierTable;
+use wingshed_lib::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
+use wingshed_lib::coordination::upstream_choice::{
+    choose_engine, choose_plain, PrefixMemory, UpstreamCandidate, NEW_ENGINE_MS,
+};
+use wingshed_lib::coordination::upstream_seats::{SeatTable, WAIT_MS};
+use wingshed_lib::coordination::vm_roster::{RosterRow, ToldLoad, UpstreamLoad, VmRoster};
+use wingshed_lib::state::fleet_record::{FleetCommand, FleetRecord, HeldDocument};
+use wingshed_lib::state::ids::{Incarnation, KeeperId, UpstreamKey};
+use wingshed_lib::state::prompt_part::PromptPart;
+use wingshed_lib::state::route_book::{pick_share, RequestKind, ServiceShare};
+use wingshed_lib::state::upstream_list::{UpstreamEntry, UpstreamList};
+
+fn candidate(key: u64, load: u32) -> UpstreamCandidate {
+    UpstreamCandidate {
+        key: UpstreamKey(key),
+        load,
+        aside: false,
+        tried: false,
+        leaving: false,
+        seat: Some(key),
+        near: false,
+        first_seen_ms: 1,
+    }
+}
+
+fn prompt() -> Vec<PromptPart> {
+    [(1, 2000), (2, 6000), (3, 500)].map(|(id, tokens)| PromptPart { id, tokens }).to_vec()
+}
+
+const LATE: u64 = 10 * NEW_ENGINE_MS;
+
+#[test]
+fn next_steps_keep_the_promise_of_not_run() {
+    use NextStep::*;
+    use RequestKind as Kind;
+    use SendOutcome::*;
+    let cases = [
+        (NotRun, Kind::Once, 1, Refuse),
+        (NotRun, Kind::Once, 2, Repeat),
+        (Broken, Kind::Once, 3, Fail),
+        (Broken, Kind::Stream, 3, Fail),
+        (Broken, Kind::Repeatable, 2, Repeat),
+        (Broken, Kind::Repeatable, 1, Fail),
+        (Broken, Kind::ResumableStream, 2, Repeat),
+        (Failed, Kind::Repeatable, 2, Repeat),
+        (Failed, Kind::Once, 2, PassOn),
+        (Failed, Kind::ResumableStream, 2, PassOn),
+        (TimedOut, Kind::Repeatable, 2, TimeOut),
+        (NotSent, Kind::Once, 1, Elsewhere),
+    ];
+    for (outcome, kind, most, expected) in cases {
+        let mut count = AttemptCount::default();
+        count.note(outcome);
+        assert_eq!(count.next(outcome, kind, most), expected, "{outcome:?} {kind:?} {most}");
+    }
+
+    let mut count = AttemptCount::default();
+    count.note(Broken);
+    count.note(NotRun);
+    let next = count.next(NotRun, Kind::Repeatable, 2);
+    assert_eq!(next, Fail, "an earlier send may have run, so this is no refusal");
+
+    let mut count = AttemptCount::default();
+    for _ in 0..MOST_UNREACHED {
+        count.note(NotSent);
+    }
+    assert_eq!(count.next(NotSent, Kind::Once, 1), Refuse);
+}
+
+#[test]
+fn events_of_two_runs_join_without_gap_or_double() {
+    let mut splice = EventSplice::after(None);
+    let mut answer = splice.feed(b"id: 1\ndata: a\n\nid: 2\nda");
+    answer.extend(splice.feed(b"ta: b\n\nid: 3\ndata: c"));
+    assert_eq!(splice.last_id(), Some("2"));
+
+    splice.begin_run();
+    answer.extend(splice.feed(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n: end"));
+    answer.extend(splice.finish());
+
+    let expected = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n: end";
+    assert_eq!(String::from_utf8(answer).unwrap(), String::from_utf8(expected.to_vec()).unwrap());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_cut_of_any_run_gives_each_event_once(
+        cuts in proptest::collection::vec(0usize..400, 1..4), step in 1usize..40, crlf: bool,
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let event = |id: usize| format!("id: {id}{end}data: {}{end}{end}", "x".repeat(id));
+        let whole: String = (1..=12).map(event).collect();
+        let mut splice = EventSplice::after(None);
+        let mut answer = Vec::new();
+        for cut in cuts {
+            let after: usize = splice.last_id().map_or(0, |id| id.parse().unwrap());
+            let run: String = (after + 1..=12).map(event).collect();
+            for piece in run.as_bytes()[..cut.min(run.len())].chunks(step) {
+                answer.extend(splice.feed(piece));
+            }
+            splice.begin_run();
+        }
+        let after: usize = splice.last_id().map_or(0, |id| id.parse().unwrap());
+        let run: String = (after + 1..=12).map(event).collect();
+        answer.extend(splice.feed(run.as_bytes()));
+        prop_assert_eq!(String::from_utf8(answer).unwrap(), whole);
+    }
+
+    #[test]
+    fn repeats_of_all_vms_stay_below_the_allowance(
+        steps in proptest::collection::vec((0u64..200, 0usize..4, any::<bool>()), 1..400),
+    ) {
+        let allowance = RepeatAllowance { ratio: 0.2, slack: 20.0, window_ms: 10_000 };
+        let mut budgets = vec![RepeatBudget::default(); 4];
+        let (mut now_ms, mut firsts, mut repeats) = (0, Vec::new(), Vec::new());
+        for (pause, vm, first) in steps {
+            now_ms += pause;
+            if first {
+                budgets[vm].note_first(&allowance, now_ms);
+                firsts.push(now_ms);
+            } else if budgets[vm].spend(&allowance, 4, now_ms) {
+                repeats.push(now_ms);
+            }
+            let lately = |times: &[u64]| {
+                times.iter().filter(|at| **at + allowance.window_ms > now_ms).count() as f64
+            };
+            let allowed = allowance.ratio * lately(&firsts) + allowance.slack;
+            prop_assert!(lately(&repeats) <= allowed);
+        }
+    }
+}
+
+#[test]
+fn a_grant_counts_once_its_version_is_in_force() {
+    let mut contact = LeaderContact::default();
+    contact.note_grant(1000, 3);
+    assert!(!contact.may_serve_keys(5000, 1001), "version 3 is not in force yet");
+
+    contact.note_applied(3);
+    assert!(contact.may_serve_keys(5000, 1000 + 5000 - REVOKE_MARGIN_MS - 1));
+    assert!(!contact.may_serve_keys(5000, 1000 + 5000 - REVOKE_MARGIN_MS));
+
+    contact.note_grant(2000, 4);
+    assert_eq!(contact.confirmed_ms(), 1000, "a newer version is known, so 3 is old");
+    contact.note_applied(2);
+    assert_eq!(contact.applied(), 3, "nothing goes back");
+}
+
+#[test]
+fn the_same_part_goes_to_the_same_engine_and_spills_when_that_is_full() {
+    let memory = PrefixMemory::default();
+    let calm: Vec<UpstreamCandidate> = (1..=6).map(|key| candidate(key, 2)).collect();
+    let first = choose_engine(&calm, &prompt(), &memory, true, LATE).unwrap();
+    for shift in 1..5 {
+        let mut other_order = calm.clone();
+        other_order.rotate_left(shift);
+        let again = choose_engine(&other_order, &prompt(), &memory, true, LATE).unwrap();
+        assert_eq!(again.upstream, first.upstream, "every VM computes the same order");
+    }
+
+    let full = |c: &UpstreamCandidate| UpstreamCandidate {
+        load: if c.key == first.upstream { 40 } else { 2 },
+        ..*c
+    };
+    let busy: Vec<UpstreamCandidate> = calm.iter().map(full).collect();
+    let spill = choose_engine(&busy, &prompt(), &memory, true, LATE).unwrap();
+    assert_ne!(spill.upstream, first.upstream);
+    assert_eq!(spill.fetch_from, Some(first.upstream));
+    let fixed = choose_engine(&busy, &prompt(), &memory, false, LATE).unwrap();
+    assert_eq!(fixed.fetch_from, None, "no fetch where engines can't move memory");
+}
+
+#[test]
+fn what_a_leaving_engine_keeps_is_fetched_by_the_heir_of_its_seat() {
+    let memory = PrefixMemory::default();
+    let calm: Vec<UpstreamCandidate> = (1..=6).map(|key| candidate(key, 2)).collect();
+    let first = choose_engine(&calm, &prompt(), &memory, true, LATE).unwrap().upstream;
+    let mut release = calm.clone();
+    for candidate in &mut release {
+        candidate.leaving = candidate.key == first;
+    }
+    let heir = UpstreamCandidate {
+        key: UpstreamKey(99),
+        seat: Some(first.0),
+        first_seen_ms: LATE - 1000,
+        ..candidate(99, 0)
+    };
+    release.push(heir);
+
+    let pick = choose_engine(&release, &prompt(), &memory, true, LATE).unwrap();
+
+    assert_eq!(pick.upstream, heir.key);
+    assert_eq!(pick.fetch_from, Some(first));
+}
+
+#[test]
+fn upstreams_set_aside_are_used_only_when_nothing_else_is_left() {
+    let mut all = vec![candidate(1, 9), candidate(2, 0), candidate(3, 1)];
+    all[1].aside = true;
+    assert_eq!(choose_plain(&all, 5), Some(UpstreamKey(3)));
+    all[0].tried = true;
+    all[2].tried = true;
+    assert_eq!(choose_plain(&all, 5), Some(UpstreamKey(2)), "better than none");
+    all[1].leaving = true;
+    assert_eq!(choose_plain(&all, 5), None, "one that leaves takes nothing");
+}
+
+#[test]
+fn one_sign_of_death_sets_aside_but_never_too_many() {
+    let mut outliers = OutlierTable::default();
+    let fleet = || (1..=4).map(UpstreamKey);
+    for dead in 1..=4 {
+        outliers.note_dead(UpstreamKey(dead), fleet(), 0.5, 1000);
+    }
+    let aside = fleet().filter(|key| outliers.is_aside(*key, 1001)).count();
+    assert_eq!(aside, 2);
+}
+
+fn entry(life: &str, address: &str, leaving: bool) -> UpstreamEntry {
+    UpstreamEntry {
+        life: life.to_string(),
+        service: "s".to_string(),
+        address: address.parse::<SocketAddr>().unwrap(),
+        zone: "z".to_string(),
+        leaving,
+        seat: None,
+    }
+}
+
+fn seat_of(list: &UpstreamList, life: &str) -> Option<u64> {
+    list.entries.get(&UpstreamKey::of(life)).and_then(|entry| entry.seat)
+}
+
+fn take(table: &mut SeatTable, list: &mut UpstreamList, rows: &[UpstreamEntry], now_ms: u64) {
+    let mut rows = rows.to_vec();
+    table.seat(&mut rows, list, now_ms);
+    list.replace(rows, now_ms);
+}
+
+#[test]
+fn a_life_that_replaces_another_takes_its_seat() {
+    let (mut table, mut list) = (SeatTable::default(), UpstreamList::default());
+    let (a, b) = (entry("a", "10.0.0.1:1", false), entry("b", "10.0.0.2:1", false));
+    take(&mut table, &mut list, &[a.clone(), b.clone()], 1000);
+    let (seat_a, seat_b) = (seat_of(&list, "a").unwrap(), seat_of(&list, "b").unwrap());
+
+    // A release: the new one starts first, then the old one leaves.
+    let c = entry("c", "10.0.0.3:1", false);
+    take(&mut table, &mut list, &[a.clone(), b.clone(), c.clone()], 2000);
+    assert_eq!(seat_of(&list, "c"), None, "it waits for whom it may replace");
+    let leaving = UpstreamEntry { leaving: true, ..a };
+    take(&mut table, &mut list, &[leaving, b.clone(), c.clone()], 2600);
+    assert_eq!(seat_of(&list, "c"), Some(seat_a));
+    assert_eq!(seat_of(&list, "a"), Some(seat_a), "the one that leaves still tells whose it was");
+
+    // A restart at the same address, while another seat is vacant too.
+    take(&mut table, &mut list, std::slice::from_ref(&c), 4000);
+    let again = entry("b2", "10.0.0.2:1", false);
+    take(&mut table, &mut list, &[c.clone(), again], 5000);
+    assert_eq!(seat_of(&list, "b2"), Some(seat_b));
+
+    // More upstreams: a seat of its own, after a wait.
+    let more = entry("d", "10.0.0.4:1", false);
+    let rows = [c, entry("b2", "10.0.0.2:1", false), more];
+    take(&mut table, &mut list, &rows, 6000);
+    take(&mut table, &mut list, &rows, 6000 + WAIT_MS);
+    let seat_d = seat_of(&list, "d").unwrap();
+    assert!(seat_d != seat_a && seat_d != seat_b);
+
+    // Another leader that was given the rows knows the same seats.
+    let mut heir = SeatTable::of(&table.rows());
+    let mut fresh = UpstreamList::default();
+    take(&mut heir, &mut fresh, &rows, 9000);
+    assert_eq!(seat_of(&fresh, "c"), Some(seat_a));
+}
+
+#[test]
+fn leaving_is_sticky_for_a_life() {
+    let mut list = UpstreamList::default();
+    assert!(list.replace(vec![entry("a", "10.0.0.1:1", true)], 1));
+    assert!(!list.replace(vec![entry("a", "10.0.0.1:1", false)], 2), "a list that lags");
+    assert_eq!(list.taking("s").count(), 0);
+    list.replace(vec![entry("a2", "10.0.0.1:1", false)], 3);
+    assert_eq!(list.taking("s").count(), 1);
+}
+
+#[test]
+fn the_highest_version_holds_whatever_comes_later() {
+    let mut record = FleetRecord::default();
+    let put = |version, text: &str| {
+        let bytes = text.as_bytes().to_vec();
+        FleetCommand::Document(HeldDocument { version, bytes }).encode()
+    };
+    let steps = [(3, "c", true), (2, "b", false), (3, "other", false), (9, "d", true)];
+    for (version, text, changes) in steps {
+        assert_eq!(record.apply(&put(version, text)), Ok(changes), "{version}");
+    }
+    assert_eq!((record.document.version, record.document.bytes.as_slice()), (9, &b"d"[..]));
+
+    let image = record.image();
+    let mut newer = FleetRecord::default();
+    newer.apply(&put(12, "e")).unwrap();
+    assert_eq!(newer.restore(&image), Ok(false), "an image never takes a document back");
+    assert_eq!(newer.document.version, 12);
+    assert!(newer.apply(b"no command").is_err());
+}
+
+#[test]
+fn the_roster_forgets_and_sums() {
+    let row = |id| RosterRow { id, zone: 1, ready: true };
+    let load = |requests| vec![UpstreamLoad { upstream: UpstreamKey(7), requests }];
+    let mut roster = VmRoster::default();
+    roster.note(row(1), Some(Incarnation(5)), load(2), 1000);
+    roster.note(row(2), None, load(3), 1500);
+    assert_eq!(roster.loads(), load(5));
+    assert_eq!(roster.keepers().into_keys().collect::<Vec<_>>(), [KeeperId(1)]);
+
+    let mut told = ToldLoad::default();
+    told.tell(&roster.loads(), &load(2));
+    assert_eq!(told.others(UpstreamKey(7)), 3);
+
+    roster.expire(2400);
+    assert_eq!(roster.rows(), [row(2)]);
+}
+
+#[test]
+fn groups_are_odd_and_survive_what_is_to_be_borne() {
+    for (losses, voters) in [(0, 3), (1, 3), (2, 5), (3, 7)] {
+        assert_eq!(voters_wanted(losses), voters);
+    }
+}
+
+#[test]
+fn shares_follow_their_weights() {
+    let share = |service, weight| ServiceShare { service: Some(service), name: String::new(), weight };
+    let shares = [share(0, 90.0), share(1, 0.0), share(2, 10.0)];
+    let mut counts = [0; 3];
+    for at in 0..1000u64 {
+        let draw = at.wrapping_mul(u64::MAX / 1000);
+        counts[pick_share(&shares, draw).unwrap()] += 1;
+    }
+    assert!((880..920).contains(&counts[0]) && counts[1] == 0, "{counts:?}");
+}
