--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -202,6 +202,7 @@
         }
         self.contact.borrow_mut().note_grant(grant.sent_ms, grant.version);
         self.contact_changed.notify_waiters();
+        self.tell_if_changed();
         if want_document {
             self.links.send(from, &VmMessage::WantDocument);
         }
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -30,7 +30,7 @@
 };
 use crate::protocol::wire_adapter::{CallerRequest, UpstreamAnswer, UpstreamSend};
 use crate::state::ids::UpstreamKey;
-use crate::state::route_book::{pick_share, RouteDecision, RouteRule};
+use crate::state::route_book::{pick_share, RequestKind, RouteDecision, RouteRule};
 use crate::state::upstream_list::UpstreamEntry;
 
 /// At most this share of a service's upstreams is set aside on passive signs.
@@ -117,8 +117,20 @@
     Bad(SendOutcome),
 }
 
+/// An answer that may be passed on.
 struct GoodAnswer {
     head: response::Parts,
+    body: GoodBody,
+}
+
+enum GoodBody {
+    /// A short plain answer, all of it here.
+    Whole(Bytes),
+    /// A stream, or a long answer, that still comes.
+    Coming(Box<ComingBody>),
+}
+
+struct ComingBody {
     told: UpstreamAnswer,
     body: Incoming,
     lease: ConnectionLease,
@@ -390,7 +402,9 @@
             let request = self.upstream_request(place);
             let sent = lease.sender().try_send_request(request);
             match timeout_at(deadline, sent).await {
-                Ok(Ok(answer)) => return self.check_answer(place, answer, lease, guard).await,
+                Ok(Ok(answer)) => {
+                    return self.check_answer(place, answer, lease, guard, deadline).await
+                }
                 Ok(Err(mut error)) => {
                     if error.take_message().is_some() {
                         continue;
@@ -424,6 +438,7 @@
         answer: Response<Incoming>,
         lease: ConnectionLease,
         guard: FlightGuard,
+        deadline: Instant,
     ) -> SendResult {
         let (head, body) = answer.into_parts();
         let told = self.node.adapter.read_answer(&head);
@@ -442,7 +457,24 @@
             self.note_failure(place.upstream, "another answer");
             return SendResult::Bad(SendOutcome::Broken);
         }
-        SendResult::Answer(Box::new(GoodAnswer { head, told, body, lease, guard }))
+        let rule = &place.book.book.routes[place.route];
+        let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
+        if rule.kind.is_stream() || !short {
+            let body = GoodBody::Coming(Box::new(ComingBody { told, body, lease, guard }));
+            return SendResult::Answer(Box::new(GoodAnswer { head, body }));
+        }
+        match timeout_at(deadline, body.collect()).await {
+            Ok(Ok(body)) => {
+                lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
+                let body = GoodBody::Whole(body.to_bytes());
+                SendResult::Answer(Box::new(GoodAnswer { head, body }))
+            }
+            Ok(Err(_)) => {
+                self.note_failure(place.upstream, "cut answer");
+                SendResult::Bad(SendOutcome::Broken)
+            }
+            Err(_) => SendResult::Bad(SendOutcome::TimedOut),
+        }
     }
 
     /// Passes an upstream's answer on.
@@ -462,61 +494,35 @@
                 prefixes.note_sent(&self.caller.prompt, place.upstream, now_ms);
             }
         }
-        let length = answer.body.size_hint().exact();
-        if !rule.kind.is_stream() && length.is_some_and(|length| length <= HELD_BYTES) {
-            return self.pass_whole(place, answer, deadline, count).await;
-        }
-        let headers = self.node.adapter.write_answer(&answer.head);
+        let GoodAnswer { head, body } = answer;
+        let headers = self.node.adapter.write_answer(&head);
+        let respond = |body, headers| {
+            let mut response = Response::new(body);
+            *response.status_mut() = head.status;
+            *response.headers_mut() = headers;
+            response
+        };
+        let coming = match body {
+            GoodBody::Whole(bytes) => return respond(AnswerBody::whole(bytes), headers),
+            GoodBody::Coming(coming) => coming,
+        };
         let (pieces, body) = AnswerBody::pieces();
-        let mut response = Response::new(body);
-        *response.status_mut() = answer.head.status;
-        *response.headers_mut() = headers;
-        let resumable = rule.kind == crate::state::route_book::RequestKind::ResumableStream
-            && answer.head.status.is_success();
+        let mut response = respond(body, headers);
+        let resumable = rule.kind == RequestKind::ResumableStream && response.status().is_success();
         if resumable {
             response.headers_mut().remove(CONTENT_LENGTH);
         }
         count.note(SendOutcome::Failed);
         let count = *count;
-        spawn_local(self.relay(place, answer, deadline, pieces, resumable, count));
+        spawn_local(self.relay(place, coming, deadline, pieces, resumable, count));
         response
     }
 
-    async fn pass_whole(
-        self,
-        place: SendPlace,
-        answer: GoodAnswer,
-        deadline: Instant,
-        count: &mut AttemptCount,
-    ) -> Response<AnswerBody> {
-        let GoodAnswer { head, told, body, lease, guard } = answer;
-        let collected = timeout_at(deadline, body.collect()).await;
-        drop(guard);
-        match collected {
-            Ok(Ok(body)) => {
-                lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
-                let mut response = Response::new(AnswerBody::whole(body.to_bytes()));
-                *response.status_mut() = head.status;
-                *response.headers_mut() = self.node.adapter.write_answer(&head);
-                response
-            }
-            Ok(Err(_)) => {
-                self.note_failure(place.upstream, "cut answer");
-                count.note(SendOutcome::Broken);
-                self.fail(count, "cut answer")
-            }
-            Err(_) => {
-                count.note(SendOutcome::TimedOut);
-                self.time_out(count)
-            }
-        }
-    }
-
     /// Relays a stream, taking it up elsewhere when it breaks and may be resumed.
     async fn relay(
         self,
         place: SendPlace,
-        answer: GoodAnswer,
+        coming: Box<ComingBody>,
         deadline: Instant,
         pieces: Sender<Result<Bytes, CutShort>>,
         resumable: bool,
@@ -524,9 +530,9 @@
     ) {
         let mut splice = resumable.then(|| EventSplice::after(self.caller.last_event.clone()));
         let mut tried = vec![place.upstream];
-        let mut next = Some((place, answer));
-        while let Some((place, answer)) = next.take() {
-            match self.relay_run(&place, answer, deadline, &pieces, splice.as_mut()).await {
+        let mut next = Some((place, coming));
+        while let Some((place, coming)) = next.take() {
+            match self.relay_run(&place, *coming, deadline, &pieces, splice.as_mut()).await {
                 RunEnd::Complete | RunEnd::CallerLeft => return,
                 RunEnd::TimedOut => {
                     info!(
@@ -554,7 +560,7 @@
         deadline: Instant,
         tried: &mut Vec<UpstreamKey>,
         count: &mut AttemptCount,
-    ) -> Option<(SendPlace, GoodAnswer)> {
+    ) -> Option<(SendPlace, Box<ComingBody>)> {
         loop {
             let (book, route, workspace) = self.decide().ok()?;
             let rule = &book.book.routes[route];
@@ -570,12 +576,16 @@
             tried.push(pick.upstream);
             let place = self.place(&book, route, workspace, pick, left, after.clone())?;
             match self.send(&place, deadline).await {
-                SendResult::Answer(answer) if answer.head.status.is_success() => {
-                    info!(target: "request", attempt = self.caller.attempt, "a stream is resumed");
-                    count.note(SendOutcome::Broken);
-                    return Some((place, *answer));
+                SendResult::Answer(answer) => {
+                    count.note(SendOutcome::Failed);
+                    if let (true, GoodBody::Coming(coming)) =
+                        (answer.head.status.is_success(), answer.body)
+                    {
+                        let attempt = &self.caller.attempt;
+                        info!(target: "request", attempt, "a stream is resumed");
+                        return Some((place, coming));
+                    }
                 }
-                SendResult::Answer(_) => count.note(SendOutcome::Failed),
                 SendResult::Bad(outcome) => count.note(outcome),
             }
         }
@@ -584,12 +594,12 @@
     async fn relay_run(
         &self,
         place: &SendPlace,
-        answer: GoodAnswer,
+        coming: ComingBody,
         deadline: Instant,
         pieces: &Sender<Result<Bytes, CutShort>>,
         mut splice: Option<&mut EventSplice>,
     ) -> RunEnd {
-        let GoodAnswer { head: _, told, mut body, lease, guard } = answer;
+        let ComingBody { told, mut body, lease, guard } = coming;
         let _guard = guard;
         loop {
             let frame = tokio::select! {
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -18,6 +18,7 @@
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
 use super::vm_sockets::{listen, set_stream};
+use crate::coordination::vm_roster::RosterRow;
 
 /// A caller's connection may rest this much longer than the book says, in milliseconds, so
 /// that a caller who keeps the bound never meets a closing connection.
@@ -174,8 +175,11 @@
             return Vec::new();
         };
         let zone = xxhash_rust::xxh3::xxh3_64(zone.as_bytes());
-        let view = self.view.borrow();
-        let ready = || view.roster.iter().filter(|row| row.ready);
+        let mut rows = self.view.borrow().roster.clone();
+        // The leader may not have heard yet that this VM is ready.
+        rows.retain(|row| row.id != self.id);
+        rows.push(RosterRow { id: self.id, zone: self.zone, ready: self.is_ready() });
+        let ready = || rows.iter().filter(|row| row.ready);
         let near: Vec<u32> = ready().filter(|row| row.zone == zone).map(|row| row.id).collect();
         let mut ids = match near.len() >= 2 {
             true => near,
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -113,6 +113,8 @@
     pub draws: Cell<u64>,
     /// Requests that are being served.
     pub serving: Cell<u32>,
+    /// Whether this VM said that it is ready when it last told of itself.
+    pub told_ready: Cell<bool>,
     /// Connections that are open at the listeners.
     pub connections: Cell<u32>,
     /// When SIGTERM came.
@@ -155,6 +157,7 @@
             asked_puts: RefCell::default(),
             draws: Cell::new(seed | 1),
             serving: Cell::new(0),
+            told_ready: Cell::new(false),
             connections: Cell::new(0),
             stopping_ms: Cell::new(None),
             closing: Notify::new(),
@@ -196,7 +199,17 @@
 
     /// What others should know of this VM.
     pub fn own_row(&self) -> RosterRow {
-        RosterRow { id: self.id, zone: self.zone, ready: self.is_ready() }
+        let ready = self.is_ready();
+        self.told_ready.set(ready);
+        RosterRow { id: self.id, zone: self.zone, ready }
+    }
+
+    /// Tells the leader at once when this VM has become ready, or is so no more: callers wait
+    /// for it after a restart of everything.
+    pub fn tell_if_changed(&self) {
+        if self.is_ready() != self.told_ready.get() {
+            self.renew();
+        }
     }
 
     /// What this VM has in flight.
@@ -220,6 +233,7 @@
                 *self.book.borrow_mut() = Some(Rc::new(in_force));
                 self.contact.borrow_mut().note_applied(version);
                 self.contact_changed.notify_waiters();
+                self.tell_if_changed();
             }
             // Every document was checked before it was proposed.
             Err(findings) => error!(target: "book", version, "cannot be read: {findings:?}"),
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -349,7 +349,8 @@
 
 #[test]
 fn shares_follow_their_weights() {
-    let share = |service, weight| ServiceShare { service: Some(service), name: String::new(), weight };
+    let share =
+        |service, weight| ServiceShare { service: Some(service), name: String::new(), weight };
     let shares = [share(0, 90.0), share(1, 0.0), share(2, 10.0)];
     let mut counts = [0; 3];
     for at in 0..1000u64 {
