--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -494,6 +494,7 @@
                 prefixes.note_sent(&self.caller.prompt, place.upstream, now_ms);
             }
         }
+        self.note_late(&place, "head");
         let GoodAnswer { head, body } = answer;
         let headers = self.node.adapter.write_answer(&head);
         let respond = |body, headers| {
@@ -601,6 +602,7 @@
     ) -> RunEnd {
         let ComingBody { told, mut body, lease, guard } = coming;
         let _guard = guard;
+        let mut first = true;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -616,6 +618,9 @@
                 },
                 Ok(None) => break,
             };
+            if std::mem::take(&mut first) {
+                self.note_late(place, "first piece");
+            }
             let data = match splice.as_mut() {
                 Some(splice) => Bytes::from(splice.feed(&data)),
                 None => data,
@@ -635,6 +640,23 @@
         RunEnd::Complete
     }
 
+    /// Logs an answer that comes after its goal, with what decided its way.
+    fn note_late(&self, place: &SendPlace, what: &'static str) {
+        let rule = &place.book.book.routes[place.route];
+        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        if rule.goal_ms == 0 || took_ms <= rule.goal_ms {
+            return;
+        }
+        let in_flight = self.node.in_flight.borrow().get(&place.upstream).copied();
+        info!(
+            target: "request", attempt = self.caller.attempt, took_ms, goal_ms = rule.goal_ms,
+            life = place.send.life, left_ms = place.send.left_ms,
+            own = in_flight.unwrap_or(0),
+            others = self.node.view.borrow().told.others(place.upstream),
+            fetched = place.send.fetch_from.is_some(), "late {what}",
+        );
+    }
+
     fn note_dead(&self, upstream: UpstreamKey) {
         self.note_sign(upstream, true, "cannot be reached");
     }
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -30,7 +30,7 @@
 const LEAST_BUFFER_BYTES: usize = 8192;
 /// Callers keep an answer about addresses this long, some of them three times as long; short,
 /// so that a VM that stops is soon left alone.
-pub const ADDRESSES_TTL_S: f64 = 1.0;
+pub const ADDRESSES_TTL_S: f64 = 2.0;
 /// The most addresses in one answer; callers count no more.
 const MOST_ADDRESSES: usize = 64;
 
