recovery: requests are held while a VM wakes, ended lives are never tried again

And a crashed engine's address was tried again every 2 s until the list dropped it; each try met the next life's 421 and cost a refusal. Now a VM that has just started holds requests up to 300 ms; a refused connection or a 421 ends a life for good; fleet keepers ask for votes 50 ms after a start, then twice as long each time. Tried: the short wait for all users of the consensus; with it test_keepers failed in three of four runs, so it is the fleet's own (RaftCore::wake_soon).

--- a/lib/src/coordination/outlier.rs
+++ b/lib/src/coordination/outlier.rs
@@ -13,6 +13,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct UpstreamSigns {
+    gone: bool,
     failures: u32,
     times_aside: u32,
     aside_until_ms: u64,
@@ -28,7 +29,9 @@
 impl OutlierTable {
     /// A request succeeded.
     pub fn note_success(&mut self, upstream: UpstreamKey) {
-        self.signs.remove(&upstream);
+        if !self.is_gone(upstream) {
+            self.signs.remove(&upstream);
+        }
     }
 
     /// A request failed; sets the upstream aside after enough failures, unless so many of the
@@ -71,10 +74,26 @@
         self.note_failure(upstream, fleet, share, now_ms);
     }
 
+    /// This life of the upstream has ended; a restart has another key.
+    pub fn note_gone(&mut self, upstream: UpstreamKey) {
+        self.signs.entry(upstream).or_default().gone = true;
+    }
+
+    /// Whether this life of the upstream has ended.
+    pub fn is_gone(&self, upstream: UpstreamKey) -> bool {
+        self.signs.get(&upstream).is_some_and(|signs| signs.gone)
+    }
+
+    /// Forgets upstreams that are not `known` any more.
+    pub fn sweep(&mut self, known: impl Fn(UpstreamKey) -> bool) {
+        self.signs.retain(|upstream, _| known(*upstream));
+    }
+
     /// Whether the upstream is set aside now.
     pub fn is_aside(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
         self.signs.get(&upstream).is_some_and(|signs| {
-            signs.times_aside > 0 && (now_ms < signs.aside_until_ms || signs.trial_running)
+            signs.gone
+                || signs.times_aside > 0 && (now_ms < signs.aside_until_ms || signs.trial_running)
         })
     }
 
--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -58,6 +58,10 @@
     pub(super) jitter: u64,
     /// A leader was heard, or led here, since the start of this life.
     pub(super) woken: bool,
+    /// How soon this life asks for a vote while it has heard no leader, in milliseconds.
+    pub(super) wake_ms: u64,
+    /// How often this life has asked for a vote without hearing of a leader.
+    pub(super) wakes: u32,
 }
 
 impl RaftCore {
@@ -94,6 +98,8 @@
             term_start: 0,
             jitter: seed | 1,
             woken: false,
+            wake_ms: ELECTION_MS,
+            wakes: 0,
         };
         core.read_membership();
         core.reset_deadline(now_ms);
@@ -104,6 +110,15 @@
         core
     }
 
+    /// Asks for a vote soon after the start instead of waiting as long as for a leader that
+    /// has fallen silent; see [`super::raft_message::WAKE_MS`].
+    pub fn wake_soon(&mut self, wake_ms: u64, now_ms: u64) {
+        self.wake_ms = wake_ms;
+        if !self.woken && self.deadline_ms > now_ms {
+            self.reset_deadline(now_ms);
+        }
+    }
+
     /// This keeper's role.
     pub fn role(&self) -> RaftRole {
         self.role
--- a/lib/src/coordination/raft_election.rs
+++ b/lib/src/coordination/raft_election.rs
@@ -1,7 +1,7 @@
 //! The consensus: elections.
 
 use super::raft::{FollowerProgress, RaftCore};
-use super::raft_message::{RaftBody, RaftOutput, RaftRole, ELECTION_MS, WAKE_MS};
+use super::raft_message::{RaftBody, RaftOutput, RaftRole, ELECTION_MS};
 use crate::state::ids::KeeperId;
 use crate::state::log_store::{EntryPayload, HardState, LogEntry};
 
@@ -10,7 +10,12 @@
         self.jitter ^= self.jitter << 13;
         self.jitter ^= self.jitter >> 7;
         self.jitter ^= self.jitter << 17;
-        let least = if self.woken { ELECTION_MS } else { WAKE_MS };
+        let mut least = ELECTION_MS;
+        if !self.woken {
+            // Twice as long each time, so that slow keepers don't ask across each other for ever.
+            least = (self.wake_ms << self.wakes.min(8)).min(ELECTION_MS);
+            self.wakes += 1;
+        }
         self.deadline_ms = now_ms + least + self.jitter % least;
     }
 
--- a/lib/src/coordination/raft_message.rs
+++ b/lib/src/coordination/raft_message.rs
@@ -9,11 +9,12 @@
 pub const HEARTBEAT_MS: u64 = 100;
 /// A follower that hears nothing for this long, and up to twice as long, asks for a vote.
 pub const ELECTION_MS: u64 = 500;
-/// A keeper that heard no leader since its start asks this soon, and up to twice as late.
+/// A fleet's keeper that heard no leader since its start asks this soon, and up to twice as
+/// late; then twice as long each time, so that slow keepers don't ask across each other.
 ///
 /// After all keepers were killed together nobody leads, and callers wait; where a leader
 /// does live, it is defended against the question. See `docs/design/platform.md`.
-pub const WAKE_MS: u64 = 120;
+pub const WAKE_MS: u64 = 50;
 /// A leader's lease lasts this long from the sending of a heartbeat that a quorum answered.
 ///
 /// Shorter than [`ELECTION_MS`] by a fifth, which allows for clocks that run apart.
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -15,7 +15,7 @@
 /// Without an answer for this long, a VM asks all keepers that it knows.
 const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
 /// How often a VM without a leader looks for one, in milliseconds.
-const SEEK_MS: u64 = 100;
+const SEEK_MS: u64 = 50;
 /// The same thing isn't asked for again within this time, in milliseconds.
 const WANT_AGAIN_MS: u64 = 150;
 /// The largest datagram.
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -21,7 +21,7 @@
 
 use super::vm_front::{close_after, own_answer, refusal};
 use super::vm_node::{BookInForce, VmNode};
-use super::vm_pool::ConnectionLease;
+use super::vm_pool::{ConnectFault, ConnectionLease};
 use super::vm_relay::{AnswerBody, CutShort};
 use crate::coordination::attempt_plan::{AttemptCount, NextStep, SendOutcome};
 use crate::coordination::event_splice::EventSplice;
@@ -40,9 +40,12 @@
 const HELD_BYTES: u64 = 64 << 10;
 /// When a refused caller may come back, in milliseconds.
 const RETRY_MS: u64 = 400;
-/// The same for a VM that has just started: a group that was killed whole leads again after
-/// half a second or so, as measured (docs/design/platform.md).
-const WAKE_RETRY_MS: u64 = 700;
+/// A VM that has just started holds requests until it is ready, this long at most, in
+/// milliseconds: a group that was killed whole serves again 220 ms after its start, as measured
+/// (docs/design/platform.md), and a caller that is refused meanwhile comes back later than that.
+const WAKE_HOLD_MS: u64 = 300;
+/// A VM has just started until this age, in milliseconds.
+const WAKE_AGE_MS: u64 = 3000;
 /// A request with less than this left isn't sent any more, in milliseconds.
 const LEAST_LEFT_MS: u64 = 10;
 /// An age of the contact at which this VM may no longer say that a route or key is unknown:
@@ -137,6 +140,16 @@
     guard: FlightGuard,
 }
 
+/// A passive sign of an upstream's health.
+enum UpstreamSign {
+    /// This life has ended.
+    Gone,
+    /// It can't be reached.
+    Silent,
+    /// It failed a request.
+    Failure,
+}
+
 /// Why a request gets no send.
 enum Denial {
     NoBook,
@@ -157,6 +170,7 @@
             return close_after(own_answer(StatusCode::BAD_REQUEST, text));
         }
     };
+    wake(&node, arrived).await;
     let limit = match node.book.borrow().as_ref() {
         Some(book) => book.book.limits.body_bytes,
         None => return close_after(deny(&Denial::NoBook)),
@@ -179,10 +193,23 @@
     task.serve().await
 }
 
+/// Waits a little for a VM that has just started to become ready.
+async fn wake(node: &VmNode, arrived: Instant) {
+    let until = arrived + Duration::from_millis(WAKE_HOLD_MS);
+    loop {
+        let changed = node.contact_changed.notified();
+        let ready = node.is_ready() && !node.upstreams.borrow().entries.is_empty();
+        let waking = node.clock.age_ms() < WAKE_AGE_MS && node.stopping_ms.get().is_none();
+        if ready || !waking || timeout_at(until, changed).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn deny(denial: &Denial) -> Response<AnswerBody> {
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     match denial {
-        Denial::NoBook => refusal(unavailable, "no configuration is known yet", WAKE_RETRY_MS),
+        Denial::NoBook => refusal(unavailable, "no configuration is known yet", RETRY_MS),
         Denial::OldContact => refusal(unavailable, "the configuration may be old", RETRY_MS),
         Denial::NoRoute => own_answer(StatusCode::NOT_FOUND, "no such route"),
         Denial::NoKey => own_answer(StatusCode::UNAUTHORIZED, "no such key"),
@@ -351,7 +378,8 @@
             near: entry.zone == settings.zone,
             first_seen_ms: upstreams.first_seen_ms.get(&key).copied().unwrap_or(0),
         };
-        upstreams.of_service(service).map(candidate).collect()
+        let living = upstreams.of_service(service).filter(|(key, _)| !outliers.is_gone(*key));
+        living.map(candidate).collect()
     }
 
     fn place(
@@ -394,9 +422,12 @@
                     self.node.pool.take(place.upstream, place.address, now_ms).await
                 }
             };
-            let Some(mut lease) = lease else {
-                self.note_dead(place.upstream);
-                return SendResult::Bad(SendOutcome::NotSent);
+            let mut lease = match lease {
+                Ok(lease) => lease,
+                Err(fault) => {
+                    self.note_fault(place.upstream, fault);
+                    return SendResult::Bad(SendOutcome::NotSent);
+                }
             };
             fresh = true;
             let request = self.upstream_request(place);
@@ -444,7 +475,7 @@
         let told = self.node.adapter.read_answer(&head);
         if told.not_run {
             if told.other_life {
-                self.note_dead(place.upstream);
+                self.note_sign(place.upstream, UpstreamSign::Gone, "another life listens there");
             }
             let read = Limited::new(body, HELD_BYTES as usize).collect().await;
             if read.is_ok() {
@@ -657,23 +688,31 @@
         );
     }
 
-    fn note_dead(&self, upstream: UpstreamKey) {
-        self.note_sign(upstream, true, "cannot be reached");
+    fn note_fault(&self, upstream: UpstreamKey, fault: ConnectFault) {
+        match fault {
+            ConnectFault::NobodyListens => {
+                self.note_sign(upstream, UpstreamSign::Gone, "nobody listens there");
+            }
+            ConnectFault::NoAnswer => {
+                self.note_sign(upstream, UpstreamSign::Silent, "cannot be reached");
+            }
+        }
     }
 
     fn note_failure(&self, upstream: UpstreamKey, what: &'static str) {
-        self.note_sign(upstream, false, what);
+        self.note_sign(upstream, UpstreamSign::Failure, what);
     }
 
-    fn note_sign(&self, upstream: UpstreamKey, dead: bool, what: &'static str) {
+    fn note_sign(&self, upstream: UpstreamKey, sign: UpstreamSign, what: &'static str) {
         let now_ms = self.node.now_ms();
         let upstreams = self.node.upstreams.borrow();
         let Some(entry) = upstreams.entries.get(&upstream) else { return };
         let fleet = upstreams.taking(&entry.service).map(|(key, _)| key);
         let mut outliers = self.node.outliers.borrow_mut();
-        match dead {
-            true => outliers.note_dead(upstream, fleet, ASIDE_SHARE, now_ms),
-            false => outliers.note_failure(upstream, fleet, ASIDE_SHARE, now_ms),
+        match sign {
+            UpstreamSign::Gone => outliers.note_gone(upstream),
+            UpstreamSign::Silent => outliers.note_dead(upstream, fleet, ASIDE_SHARE, now_ms),
+            UpstreamSign::Failure => outliers.note_failure(upstream, fleet, ASIDE_SHARE, now_ms),
         }
         info!(
             target: "upstream", life = entry.life, attempt = self.caller.attempt,
--- a/lib/src/transport/vm_keeper.rs
+++ b/lib/src/transport/vm_keeper.rs
@@ -13,7 +13,7 @@
 use super::vm_disk::{DiskJob, DiskReport};
 use crate::coordination::group_plan::{next_change, voters_wanted};
 use crate::coordination::raft::RaftCore;
-use crate::coordination::raft_message::{RaftBody, RaftMessage, RaftOutput, RaftRole};
+use crate::coordination::raft_message::{RaftBody, RaftMessage, RaftOutput, RaftRole, WAKE_MS};
 use crate::coordination::vm_roster::VmRoster;
 use crate::state::fleet_record::{FleetCommand, FleetRecord, HeldDocument, SeatRow};
 use crate::state::ids::{Incarnation, KeeperId};
@@ -115,7 +115,8 @@
             life = incarnation.0,
             "starts from its disk",
         );
-        let core = RaftCore::new(identity.id, incarnation, stored, identity.seed, now_ms);
+        let mut core = RaftCore::new(identity.id, incarnation, stored, identity.seed, now_ms);
+        core.wake_soon(WAKE_MS, now_ms);
         let mut driver = KeeperDriver {
             id: identity.id,
             peer_port: identity.peer_port,
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -28,6 +28,8 @@
 const FIRST_LIST_MS: u64 = 150;
 /// The pause after a call that failed, times the failures in a row, in milliseconds.
 const FAIL_MS: u64 = 200;
+/// How often a VM closes and forgets what it needs no more, in milliseconds.
+const SWEEP_MS: u64 = 1000;
 /// How often a VM looks whether it is its turn.
 const LOOK_TIME: Duration = Duration::from_millis(50);
 /// How long one call may take.
@@ -42,6 +44,7 @@
     pub async fn keep_list(self: Rc<Self>) {
         let mut fails = 0u64;
         let mut read_term = 0;
+        let mut swept_ms = 0;
         loop {
             let now_ms = self.now_ms();
             let vouches = |keeper: &KeeperDriver| keeper.may_vouch(now_ms);
@@ -52,6 +55,10 @@
                 Some(_) => new_leader || now_ms >= due_ms,
                 None => now_ms >= due_ms && self.must_read_alone(now_ms),
             };
+            if now_ms >= swept_ms + SWEEP_MS {
+                swept_ms = now_ms;
+                self.sweep();
+            }
             if !its_turn {
                 tokio::time::sleep(LOOK_TIME).await;
                 continue;
@@ -61,6 +68,7 @@
                 Ok(rows) => {
                     fails = 0;
                     self.take_list(rows);
+                    self.contact_changed.notify_waiters();
                     self.set_list_due(READ_MS + self.draw() % 50);
                 }
                 Err(error) => {
@@ -71,14 +79,17 @@
                     self.set_list_due(fails.min(5) * FAIL_MS + self.draw() % FAIL_MS);
                 }
             }
-            let upstreams = self.upstreams.borrow();
-            self.pool.sweep(
-                |key| upstreams.entries.contains_key(&key) || key == self.list_key(),
-                self.now_ms(),
-            );
         }
     }
 
+    /// Forgets what belongs to upstreams that are on the list no more.
+    fn sweep(&self) {
+        let upstreams = self.upstreams.borrow();
+        let known = |key| upstreams.entries.contains_key(&key);
+        self.pool.sweep(|key| known(key) || key == self.list_key(), self.now_ms());
+        self.outliers.borrow_mut().sweep(known);
+    }
+
     fn set_list_due(&self, pause_ms: u64) {
         self.view.borrow_mut().list_due_ms = self.now_ms() + pause_ms;
     }
@@ -168,7 +179,7 @@
     async fn call_list(&self, call: &str) -> Result<Bytes, String> {
         let address = self.settings.borrow().list.address;
         let lease = self.pool.take(self.list_key(), address, self.now_ms()).await;
-        let mut lease = lease.ok_or("cannot connect")?;
+        let mut lease = lease.map_err(|fault| format!("cannot connect: {fault:?}"))?;
         let request = Request::get(call)
             .header(HOST, address.to_string())
             .body(Full::new(Bytes::new()))
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -311,6 +311,7 @@
                 if (mark.term, mark.change) > (current.term, current.change) {
                     self.view.borrow_mut().list_mark = mark;
                     self.upstreams.borrow_mut().replace(rows, self.now_ms());
+                    self.contact_changed.notify_waiters();
                 }
             }
         }
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,15 @@
 /// The buffer of a connection, in bytes; the least that the library takes.
 const BUFFER_BYTES: usize = 8192;
 
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectFault {
+    /// The address answers that nobody listens there: that process has ended.
+    NobodyListens,
+    /// Nothing came, or nothing usable.
+    NoAnswer,
+}
+
 struct RestingConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -54,15 +64,15 @@
 }
 
 impl ConnectionPool {
-    /// A resting connection to the upstream, or a new one; `None` when it can't be reached.
+    /// A resting connection to the upstream, or a new one.
     pub async fn take(
         &self,
         upstream: UpstreamKey,
         address: SocketAddr,
         now_ms: u64,
-    ) -> Option<ConnectionLease> {
+    ) -> Result<ConnectionLease, ConnectFault> {
         if let Some(lease) = self.take_resting(upstream, now_ms) {
-            return Some(lease);
+            return Ok(lease);
         }
         self.connect(upstream, address).await
     }
@@ -91,19 +101,26 @@
         &self,
         upstream: UpstreamKey,
         address: SocketAddr,
-    ) -> Option<ConnectionLease> {
-        let stream = timeout(CONNECT_TIME, TcpStream::connect(address)).await.ok()?.ok()?;
+    ) -> Result<ConnectionLease, ConnectFault> {
+        let stream = match timeout(CONNECT_TIME, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(ConnectFault::NobodyListens)
+            }
+            Ok(Err(_)) | Err(_) => return Err(ConnectFault::NoAnswer),
+        };
         set_stream(&stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
-        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+        let (sender, connection) =
+            builder.handshake(TokioIo::new(stream)).await.map_err(|_| ConnectFault::NoAnswer)?;
         let task = spawn_local(async move {
             // What goes wrong on a connection is told to whoever waits for its answer.
             let _ = connection.await;
         });
         let task = task.abort_handle();
         let pool = self.clone();
-        Some(ConnectionLease { sender: Some(sender), task, upstream, pool, reused: false })
+        Ok(ConnectionLease { sender: Some(sender), task, upstream, pool, reused: false })
     }
 
     /// Closes what has rested for long enough, and what belongs to upstreams that are gone.
