--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -5,13 +5,18 @@
 use argh::FromArgs;
 use wingshed_lib::coordination::check::{check_text, read_configuration_file};
 use wingshed_lib::coordination::policy_cases::{read_cases, run_cases};
+use wingshed_lib::protocol::wire_adapter::WireAdapter;
 use wingshed_lib::state::configuration::Configuration;
 use wingshed_lib::state::finding::Finding;
+use wingshed_platform::PlatformAdapter;
 
 /// check settings and configuration files, and print every finding with its place
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckCommand {
+    /// the files are in the words of the users' platform: a VM's settings, or a configuration
+    #[argh(switch)]
+    platform: bool,
     /// the files
     #[argh(positional)]
     files: Vec<PathBuf>,
@@ -63,6 +68,17 @@
     lines.collect::<Vec<_>>().join("\n")
 }
 
+/// Checks a file in the platform's words; what kind it is shows by what it holds.
+fn check_platform_text(text: &str) -> Result<&'static str, Vec<Finding>> {
+    let value: Option<serde_json::Value> = serde_json::from_str(text).ok();
+    if value.is_some_and(|value| value.get("routes").is_some()) {
+        return PlatformAdapter
+            .read_document(text.as_bytes())
+            .map(|_| "configuration of the platform");
+    }
+    wingshed_platform::read_settings(text).map(|_| "settings file of the platform")
+}
+
 /// Prints all findings of all files; true when there is none.
 pub fn run(command: &CheckCommand) -> Result<bool, String> {
     if command.files.is_empty() {
@@ -78,7 +94,11 @@
                 continue;
             }
         };
-        match check_text(&text, &beside(path)) {
+        let checked = match command.platform {
+            true => check_platform_text(&text),
+            false => check_text(&text, &beside(path)),
+        };
+        match checked {
             Ok(kind) => println!("{}: a good {kind}.", path.display()),
             Err(findings) => {
                 println!("{}", to_lines(path, &findings));
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -120,3 +120,21 @@
     let said = said.replace(&*folder.path().to_string_lossy(), "FOLDER");
     insta::assert_snapshot!(said);
 }
+
+#[test]
+fn check_reads_the_files_of_the_platform() {
+    let fixtures = Path::new(env!("CARGO_MANIFEST_DIR")).join("../platform/tests/fixtures");
+    let file = |name: &str| fixtures.join(name).to_string_lossy().into_owned();
+    let good = wingshed(&["check", "--platform", &file("settings.json"), &file("document.json")]);
+    assert!(good.starts_with("exit 0"), "{good}");
+    assert!(good.contains("a good settings file of the platform."), "{good}");
+    assert!(good.contains("a good configuration of the platform."), "{good}");
+
+    let bad = wingshed(&["check", "--platform", &file("bad-settings.json")]);
+    let said: Vec<&str> = bad.lines().filter_map(|line| line.split(".json: ").nth(1)).collect();
+    insta::assert_snapshot!(said.join("\n"), @r"
+    $.node: is empty
+    $.portRange: is no range of ports
+    $.listen.ready: is the same as 'front'
+    ");
+}
--- a/lib/src/state/fleet_record.rs
+++ b/lib/src/state/fleet_record.rs
@@ -11,7 +11,7 @@
 
 use super::ids::UpstreamKey;
 
-/// Who holds, or last held, a seat; see [`crate::coordination::upstream_seats`].
+/// Who holds, or last held, a seat: a place in the order of engines.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeatRow {
     /// The seat.
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
+use super::vm_guard::OpenGuard;
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
 use super::vm_sockets::{listen, set_stream};
@@ -125,22 +126,6 @@
     }
 }
 
-/// Counts a connection that is open.
-struct OpenGuard(Rc<VmNode>);
-
-impl OpenGuard {
-    fn new(node: &Rc<VmNode>) -> OpenGuard {
-        node.connections.set(node.connections.get() + 1);
-        OpenGuard(node.clone())
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
 /// Answers whether the VM is ready.
 pub async fn serve_ready(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
     if !node.adapter.ready_call(request.method(), request.uri()) {
--- /dev/null
+++ b/lib/src/transport/vm_send.rs
@@ -0,0 +1,304 @@
+//! One send of a caller's request to one upstream: the choice, the head, the answer's head,
+//! and the signs that an upstream gives of its health by it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::http::response;
+use hyper::{Request, Response};
+use tokio::time::{timeout_at, Instant};
+use tracing::info;
+
+use super::vm_forward::CallerTask;
+use super::vm_guard::FlightGuard;
+use super::vm_node::BookInForce;
+use super::vm_pool::{ConnectFault, ConnectionLease};
+use crate::coordination::attempt_plan::SendOutcome;
+use crate::coordination::upstream_choice::{
+    choose_engine, choose_plain, UpstreamCandidate, UpstreamPick,
+};
+use crate::protocol::wire_adapter::{UpstreamAnswer, UpstreamSend};
+use crate::state::ids::UpstreamKey;
+use crate::state::upstream_list::UpstreamEntry;
+
+/// At most this share of a service's upstreams is set aside on passive signs.
+const ASIDE_SHARE: f64 = 0.34;
+/// A plain answer up to this length is taken whole before it is passed on, so that one that
+/// breaks off can still be asked for again.
+const HELD_BYTES: u64 = 64 << 10;
+/// Fresh connections on which one send is tried when resting ones turn out closed.
+const STALE_CONNECTIONS: usize = 3;
+
+/// One send's place.
+pub(super) struct SendPlace {
+    pub(super) book: Rc<BookInForce>,
+    pub(super) route: usize,
+    pub(super) upstream: UpstreamKey,
+    pub(super) address: SocketAddr,
+    pub(super) send: UpstreamSend,
+}
+
+/// What a send brought.
+pub(super) enum SendResult {
+    Answer(Box<GoodAnswer>),
+    Bad(SendOutcome),
+}
+
+/// An answer that may be passed on.
+pub(super) struct GoodAnswer {
+    pub(super) head: response::Parts,
+    pub(super) body: GoodBody,
+}
+
+pub(super) enum GoodBody {
+    /// A short plain answer, all of it here.
+    Whole(Bytes),
+    /// A stream, or a long answer, that still comes.
+    Coming(Box<ComingBody>),
+}
+
+pub(super) struct ComingBody {
+    pub(super) told: UpstreamAnswer,
+    pub(super) body: Incoming,
+    pub(super) lease: ConnectionLease,
+    pub(super) guard: FlightGuard,
+}
+
+/// A passive sign of an upstream's health.
+enum UpstreamSign {
+    /// This life has ended.
+    Gone,
+    /// It can't be reached.
+    Silent,
+    /// It failed a request.
+    Failure,
+}
+
+impl CallerTask {
+    pub(super) fn choose(
+        &self,
+        service: &str,
+        engine: bool,
+        moves: bool,
+        tried: &[UpstreamKey],
+        draw: u64,
+    ) -> Option<UpstreamPick> {
+        let now_ms = self.node.now_ms();
+        let candidates = self.candidates(service, tried, now_ms);
+        if engine {
+            let memory = self.node.prefixes.borrow();
+            return choose_engine(&candidates, &self.caller.prompt, &memory, moves, now_ms);
+        }
+        let upstream = choose_plain(&candidates, draw)?;
+        Some(UpstreamPick { upstream, fetch_from: None })
+    }
+
+    fn candidates(
+        &self,
+        service: &str,
+        tried: &[UpstreamKey],
+        now_ms: u64,
+    ) -> Vec<UpstreamCandidate> {
+        let node = &self.node;
+        let upstreams = node.upstreams.borrow();
+        let view = node.view.borrow();
+        let in_flight = node.in_flight.borrow();
+        let outliers = node.outliers.borrow();
+        let settings = node.settings.borrow();
+        let candidate = |(key, entry): (UpstreamKey, &UpstreamEntry)| UpstreamCandidate {
+            key,
+            load: in_flight.get(&key).copied().unwrap_or(0) + view.told.others(key),
+            aside: outliers.is_aside(key, now_ms),
+            tried: tried.contains(&key),
+            leaving: entry.leaving,
+            seat: entry.seat,
+            near: entry.zone == settings.zone,
+            first_seen_ms: upstreams.first_seen_ms.get(&key).copied().unwrap_or(0),
+        };
+        let living = upstreams.of_service(service).filter(|(key, _)| !outliers.is_gone(*key));
+        living.map(candidate).collect()
+    }
+
+    pub(super) fn place(
+        &self,
+        book: &Rc<BookInForce>,
+        route: usize,
+        workspace: Option<usize>,
+        pick: UpstreamPick,
+        left_ms: u64,
+        resume_after: Option<String>,
+    ) -> Option<SendPlace> {
+        let rule = &book.book.routes[route];
+        let upstreams = self.node.upstreams.borrow();
+        let entry = upstreams.entries.get(&pick.upstream)?;
+        let source = pick.fetch_from.and_then(|key| upstreams.entries.get(&key));
+        let workspace = workspace.and_then(|at| book.book.workspace(at));
+        let rank = workspace.map_or(0, |workspace| workspace.priority);
+        let engine_priority = rule.prompt_parts.then(|| engine_rank(rank, rule.priority));
+        let send = UpstreamSend {
+            life: entry.life.clone(),
+            left_ms,
+            workspace: workspace.map(|workspace| workspace.name.clone()),
+            engine_priority,
+            fetch_from: source.map(|entry| entry.address),
+            resume_after,
+        };
+        let address = entry.address;
+        Some(SendPlace { book: book.clone(), route, upstream: pick.upstream, address, send })
+    }
+
+    /// Sends once and reads the head of the answer.
+    pub(super) async fn send(&self, place: &SendPlace, deadline: Instant) -> SendResult {
+        let guard = FlightGuard::new(&self.node, place.upstream);
+        let mut fresh = false;
+        for _ in 0..STALE_CONNECTIONS {
+            let lease = match fresh {
+                true => self.node.pool.connect(place.upstream, place.address).await,
+                false => {
+                    let now_ms = self.node.now_ms();
+                    self.node.pool.take(place.upstream, place.address, now_ms).await
+                }
+            };
+            let mut lease = match lease {
+                Ok(lease) => lease,
+                Err(fault) => {
+                    self.note_fault(place.upstream, fault);
+                    return SendResult::Bad(SendOutcome::NotSent);
+                }
+            };
+            fresh = true;
+            let request = self.upstream_request(place);
+            let sent = lease.sender().try_send_request(request);
+            match timeout_at(deadline, sent).await {
+                Ok(Ok(answer)) => {
+                    return self.check_answer(place, answer, lease, guard, deadline).await
+                }
+                Ok(Err(mut error)) => {
+                    if error.take_message().is_some() {
+                        continue;
+                    }
+                    self.note_failure(place.upstream, "broken");
+                    return SendResult::Bad(SendOutcome::Broken);
+                }
+                Err(_) => {
+                    self.note_failure(place.upstream, "silent");
+                    return SendResult::Bad(SendOutcome::TimedOut);
+                }
+            }
+        }
+        SendResult::Bad(SendOutcome::NotSent)
+    }
+
+    fn upstream_request(&self, place: &SendPlace) -> Request<Full<Bytes>> {
+        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        if let Ok(uri) = path.parse() {
+            *request.uri_mut() = uri;
+        }
+        *request.headers_mut() = self.node.adapter.write_send(&self.head, &place.send);
+        request
+    }
+
+    async fn check_answer(
+        &self,
+        place: &SendPlace,
+        answer: Response<Incoming>,
+        lease: ConnectionLease,
+        guard: FlightGuard,
+        deadline: Instant,
+    ) -> SendResult {
+        let (head, body) = answer.into_parts();
+        let told = self.node.adapter.read_answer(&head);
+        if told.not_run {
+            if told.other_life {
+                self.note_sign(place.upstream, UpstreamSign::Gone, "another life listens there");
+            }
+            let read = Limited::new(body, HELD_BYTES as usize).collect().await;
+            if read.is_ok() {
+                lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
+            }
+            return SendResult::Bad(SendOutcome::NotRun);
+        }
+        let own = told.attempt.as_deref() == Some(self.caller.attempt.as_str());
+        if !own || (head.status.is_success() && !told.stamped) {
+            self.note_failure(place.upstream, "another answer");
+            return SendResult::Bad(SendOutcome::Broken);
+        }
+        let rule = &place.book.book.routes[place.route];
+        let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
+        if rule.kind.is_stream() || !short {
+            let body = GoodBody::Coming(Box::new(ComingBody { told, body, lease, guard }));
+            return SendResult::Answer(Box::new(GoodAnswer { head, body }));
+        }
+        match timeout_at(deadline, body.collect()).await {
+            Ok(Ok(body)) => {
+                lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
+                let body = GoodBody::Whole(body.to_bytes());
+                SendResult::Answer(Box::new(GoodAnswer { head, body }))
+            }
+            Ok(Err(_)) => {
+                self.note_failure(place.upstream, "cut answer");
+                SendResult::Bad(SendOutcome::Broken)
+            }
+            Err(_) => SendResult::Bad(SendOutcome::TimedOut),
+        }
+    }
+
+    /// Logs an answer that comes after its goal, with what decided its way.
+    pub(super) fn note_late(&self, place: &SendPlace, what: &'static str) {
+        let rule = &place.book.book.routes[place.route];
+        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        if rule.goal_ms == 0 || took_ms <= rule.goal_ms {
+            return;
+        }
+        let in_flight = self.node.in_flight.borrow().get(&place.upstream).copied();
+        info!(
+            target: "request", attempt = self.caller.attempt, took_ms, goal_ms = rule.goal_ms,
+            life = place.send.life, left_ms = place.send.left_ms,
+            own = in_flight.unwrap_or(0),
+            others = self.node.view.borrow().told.others(place.upstream),
+            fetched = place.send.fetch_from.is_some(), "late {what}",
+        );
+    }
+
+    fn note_fault(&self, upstream: UpstreamKey, fault: ConnectFault) {
+        match fault {
+            ConnectFault::NobodyListens => {
+                self.note_sign(upstream, UpstreamSign::Gone, "nobody listens there");
+            }
+            ConnectFault::NoAnswer => {
+                self.note_sign(upstream, UpstreamSign::Silent, "cannot be reached");
+            }
+        }
+    }
+
+    pub(super) fn note_failure(&self, upstream: UpstreamKey, what: &'static str) {
+        self.note_sign(upstream, UpstreamSign::Failure, what);
+    }
+
+    fn note_sign(&self, upstream: UpstreamKey, sign: UpstreamSign, what: &'static str) {
+        let now_ms = self.node.now_ms();
+        let upstreams = self.node.upstreams.borrow();
+        let Some(entry) = upstreams.entries.get(&upstream) else { return };
+        let fleet = upstreams.taking(&entry.service).map(|(key, _)| key);
+        let mut outliers = self.node.outliers.borrow_mut();
+        match sign {
+            UpstreamSign::Gone => outliers.note_gone(upstream),
+            UpstreamSign::Silent => outliers.note_dead(upstream, fleet, ASIDE_SHARE, now_ms),
+            UpstreamSign::Failure => outliers.note_failure(upstream, fleet, ASIDE_SHARE, now_ms),
+        }
+        info!(
+            target: "upstream", life = entry.life, attempt = self.caller.attempt,
+            aside = outliers.is_aside(upstream, now_ms), "{what}",
+        );
+    }
+}
+
+/// The rank at an engine, 0 to 9: a workspace's rank goes before the route's.
+fn engine_rank(workspace: u8, route: u8) -> u8 {
+    (workspace.min(2) * 3 + route.min(2)).min(9)
+}
--- /dev/null
+++ b/lib/src/transport/vm_stream.rs
@@ -0,0 +1,190 @@
+//! An answer that comes piece by piece, and a stream that is taken up at another upstream.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::header::CONTENT_LENGTH;
+use hyper::Response;
+use tokio::sync::mpsc::Sender;
+use tokio::task::spawn_local;
+use tokio::time::{timeout_at, Instant};
+use tracing::info;
+
+use super::vm_forward::{CallerTask, LEAST_LEFT_MS};
+use super::vm_relay::{AnswerBody, CutShort};
+use super::vm_send::{ComingBody, GoodAnswer, GoodBody, SendPlace, SendResult};
+use crate::coordination::attempt_plan::{AttemptCount, SendOutcome};
+use crate::coordination::event_splice::EventSplice;
+use crate::state::ids::UpstreamKey;
+use crate::state::route_book::{pick_share, RequestKind};
+
+enum RunEnd {
+    Complete,
+    Broken,
+    TimedOut,
+    CallerLeft,
+}
+
+impl CallerTask {
+    /// Passes an upstream's answer on.
+    pub(super) async fn pass_on(
+        self,
+        place: SendPlace,
+        answer: GoodAnswer,
+        deadline: Instant,
+        count: &mut AttemptCount,
+    ) -> Response<AnswerBody> {
+        let rule = &place.book.book.routes[place.route];
+        if answer.head.status.is_success() {
+            self.node.outliers.borrow_mut().note_success(place.upstream);
+            if !self.caller.prompt.is_empty() {
+                let now_ms = self.node.now_ms();
+                let mut prefixes = self.node.prefixes.borrow_mut();
+                prefixes.note_sent(&self.caller.prompt, place.upstream, now_ms);
+            }
+        }
+        self.note_late(&place, "head");
+        let GoodAnswer { head, body } = answer;
+        let headers = self.node.adapter.write_answer(&head);
+        let respond = |body, headers| {
+            let mut response = Response::new(body);
+            *response.status_mut() = head.status;
+            *response.headers_mut() = headers;
+            response
+        };
+        let coming = match body {
+            GoodBody::Whole(bytes) => return respond(AnswerBody::whole(bytes), headers),
+            GoodBody::Coming(coming) => coming,
+        };
+        let (pieces, body) = AnswerBody::pieces();
+        let mut response = respond(body, headers);
+        let resumable = rule.kind == RequestKind::ResumableStream && response.status().is_success();
+        if resumable {
+            response.headers_mut().remove(CONTENT_LENGTH);
+        }
+        count.note(SendOutcome::Failed);
+        let count = *count;
+        spawn_local(self.relay(place, coming, deadline, pieces, resumable, count));
+        response
+    }
+
+    /// Relays a stream, taking it up elsewhere when it breaks and may be resumed.
+    async fn relay(
+        self,
+        place: SendPlace,
+        coming: Box<ComingBody>,
+        deadline: Instant,
+        pieces: Sender<Result<Bytes, CutShort>>,
+        resumable: bool,
+        mut count: AttemptCount,
+    ) {
+        let mut splice = resumable.then(|| EventSplice::after(self.caller.last_event.clone()));
+        let mut tried = vec![place.upstream];
+        let mut next = Some((place, coming));
+        while let Some((place, coming)) = next.take() {
+            match self.relay_run(&place, *coming, deadline, &pieces, splice.as_mut()).await {
+                RunEnd::Complete | RunEnd::CallerLeft => return,
+                RunEnd::TimedOut => {
+                    info!(
+                        target: "request", attempt = self.caller.attempt,
+                        "a stream is cut, since its time is over",
+                    );
+                    break;
+                }
+                RunEnd::Broken => {
+                    self.note_failure(place.upstream, "cut stream");
+                    let Some(splice) = splice.as_mut() else { break };
+                    splice.begin_run();
+                    let after = splice.last_id().map(str::to_string);
+                    next = self.resume(after, deadline, &mut tried, &mut count).await;
+                }
+            }
+        }
+        info!(target: "request", attempt = self.caller.attempt, "a stream is cut short");
+        let _ = pieces.send(Err(CutShort)).await;
+    }
+
+    async fn resume(
+        &self,
+        after: Option<String>,
+        deadline: Instant,
+        tried: &mut Vec<UpstreamKey>,
+        count: &mut AttemptCount,
+    ) -> Option<(SendPlace, Box<ComingBody>)> {
+        loop {
+            let (book, route, workspace) = self.decide().ok()?;
+            let rule = &book.book.routes[route];
+            let service = pick_share(&rule.shares, self.node.draw())?;
+            let service = &book.book.services[service];
+            let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+            let spent = count.sent >= rule.most_upstreams || left < LEAST_LEFT_MS;
+            if spent || !self.spend_repeat(&service.name) {
+                return None;
+            }
+            let moves = service.engine.as_ref().is_some_and(|engine| engine.moves);
+            let pick = self.choose(&service.name, true, moves, tried, self.node.draw())?;
+            tried.push(pick.upstream);
+            let place = self.place(&book, route, workspace, pick, left, after.clone())?;
+            match self.send(&place, deadline).await {
+                SendResult::Answer(answer) => {
+                    count.note(SendOutcome::Failed);
+                    if let (true, GoodBody::Coming(coming)) =
+                        (answer.head.status.is_success(), answer.body)
+                    {
+                        let attempt = &self.caller.attempt;
+                        info!(target: "request", attempt, "a stream is resumed");
+                        return Some((place, coming));
+                    }
+                }
+                SendResult::Bad(outcome) => count.note(outcome),
+            }
+        }
+    }
+
+    async fn relay_run(
+        &self,
+        place: &SendPlace,
+        coming: ComingBody,
+        deadline: Instant,
+        pieces: &Sender<Result<Bytes, CutShort>>,
+        mut splice: Option<&mut EventSplice>,
+    ) -> RunEnd {
+        let ComingBody { told, mut body, lease, guard } = coming;
+        let _guard = guard;
+        let mut first = true;
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = pieces.closed() => return RunEnd::CallerLeft,
+                frame = timeout_at(deadline, body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) => return RunEnd::TimedOut,
+                Ok(Some(Err(_))) => return RunEnd::Broken,
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(_) => continue,
+                },
+                Ok(None) => break,
+            };
+            if std::mem::take(&mut first) {
+                self.note_late(place, "first piece");
+            }
+            let data = match splice.as_mut() {
+                Some(splice) => Bytes::from(splice.feed(&data)),
+                None => data,
+            };
+            if !data.is_empty() && pieces.send(Ok(data)).await.is_err() {
+                return RunEnd::CallerLeft;
+            }
+        }
+        if let Some(splice) = splice {
+            let rest = splice.finish();
+            if !rest.is_empty() && pieces.send(Ok(Bytes::from(rest))).await.is_err() {
+                return RunEnd::CallerLeft;
+            }
+        }
+        self.node.outliers.borrow_mut().note_success(place.upstream);
+        lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
+        RunEnd::Complete
+    }
+}
