recovery: keepers that return together take turns

Ruled out: disks, the wiped keeper's return. Now a keeper's place in the group gives its turn after a start.

--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -114,6 +114,7 @@
     /// has fallen silent; see [`super::raft_message::WAKE_MS`].
     pub fn wake_soon(&mut self, wake_ms: u64, now_ms: u64) {
         self.wake_ms = wake_ms;
+        self.wakes = 0;
         if !self.woken && self.deadline_ms > now_ms {
             self.reset_deadline(now_ms);
         }
--- a/lib/src/coordination/raft_election.rs
+++ b/lib/src/coordination/raft_election.rs
@@ -10,13 +10,17 @@
         self.jitter ^= self.jitter << 13;
         self.jitter ^= self.jitter >> 7;
         self.jitter ^= self.jitter << 17;
-        let mut least = ELECTION_MS;
-        if !self.woken {
-            // Twice as long each time, so that slow keepers don't ask across each other for ever.
-            least = (self.wake_ms << self.wakes.min(8)).min(ELECTION_MS);
-            self.wakes += 1;
+        if self.woken || self.wake_ms >= ELECTION_MS {
+            self.deadline_ms = now_ms + ELECTION_MS + self.jitter % ELECTION_MS;
+            return;
         }
-        self.deadline_ms = now_ms + least + self.jitter % least;
+        // Keepers that return together take turns by their place in the group: when one of three
+        // disks is lost, two that vote for themselves cost a whole round. No chance is added: with
+        // it two turns could fall on one tick.
+        let turn = self.voters().iter().position(|id| *id == self.id).unwrap_or(0) as u64;
+        let pause = (self.wake_ms << self.wakes.min(8)).min(ELECTION_MS);
+        self.wakes += 1;
+        self.deadline_ms = now_ms + pause * (turn + 1);
     }
 
     pub(super) fn enter_term(&mut self, term: u64, now_ms: u64, output: &mut RaftOutput) {
--- a/lib/tests/test_vm_keepers.rs
+++ b/lib/tests/test_vm_keepers.rs
@@ -91,3 +91,19 @@
     };
     play("all", faults);
 }
+
+#[test]
+fn two_that_return_at_once_agree_on_a_leader_at_once() {
+    for seed in 0..5 * seeds() {
+        let mut bench = KeeperBench::new(3, KeeperFaults::default(), seed);
+        bench.calm(BACK);
+        bench.step_ms = 1;
+        bench.lose_all_and_wipe(seed as usize % 3);
+
+        let led_ms = bench.steps_until_led(2000);
+
+        // Two votes of three are needed and the third disk is lost: votes for themselves cost
+        // another round.
+        assert!(led_ms <= 250, "seed {seed}: led after {led_ms} ms");
+    }
+}
--- a/lib/tests/testutils/keeper_bench.rs
+++ b/lib/tests/testutils/keeper_bench.rs
@@ -21,6 +21,8 @@
 /// One step of the bench, in milliseconds.
 pub const STEP_MS: u64 = 25;
 const SYNC_MS: u64 = 2;
+/// How often a VM's loop ticks its keeper, in milliseconds.
+const TICK_MS: u64 = 50;
 const RENEW_MS: u64 = 300;
 
 /// Chances in ten thousand a step.
@@ -56,6 +58,8 @@
 /// The keepers.
 pub struct KeeperBench {
     pub now_ms: u64,
+    /// Messages take up to two of these; [`STEP_MS`] unless a test needs a quick network.
+    pub step_ms: u64,
     pub acknowledged: u64,
     pub puts: u64,
     faults: KeeperFaults,
@@ -78,6 +82,7 @@
     pub fn new(size: u32, faults: KeeperFaults, seed: u64) -> KeeperBench {
         let mut bench = KeeperBench {
             now_ms: 1_000_000,
+            step_ms: STEP_MS,
             acknowledged: 0,
             puts: 0,
             faults,
@@ -136,13 +141,13 @@
 
     /// Takes steps; faults may strike at each.
     pub fn run(&mut self, steps: u64) {
-        for step in 0..steps {
-            self.now_ms += STEP_MS;
+        for _ in 0..steps {
+            self.now_ms += self.step_ms;
             self.strike();
             self.restart_due();
             self.work_disks();
             self.deliver();
-            self.tick(step);
+            self.tick();
             self.take_answers();
             self.check();
         }
@@ -156,6 +161,29 @@
         self.faults = faults;
     }
 
+    /// All lose power at once, and one its disk too; all return at the same moment.
+    pub fn lose_all_and_wipe(&mut self, wiped: usize) {
+        let until = self.now_ms + 1000;
+        for at in 0..self.peers.len() {
+            self.power_off(at, until);
+        }
+        self.lives += 1;
+        self.peers[wiped].life = Incarnation(self.lives);
+        self.peers[wiped].synced = StoredState { blank: true, ..StoredState::default() };
+        self.run(1000 / self.step_ms);
+    }
+
+    /// Steps until a leader vouches; at most `most`.
+    pub fn steps_until_led(&mut self, most: u64) -> u64 {
+        self.last_vouched = None;
+        (0..most)
+            .find(|_| {
+                self.run(1);
+                self.last_vouched.is_some()
+            })
+            .unwrap_or(most)
+    }
+
     /// The version that a leader vouched for lately.
     pub fn vouched(&self) -> Option<u64> {
         let (version, at_ms) = self.last_vouched?;
@@ -288,7 +316,7 @@
             if self.chance(self.faults.lose) {
                 continue;
             }
-            let due = self.now_ms + self.rng.gen_range(0..2 * STEP_MS);
+            let due = self.now_ms + self.rng.gen_range(0..2 * self.step_ms);
             if self.chance(self.faults.double) {
                 self.wire.push((from, to, message.clone(), due + 50));
             }
@@ -321,14 +349,18 @@
         side.is_some_and(|(side, _)| side.contains(&from) != side.contains(&to))
     }
 
-    fn tick(&mut self, step: u64) {
+    fn tick(&mut self) {
         let now_ms = self.now_ms;
+        // All loops that start together tick together.
+        if now_ms % TICK_MS >= self.step_ms {
+            return;
+        }
         for at in 0..self.peers.len() {
             if self.peers[at].frozen_until > now_ms {
                 continue;
             }
             self.act(at, |driver| driver.tick(now_ms));
-            if step % (RENEW_MS / STEP_MS) == 0 {
+            if now_ms % RENEW_MS < TICK_MS {
                 self.renew(at);
             }
             let vouches = self.peers[at].driver.as_ref().is_some_and(|d| d.may_vouch(now_ms));
