streams: one of a split route is resumed at its own service

Cause (read in the diff): the resume drew anew between the services of a split route, so that a stream could go on at another service and two runs be joined. Now one draw holds for all sends of a request.

--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -45,6 +45,8 @@
     pub(super) body: Bytes,
     pub(super) caller: CallerRequest,
     pub(super) arrived: Instant,
+    /// Decides between the services of a split route, for all sends alike.
+    pub(super) draw: u64,
     pub(super) _serving: ServingGuard,
 }
 
@@ -87,7 +89,8 @@
         }
         Err(_) => return close_after(own_answer(StatusCode::REQUEST_TIMEOUT, "")),
     };
-    let task = CallerTask { node, head, body, caller, arrived, _serving: serving };
+    let draw = node.draw();
+    let task = CallerTask { node, head, body, caller, arrived, draw, _serving: serving };
     task.serve().await
 }
 
@@ -118,7 +121,7 @@
     async fn serve(self) -> Response<AnswerBody> {
         let mut count = AttemptCount::default();
         let mut tried = Vec::new();
-        let draw = self.node.draw();
+        let draw = self.draw;
         let mut noted = false;
         loop {
             let (book, route, workspace) = match self.decide() {
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -113,7 +113,7 @@
         loop {
             let (book, route, workspace) = self.decide().ok()?;
             let rule = &book.book.routes[route];
-            let service = pick_share(&rule.shares, self.node.draw())?;
+            let service = pick_share(&rule.shares, self.draw)?;
             let service = &book.book.services[service];
             let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
             let spent = count.sent >= rule.most_upstreams || left < LEAST_LEFT_MS;
@@ -121,7 +121,7 @@
                 return None;
             }
             let moves = service.engine.as_ref().is_some_and(|engine| engine.moves);
-            let pick = self.choose(&service.name, true, moves, tried, self.node.draw())?;
+            let pick = self.choose(&service.name, true, moves, tried, self.draw)?;
             tried.push(pick.upstream);
             let place = self.place(&book, route, workspace, pick, left, after.clone())?;
             match self.send(&place, deadline).await {
