reading: one renewal, one question to the budget, one simulated disk

Cause (the change read once more): a renewal was built in two places, of which one never dropped what it had told; whether a repeat is left was asked of a copy of the whole budget; two test benches wrote a batch to a simulated disk by the same lines; a connection told whether it was reused and nobody asked.

--- a/lib/src/coordination/repeat_budget.rs
+++ b/lib/src/coordination/repeat_budget.rs
@@ -34,12 +34,17 @@
         self.firsts.push_back(now_ms);
     }
 
-    /// Takes one repeat if this VM's part has one left; `vms` is the size of the fleet.
-    pub fn spend(&mut self, allowance: &RepeatAllowance, vms: usize, now_ms: u64) -> bool {
+    /// Whether this VM's part has a repeat left; `vms` is the size of the fleet.
+    pub fn may_spend(&mut self, allowance: &RepeatAllowance, vms: usize, now_ms: u64) -> bool {
         self.expire(allowance, now_ms);
         let own = allowance.ratio * self.firsts.len() as f64;
         let allowed = USED_PART * (own + allowance.slack / vms.max(1) as f64);
-        let affordable = (self.repeats.len() + 1) as f64 <= allowed;
+        (self.repeats.len() + 1) as f64 <= allowed
+    }
+
+    /// Takes one repeat if there is one left.
+    pub fn spend(&mut self, allowance: &RepeatAllowance, vms: usize, now_ms: u64) -> bool {
+        let affordable = self.may_spend(allowance, vms, now_ms);
         if affordable {
             self.repeats.push_back(now_ms);
         }
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -16,6 +16,9 @@
 const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
 /// How often a VM without a leader looks for one, in milliseconds.
 const SEEK_MS: u64 = 50;
+/// What a renewal told is kept for its answer this long, in milliseconds; later answers tell
+/// nothing of the present any more.
+const TOLD_KEEP_MS: u64 = 2000;
 /// The same thing isn't asked for again within this time, in milliseconds.
 const WANT_AGAIN_MS: u64 = 150;
 /// The largest datagram.
@@ -40,20 +43,24 @@
         if self.grant_to_itself(now_ms) {
             return;
         }
-        let loads = self.own_loads();
-        let keeper = self.keeper.borrow().as_ref().map(|keeper| keeper.incarnation);
-        let note = RenewalNote { sent_ms: now_ms, row: self.own_row(), keeper, loads };
-        {
-            let mut view = self.view.borrow_mut();
-            view.own_told.insert(now_ms, note.loads.clone());
-            view.own_told.retain(|told_ms, _| told_ms + 2000 > now_ms);
-        }
-        let bytes = encode(&VmDatagram::Renew(note));
+        let bytes = self.renewal(now_ms);
         for to in self.whom_to_ask(now_ms) {
             self.send_datagram(to, &bytes);
         }
     }
 
+    /// A renewal as a datagram; what it tells of the own load is kept, to take it off the sum
+    /// that the answer brings.
+    fn renewal(&self, now_ms: u64) -> Vec<u8> {
+        let loads = self.own_loads();
+        let keeper = self.keeper.borrow().as_ref().map(|keeper| keeper.incarnation);
+        let note = RenewalNote { sent_ms: now_ms, row: self.own_row(), keeper, loads };
+        let mut view = self.view.borrow_mut();
+        view.own_told.insert(now_ms, note.loads.clone());
+        view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
+        encode(&VmDatagram::Renew(note))
+    }
+
     fn whom_to_ask(&self, now_ms: u64) -> Vec<VmId> {
         let own_view = self.keeper.borrow().as_ref().and_then(|keeper| keeper.leader());
         let view = self.view.borrow();
@@ -123,22 +130,13 @@
                     if view.leader != Some(leader) {
                         view.leader = Some(leader);
                         drop(view);
-                        self.renew_at(leader);
+                        self.send_datagram(leader, &self.renewal(now_ms));
                     }
                 }
             }
         }
     }
 
-    fn renew_at(&self, leader: VmId) {
-        let now_ms = self.now_ms();
-        let loads = self.own_loads();
-        let keeper = self.keeper.borrow().as_ref().map(|keeper| keeper.incarnation);
-        self.view.borrow_mut().own_told.insert(now_ms, loads.clone());
-        let note = RenewalNote { sent_ms: now_ms, row: self.own_row(), keeper, loads };
-        self.send_datagram(leader, &encode(&VmDatagram::Renew(note)));
-    }
-
     fn answer_renewal(&self, from: VmId, note: RenewalNote) {
         let now_ms = self.now_ms();
         let mut keeper = self.keeper.borrow_mut();
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -21,6 +21,7 @@
 use super::vm_relay::AnswerBody;
 use super::vm_send::SendResult;
 use crate::coordination::attempt_plan::{AttemptCount, NextStep, SendOutcome};
+use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::protocol::wire_adapter::CallerRequest;
 use crate::state::route_book::{pick_share, RouteDecision, RouteRule};
 
@@ -224,19 +225,23 @@
     }
 
     pub(super) fn spend_repeat(&self, service: &str) -> bool {
-        let (allowance, now_ms) = (self.node.allowance(), self.node.now_ms());
-        let vms = self.node.view.borrow().roster.len();
-        let mut budgets = self.node.budgets.borrow_mut();
-        budgets.entry(service.to_string()).or_default().spend(&allowance, vms, now_ms)
+        self.ask_budget(service, RepeatBudget::spend)
     }
 
     /// Whether [`CallerTask::spend_repeat`] would succeed.
     fn may_spend_repeat(&self, service: &str) -> bool {
-        let (allowance, now_ms) = (self.node.allowance(), self.node.now_ms());
+        self.ask_budget(service, RepeatBudget::may_spend)
+    }
+
+    fn ask_budget(
+        &self,
+        service: &str,
+        ask: fn(&mut RepeatBudget, &RepeatAllowance, usize, u64) -> bool,
+    ) -> bool {
         let vms = self.node.view.borrow().roster.len();
-        let budgets = self.node.budgets.borrow();
-        let budget = budgets.get(service).cloned();
-        budget.is_some_and(|mut budget| budget.spend(&allowance, vms, now_ms))
+        let mut budgets = self.node.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_string()).or_default();
+        ask(budget, &self.node.allowance(), vms, self.node.now_ms())
     }
 
     fn refuse(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -59,8 +59,6 @@
     task: AbortHandle,
     upstream: UpstreamKey,
     pool: ConnectionPool,
-    /// Whether it had served a request before.
-    pub reused: bool,
 }
 
 impl ConnectionPool {
@@ -88,7 +86,6 @@
                     task: connection.task,
                     upstream,
                     pool: self.clone(),
-                    reused: true,
                 });
             }
             connection.task.abort();
@@ -120,7 +117,7 @@
         });
         let task = task.abort_handle();
         let pool = self.clone();
-        Ok(ConnectionLease { sender: Some(sender), task, upstream, pool, reused: false })
+        Ok(ConnectionLease { sender: Some(sender), task, upstream, pool })
     }
 
     /// Closes what has rested for long enough, and what belongs to upstreams that are gone.
--- a/lib/tests/testutils/keeper_bench.rs
+++ b/lib/tests/testutils/keeper_bench.rs
@@ -14,10 +14,12 @@
 use wingshed_lib::coordination::raft_message::RaftMessage;
 use wingshed_lib::coordination::vm_roster::RosterRow;
 use wingshed_lib::state::ids::{Incarnation, KeeperId};
-use wingshed_lib::state::log_store::{LogBatch, StoredState};
+use wingshed_lib::state::log_store::StoredState;
 use wingshed_lib::transport::vm_disk::{DiskJob, DiskReport};
 use wingshed_lib::transport::vm_keeper::{KeeperDriver, KeeperIdentity, KeeperOutcome};
 
+use super::raft_bench::write_batch;
+
 /// One step of the bench, in milliseconds.
 pub const STEP_MS: u64 = 25;
 const SYNC_MS: u64 = 2;
@@ -446,14 +448,3 @@
         }
     }
 }
-
-fn write_batch(disk: &mut StoredState, batch: &LogBatch) {
-    if let Some(hard_state) = batch.hard_state {
-        disk.hard_state = hard_state;
-    }
-    if let Some(from) = batch.truncate_from {
-        disk.entries.retain(|entry| entry.index < from);
-    }
-    let after = disk.snapshot.index;
-    disk.entries.extend(batch.entries.iter().filter(|entry| entry.index > after).cloned());
-}
--- a/lib/tests/testutils/raft_bench.rs
+++ b/lib/tests/testutils/raft_bench.rs
@@ -390,7 +390,8 @@
     }
 }
 
-fn write_batch(disk: &mut StoredState, batch: &LogBatch) {
+/// What a disk holds after a batch.
+pub fn write_batch(disk: &mut StoredState, batch: &LogBatch) {
     if let Some(hard_state) = batch.hard_state {
         disk.hard_state = hard_state;
     }
