standin: a port that was free a moment ago is tried again

The likely holder is a daemon that another test forks in that moment, which has a copy of the trying socket until its exec; not brought about on purpose. The stand-in listens again for up to a second.

--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -19,7 +19,22 @@
         header_bytes: 64 << 10,
         read_timeout: Duration::from_secs(30),
     };
-    let listener = listen(address).expect("the port is free");
+    let listener = listen_soon(address);
     let refusal = Arc::new(|_| HttpReply { status: 503, ..HttpReply::default() });
     HttpServer::start(listener, limits, Arc::new(handler), refusal).expect("the server starts")
 }
+
+/// Listens at an address that was free a moment ago. A process that a test starts just then holds
+/// a copy of the socket that tried the port, until it has become its own program.
+fn listen_soon(address: SocketAddr) -> std::net::TcpListener {
+    let tries = 100;
+    for _ in 1..tries {
+        match listen(address) {
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            other => return other.expect("the port is free"),
+        }
+    }
+    listen(address).expect("the port is free")
+}
