--- a/daemons/tests/test_processes.rs
+++ b/daemons/tests/test_processes.rs
@@ -208,7 +208,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt: a claim sent again once got 503 no_lease in place of 409"]
 fn every_acknowledged_change_and_claim_survives_kill_9_of_the_leader() {
     let site = Site::new(3, 2);
     let mut keepers: Vec<Daemon> =
--- a/lib/src/coordination/router_lease.rs
+++ b/lib/src/coordination/router_lease.rs
@@ -6,6 +6,25 @@
 /// A renewal is sent this often.
 pub const RENEW_MS: u64 = 125;
 
+/// Without a grant for this long, in milliseconds, a router renews with every keeper: two
+/// renewals went unanswered. Asking them one after the other cost a router its lease when three
+/// leaders died within two seconds, each after a fraction of a second in office.
+pub const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
+
+/// Whom a router renews with: the keeper last seen leading, or all of them once it is silent.
+/// Those that don't lead say nothing.
+pub fn renew_with<K: Copy + PartialEq>(
+    leader: K,
+    keepers: impl Iterator<Item = K>,
+    granted_ms: u64,
+    now_ms: u64,
+) -> Vec<K> {
+    match now_ms > granted_ms + LEADER_SILENT_MS {
+        true => keepers.collect(),
+        false => vec![leader],
+    }
+}
+
 /// The state of one router's lease.
 #[derive(Clone, Debug, Default)]
 pub struct RouterLease {
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -10,7 +10,7 @@
 use super::worker_pool::WorkerPool;
 use crate::coordination::leaving::LeavingMark;
 use crate::coordination::load_spread::rows_in_turn;
-use crate::coordination::router_lease::RENEW_MS;
+use crate::coordination::router_lease::{renew_with, RENEW_MS};
 use crate::protocol::engine;
 use crate::protocol::keeper_wire::{
     ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal, MARKS_TOLD,
@@ -27,8 +27,6 @@
 /// Without a grant for this long, routers tell each other their loads.
 const ALONE_MS: u64 = 1000;
 const SUMS_MS: u64 = 500;
-/// Another keeper is tried when the last one seen leading has not answered for this long.
-const LEADER_SILENT_MS: u64 = 600;
 const NEWS_KEEP_MS: u64 = 3000;
 const NOTES_PER_DATAGRAM: usize = 24;
 const LONGEST_STATE: usize = 4 << 20;
@@ -43,7 +41,6 @@
     polls: std::collections::HashMap<UpstreamKey, u64>,
     joined: bool,
     turn: u64,
-    keeper_turn: usize,
 }
 
 /// What the datagram thread tells the control thread.
@@ -151,14 +148,11 @@
     };
     times.turn += 1;
     let told_ms = lock(&shared.desk).others.told_ms();
-    let mut to = shared.keepers.leader();
-    if now_ms > told_ms + LEADER_SILENT_MS {
-        // The leader has moved or is cut off: ask the keepers in turn.
-        let keepers = shared.keepers.keepers();
-        times.keeper_turn = (times.keeper_turn + 1) % keepers.len();
-        to = keepers[times.keeper_turn].address;
+    let keepers = shared.keepers.keepers().iter().map(|keeper| keeper.address);
+    let renewal = Datagram::Renew(renewal);
+    for to in renew_with(shared.keepers.leader(), keepers, told_ms, now_ms) {
+        shared.port.send(to, &renewal);
     }
-    shared.port.send(to, &Datagram::Renew(renewal));
 }
 
 fn applied(shared: &RouterShared) -> (u64, u64) {
--- a/lib/src/transport/router_forward.rs
+++ b/lib/src/transport/router_forward.rs
@@ -187,13 +187,15 @@
     if let Some(facts) = &mut request.facts {
         facts.stream = true;
     }
+    // The lease first: the view that is read after it holds all that the lease vouches for.
+    let leased = lock(&shared.lease).may_serve(shared.clock.now_ms());
     let cx = ServeContext { shared: shared.clone(), view: shared.view(), arrived, hops };
     let mut sink = AnswerSink::new(writer, true, &request.request_id, hops);
     if hops > MOST_HOPS {
         return sink.fail(&CallerError::not_run(503, "too_many_hops", "Passed on too often."));
     }
     // A draining router goes on serving as a home until its peers have turned elsewhere.
-    if !lock(&shared.lease).may_serve(shared.clock.now_ms()) {
+    if !leased {
         return sink.fail(&no_lease_error());
     }
     match aim {
--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -78,6 +78,8 @@
     arrived: Instant,
 ) {
     shared.seen.count("requests");
+    // The lease first: the view that is read after it holds all that the lease vouches for.
+    let serves = shared.may_serve();
     let view = shared.view();
     let echo = echo_id(&call);
     match read_caller(shared, &view, call) {
@@ -89,7 +91,7 @@
             let stream = request.facts.as_ref().is_none_or(|facts| facts.stream);
             let mut sink = AnswerSink::new(writer, stream, &request.request_id, 0);
             let cx = ServeContext { shared: shared.clone(), view, arrived, hops: 0 };
-            match shared.may_serve() {
+            match serves {
                 true => serve_entry(&cx, &request, &mut sink),
                 false => pass_to_peer(&cx, &request, &mut sink),
             }
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -16,7 +16,9 @@
 use wingshed_lib::coordination::policy::{compile_policy, decide_policy, PolicyFacts};
 use wingshed_lib::coordination::relay::{PieceOrder, PieceStep};
 use wingshed_lib::coordination::retry::{may_retry, RetryBudget};
-use wingshed_lib::coordination::router_lease::{RouterLease, LEASE_MS};
+use wingshed_lib::coordination::router_lease::{
+    renew_with, RouterLease, LEADER_SILENT_MS, LEASE_MS,
+};
 use wingshed_lib::coordination::session_watch::{SessionWatch, LAPSE_MS};
 use wingshed_lib::coordination::workspace_limit::{LimitRefusal, LimitTable};
 use wingshed_lib::coordination::workspace_share::{ShareTable, PRESENT_MS};
@@ -433,6 +435,18 @@
     assert!(!lease.may_serve(1200 + LEASE_MS));
 }
 
+#[test]
+fn a_router_whose_leader_is_silent_renews_with_every_keeper() {
+    let keepers = || [1, 2, 3].into_iter();
+
+    let heard = renew_with(2, keepers(), 1000, 1000 + LEADER_SILENT_MS);
+    let silent = renew_with(2, keepers(), 1000, 1001 + LEADER_SILENT_MS);
+
+    assert_eq!(heard, [2]);
+    assert_eq!(silent, [1, 2, 3]);
+    const { assert!(LEADER_SILENT_MS < LEASE_MS / 4, "several leaders may die within one lease") };
+}
+
 #[test]
 fn an_epoch_is_settled_once_every_lease_holder_has_seen_it() {
     let roster = roster(5, 1..=2);
