fleet: a leader tells only what is new

Cause: every grant carried the whole roster and a keyed row for each upstream, every change of the list went whole to each VM, and every new configuration too; sums over the fleet were made anew for each renewal.

Change: marked states of the list and of the roster with steps between them, a new leader going on from the last one's; sums kept as VMs tell and told one byte an upstream; a document told against the one before; frames shared by all links that carry them.

Tests: steps, news and documents as cases and by proptest (lost, late, doubled and out of order, new terms, lists read alone).

--- a/lib/src/coordination/vm_roster.rs
+++ b/lib/src/coordination/vm_roster.rs
@@ -4,7 +4,7 @@
 //! others: two small datagrams an exchange, however many VMs there are. See
 //! `docs/design/platform.md`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -37,18 +37,52 @@
     pub requests: u32,
 }
 
+/// Names one state of the roster, as one leader keeps it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterMark {
+    /// The leader's term; 0 for a VM that was told none.
+    pub term: u64,
+    /// Rises with each change within a term.
+    pub change: u64,
+}
+
+/// What a leader tells of the roster to a VM that holds an earlier state of it, or none.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterNews {
+    /// The state that this leads to; with term 0 there is no news.
+    pub mark: RosterMark,
+    /// The rows are all there are; otherwise those that changed.
+    pub whole: bool,
+    /// Rows.
+    pub rows: Vec<RosterRow>,
+    /// VMs that are in the roster no more.
+    pub gone: Vec<u32>,
+}
+
+/// VMs that left the roster are remembered, so many, for those that missed it.
+const GONE_KEPT: usize = 64;
+
 #[derive(Clone, Debug)]
 struct HeardVm {
     row: RosterRow,
+    changed: u64,
     keeper: Option<Incarnation>,
     loads: Vec<UpstreamLoad>,
     heard_ms: u64,
 }
 
 /// The leader's table of all VMs.
+///
+/// Sums are kept as VMs tell, not made for each answer: with every VM told a few times a second
+/// the latter grows with the square of their number.
 #[derive(Clone, Debug, Default)]
 pub struct VmRoster {
     heard: BTreeMap<u32, HeardVm>,
+    sums: BTreeMap<UpstreamKey, u32>,
+    change: u64,
+    gone: VecDeque<(u64, u32)>,
+    /// Who holds a state older than this has missed a VM that left and is forgotten by now.
+    forgotten: u64,
 }
 
 impl VmRoster {
@@ -60,17 +94,54 @@
         loads: Vec<UpstreamLoad>,
         now_ms: u64,
     ) {
-        self.heard.insert(row.id, HeardVm { row, keeper, loads, heard_ms: now_ms });
+        let before = self.heard.remove(&row.id);
+        let same = before.as_ref().filter(|vm| vm.row == row).map(|vm| vm.changed);
+        if let Some(vm) = before {
+            self.take_off(&vm.loads);
+        }
+        for load in &loads {
+            *self.sums.entry(load.upstream).or_default() += load.requests;
+        }
+        let changed = same.unwrap_or_else(|| self.next_change());
+        self.heard.insert(row.id, HeardVm { row, changed, keeper, loads, heard_ms: now_ms });
     }
 
     /// Forgets what is too old to count.
     pub fn expire(&mut self, now_ms: u64) {
-        self.heard.retain(|_, vm| vm.heard_ms + ROW_KEEP_MS > now_ms);
+        let old = |vm: &HeardVm| vm.heard_ms + ROW_KEEP_MS <= now_ms;
+        let ids: Vec<u32> =
+            self.heard.iter().filter(|(_, vm)| old(vm)).map(|(id, _)| *id).collect();
+        for id in ids {
+            if let Some(vm) = self.heard.remove(&id) {
+                self.take_off(&vm.loads);
+            }
+            let change = self.next_change();
+            self.gone.push_back((change, id));
+            if self.gone.len() > GONE_KEPT {
+                self.forgotten = self.gone.pop_front().map_or(0, |(change, _)| change);
+            }
+        }
     }
 
     /// Forgets everything, when leadership ends.
     pub fn clear(&mut self) {
-        self.heard.clear();
+        *self = VmRoster::default();
+    }
+
+    fn next_change(&mut self) -> u64 {
+        self.change += 1;
+        self.change
+    }
+
+    fn take_off(&mut self, loads: &[UpstreamLoad]) {
+        for load in loads {
+            if let Some(sum) = self.sums.get_mut(&load.upstream) {
+                *sum = sum.saturating_sub(load.requests);
+                if *sum == 0 {
+                    self.sums.remove(&load.upstream);
+                }
+            }
+        }
     }
 
     /// The VMs heard lately.
@@ -78,14 +149,38 @@
         self.heard.values().map(|vm| vm.row).collect()
     }
 
+    /// What a VM that holds `have` should be told by the leader of `term`.
+    pub fn news(&self, term: u64, have: RosterMark) -> RosterNews {
+        let mark = RosterMark { term, change: self.change };
+        if have == mark {
+            return RosterNews { mark, ..RosterNews::default() };
+        }
+        if have.term != term || have.change < self.forgotten {
+            return RosterNews { mark, whole: true, rows: self.rows(), gone: Vec::new() };
+        }
+        let changed = self.heard.values().filter(|vm| vm.changed > have.change);
+        let rows: Vec<RosterRow> = changed.map(|vm| vm.row).collect();
+        let left = self.gone.iter().filter(|(change, _)| *change > have.change);
+        let gone = left.map(|(_, id)| *id).filter(|id| !self.heard.contains_key(id)).collect();
+        RosterNews { mark, whole: false, rows, gone }
+    }
+
     /// The sum of what all VMs have in flight.
     pub fn loads(&self) -> Vec<UpstreamLoad> {
-        let mut sums: BTreeMap<UpstreamKey, u32> = BTreeMap::new();
-        for load in self.heard.values().flat_map(|vm| &vm.loads) {
-            *sums.entry(load.upstream).or_default() += load.requests;
-        }
-        let rows = sums.into_iter();
-        rows.map(|(upstream, requests)| UpstreamLoad { upstream, requests }).collect()
+        let rows = self.sums.iter();
+        rows.map(|(upstream, requests)| UpstreamLoad { upstream: *upstream, requests: *requests })
+            .collect()
+    }
+
+    /// The same for these upstreams, in their order, one byte each: 255 stands for all above.
+    pub fn placed_loads<'a>(&self, keys: impl Iterator<Item = &'a UpstreamKey>) -> Vec<u8> {
+        let mut sums = self.sums.iter().peekable();
+        keys.map(|key| {
+            while sums.next_if(|(upstream, _)| *upstream < key).is_some() {}
+            let own = sums.next_if(|(upstream, _)| *upstream == key);
+            own.map_or(0, |(_, requests)| u8::try_from(*requests).unwrap_or(u8::MAX))
+        })
+        .collect()
     }
 
     /// The VMs with a disk, the lives of their disks and their zones.
@@ -95,6 +190,35 @@
     }
 }
 
+/// The roster as one VM was told it.
+#[derive(Clone, Debug, Default)]
+pub struct RosterCopy {
+    /// Which state of it this is.
+    pub mark: RosterMark,
+    /// The VMs, by address.
+    pub rows: Vec<RosterRow>,
+}
+
+impl RosterCopy {
+    /// Takes news that lead from the state that is here, or that are whole.
+    pub fn take(&mut self, news: RosterNews) {
+        let (own, mark) = (self.mark, news.mark);
+        let newer = (mark.term, mark.change) > (own.term, own.change);
+        if !newer || !(news.whole || mark.term == own.term) {
+            return;
+        }
+        if news.whole {
+            self.rows = news.rows;
+        } else {
+            let told: Vec<u32> = news.rows.iter().map(|row| row.id).collect();
+            self.rows.retain(|row| !news.gone.contains(&row.id) && !told.contains(&row.id));
+            self.rows.extend(news.rows);
+            self.rows.sort_unstable_by_key(|row| row.id);
+        }
+        self.mark = news.mark;
+    }
+}
+
 /// What a VM was last told of the others' load.
 #[derive(Clone, Debug, Default)]
 pub struct ToldLoad {
@@ -112,6 +236,23 @@
         self.own_part = by_key(own_told);
     }
 
+    /// Notes sums that were told one byte an upstream, in the order of `keys`.
+    pub fn tell_placed<'a>(
+        &mut self,
+        keys: impl Iterator<Item = &'a UpstreamKey>,
+        sums: &[u8],
+        own_told: &[UpstreamLoad],
+    ) {
+        let rows = keys.zip(sums).filter(|(_, requests)| **requests > 0);
+        let rows: Vec<UpstreamLoad> = rows
+            .map(|(upstream, requests)| UpstreamLoad {
+                upstream: *upstream,
+                requests: u32::from(*requests),
+            })
+            .collect();
+        self.tell(&rows, own_told);
+    }
+
     /// What the other VMs have in flight at an upstream.
     pub fn others(&self, upstream: UpstreamKey) -> u32 {
         let sum = self.sums.get(&upstream).copied().unwrap_or(0);
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -3,12 +3,14 @@
 
 use std::net::Ipv4Addr;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::raft_message::RaftMessage;
-use crate::coordination::vm_roster::{RosterRow, UpstreamLoad};
+use crate::coordination::vm_roster::{RosterMark, RosterNews, RosterRow, UpstreamLoad};
+use crate::state::document_change::DocumentChange;
 use crate::state::ids::Incarnation;
-use crate::state::upstream_list::UpstreamEntry;
+use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
 
 /// The largest frame, in bytes: a document of the largest size and its frame.
 pub const LARGEST_FRAME: usize = 16 << 20;
@@ -56,8 +58,22 @@
         #[serde(with = "serde_bytes")]
         document: Vec<u8>,
     },
+    /// The newest document, told against an earlier one.
+    DocumentChange {
+        /// The version of the earlier one.
+        before: u64,
+        /// The version.
+        version: u64,
+        /// What is new.
+        change: DocumentChange,
+    },
     /// To the leader: the list of upstreams, please.
-    WantList,
+    WantList {
+        /// The state that the asker holds.
+        have: ListMark,
+    },
+    /// What is new in the list of upstreams.
+    ListStep(ListStep),
     /// The list of upstreams.
     List {
         /// Which state of the list it is.
@@ -67,13 +83,14 @@
     },
 }
 
-/// Names one state of the list of upstreams, as one leader keeps it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListMark {
-    /// The leader's term.
-    pub term: u64,
-    /// Rises with each change within a term; 0 before the first.
-    pub change: u64,
+/// What all VMs have in flight, summed, by upstream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum LoadNews {
+    /// One byte an upstream, in the order of the list that the asker holds too: with a thousand
+    /// upstreams a keyed row each is more than a link of a small VM takes.
+    Placed(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// By key, for an asker with another state of the list.
+    Keyed(Vec<UpstreamLoad>),
 }
 
 /// What travels as a datagram.
@@ -103,6 +120,10 @@
     pub keeper: Option<Incarnation>,
     /// What it has in flight.
     pub loads: Vec<UpstreamLoad>,
+    /// The state of the roster that it holds.
+    pub roster: RosterMark,
+    /// The state of the list of upstreams that it holds.
+    pub list: ListMark,
 }
 
 /// What the leader answers, while it surely leads.
@@ -118,12 +139,11 @@
     pub list: ListMark,
     /// The keepers.
     pub keepers: Vec<VmId>,
-    /// Whether the leader has led long enough to have heard every VM.
-    pub settled: bool,
-    /// The VMs that were heard lately.
-    pub roster: Vec<RosterRow>,
+    /// What is new in the roster. A leader tells it once it has led long enough to have heard
+    /// every VM, and before that only to those that know none.
+    pub roster: RosterNews,
     /// What all VMs have in flight, summed.
-    pub loads: Vec<UpstreamLoad>,
+    pub loads: LoadNews,
 }
 
 /// Encodes a message or datagram.
@@ -137,13 +157,13 @@
 }
 
 /// A frame: its length, its sender, the message.
-pub fn encode_frame(from: VmId, message: &VmMessage) -> Vec<u8> {
+pub fn encode_frame(from: VmId, message: &VmMessage) -> Bytes {
     let body = encode(message);
     let mut frame = Vec::with_capacity(body.len() + FRAME_HEAD);
     frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
     frame.extend_from_slice(&from.to_le_bytes());
     frame.extend_from_slice(&body);
-    frame
+    frame.into()
 }
 
 /// The length and the sender that a frame's head tells; an error when it can't be one.
--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -1,8 +1,10 @@
 //! The upstreams, as the platform's list or another VM told them.
 //!
-//! Leaving is sticky for a life: no list that lags can take it back.
+//! Leaving is sticky for a life: no list that lags can take it back. A state of the list that a
+//! leader told has a mark, and VMs with the same mark hold the same rows; so a change can be told
+//! without the rest. See `docs/design/fleet-news.md`.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -33,6 +35,55 @@
     }
 }
 
+/// Names one state of the list, as one leader keeps it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListMark {
+    /// The leader's term.
+    pub term: u64,
+    /// Rises with each change; 0 before the first, and for a list that no leader told.
+    pub change: u64,
+}
+
+/// What is other in one state of the list than in an earlier one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListChange {
+    /// Rows that are new or other than before.
+    pub rows: Vec<UpstreamEntry>,
+    /// Lives that are on the list no more.
+    pub gone: Vec<UpstreamKey>,
+}
+
+impl ListChange {
+    /// Whether nothing is other.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.gone.is_empty()
+    }
+
+    /// Joins the change that came next to this one.
+    fn join(&mut self, next: &ListChange) {
+        let named: HashSet<UpstreamKey> =
+            next.rows.iter().map(UpstreamEntry::key).chain(next.gone.iter().copied()).collect();
+        self.rows.retain(|row| !named.contains(&row.key()));
+        self.gone.retain(|key| !named.contains(key));
+        self.rows.extend_from_slice(&next.rows);
+        self.gone.extend_from_slice(&next.gone);
+    }
+}
+
+/// A step from one marked state to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListStep {
+    /// The state before.
+    pub from: ListMark,
+    /// The state after.
+    pub to: ListMark,
+    /// What is other.
+    pub change: ListChange,
+}
+
+/// Steps that are remembered for VMs that missed some; one that missed more takes the whole.
+const STEPS_KEPT: usize = 32;
+
 /// All upstreams that one VM knows.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamList {
@@ -42,12 +93,76 @@
     pub first_seen_ms: BTreeMap<UpstreamKey, u64>,
     /// When the newest content was read from the platform, as far as this VM can tell.
     pub read_ms: u64,
+    /// Which state this is, when a leader told it.
+    pub mark: ListMark,
     leaving: HashSet<UpstreamKey>,
+    steps: VecDeque<ListStep>,
 }
 
 impl UpstreamList {
-    /// Takes a whole list; true when anything changed.
-    pub fn replace(&mut self, rows: Vec<UpstreamEntry>, now_ms: u64) -> bool {
+    /// Takes a list that this VM read for itself; true when anything changed.
+    pub fn take_alone(&mut self, rows: Vec<UpstreamEntry>, now_ms: u64) -> bool {
+        self.mark = ListMark::default();
+        self.steps.clear();
+        !self.replace(rows, now_ms).is_empty()
+    }
+
+    /// Takes a whole list as a leader told it, unless it is older than what is here.
+    pub fn take_whole(&mut self, mark: ListMark, rows: Vec<UpstreamEntry>, now_ms: u64) -> bool {
+        let newer = (mark.term, mark.change) > (self.mark.term, self.mark.change);
+        if newer {
+            self.replace(rows, now_ms);
+            self.mark = mark;
+            self.steps.clear();
+        }
+        newer
+    }
+
+    /// Takes a list that this VM read as the leader of `term`; the step to tell the others, if
+    /// there is one. A new leader's first step goes on from what the last one told.
+    pub fn lead(&mut self, rows: Vec<UpstreamEntry>, term: u64, now_ms: u64) -> Option<ListStep> {
+        let change = self.replace(rows, now_ms);
+        if change.is_empty() && self.mark.term == term {
+            return None;
+        }
+        let from = self.mark;
+        let to = ListMark { term, change: from.change + 1 };
+        let step = ListStep { from, to, change };
+        self.note_step(step.clone());
+        Some(step)
+    }
+
+    /// Takes a step of a leader; false when it doesn't start at the state that is here.
+    pub fn follow(&mut self, step: ListStep, now_ms: u64) -> bool {
+        if step.from != self.mark || self.mark.change == 0 {
+            return false;
+        }
+        let mut rows = self.entries.clone();
+        step.change.gone.iter().for_each(|key| drop(rows.remove(key)));
+        rows.extend(step.change.rows.iter().map(|row| (row.key(), row.clone())));
+        self.replace(rows.into_values().collect(), now_ms);
+        self.note_step(step);
+        true
+    }
+
+    /// The step from an earlier state to this one, while it is remembered.
+    pub fn step_since(&self, have: ListMark) -> Option<ListStep> {
+        let first = self.steps.iter().position(|step| step.from == have && have.change > 0)?;
+        let mut change = ListChange::default();
+        self.steps.range(first..).for_each(|step| change.join(&step.change));
+        Some(ListStep { from: have, to: self.mark, change })
+    }
+
+    fn note_step(&mut self, step: ListStep) {
+        self.mark = step.to;
+        if self.steps.len() == STEPS_KEPT {
+            self.steps.pop_front();
+        }
+        self.steps.push_back(step);
+    }
+
+    /// Puts the rows in place of all others; tells what is other.
+    fn replace(&mut self, rows: Vec<UpstreamEntry>, now_ms: u64) -> ListChange {
         let mut entries = BTreeMap::new();
         for mut row in rows {
             let key = row.key();
@@ -58,14 +173,16 @@
             entries.insert(key, row);
         }
         self.leaving.retain(|key| entries.contains_key(key));
-        let changed = entries != self.entries;
+        let other = entries.iter().filter(|(key, row)| self.entries.get(key) != Some(*row));
+        let rows = other.map(|(_, row)| row.clone()).collect();
+        let gone = self.entries.keys().filter(|key| !entries.contains_key(key)).copied().collect();
         self.first_seen_ms.retain(|key, _| entries.contains_key(key));
         for key in entries.keys() {
             self.first_seen_ms.entry(*key).or_insert(now_ms);
         }
         self.entries = entries;
         self.read_ms = now_ms;
-        changed
+        ListChange { rows, gone }
     }
 
     /// The rows, to tell another VM.
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -6,10 +6,11 @@
 
 use tracing::{debug, info};
 
+use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
-use crate::coordination::vm_roster::{RENEW_MS, SETTLE_MS};
+use crate::coordination::vm_roster::{RosterMark, RosterNews, RENEW_MS, SETTLE_MS};
 use crate::protocol::vm_wire::{
-    decode, encode, vm_address, GrantNote, RenewalNote, VmDatagram, VmId, VmMessage,
+    decode, encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
 };
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
@@ -26,6 +27,15 @@
 /// VMs outside the keepers that are asked when no keeper answers.
 const OTHERS_ASKED: usize = 2;
 
+/// What a leader tells of the roster: nothing to a VM that knows one, until it has led long
+/// enough to have heard every VM.
+fn roster_news(keeper: &KeeperDriver, have: RosterMark, now_ms: u64) -> RosterNews {
+    match keeper.led_ms(now_ms) >= SETTLE_MS || have.term == 0 {
+        true => keeper.roster.news(keeper.term(), have),
+        false => RosterNews::default(),
+    }
+}
+
 impl VmNode {
     /// Renews, again and again.
     pub async fn keep_contact(self: Rc<Self>) {
@@ -54,8 +64,10 @@
     fn renewal(&self, now_ms: u64) -> Vec<u8> {
         let loads = self.own_loads();
         let keeper = self.keeper.borrow().as_ref().map(|keeper| keeper.incarnation);
-        let note = RenewalNote { sent_ms: now_ms, row: self.own_row(), keeper, loads };
+        let row = self.own_row();
         let mut view = self.view.borrow_mut();
+        let (roster, list) = (view.roster.mark, self.upstreams.borrow().mark);
+        let note = RenewalNote { sent_ms: now_ms, row, keeper, loads, roster, list };
         view.own_told.insert(now_ms, note.loads.clone());
         view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
         encode(&VmDatagram::Renew(note))
@@ -76,9 +88,10 @@
             asked.extend(keeper.members().iter().map(|id| id.0));
         }
         asked.extend(self.settings.borrow().seeds.iter().map(|ip| VmId::from(*ip)));
-        if !view.roster.is_empty() {
+        let rows = &view.roster.rows;
+        if !rows.is_empty() {
             let start = self.draw() as usize;
-            let others = (0..OTHERS_ASKED).map(|at| view.roster[(start + at) % view.roster.len()]);
+            let others = (0..OTHERS_ASKED).map(|at| rows[(start + at) % rows.len()]);
             asked.extend(others.map(|row| row.id));
         }
         asked.sort_unstable();
@@ -143,16 +156,20 @@
         let answer = match keeper.as_mut() {
             Some(keeper) if keeper.may_vouch(now_ms) => {
                 keeper.roster.note(note.row, note.keeper, note.loads, now_ms);
-                let view = self.view.borrow();
+                let upstreams = self.upstreams.borrow();
                 VmDatagram::Grant(GrantNote {
                     sent_ms: note.sent_ms,
                     term: keeper.term(),
                     version: keeper.record.document.version,
-                    list: view.list_mark,
+                    list: upstreams.mark,
                     keepers: keeper.members().iter().map(|id| id.0).collect(),
-                    settled: keeper.led_ms(now_ms) >= SETTLE_MS,
-                    roster: keeper.roster.rows(),
-                    loads: keeper.roster.loads(),
+                    roster: roster_news(keeper, note.roster, now_ms),
+                    loads: match note.list == upstreams.mark {
+                        true => {
+                            LoadNews::Placed(keeper.roster.placed_loads(upstreams.entries.keys()))
+                        }
+                        false => LoadNews::Keyed(keeper.roster.loads()),
+                    },
                 })
             }
             Some(keeper) => VmDatagram::Elsewhere {
@@ -185,13 +202,19 @@
             if !grant.keepers.is_empty() {
                 view.keepers = grant.keepers;
             }
-            if grant.settled || view.roster.is_empty() {
-                view.roster = grant.roster;
-            }
+            view.roster.take(grant.roster);
             let own = view.own_told.get(&grant.sent_ms).cloned().unwrap_or_default();
-            view.told.tell(&grant.loads, &own);
+            let upstreams = self.upstreams.borrow();
+            match grant.loads {
+                LoadNews::Keyed(loads) => view.told.tell(&loads, &own),
+                LoadNews::Placed(sums) if grant.list == upstreams.mark => {
+                    view.told.tell_placed(upstreams.entries.keys(), &sums, &own);
+                }
+                // The list has changed since the renewal was sent; the next answer will fit.
+                LoadNews::Placed(_) => {}
+            }
             if view.wanted_ms + WANT_AGAIN_MS <= now_ms {
-                want_list = grant.list.change > 0 && grant.list != view.list_mark;
+                want_list = grant.list.change > 0 && grant.list != upstreams.mark;
                 want_document = grant.version > self.contact.borrow().applied();
                 if want_list || want_document {
                     view.wanted_ms = now_ms;
@@ -205,7 +228,8 @@
             self.links.send(from, &VmMessage::WantDocument);
         }
         if want_list {
-            self.links.send(from, &VmMessage::WantList);
+            let have = self.upstreams.borrow().mark;
+            self.links.send(from, &VmMessage::WantList { have });
         }
     }
 
@@ -222,9 +246,8 @@
         view.leader = Some(self.id);
         view.heard_ms = now_ms;
         view.keepers = keeper.members().iter().map(|id| id.0).collect();
-        if keeper.led_ms(now_ms) >= SETTLE_MS || view.roster.is_empty() {
-            view.roster = keeper.roster.rows();
-        }
+        let news = roster_news(keeper, view.roster.mark, now_ms);
+        view.roster.take(news);
         view.told.tell(&keeper.roster.loads(), &loads);
         self.contact.borrow_mut().note_grant(now_ms, keeper.record.document.version);
         self.contact_changed.notify_waiters();
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -238,7 +238,7 @@
         service: &str,
         ask: fn(&mut RepeatBudget, &RepeatAllowance, usize, u64) -> bool,
     ) -> bool {
-        let vms = self.node.view.borrow().roster.len();
+        let vms = self.node.view.borrow().roster.rows.len();
         let mut budgets = self.node.budgets.borrow_mut();
         let budget = budgets.entry(service.to_string()).or_default();
         ask(budget, &self.node.allowance(), vms, self.node.now_ms())
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -160,7 +160,7 @@
             return Vec::new();
         };
         let zone = xxhash_rust::xxh3::xxh3_64(zone.as_bytes());
-        let mut rows = self.view.borrow().roster.clone();
+        let mut rows = self.view.borrow().roster.rows.clone();
         // The leader may not have heard yet that this VM is ready.
         rows.retain(|row| row.id != self.id);
         rows.push(RosterRow { id: self.id, zone: self.zone, ready: self.is_ready() });
--- a/lib/src/transport/vm_links.rs
+++ b/lib/src/transport/vm_links.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{channel, Receiver, Sender};
@@ -34,7 +35,7 @@
 pub struct LinkTable {
     own: VmId,
     port: u16,
-    links: Rc<RefCell<HashMap<VmId, Sender<Vec<u8>>>>>,
+    links: Rc<RefCell<HashMap<VmId, Sender<Bytes>>>>,
 }
 
 impl LinkTable {
@@ -48,7 +49,7 @@
         self.send_frame(to, encode_frame(self.own, message));
     }
 
-    /// Sends one message to several VMs.
+    /// Sends one message to several VMs; they share its bytes.
     pub fn send_all(&self, to: impl Iterator<Item = VmId>, message: &VmMessage) {
         let frame = encode_frame(self.own, message);
         for id in to {
@@ -56,7 +57,7 @@
         }
     }
 
-    fn send_frame(&self, to: VmId, mut frame: Vec<u8>) {
+    fn send_frame(&self, to: VmId, mut frame: Bytes) {
         let mut links = self.links.borrow_mut();
         if let Some(link) = links.get(&to) {
             match link.try_send(frame) {
@@ -77,7 +78,7 @@
     }
 }
 
-async fn run_link(address: SocketAddr, mut frames: Receiver<Vec<u8>>) {
+async fn run_link(address: SocketAddr, mut frames: Receiver<Bytes>) {
     let mut stream: Option<TcpStream> = None;
     loop {
         let frame = match timeout(REST_TIME, frames.recv()).await {
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -15,9 +15,9 @@
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
 use crate::coordination::upstream_seats::SeatTable;
-use crate::protocol::vm_wire::{ListMark, VmMessage};
+use crate::protocol::vm_wire::{VmId, VmMessage};
 use crate::state::ids::UpstreamKey;
-use crate::state::upstream_list::UpstreamEntry;
+use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
 
 /// How often the leader reads the list, in milliseconds: the list itself lags by 800 ms, and
 /// an upstream that leaves must get nothing after 3 s.
@@ -126,8 +126,10 @@
         if seats != before {
             self.step_keeper(|keeper, now_ms| keeper.record_seats(seats.rows(), now_ms));
         }
-        let changed = self.upstreams.borrow_mut().replace(rows, now_ms);
-        self.tell_list(term, changed);
+        let step = self.upstreams.borrow_mut().lead(rows, term, now_ms);
+        if let Some(step) = step {
+            self.tell_list(step);
+        }
     }
 
     /// A VM that doesn't lead keeps the seats that it was told of.
@@ -141,22 +143,45 @@
                 row.seat = upstreams.entries.get(&row.key()).and_then(|known| known.seat);
             }
         }
-        upstreams.replace(rows, now_ms);
+        upstreams.take_alone(rows, now_ms);
     }
 
     /// Tells the others of a list that changed, or of a new leader's first.
-    fn tell_list(&self, term: u64, changed: bool) {
-        let mut view = self.view.borrow_mut();
-        let new_term = view.list_mark.term != term;
-        if !changed && !new_term {
+    fn tell_list(&self, step: ListStep) {
+        let upstreams = self.upstreams.borrow().entries.len();
+        let changed = step.change.rows.len() + step.change.gone.len();
+        info!(target: "list", upstreams, changed, change = step.to.change, "changed");
+        let view = self.view.borrow();
+        let others = view.roster.rows.iter().map(|row| row.id).filter(|id| *id != self.id);
+        let message = match step.from.change {
+            // Nobody holds what this starts from.
+            0 => VmMessage::List { mark: step.to, rows: self.upstreams.borrow().rows() },
+            _ => VmMessage::ListStep(step),
+        };
+        self.links.send_all(others, &message);
+    }
+
+    /// Answers a VM that holds another state of the list.
+    pub(super) fn give_list(&self, to: VmId, have: ListMark) {
+        let upstreams = self.upstreams.borrow();
+        let message = match upstreams.step_since(have) {
+            Some(step) => VmMessage::ListStep(step),
+            None => VmMessage::List { mark: upstreams.mark, rows: upstreams.rows() },
+        };
+        self.links.send(to, &message);
+    }
+
+    /// Takes what a leader told of the list; asks again if it doesn't fit what is here.
+    pub(super) fn take_list_step(&self, from: VmId, step: ListStep) {
+        let (have, to) = (self.upstreams.borrow().mark, step.to);
+        if (to.term, to.change) <= (have.term, have.change) {
             return;
         }
-        let change = if new_term { 1 } else { view.list_mark.change + 1 };
-        view.list_mark = ListMark { term, change };
-        let rows = self.upstreams.borrow().rows();
-        info!(target: "list", upstreams = rows.len(), change, "changed");
-        let others = view.roster.iter().map(|row| row.id).filter(|id| *id != self.id);
-        self.links.send_all(others, &VmMessage::List { mark: view.list_mark, rows });
+        if self.upstreams.borrow_mut().follow(step, self.now_ms()) {
+            self.contact_changed.notify_waiters();
+        } else {
+            self.links.send(from, &VmMessage::WantList { have });
+        }
     }
 
     async fn read_list(&self) -> Result<Vec<UpstreamEntry>, String> {
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -27,9 +27,11 @@
 use crate::coordination::raft_message::HEARTBEAT_MS;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::upstream_choice::PrefixMemory;
-use crate::coordination::vm_roster::{RosterRow, ToldLoad, UpstreamLoad};
-use crate::protocol::vm_wire::{ListMark, VmId, VmMessage};
+use crate::coordination::vm_roster::{RosterCopy, RosterRow, ToldLoad, UpstreamLoad};
+use crate::protocol::vm_wire::{VmId, VmMessage};
 use crate::protocol::wire_adapter::WireAdapter;
+use crate::state::document_change::DocumentChange;
+use crate::state::fleet_record::HeldDocument;
 use crate::state::ids::{Incarnation, KeeperId, UpstreamKey};
 use crate::state::route_book::RouteBook;
 use crate::state::upstream_list::UpstreamList;
@@ -54,15 +56,13 @@
     /// The keepers.
     pub keepers: Vec<VmId>,
     /// The VMs that the leader heard lately.
-    pub roster: Vec<RosterRow>,
+    pub roster: RosterCopy,
     /// When the leader last answered.
     pub heard_ms: u64,
     /// What others have in flight.
     pub told: ToldLoad,
     /// What this VM told of its own, by the time of telling.
     pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
-    /// The state of the list of upstreams that is in force here.
-    pub list_mark: ListMark,
     /// When the list of upstreams should be read again, by whoever reads it.
     pub list_due_ms: u64,
     /// When something was last asked for, so that it isn't asked for with each grant.
@@ -253,14 +253,43 @@
             Some(keeper) => (keeper.record.document.clone(), keeper.may_vouch(now_ms)),
             None => return,
         };
+        let before = self.book.borrow().clone();
         self.apply_document(held.version, &held.bytes);
         if vouches {
-            // Keepers hear of it by the consensus itself.
-            let view = self.view.borrow();
-            let others = view.roster.iter().map(|row| row.id);
-            let others = others.filter(|id| *id != self.id && !view.keepers.contains(id));
-            let message = VmMessage::Document { version: held.version, document: held.bytes };
-            self.links.send_all(others, &message);
+            self.tell_document(before.as_deref(), held);
+        }
+    }
+
+    /// Tells the VMs that are no keepers of a new document, against the one before if there was
+    /// one; keepers hear of it by the consensus itself.
+    fn tell_document(&self, before: Option<&BookInForce>, held: HeldDocument) {
+        let view = self.view.borrow();
+        let others = view.roster.rows.iter().map(|row| row.id);
+        let others = others.filter(|id| *id != self.id && !view.keepers.contains(id));
+        let change = before.map(|before| {
+            let change = DocumentChange::between(&before.document, &held.bytes);
+            (before.book.version, change)
+        });
+        let small = change.filter(|(_, change)| change.new_bytes() * 2 < held.bytes.len());
+        let message = match small {
+            Some((before, change)) => {
+                VmMessage::DocumentChange { before, version: held.version, change }
+            }
+            None => VmMessage::Document { version: held.version, document: held.bytes },
+        };
+        self.links.send_all(others, &message);
+    }
+
+    /// Takes a document that is told against an earlier one; asks for the whole if that isn't
+    /// the one in force here.
+    fn take_document_change(&self, from: VmId, before: u64, version: u64, change: &DocumentChange) {
+        if version <= self.contact.borrow().applied() {
+            return;
+        }
+        let book = self.book.borrow().clone().filter(|book| book.book.version == before);
+        match book.and_then(|book| change.apply(&book.document)) {
+            Some(document) => self.apply_document(version, &document),
+            None => self.links.send(from, &VmMessage::WantDocument),
         }
     }
 
@@ -301,16 +330,13 @@
                 }
             }
             VmMessage::Document { version, document } => self.apply_document(version, &document),
-            VmMessage::WantList => {
-                let mark = self.view.borrow().list_mark;
-                let rows = self.upstreams.borrow().rows();
-                self.links.send(from, &VmMessage::List { mark, rows });
+            VmMessage::DocumentChange { before, version, change } => {
+                self.take_document_change(from, before, version, &change);
             }
+            VmMessage::WantList { have } => self.give_list(from, have),
+            VmMessage::ListStep(step) => self.take_list_step(from, step),
             VmMessage::List { mark, rows } => {
-                let current = self.view.borrow().list_mark;
-                if (mark.term, mark.change) > (current.term, current.change) {
-                    self.view.borrow_mut().list_mark = mark;
-                    self.upstreams.borrow_mut().replace(rows, self.now_ms());
+                if self.upstreams.borrow_mut().take_whole(mark, rows, self.now_ms()) {
                     self.contact_changed.notify_waiters();
                 }
             }
--- /dev/null
+++ b/lib/tests/test_fleet_news.rs
@@ -0,0 +1,285 @@
+//! What a leader tells the VMs of a fleet: only what is new, and whatever is lost on the way the
+//! VMs end with what the leader holds.
+
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use wingshed_lib::coordination::vm_roster::{
+    RosterCopy, RosterMark, RosterRow, ToldLoad, UpstreamLoad, VmRoster, ROW_KEEP_MS,
+};
+use wingshed_lib::state::document_change::DocumentChange;
+use wingshed_lib::state::ids::UpstreamKey;
+use wingshed_lib::state::upstream_list::{ListStep, UpstreamEntry, UpstreamList};
+
+fn entry(number: u16, leaving: bool) -> UpstreamEntry {
+    UpstreamEntry {
+        life: format!("life-{number}"),
+        service: "engines".to_string(),
+        address: SocketAddr::from(([10, 0, 0, 1], 1000 + number)),
+        zone: "a".to_string(),
+        leaving,
+        seat: Some(u64::from(number)),
+    }
+}
+
+fn entries(numbers: &[u16]) -> Vec<UpstreamEntry> {
+    numbers.iter().map(|number| entry(*number, false)).collect()
+}
+
+fn row(id: u32, ready: bool) -> RosterRow {
+    RosterRow { id, zone: 0, ready }
+}
+
+/// A VM that holds what a leader of term 1 told first, and that leader.
+fn leader_and_follower() -> (UpstreamList, UpstreamList) {
+    let (mut leader, mut follower) = (UpstreamList::default(), UpstreamList::default());
+    leader.lead(entries(&[1, 2]), 1, 0).expect("a first list is news");
+    follower.take_whole(leader.mark, leader.rows(), 0);
+    (leader, follower)
+}
+
+#[test]
+fn a_step_tells_only_what_is_new() {
+    let (mut leader, mut follower) = leader_and_follower();
+
+    let step = leader.lead(vec![entry(2, true), entry(3, false)], 1, 10).expect("news");
+    let nothing = leader.lead(vec![entry(2, true), entry(3, false)], 1, 20);
+
+    assert_eq!(step.change.rows, [entry(2, true), entry(3, false)]);
+    assert_eq!(step.change.gone, [entry(1, false).key()]);
+    assert!(nothing.is_none(), "an unchanged list is no news");
+    assert!(follower.follow(step, 10));
+    assert_eq!((follower.mark, follower.rows()), (leader.mark, leader.rows()));
+}
+
+#[test]
+fn a_new_leader_goes_on_from_what_the_last_one_told() {
+    let (_, mut heir) = leader_and_follower();
+    let mut other = heir.clone();
+
+    let step = heir.lead(entries(&[1, 2]), 2, 10).expect("a new term is news");
+
+    assert!(step.change.is_empty(), "nothing but the term has changed");
+    assert!(other.follow(step, 10));
+    assert_eq!(other.mark, heir.mark);
+}
+
+#[test]
+fn a_step_from_another_state_is_not_taken() {
+    type Act = fn(&mut UpstreamList);
+    let cases: [(&str, Act); 3] = [
+        ("it missed a step", |list| drop(list.lead(entries(&[9]), 1, 5))),
+        ("it read a list for itself", |list| {
+            list.take_alone(entries(&[1, 2]), 5);
+        }),
+        ("it was told nothing yet", |list| *list = UpstreamList::default()),
+    ];
+    for (case, act) in cases {
+        let (mut leader, mut follower) = leader_and_follower();
+        act(&mut follower);
+        let before = follower.rows();
+
+        let step = leader.lead(entries(&[2, 3]), 1, 10).expect("news");
+
+        assert!(!follower.follow(step, 10), "{case}");
+        assert_eq!(follower.rows(), before, "{case}");
+    }
+}
+
+#[test]
+fn an_older_whole_list_takes_nothing_back() {
+    let (mut leader, mut follower) = leader_and_follower();
+    let old = (leader.mark, leader.rows());
+    let step = leader.lead(entries(&[2, 3]), 1, 10).expect("news");
+    follower.follow(step, 10);
+
+    assert!(!follower.take_whole(old.0, old.1, 20));
+    assert_eq!(follower.rows(), leader.rows());
+}
+
+#[test]
+fn sums_follow_what_vms_tell_and_forget() {
+    let load = |upstream, requests| UpstreamLoad { upstream: UpstreamKey(upstream), requests };
+    let keys = [UpstreamKey(2), UpstreamKey(4), UpstreamKey(7), UpstreamKey(9)];
+    let mut roster = VmRoster::default();
+    roster.note(row(1, true), None, vec![load(4, 2), load(7, 1)], 0);
+    roster.note(row(2, true), None, vec![load(7, 300), load(8, 5)], 500);
+    roster.note(row(1, true), None, vec![load(4, 3)], 600);
+
+    let placed = roster.placed_loads(keys.iter());
+    roster.expire(500 + ROW_KEEP_MS);
+    let later = roster.placed_loads(keys.iter());
+
+    assert_eq!(placed, [0, 3, 255, 0], "by place; 255 stands for all above");
+    assert_eq!(later, [0, 3, 0, 0]);
+    assert_eq!(roster.loads(), [load(4, 3)]);
+    let mut told = ToldLoad::default();
+    told.tell_placed(keys.iter(), &placed, &[load(4, 1)]);
+    assert_eq!(keys.map(|key| told.others(key)), [0, 2, 255, 0]);
+}
+
+#[test]
+fn news_of_the_roster_are_the_rows_that_changed() {
+    let mut roster = VmRoster::default();
+    roster.note(row(1, true), None, Vec::new(), 0);
+    roster.note(row(2, false), None, Vec::new(), 0);
+    let mut copy = RosterCopy::default();
+    let first = roster.news(5, copy.mark);
+    copy.take(first.clone());
+
+    roster.note(row(1, true), None, Vec::new(), ROW_KEEP_MS);
+    roster.note(row(3, true), None, Vec::new(), ROW_KEEP_MS);
+    roster.expire(ROW_KEEP_MS);
+    let second = roster.news(5, copy.mark);
+    copy.take(second.clone());
+    copy.take(first);
+
+    assert_eq!((second.rows, second.gone, second.whole), (vec![row(3, true)], vec![2], false));
+    assert_eq!(copy.rows, [row(1, true), row(3, true)], "late news take nothing back");
+    let none = roster.news(5, copy.mark);
+    assert!(none.rows.is_empty() && none.gone.is_empty(), "{none:?}");
+    assert!(roster.news(6, copy.mark).whole, "another term has other marks");
+}
+
+#[test]
+fn a_vm_that_missed_more_than_is_remembered_is_told_the_whole() {
+    let mut roster = VmRoster::default();
+    roster.note(row(1, true), None, Vec::new(), 0);
+    let mut copy = RosterCopy::default();
+    copy.take(roster.news(5, copy.mark));
+    for id in 100..300 {
+        let now_ms = u64::from(id) * ROW_KEEP_MS;
+        roster.expire(now_ms);
+        roster.note(row(id, true), None, Vec::new(), now_ms);
+    }
+
+    let news = roster.news(5, copy.mark);
+
+    assert!(news.whole);
+    copy.take(news);
+    assert_eq!(copy.rows, roster.rows());
+}
+
+fn document(version: u32, routes: &[u16]) -> Vec<u8> {
+    let routes: Vec<String> =
+        routes.iter().map(|route| format!("{{\"name\":\"r{route}\",\"on\":{{}}}}")).collect();
+    format!("{{\"version\":{version},\"routes\":[{}]}}", routes.join(",")).into_bytes()
+}
+
+#[test]
+fn a_small_change_of_a_large_document_is_small() {
+    let routes: Vec<u16> = (0..1000).collect();
+    let mut other = routes.clone();
+    other[500] = 5000;
+    let (before, after) = (document(1, &routes), document(2, &other));
+
+    let change = DocumentChange::between(&before, &after);
+
+    assert!(change.new_bytes() < 100, "{} bytes of its own", change.new_bytes());
+    assert!(change.pieces.len() < 10, "{} pieces", change.pieces.len());
+    assert_eq!(change.apply(&before), Some(after));
+    assert_eq!(change.apply(&document(3, &routes)), None, "another document");
+}
+
+#[derive(Clone, Debug)]
+enum Happening {
+    /// The leader reads this list; the follower hears of it, or not.
+    Read(Vec<u16>, bool),
+    /// Another VM leads now: the follower itself, when it holds the same.
+    NewTerm,
+    /// The follower reads a list for itself.
+    Alone(Vec<u16>),
+    /// The last step that was lost comes after all.
+    Late,
+    /// The follower asks.
+    Ask,
+}
+
+fn happenings() -> impl Strategy<Value = Vec<Happening>> {
+    let numbers = || proptest::collection::vec(0u16..12, 0..8);
+    let one = prop_oneof![
+        6 => (numbers(), any::<bool>()).prop_map(|(list, heard)| Happening::Read(list, heard)),
+        1 => Just(Happening::NewTerm),
+        1 => numbers().prop_map(Happening::Alone),
+        1 => Just(Happening::Late),
+        2 => Just(Happening::Ask),
+    ];
+    proptest::collection::vec(one, 0..60)
+}
+
+/// What a VM does that holds another state than the leader.
+fn ask(leader: &UpstreamList, follower: &mut UpstreamList, now_ms: u64) {
+    match leader.step_since(follower.mark) {
+        Some(step) => follower.follow(step, now_ms),
+        None => follower.take_whole(leader.mark, leader.rows(), now_ms),
+    };
+}
+
+proptest! {
+    #[test]
+    fn whatever_is_lost_one_question_ends_with_what_the_leader_holds(
+        happenings in happenings(),
+    ) {
+        let (mut leader, mut follower) = leader_and_follower();
+        let (mut term, mut lost): (u64, Option<ListStep>) = (1, None);
+        for (at, happening) in happenings.into_iter().enumerate() {
+            let now_ms = at as u64;
+            match happening {
+                Happening::Read(list, heard) => match leader.lead(entries(&list), term, now_ms) {
+                    Some(step) if heard => {
+                        follower.follow(step, now_ms);
+                    }
+                    step => lost = step.or(lost),
+                },
+                Happening::NewTerm => {
+                    term += 1;
+                    leader.lead(leader.rows(), term, now_ms);
+                }
+                Happening::Alone(list) => {
+                    follower.take_alone(entries(&list), now_ms);
+                }
+                Happening::Late => {
+                    lost.take().map(|step| follower.follow(step, now_ms));
+                }
+                Happening::Ask => ask(&leader, &mut follower, now_ms),
+            }
+            if follower.mark == leader.mark {
+                prop_assert_eq!(follower.rows(), leader.rows());
+            }
+        }
+        ask(&leader, &mut follower, 1000);
+        prop_assert_eq!((follower.mark, follower.rows()), (leader.mark, leader.rows()));
+    }
+
+    #[test]
+    fn copies_of_the_roster_end_alike_whatever_is_lost_or_late(
+        told in proptest::collection::vec((0u32..6, any::<bool>(), 0u8..4), 0..80),
+    ) {
+        let (mut roster, mut copy) = (VmRoster::default(), RosterCopy::default());
+        let mut late = None;
+        for (at, (id, ready, fate)) in told.into_iter().enumerate() {
+            let now_ms = at as u64 * ROW_KEEP_MS / 4;
+            roster.note(row(id, ready), None, Vec::new(), now_ms);
+            roster.expire(now_ms);
+            let news = roster.news(3, copy.mark);
+            match fate {
+                0 => copy.take(news),
+                1 => late = Some(news),
+                2 => drop(late.take().map(|news| copy.take(news))),
+                _ => {}
+            }
+        }
+        copy.take(roster.news(3, copy.mark));
+        prop_assert_eq!(copy.rows, roster.rows());
+        prop_assert!(copy.mark != RosterMark::default() || roster.rows().is_empty());
+    }
+
+    #[test]
+    fn any_document_comes_back_from_its_change(
+        before in proptest::collection::vec(prop_oneof![Just(b'}'), Just(b'{'), any::<u8>()], 0..80),
+        after in proptest::collection::vec(prop_oneof![Just(b'}'), Just(b'{'), any::<u8>()], 0..80),
+    ) {
+        let change = DocumentChange::between(&before, &after);
+        prop_assert_eq!(change.apply(&before), Some(after));
+    }
+}
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -251,7 +251,7 @@
 fn take(table: &mut SeatTable, list: &mut UpstreamList, rows: &[UpstreamEntry], now_ms: u64) {
     let mut rows = rows.to_vec();
     table.seat(&mut rows, list, now_ms);
-    list.replace(rows, now_ms);
+    list.take_alone(rows, now_ms);
 }
 
 #[test]
@@ -294,10 +294,10 @@
 #[test]
 fn leaving_is_sticky_for_a_life() {
     let mut list = UpstreamList::default();
-    assert!(list.replace(vec![entry("a", "10.0.0.1:1", true)], 1));
-    assert!(!list.replace(vec![entry("a", "10.0.0.1:1", false)], 2), "a list that lags");
+    assert!(list.take_alone(vec![entry("a", "10.0.0.1:1", true)], 1));
+    assert!(!list.take_alone(vec![entry("a", "10.0.0.1:1", false)], 2), "a list that lags");
     assert_eq!(list.taking("s").count(), 0);
-    list.replace(vec![entry("a2", "10.0.0.1:1", false)], 3);
+    list.take_alone(vec![entry("a2", "10.0.0.1:1", false)], 3);
     assert_eq!(list.taking("s").count(), 1);
 }
 
