list: the platform's list is read by whose turn it is, within its rate

Cause, seen as 30 s without service after all of 300 VMs were killed: each VM read all 60 pages for itself 150 ms after its start.

Change: a VM that has just started does not read; the leader paces its pages and its readings by the rate, and asks for one page again when refused; VMs without a leader use a fifth of the rate together. A whole list or document that many ask for is encoded once.

--- /dev/null
+++ b/lib/src/coordination/list_turn.rs
@@ -0,0 +1,84 @@
+//! Whose turn it is to read the platform's list of upstreams, and how often.
+//!
+//! The platform takes so many calls a second from all VMs together, and a list comes in pages.
+//! The leader reads for all. A VM that lost the leader reads for itself, so seldom that all of
+//! them together leave room. A VM that has just started does not read: without a leader it has no
+//! configuration to serve by, and the leader gives it the list. When all of 300 VMs read after a
+//! common restart, the platform refused nearly every call and none of them, the leader included,
+//! came to the end of a list. See `docs/design/fleet-news.md`.
+
+/// How often the leader reads, in milliseconds: the list itself lags by 800 ms, and an upstream
+/// that leaves must get nothing after 3 s.
+pub const READ_MS: u64 = 600;
+/// A VM that heard no leader for this long reads for itself, in milliseconds.
+pub const ALONE_MS: u64 = 2500;
+/// A VM that is in contact and was told no list for this long reads one, in milliseconds: its
+/// leader can't.
+pub const UNTOLD_MS: u64 = 1500;
+/// The part of the calls that the leader uses at most.
+const LEADER_PART: f64 = 0.7;
+/// The part that all VMs without a leader use together at most.
+const ALONE_PART: f64 = 0.2;
+/// Pages that are read without a pause between them.
+pub const PAGES_AT_ONCE: usize = 8;
+
+/// What reading costs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ListCost {
+    /// Calls a second that the platform takes from all VMs together.
+    pub calls_per_s: f64,
+    /// Pages of the list, as last read.
+    pub pages: usize,
+    /// VMs of the fleet, as far as known.
+    pub vms: usize,
+}
+
+impl ListCost {
+    /// How long the leader waits between two readings, in milliseconds.
+    pub fn leader_pause_ms(&self) -> u64 {
+        self.pause_ms(self.pages, LEADER_PART)
+    }
+
+    /// How long a VM waits that reads for itself, in milliseconds.
+    pub fn alone_pause_ms(&self) -> u64 {
+        self.pause_ms(self.pages * self.vms.max(1), ALONE_PART)
+    }
+
+    /// The pause before page `number` of a reading, in milliseconds.
+    pub fn page_pause_ms(&self, number: usize) -> u64 {
+        match number < PAGES_AT_ONCE {
+            true => 0,
+            false => self.span_ms(1, LEADER_PART),
+        }
+    }
+
+    fn pause_ms(&self, calls: usize, part: f64) -> u64 {
+        self.span_ms(calls, part).max(READ_MS)
+    }
+
+    /// How long so many calls take by a part of what is allowed; at least one call a second is.
+    fn span_ms(&self, calls: usize, part: f64) -> u64 {
+        let rate = if self.calls_per_s >= 1.0 { self.calls_per_s } else { 1.0 };
+        (calls as f64 * 1000.0 / (rate * part)) as u64
+    }
+}
+
+/// What a VM that doesn't lead knows of its leader and list; times in milliseconds of its clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListStanding {
+    /// When a leader answered first, if one did.
+    pub first_heard_ms: Option<u64>,
+    /// When a leader answered last.
+    pub heard_ms: u64,
+    /// Whether it has a list.
+    pub has_list: bool,
+}
+
+/// Whether a VM that doesn't lead must read the list for itself.
+pub fn must_read_alone(standing: ListStanding, now_ms: u64) -> bool {
+    let Some(first_heard_ms) = standing.first_heard_ms else { return false };
+    match standing.has_list {
+        true => standing.heard_ms + ALONE_MS < now_ms,
+        false => first_heard_ms + UNTOLD_MS < now_ms,
+    }
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod kv_move;
 pub mod leader_contact;
 pub mod leaving;
+pub mod list_turn;
 pub mod load_spread;
 pub mod order_pace;
 pub mod outlier;
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -199,6 +199,7 @@
             }
             view.leader = Some(from);
             view.heard_ms = now_ms;
+            view.first_heard_ms.get_or_insert(now_ms);
             if !grant.keepers.is_empty() {
                 view.keepers = grant.keepers;
             }
@@ -245,6 +246,7 @@
         let mut view = self.view.borrow_mut();
         view.leader = Some(self.id);
         view.heard_ms = now_ms;
+        view.first_heard_ms.get_or_insert(now_ms);
         view.keepers = keeper.members().iter().map(|id| id.0).collect();
         let news = roster_news(keeper, view.roster.mark, now_ms);
         view.roster.take(news);
--- a/lib/src/transport/vm_links.rs
+++ b/lib/src/transport/vm_links.rs
@@ -57,6 +57,24 @@
         }
     }
 
+    /// Sends what `make` makes, once for each `mark`: after a common restart every VM asks for the
+    /// same large answer, and the links share its bytes.
+    pub fn send_shared<M: PartialEq + Copy>(
+        &self,
+        to: VmId,
+        mark: M,
+        shared: &RefCell<Option<(M, Bytes)>>,
+        make: impl FnOnce() -> VmMessage,
+    ) {
+        let kept = shared.borrow().as_ref().filter(|(of, _)| *of == mark).map(|(_, f)| f.clone());
+        let frame = kept.unwrap_or_else(|| {
+            let frame = encode_frame(self.own, &make());
+            *shared.borrow_mut() = Some((mark, frame.clone()));
+            frame
+        });
+        self.send_frame(to, frame);
+    }
+
     fn send_frame(&self, to: VmId, mut frame: Bytes) {
         let mut links = self.links.borrow_mut();
         if let Some(link) = links.get(&to) {
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -1,7 +1,7 @@
 //! Reads the platform's list of upstreams, at the leader, and tells the others of it.
 //!
 //! One VM reads, since calls cost and are limited; a VM without contact to a leader
-//! reads for itself, slowly.
+//! reads for itself, slowly; `list_turn` decides.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,18 +14,13 @@
 
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
+use crate::coordination::list_turn::{must_read_alone, ListCost, ListStanding};
 use crate::coordination::upstream_seats::SeatTable;
 use crate::protocol::vm_wire::{VmId, VmMessage};
+use crate::protocol::wire_adapter::UpstreamPage;
 use crate::state::ids::UpstreamKey;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
 
-/// How often the leader reads the list, in milliseconds: the list itself lags by 800 ms, and
-/// an upstream that leaves must get nothing after 3 s.
-const READ_MS: u64 = 600;
-/// A VM that heard no leader for this long reads for itself, in milliseconds.
-const ALONE_MS: u64 = 2500;
-/// A VM that was told no list this long after its start reads one for itself, in milliseconds.
-const FIRST_LIST_MS: u64 = 150;
 /// The pause after a call that failed, times the failures in a row, in milliseconds.
 const FAIL_MS: u64 = 200;
 /// How often a VM closes and forgets what it needs no more, in milliseconds.
@@ -39,27 +34,41 @@
 /// The most pages that are read, so that a list that never ends can't hold the VM.
 const MOST_PAGES: usize = 1000;
 
+/// How often one page is asked for again when the platform takes no more calls.
+const PAGE_TRIES: u32 = 5;
+
+/// Why a page isn't there.
+enum ListFault {
+    /// The platform takes no more calls just now.
+    TooMany,
+    /// Anything else.
+    Other(String),
+}
+
 impl VmNode {
     /// Reads the list, again and again, when it is this VM's turn.
     pub async fn keep_list(self: Rc<Self>) {
         let mut fails = 0u64;
         let mut read_term = 0;
         let mut swept_ms = 0;
+        let mut was_alone = false;
         loop {
             let now_ms = self.now_ms();
             let vouches = |keeper: &KeeperDriver| keeper.may_vouch(now_ms);
             let term = self.keeper.borrow().as_ref().filter(|k| vouches(k)).map(|k| k.term());
-            let due_ms = self.view.borrow().list_due_ms;
+            let alone = term.is_none() && must_read_alone(self.list_standing(), now_ms);
+            if alone && !was_alone {
+                // All of them turn to it at one moment, so each begins at another.
+                self.set_list_due(self.draw() % self.list_cost().alone_pause_ms());
+            }
+            was_alone = alone;
+            let due = now_ms >= self.view.borrow().list_due_ms;
             let new_leader = term.is_some_and(|term| term != read_term);
-            let its_turn = match term {
-                Some(_) => new_leader || now_ms >= due_ms,
-                None => now_ms >= due_ms && self.must_read_alone(now_ms),
-            };
             if now_ms >= swept_ms + SWEEP_MS {
                 swept_ms = now_ms;
                 self.sweep();
             }
-            if !its_turn {
+            if !(new_leader || due && (alone || term.is_some())) {
                 tokio::time::sleep(LOOK_TIME).await;
                 continue;
             }
@@ -69,7 +78,10 @@
                     fails = 0;
                     self.take_list(rows);
                     self.contact_changed.notify_waiters();
-                    self.set_list_due(READ_MS + self.draw() % 50);
+                    let cost = self.list_cost();
+                    let pause_ms =
+                        if alone { cost.alone_pause_ms() } else { cost.leader_pause_ms() };
+                    self.set_list_due(pause_ms + self.draw() % 50);
                 }
                 Err(error) => {
                     if fails == 0 {
@@ -82,6 +94,18 @@
         }
     }
 
+    fn list_cost(&self) -> ListCost {
+        let view = self.view.borrow();
+        let calls_per_s = self.settings.borrow().list.calls_per_s;
+        ListCost { calls_per_s, pages: view.list_pages.max(1), vms: view.roster.rows.len() }
+    }
+
+    fn list_standing(&self) -> ListStanding {
+        let view = self.view.borrow();
+        let has_list = self.upstreams.borrow().read_ms > 0;
+        ListStanding { first_heard_ms: view.first_heard_ms, heard_ms: view.heard_ms, has_list }
+    }
+
     /// Forgets what belongs to upstreams that are on the list no more.
     fn sweep(&self) {
         let upstreams = self.upstreams.borrow();
@@ -94,16 +118,6 @@
         self.view.borrow_mut().list_due_ms = self.now_ms() + pause_ms;
     }
 
-    /// Whether a VM that doesn't lead must read for itself: it knows no upstream yet, or it
-    /// hears no leader. The latter share the calls by chance.
-    fn must_read_alone(&self, now_ms: u64) -> bool {
-        let started = self.clock.age_ms();
-        let knows_none = self.upstreams.borrow().read_ms == 0;
-        let silent = self.view.borrow().heard_ms + ALONE_MS < now_ms;
-        (knows_none && started >= FIRST_LIST_MS)
-            || (silent && started >= ALONE_MS && self.draw() % 3 == 0)
-    }
-
     fn list_key(&self) -> UpstreamKey {
         UpstreamKey(0)
     }
@@ -164,11 +178,12 @@
     /// Answers a VM that holds another state of the list.
     pub(super) fn give_list(&self, to: VmId, have: ListMark) {
         let upstreams = self.upstreams.borrow();
-        let message = match upstreams.step_since(have) {
-            Some(step) => VmMessage::ListStep(step),
-            None => VmMessage::List { mark: upstreams.mark, rows: upstreams.rows() },
-        };
-        self.links.send(to, &message);
+        match upstreams.step_since(have) {
+            Some(step) => self.links.send(to, &VmMessage::ListStep(step)),
+            None => self.links.send_shared(to, upstreams.mark, &self.list_frame, || {
+                VmMessage::List { mark: upstreams.mark, rows: upstreams.rows() }
+            }),
+        }
     }
 
     /// Takes what a leader told of the list; asks again if it doesn't fit what is here.
@@ -187,37 +202,63 @@
     async fn read_list(&self) -> Result<Vec<UpstreamEntry>, String> {
         let mut rows = Vec::new();
         let mut next: Option<String> = None;
-        for _ in 0..MOST_PAGES {
-            let call = self.adapter.list_call(next.as_deref());
-            let body = tokio::time::timeout(CALL_TIME, self.call_list(&call));
-            let body = body.await.map_err(|_| "no answer in time".to_string())??;
-            let page = self.adapter.read_list(&body)?;
+        for number in 0..MOST_PAGES {
+            let pause_ms = self.list_cost().page_pause_ms(number);
+            if pause_ms > 0 {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+            let page = self.read_page(next.as_deref()).await?;
             rows.extend(page.rows);
             match page.next {
                 Some(token) => next = Some(token),
-                None => return Ok(rows),
+                None => {
+                    self.view.borrow_mut().list_pages = number + 1;
+                    return Ok(rows);
+                }
             }
         }
         Err(format!("more than {MOST_PAGES} pages"))
     }
 
-    async fn call_list(&self, call: &str) -> Result<Bytes, String> {
+    /// Reads one page; again, after a pause, when the platform takes no more calls just now, so
+    /// that the pages before it aren't read in vain.
+    async fn read_page(&self, token: Option<&str>) -> Result<UpstreamPage, String> {
+        let call = self.adapter.list_call(token);
+        let mut tries = 0;
+        loop {
+            let body = tokio::time::timeout(CALL_TIME, self.call_list(&call));
+            match body.await.map_err(|_| "no answer in time".to_string())? {
+                Ok(body) => return self.adapter.read_list(&body),
+                Err(ListFault::TooMany) if tries < PAGE_TRIES => {
+                    tries += 1;
+                    let pause_ms = FAIL_MS + self.draw() % FAIL_MS;
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                }
+                Err(ListFault::TooMany) => return Err("too many calls".to_string()),
+                Err(ListFault::Other(text)) => return Err(text),
+            }
+        }
+    }
+
+    async fn call_list(&self, call: &str) -> Result<Bytes, ListFault> {
+        let other = |text: String| ListFault::Other(text);
         let address = self.settings.borrow().list.address;
         let lease = self.pool.take(self.list_key(), address, self.now_ms()).await;
-        let mut lease = lease.map_err(|fault| format!("cannot connect: {fault:?}"))?;
+        let mut lease = lease.map_err(|fault| other(format!("cannot connect: {fault:?}")))?;
         let request = Request::get(call)
             .header(HOST, address.to_string())
             .body(Full::new(Bytes::new()))
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| other(error.to_string()))?;
         let answer = lease.sender().send_request(request).await;
-        let answer = answer.map_err(|error| error.to_string())?;
+        let answer = answer.map_err(|error| other(error.to_string()))?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), PAGE_BYTES).collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        let body = body.map_err(|error| other(error.to_string()))?.to_bytes();
         lease.finish(false, None, self.now_ms()).await;
         match status {
             StatusCode::OK => Ok(body),
-            other => Err(format!("status {other}")),
+            StatusCode::TOO_MANY_REQUESTS => Err(ListFault::TooMany),
+            status => Err(other(format!("status {status}"))),
         }
     }
 }
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::sync::{oneshot, Notify};
@@ -34,7 +35,7 @@
 use crate::state::fleet_record::HeldDocument;
 use crate::state::ids::{Incarnation, KeeperId, UpstreamKey};
 use crate::state::route_book::RouteBook;
-use crate::state::upstream_list::UpstreamList;
+use crate::state::upstream_list::{ListMark, UpstreamList};
 use crate::state::vm_settings::VmSettings;
 
 /// The loop's own pace; heartbeats are the shortest thing that it must keep.
@@ -57,12 +58,16 @@
     pub keepers: Vec<VmId>,
     /// The VMs that the leader heard lately.
     pub roster: RosterCopy,
+    /// When a leader answered for the first time.
+    pub first_heard_ms: Option<u64>,
     /// When the leader last answered.
     pub heard_ms: u64,
     /// What others have in flight.
     pub told: ToldLoad,
     /// What this VM told of its own, by the time of telling.
     pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
+    /// Pages of the list of upstreams, as this VM last read it.
+    pub list_pages: usize,
     /// When the list of upstreams should be read again, by whoever reads it.
     pub list_due_ms: u64,
     /// When something was last asked for, so that it isn't asked for with each grant.
@@ -105,6 +110,10 @@
     pub budgets: RefCell<HashMap<String, RepeatBudget>>,
     /// Links to other VMs.
     pub links: LinkTable,
+    /// The list of upstreams as a frame, when VMs have asked for the whole.
+    pub list_frame: RefCell<Option<(ListMark, Bytes)>>,
+    /// The document as a frame, likewise.
+    pub document_frame: RefCell<Option<(u64, Bytes)>>,
     /// Datagrams to other VMs.
     pub datagrams: UdpSocket,
     /// Puts that a leader elsewhere was asked for.
@@ -153,6 +162,8 @@
             prefixes: RefCell::default(),
             budgets: RefCell::default(),
             links,
+            list_frame: RefCell::default(),
+            document_frame: RefCell::default(),
             datagrams,
             asked_puts: RefCell::default(),
             draws: Cell::new(seed | 1),
@@ -323,10 +334,12 @@
             }
             VmMessage::WantDocument => {
                 let keeper = self.keeper.borrow();
-                let held = keeper.as_ref().map(|keeper| keeper.record.document.clone());
+                let held = keeper.as_ref().map(|keeper| &keeper.record.document);
                 if let Some(held) = held.filter(|held| held.version > 0) {
-                    let (version, document) = (held.version, held.bytes);
-                    self.links.send(from, &VmMessage::Document { version, document });
+                    self.links.send_shared(from, held.version, &self.document_frame, || {
+                        let (version, document) = (held.version, held.bytes.clone());
+                        VmMessage::Document { version, document }
+                    });
                 }
             }
             VmMessage::Document { version, document } => self.apply_document(version, &document),
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
+use wingshed_lib::coordination::list_turn::{
+    must_read_alone, ListCost, ListStanding, ALONE_MS, PAGES_AT_ONCE, UNTOLD_MS,
+};
 use wingshed_lib::coordination::vm_roster::{
     RosterCopy, RosterMark, RosterRow, ToldLoad, UpstreamLoad, VmRoster, ROW_KEEP_MS,
 };
@@ -160,6 +163,42 @@
     assert_eq!(copy.rows, roster.rows());
 }
 
+#[test]
+fn readings_of_the_list_stay_within_what_the_platform_takes() {
+    // Calls a second, pages, VMs; the leader's pause and a lone VM's, in milliseconds.
+    let cases = [
+        ((47.0, 1, 12), (600, 1276)),
+        ((47.0, 21, 100), (638, 223_404)),
+        ((260.0, 60, 300), (600, 346_153)),
+        ((0.0, 1, 0), (1428, 5000)),
+    ];
+    for ((calls_per_s, pages, vms), (leader_ms, alone_ms)) in cases {
+        let cost = ListCost { calls_per_s, pages, vms };
+        assert_eq!(cost.leader_pause_ms(), leader_ms, "{cost:?}");
+        assert_eq!(cost.alone_pause_ms(), alone_ms, "{cost:?}");
+        let alone = vms as f64 * pages as f64 * 1000.0 / alone_ms as f64;
+        assert!(alone <= calls_per_s.max(1.0) * 0.21, "{cost:?}: {alone} calls a second");
+    }
+    let cost = ListCost { calls_per_s: 50.0, pages: 60, vms: 300 };
+    assert_eq!((cost.page_pause_ms(PAGES_AT_ONCE - 1), cost.page_pause_ms(PAGES_AT_ONCE)), (0, 28));
+}
+
+#[test]
+fn a_vm_reads_for_itself_only_when_no_leader_gives_it_a_list() {
+    let standing =
+        |first_heard_ms, heard_ms, has_list| ListStanding { first_heard_ms, heard_ms, has_list };
+    let cases = [
+        ("it has just started, as all others may have", standing(None, 0, false), 60_000, false),
+        ("its leader will tell it", standing(Some(100), 300, false), 100 + UNTOLD_MS, false),
+        ("its leader can't tell it", standing(Some(100), 300, false), 101 + UNTOLD_MS, true),
+        ("its leader tells it", standing(Some(100), 9000, true), 9000 + ALONE_MS, false),
+        ("it lost its leader", standing(Some(100), 9000, true), 9001 + ALONE_MS, true),
+    ];
+    for (case, standing, now_ms, reads) in cases {
+        assert_eq!(must_read_alone(standing, now_ms), reads, "{case}");
+    }
+}
+
 fn document(version: u32, routes: &[u16]) -> Vec<u8> {
     let routes: Vec<String> =
         routes.iter().map(|route| format!("{{\"name\":\"r{route}\",\"on\":{{}}}}")).collect();
