logs and figures: bounded, never waited for, told as a story

Cause: nothing bounded a VM's lines, a stuck standard output would have stopped its event loop, there was no place for figures, and a failure was read together by hand from nine logs.

--- /dev/null
+++ b/cli/src/explain.rs
@@ -0,0 +1,103 @@
+//! `wingshed explain`: the story of a request, or of a span of time, out of logs.
+
+use std::path::{Path, PathBuf};
+
+use argh::FromArgs;
+use wingshed_lib::coordination::log_story::{
+    read_log, tell_request, tell_span, LogLine, StoryLine, StoryReason,
+};
+
+/// tell who knew what and what came of it, from the logs of several VMs
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainCommand {
+    /// the name of the request's attempt
+    #[argh(option)]
+    attempt: Option<String>,
+    /// the beginning of a span, in seconds as the lines tell them
+    #[argh(option)]
+    from: Option<f64>,
+    /// the end of the span
+    #[argh(option)]
+    to: Option<f64>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    /// the logs, a file each VM, or one file whose lines begin with a time and a VM
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(command: &ExplainCommand) -> Result<bool, String> {
+    let lines = read_logs(&command.logs)?;
+    let story = match (&command.attempt, command.from, command.to) {
+        (Some(attempt), None, None) => tell_request(&lines, attempt),
+        (None, Some(from), Some(to)) if from <= to => tell_span(&lines, from, to),
+        _ => return Err("name an --attempt, or a span by --from and --to".to_string()),
+    };
+    if command.json {
+        let text = serde_json::to_string_pretty(&story).map_err(|error| error.to_string())?;
+        println!("{text}");
+    } else {
+        story.iter().for_each(|line| println!("{}", written(line)));
+    }
+    if story.is_empty() {
+        eprintln!(
+            "wingshed: none of {} lines tells of it; a request that went as it should leaves none",
+            lines.len()
+        );
+    }
+    Ok(!story.is_empty())
+}
+
+fn read_logs(paths: &[PathBuf]) -> Result<Vec<LogLine>, String> {
+    if paths.is_empty() {
+        return Err("name the logs".to_string());
+    }
+    let mut all = Vec::new();
+    for path in paths {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+        let vm = path.file_stem().map_or_else(String::new, |name| name.to_string_lossy().into());
+        let (lines, other) = read_log(&vm, &text);
+        note_other(path, other);
+        all.extend(lines);
+    }
+    Ok(all)
+}
+
+fn note_other(path: &Path, other: usize) {
+    if other > 0 {
+        eprintln!("wingshed: {}: {other} lines are no log lines, passed over", path.display());
+    }
+}
+
+/// One line: the mark of its reason, time, VM, part, message, fields.
+fn written(told: &StoryLine) -> String {
+    let mark = match told.reason {
+        StoryReason::Request => "*",
+        StoryReason::Belief => "believed",
+        StoryReason::SameVm => "same VM",
+        StoryReason::SameUpstream => "same upstream",
+        StoryReason::Span => "",
+    };
+    let line = &told.line;
+    let skipped = |name: &str| name == "level";
+    let fields = line.fields.iter().filter(|(name, _)| !skipped(name));
+    let fields: Vec<String> = fields
+        .map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text}"),
+            None => format!("{name}={value}"),
+        })
+        .collect();
+    let text = format!(
+        "{mark:13} {:12.4} {:16} {:8} {}  {}",
+        line.at_s,
+        line.vm,
+        line.part,
+        line.message,
+        fields.join(" ")
+    );
+    text.trim_end().to_string()
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -10,6 +10,7 @@
 mod check;
 mod config;
 mod demo;
+mod explain;
 mod operate;
 mod operator_client;
 mod process;
@@ -34,6 +35,7 @@
     Replay(replay::ReplayCommand),
     Report(report::ReportCommand),
     Check(check::CheckCommand),
+    Explain(explain::ExplainCommand),
     Bench(bench::BenchCommand),
     Policy(check::PolicyCommand),
     Config(config::ConfigCommand),
@@ -52,6 +54,7 @@
         Command::Report(command) => report::run(&command),
         Command::Bench(command) => bench::run(&command),
         Command::Check(command) => check::run(&command),
+        Command::Explain(command) => explain::run(&command),
         Command::Policy(command) => check::policy(&command),
         Command::Config(command) => config::run(&command),
         Command::Status(command) => operate::status(&command),
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -138,3 +138,29 @@
     $.listen.ready: is the same as 'front'
     ");
 }
+
+#[test]
+fn explain_tells_the_story_of_a_request() {
+    let log = r#"
+  -1.0000 vm-a {"level":"INFO","message":"in force","version":4,"routes":2,"target":"book"}
+   4.0000 vm-b {"level":"INFO","message":"broken","life":"i-1","attempt":"x2","aside":false,"target":"upstream"}
+   4.5000 vm-a {"level":"INFO","message":"leads no more","term":3,"target":"keeper"}
+   5.0000 vm-a {"level":"INFO","message":"broken","life":"i-1","attempt":"x1","aside":true,"target":"upstream"}
+   5.0010 vm-a {"level":"INFO","message":"failed: broken","sent":1,"attempt":"x1","target":"request"}
+"#;
+    let (_folder, path) = in_folder("day.log", log);
+
+    insta::assert_snapshot!(wingshed(&["explain", "--attempt", "x1", &path]));
+}
+
+#[test]
+fn explain_says_what_it_lacks() {
+    let (_folder, path) = in_folder("day.log", "no log line");
+
+    let neither = wingshed(&["explain", &path]);
+    let nothing = wingshed(&["explain", "--attempt", "x1", &path]);
+
+    assert!(neither.starts_with("exit 1") && neither.contains("name an --attempt"), "{neither}");
+    assert!(nothing.contains("1 lines are no log lines"), "{nothing}");
+    assert!(nothing.contains("a request that went as it should leaves none"), "{nothing}");
+}
--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the two daemons share: arguments, logs, signals.
 
+pub mod log_writer;
 pub mod vm;
 
 use std::path::{Path, PathBuf};
--- a/daemons/src/vm.rs
+++ b/daemons/src/vm.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
+use crate::log_writer::LogWriter;
+use argh::FromArgs;
 use tokio::signal::unix::{signal, SignalKind};
 use tracing::{error, info, warn};
 use wingshed_lib::state::vm_settings::VmSettings;
@@ -14,8 +16,35 @@
 /// The settings may change without a signal; they are looked at this often.
 const LOOK_AT_SETTINGS: Duration = Duration::from_secs(3);
 
+/// a VM of a fleet on the users' platform
+#[derive(FromArgs)]
+struct VmArguments {
+    /// where the VM tells its figures, as PORT/PATH
+    #[argh(option, from_str_fn(read_place))]
+    figures: Option<FiguresPlace>,
+}
+
+/// A port and a path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FiguresPlace {
+    /// The port.
+    pub port: u16,
+    /// The path, with its slash.
+    pub path: String,
+}
+
+/// Reads a place written as PORT/PATH.
+pub fn read_place(text: &str) -> Result<FiguresPlace, String> {
+    let parts = text.split_once('/').and_then(|(port, path)| Some((port.parse().ok()?, path)));
+    match parts {
+        Some((port, path)) if port > 0 => Ok(FiguresPlace { port, path: format!("/{path}") }),
+        _ => Err(format!("'{text}' is not PORT/PATH")),
+    }
+}
+
 /// Runs a VM to its end.
 pub fn run_vm() -> ExitCode {
+    let arguments: VmArguments = argh::from_env();
     start_logs();
     let Some(path) = settings_path() else {
         error!(target: "node", "the environment doesn't say where the settings are");
@@ -31,7 +60,7 @@
         }
     };
     let tasks = tokio::task::LocalSet::new();
-    match tasks.block_on(&runtime, run_node(settings, path)) {
+    match tasks.block_on(&runtime, run_node(settings, path, arguments.figures)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(target: "node", "cannot go on: {error}");
@@ -47,7 +76,7 @@
         .with_current_span(false)
         .with_span_list(false)
         .with_max_level(tracing::Level::INFO)
-        .with_writer(std::io::stdout)
+        .with_writer(LogWriter::stdout())
         .init();
 }
 
@@ -80,13 +109,20 @@
     hasher.finish()
 }
 
-async fn run_node(settings: VmSettings, path: PathBuf) -> std::io::Result<()> {
+async fn run_node(
+    settings: VmSettings,
+    path: PathBuf,
+    figures: Option<FiguresPlace>,
+) -> std::io::Result<()> {
     let seed = life_seed(&settings);
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let node = VmNode::bind(settings, Box::new(PlatformAdapter), seed).await?;
     node.start()?;
     node.start_listeners()?;
+    if let Some(place) = figures {
+        node.start_figures(place.port, place.path);
+    }
     let mut seen = modified(&path);
     loop {
         tokio::select! {
--- a/lib/src/coordination/repeat_budget.rs
+++ b/lib/src/coordination/repeat_budget.rs
@@ -36,10 +36,15 @@
 
     /// Whether this VM's part has a repeat left; `vms` is the size of the fleet.
     pub fn may_spend(&mut self, allowance: &RepeatAllowance, vms: usize, now_ms: u64) -> bool {
+        self.left(allowance, vms, now_ms) > 0
+    }
+
+    /// How many repeats this VM's part has left.
+    pub fn left(&mut self, allowance: &RepeatAllowance, vms: usize, now_ms: u64) -> u64 {
         self.expire(allowance, now_ms);
         let own = allowance.ratio * self.firsts.len() as f64;
         let allowed = USED_PART * (own + allowance.slack / vms.max(1) as f64);
-        (self.repeats.len() + 1) as f64 <= allowed
+        (allowed as u64).saturating_sub(self.repeats.len() as u64)
     }
 
     /// Takes one repeat if there is one left.
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -15,4 +15,5 @@
 pub mod route_book;
 pub mod settings;
 pub mod upstream_list;
+pub mod vm_figures;
 pub mod vm_settings;
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -24,6 +24,7 @@
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::protocol::wire_adapter::CallerRequest;
 use crate::state::route_book::{pick_share, RouteDecision, RouteRule};
+use crate::state::vm_figures::RequestEnd;
 
 /// When a refused caller may come back, in milliseconds.
 const RETRY_MS: u64 = 400;
@@ -68,6 +69,7 @@
         Ok(caller) => caller,
         Err(fault) => {
             let text = format!("not a proper request: {fault:?}");
+            node.figures.borrow_mut().note_end(RequestEnd::Denied);
             return close_after(own_answer(StatusCode::BAD_REQUEST, text));
         }
     };
@@ -129,7 +131,7 @@
                 Ok(decided) => decided,
                 // A request that may have run can't be refused as not run any more.
                 Err(_) if count.may_have_run => return self.fail(&count, "withdrawn"),
-                Err(denial) => return deny(&denial),
+                Err(denial) => return self.deny(&denial),
             };
             let rule = &book.book.routes[route];
             let deadline = self.deadline(rule);
@@ -163,6 +165,9 @@
             let Some(place) = self.place(&book, route, workspace, pick, left, None) else {
                 continue;
             };
+            if count.sent > 0 {
+                self.node.figures.borrow_mut().repeats += 1;
+            }
             let outcome = match self.send(&place, deadline).await {
                 SendResult::Answer(answer) => {
                     let failed = answer.head.status.is_server_error();
@@ -244,17 +249,32 @@
         ask(budget, &self.node.allowance(), vms, self.node.now_ms())
     }
 
+    fn note_end(&self, end: RequestEnd) {
+        self.node.figures.borrow_mut().note_end(end);
+    }
+
+    fn deny(&self, denial: &Denial) -> Response<AnswerBody> {
+        self.note_end(match denial {
+            Denial::NoBook | Denial::OldContact => RequestEnd::Refused,
+            Denial::NoRoute | Denial::NoKey => RequestEnd::Denied,
+        });
+        deny(denial)
+    }
+
     fn refuse(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
+        self.note_end(RequestEnd::Refused);
         info!(target: "request", attempt = self.caller.attempt, sent = count.sent, "refused: {why}");
         refusal(StatusCode::SERVICE_UNAVAILABLE, why, RETRY_MS)
     }
 
     fn fail(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
+        self.note_end(RequestEnd::Failed);
         info!(target: "request", attempt = self.caller.attempt, sent = count.sent, "failed: {why}");
         own_answer(StatusCode::BAD_GATEWAY, why.to_string())
     }
 
     fn time_out(&self, count: &AttemptCount) -> Response<AnswerBody> {
+        self.note_end(RequestEnd::TimedOut);
         info!(target: "request", attempt = self.caller.attempt, sent = count.sent, "time is over");
         match count.may_have_run {
             true => own_answer(StatusCode::GATEWAY_TIMEOUT, "its time is over"),
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -196,6 +196,15 @@
         Ok(())
     }
 
+    /// Tells the VM's figures at `port` and `path`; a VM serves without that too.
+    pub fn start_figures(self: &Rc<Self>, port: u16, path: String) {
+        let address = SocketAddr::from((self.settings.borrow().ip, port));
+        *self.figures_path.borrow_mut() = path;
+        if let Err(error) = serve_listener(self, address, super::vm_metrics::serve_figures) {
+            warn!(target: "front", %address, "figures are not told: {error}");
+        }
+    }
+
     /// A planned stop: out of the directory at once, late callers still served for a while;
     /// then nothing new is taken, and what was taken is brought to its end.
     pub async fn stop(self: Rc<Self>) {
--- /dev/null
+++ b/lib/src/transport/vm_metrics.rs
@@ -0,0 +1,151 @@
+//! The figures of a VM in the text form of the metrics world.
+//!
+//! [`FIGURES`] names each with its kind and unit; a test holds it against the table of
+//! `docs/operators/metrics.md`.
+
+use std::fmt::Write;
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::{Request, Response, StatusCode};
+
+use super::vm_front::own_answer;
+use super::vm_node::VmNode;
+use super::vm_relay::AnswerBody;
+use crate::state::vm_figures::{RequestEnd, VmFigures, BUCKETS_MS};
+
+/// One figure: name, kind, what it tells and in which unit.
+pub type FigureEntry = (&'static str, &'static str, &'static str);
+
+/// Every figure, in the order in which they are told.
+pub const FIGURES: [FigureEntry; 22] = [
+    ("wingshed_requests_total", "counter", "Requests by end."),
+    ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
+    ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
+    ("wingshed_resumed_total", "counter", "Streams taken up at another upstream."),
+    ("wingshed_cut_total", "counter", "Streams that ended before their end."),
+    ("wingshed_late_total", "counter", "Answers whose first byte came after their goal."),
+    ("wingshed_signs_total", "counter", "Signs against upstreams."),
+    ("wingshed_serving", "gauge", "Requests that are being served."),
+    ("wingshed_connections", "gauge", "Connections that are open at the listeners."),
+    ("wingshed_in_flight", "gauge", "Requests in flight at upstreams, from this VM."),
+    ("wingshed_ready", "gauge", "1 while callers should be sent here."),
+    ("wingshed_version", "gauge", "The version of the configuration in force; 0 for none."),
+    ("wingshed_contact_age_ms", "gauge", "Milliseconds since that was surely the newest."),
+    ("wingshed_leader_silent_ms", "gauge", "Milliseconds since the leader answered."),
+    ("wingshed_roster", "gauge", "VMs in the roster."),
+    ("wingshed_upstreams", "gauge", "Upstreams on the list, those that leave included."),
+    ("wingshed_upstreams_aside", "gauge", "Upstreams that this VM has set aside."),
+    ("wingshed_list_age_ms", "gauge", "Milliseconds since the list was last told or read."),
+    ("wingshed_repeats_left", "gauge", "Repeats that this VM may still send now, by service."),
+    ("wingshed_leads", "gauge", "1 while this VM's keeper leads and may vouch."),
+    ("wingshed_term", "gauge", "The term of this VM's keeper; 0 for a VM without one."),
+    ("wingshed_voters", "gauge", "Voters of the group; 0 for a VM without a keeper."),
+];
+
+/// Serves the figures.
+pub async fn serve_figures(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let path = node.figures_path.borrow().clone();
+    if request.uri().path() != path {
+        return own_answer(StatusCode::NOT_FOUND, "");
+    }
+    let mut answer = own_answer(StatusCode::OK, node.write_figures());
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
+}
+
+impl VmNode {
+    /// All figures as text.
+    pub fn write_figures(&self) -> String {
+        let mut text = String::new();
+        for (name, kind, tells) in FIGURES {
+            // Writing to a string doesn't fail.
+            let _ = write!(text, "# HELP {name} {tells}\n# TYPE {name} {kind}\n");
+            self.write_figure(&mut text, name);
+        }
+        text
+    }
+
+    fn write_figure(&self, text: &mut String, name: &str) {
+        let figures = self.figures.borrow();
+        match name {
+            "wingshed_requests_total" => write_ends(text, &figures),
+            "wingshed_first_byte_ms" => write_first_bytes(text, &figures),
+            "wingshed_repeats_left" => self.write_repeats_left(text),
+            _ => drop(writeln!(text, "{name} {}", self.plain_figure(&figures, name))),
+        }
+    }
+
+    fn plain_figure(&self, figures: &VmFigures, name: &str) -> u64 {
+        let now_ms = self.now_ms();
+        let keeper = self.keeper.borrow();
+        let upstreams = self.upstreams.borrow();
+        match name {
+            "wingshed_repeats_total" => figures.repeats,
+            "wingshed_resumed_total" => figures.resumed,
+            "wingshed_cut_total" => figures.cut,
+            "wingshed_late_total" => figures.late,
+            "wingshed_signs_total" => figures.signs,
+            "wingshed_serving" => u64::from(self.serving.get()),
+            "wingshed_connections" => u64::from(self.connections.get()),
+            "wingshed_in_flight" => self.in_flight.borrow().values().map(|n| u64::from(*n)).sum(),
+            "wingshed_ready" => u64::from(self.is_ready()),
+            "wingshed_version" => self.contact.borrow().applied(),
+            "wingshed_contact_age_ms" => self.contact.borrow().age_ms(now_ms),
+            "wingshed_leader_silent_ms" => now_ms.saturating_sub(self.view.borrow().heard_ms),
+            "wingshed_roster" => self.view.borrow().roster.rows.len() as u64,
+            "wingshed_upstreams" => upstreams.entries.len() as u64,
+            "wingshed_upstreams_aside" => {
+                let outliers = self.outliers.borrow();
+                let keys = upstreams.entries.keys();
+                keys.filter(|key| outliers.is_aside(**key, now_ms)).count() as u64
+            }
+            "wingshed_list_age_ms" => now_ms.saturating_sub(upstreams.read_ms),
+            "wingshed_leads" => {
+                keeper.as_ref().map_or(0, |keeper| u64::from(keeper.may_vouch(now_ms)))
+            }
+            "wingshed_term" => keeper.as_ref().map_or(0, |keeper| keeper.term()),
+            "wingshed_voters" => keeper.as_ref().map_or(0, |keeper| keeper.voters() as u64),
+            other => unreachable!("{other} is no plain figure"),
+        }
+    }
+
+    fn write_repeats_left(&self, text: &mut String) {
+        let (allowance, now_ms) = (self.allowance(), self.now_ms());
+        let vms = self.view.borrow().roster.rows.len();
+        let mut budgets: Vec<_> = self.budgets.borrow().clone().into_iter().collect();
+        budgets.sort_by(|a, b| a.0.cmp(&b.0));
+        for (service, mut budget) in budgets {
+            let left = budget.left(&allowance, vms, now_ms);
+            let _ = writeln!(text, "wingshed_repeats_left{{service=\"{service}\"}} {left}");
+        }
+    }
+}
+
+fn write_ends(text: &mut String, figures: &VmFigures) {
+    for end in RequestEnd::ALL {
+        let (name, count) = (end.name(), figures.ended(end));
+        let _ = writeln!(text, "wingshed_requests_total{{end=\"{name}\"}} {count}");
+    }
+}
+
+fn write_first_bytes(text: &mut String, figures: &VmFigures) {
+    for (workspace, histogram) in figures.first_bytes() {
+        let label = format!("workspace=\"{workspace}\"");
+        let mut sum = 0;
+        for (end_ms, count) in BUCKETS_MS.iter().zip(histogram.counts) {
+            sum += count;
+            let _ =
+                writeln!(text, "wingshed_first_byte_ms_bucket{{{label},le=\"{end_ms}\"}} {sum}");
+        }
+        let count = histogram.count();
+        let _ = write!(
+            text,
+            "wingshed_first_byte_ms_bucket{{{label},le=\"+Inf\"}} {count}\n\
+             wingshed_first_byte_ms_sum{{{label}}} {}\nwingshed_first_byte_ms_count{{{label}}} {count}\n",
+            histogram.sum_ms
+        );
+    }
+}
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -36,6 +36,7 @@
 use crate::state::ids::{Incarnation, KeeperId, UpstreamKey};
 use crate::state::route_book::RouteBook;
 use crate::state::upstream_list::{ListMark, UpstreamList};
+use crate::state::vm_figures::VmFigures;
 use crate::state::vm_settings::VmSettings;
 
 /// The loop's own pace; heartbeats are the shortest thing that it must keep.
@@ -104,6 +105,10 @@
     pub in_flight: RefCell<HashMap<UpstreamKey, u32>>,
     /// Passive signs.
     pub outliers: RefCell<OutlierTable>,
+    /// What it has counted.
+    pub figures: RefCell<VmFigures>,
+    /// Where its figures are asked for.
+    pub figures_path: RefCell<String>,
     /// What this VM sent where.
     pub prefixes: RefCell<PrefixMemory>,
     /// Repeats, by service.
@@ -159,6 +164,8 @@
             pool: ConnectionPool::default(),
             in_flight: RefCell::default(),
             outliers: RefCell::default(),
+            figures: RefCell::default(),
+            figures_path: RefCell::default(),
             prefixes: RefCell::default(),
             budgets: RefCell::default(),
             links,
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -248,11 +248,18 @@
         }
     }
 
-    /// Logs an answer that comes after its goal, with what decided its way.
-    pub(super) fn note_late(&self, place: &SendPlace, what: &'static str) {
+    /// Counts an answer's first byte, and logs one that comes after its goal with what decided
+    /// its way.
+    pub(super) fn note_first_byte(&self, place: &SendPlace, what: &'static str) {
         let rule = &place.book.book.routes[place.route];
         let took_ms = self.arrived.elapsed().as_millis() as u64;
-        if rule.goal_ms == 0 || took_ms <= rule.goal_ms {
+        let late = rule.goal_ms > 0 && took_ms > rule.goal_ms;
+        {
+            let mut figures = self.node.figures.borrow_mut();
+            figures.note_first_byte(place.send.workspace.as_deref(), took_ms);
+            figures.late += u64::from(late);
+        }
+        if !late {
             return;
         }
         let in_flight = self.node.in_flight.borrow().get(&place.upstream).copied();
@@ -285,6 +292,7 @@
         let upstreams = self.node.upstreams.borrow();
         let Some(entry) = upstreams.entries.get(&upstream) else { return };
         let fleet = upstreams.taking(&entry.service).map(|(key, _)| key);
+        self.node.figures.borrow_mut().signs += 1;
         let mut outliers = self.node.outliers.borrow_mut();
         match sign {
             UpstreamSign::Gone => outliers.note_gone(upstream),
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -16,6 +16,7 @@
 use crate::coordination::event_splice::EventSplice;
 use crate::state::ids::UpstreamKey;
 use crate::state::route_book::{pick_share, RequestKind};
+use crate::state::vm_figures::RequestEnd;
 
 enum RunEnd {
     Complete,
@@ -42,7 +43,13 @@
                 prefixes.note_sent(&self.caller.prompt, place.upstream, now_ms);
             }
         }
-        self.note_late(&place, "head");
+        self.node.figures.borrow_mut().note_end(match answer.head.status.is_server_error() {
+            true => RequestEnd::UpstreamFailed,
+            false => RequestEnd::Answered,
+        });
+        if !rule.kind.is_stream() {
+            self.note_first_byte(&place, "head");
+        }
         let GoodAnswer { head, body } = answer;
         let headers = self.node.adapter.write_answer(&head);
         let respond = |body, headers| {
@@ -99,6 +106,7 @@
                 }
             }
         }
+        self.node.figures.borrow_mut().cut += 1;
         info!(target: "request", attempt = self.caller.attempt, "a stream is cut short");
         let _ = pieces.send(Err(CutShort)).await;
     }
@@ -131,6 +139,7 @@
                         (answer.head.status.is_success(), answer.body)
                     {
                         let attempt = &self.caller.attempt;
+                        self.node.figures.borrow_mut().resumed += 1;
                         info!(target: "request", attempt, "a stream is resumed");
                         return Some((place, coming));
                     }
@@ -167,7 +176,7 @@
                 Ok(None) => break,
             };
             if std::mem::take(&mut first) {
-                self.note_late(place, "first piece");
+                self.note_first_byte(place, "first piece");
             }
             let data = match splice.as_mut() {
                 Some(splice) => Bytes::from(splice.feed(&data)),
--- /dev/null
+++ b/lib/tests/test_explaining.rs
@@ -0,0 +1,137 @@
+//! What a failure can be explained from: bounded logs, figures, and the story told from logs.
+
+use std::path::Path;
+
+use wingshed_lib::coordination::line_budget::{
+    LineBudget, LineVerdict, LINES_A_PLACE, LINES_IN_ALL,
+};
+use wingshed_lib::coordination::log_story::{
+    read_log, tell_request, tell_span, LogLine, StoryReason,
+};
+use wingshed_lib::state::vm_figures::{RequestEnd, VmFigures, MOST_WORKSPACES, OTHER_WORKSPACES};
+use wingshed_lib::transport::vm_metrics::FIGURES;
+
+fn count(verdicts: &[LineVerdict], wanted: fn(&LineVerdict) -> bool) -> usize {
+    verdicts.iter().filter(|verdict| wanted(verdict)).count()
+}
+
+#[test]
+fn repeats_of_one_place_are_folded_and_told_with_its_next_line() {
+    let mut budget = LineBudget::default();
+    let many: Vec<LineVerdict> = (0..50).map(|_| budget.take("silent", 10)).collect();
+    let other = budget.take("starts", 10);
+
+    let next = budget.take("silent", 1000);
+
+    let written = |verdict: &LineVerdict| matches!(verdict, LineVerdict::Write { .. });
+    assert_eq!(count(&many, written), LINES_A_PLACE as usize);
+    assert_eq!(count(&many, |verdict| *verdict == LineVerdict::Fold), 30);
+    assert_eq!(other, LineVerdict::Write { folded: 0, dropped: 0 }, "another cause is told");
+    assert_eq!(next, LineVerdict::Write { folded: 30, dropped: 0 });
+}
+
+#[test]
+fn a_process_never_writes_more_than_its_bound() {
+    let mut budget = LineBudget::default();
+    let places = 0..LINES_IN_ALL * 3;
+    let verdicts: Vec<LineVerdict> = places.map(|place| budget.take(place, 999)).collect();
+    budget.note_lost();
+
+    let next = budget.take(0, 1000);
+
+    let written = |verdict: &LineVerdict| matches!(verdict, LineVerdict::Write { .. });
+    assert_eq!(count(&verdicts, written), LINES_IN_ALL as usize);
+    let dropped = LINES_IN_ALL * 2 + 1;
+    assert_eq!(next, LineVerdict::Write { folded: 0, dropped });
+}
+
+#[test]
+fn histograms_are_bounded_and_lose_nothing() {
+    let mut figures = VmFigures::default();
+    for number in 0..MOST_WORKSPACES * 2 {
+        figures.note_first_byte(Some(&format!("w{number}")), 10 * number as u64);
+    }
+    figures.note_first_byte(None, 1_000_000);
+    figures.note_end(RequestEnd::Refused);
+
+    let rows: Vec<_> = figures.first_bytes().collect();
+    assert!(rows.len() <= MOST_WORKSPACES + 1, "{}", rows.len());
+    let all: u64 = rows.iter().map(|(_, histogram)| histogram.count()).sum();
+    assert_eq!(all, MOST_WORKSPACES as u64 * 2 + 1);
+    let (_, other) = rows.iter().find(|(name, _)| *name == OTHER_WORKSPACES).unwrap();
+    assert_eq!(other.count(), MOST_WORKSPACES as u64 + 1);
+    assert_eq!(*other.counts.last().unwrap(), 1, "the longest is beyond all buckets");
+    assert_eq!(figures.ended(RequestEnd::Refused), 1);
+}
+
+#[test]
+fn the_table_of_figures_is_the_code() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operators/metrics.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    let told: Vec<Vec<&str>> = rows
+        .map(|row| row.split('|').map(|cell| cell.trim().trim_matches('`')).collect())
+        .collect();
+
+    let code: Vec<Vec<&str>> =
+        FIGURES.iter().map(|(name, kind, tells)| vec![*name, *kind, *tells, ""]).collect();
+    assert_eq!(told, code);
+}
+
+const LOG: &str = r#"
+  -9.5000 vm-a {"timestamp":"2026-01-01T00:00:00.5Z","level":"INFO","message":"in force","version":3,"target":"book"}
+  -1.0000 vm-a {"timestamp":"2026-01-01T00:00:09Z","level":"INFO","message":"in force","version":4,"target":"book"}
+   4.0000 vm-b {"timestamp":"2026-01-01T00:00:14Z","level":"INFO","message":"broken","life":"i-1","attempt":"x2","target":"upstream"}
+   4.5000 vm-a {"timestamp":"2026-01-01T00:00:14.5Z","level":"INFO","message":"renewed","leader":"10.0.0.1","target":"contact"}
+   5.0000 vm-a {"timestamp":"2026-01-01T00:00:15Z","level":"INFO","message":"broken","life":"i-1","attempt":"x1","target":"upstream"}
+   5.0010 vm-a {"timestamp":"2026-01-01T00:00:15.001Z","level":"INFO","message":"failed: broken","sent":1,"attempt":"x1","target":"request"}
+   9.0000 vm-b {"timestamp":"2026-01-01T00:00:19Z","level":"INFO","message":"broken","life":"i-1","attempt":"x3","target":"upstream"}
+what a bench prints beside it
+"#;
+
+fn log() -> Vec<LogLine> {
+    let (lines, other) = read_log("file", LOG);
+    assert_eq!((lines.len(), other), (7, 1));
+    lines
+}
+
+#[test]
+fn the_story_of_a_request_names_beliefs_and_what_others_saw() {
+    let story = tell_request(&log(), "x1");
+
+    let told: Vec<(StoryReason, f64)> =
+        story.iter().map(|told| (told.reason, told.line.at_s)).collect();
+    let expected = [
+        (StoryReason::Belief, -1.0),
+        (StoryReason::SameUpstream, 4.0),
+        (StoryReason::SameVm, 4.5),
+        (StoryReason::Request, 5.0),
+        (StoryReason::Request, 5.001),
+    ];
+    assert_eq!(told, expected);
+    assert!(tell_request(&log(), "x9").is_empty(), "nobody names it");
+}
+
+#[test]
+fn a_span_tells_all_lines_in_order_whatever_file_they_came_from() {
+    let mut lines = log();
+    lines.reverse();
+
+    let story = tell_span(&lines, 4.0, 5.0);
+
+    let times: Vec<f64> = story.iter().map(|told| told.line.at_s).collect();
+    assert_eq!(times, [4.0, 4.5, 5.0]);
+}
+
+#[test]
+fn lines_without_a_prefix_are_timed_by_their_stamp_and_named_by_their_file() {
+    let text = r#"{"timestamp":"2026-12-02T15:14:55.250Z","message":"starts","target":"node"}"#;
+
+    let (lines, other) = read_log("vm-c", text);
+
+    assert_eq!(other, 0);
+    assert_eq!((lines[0].vm.as_str(), lines[0].at_s), ("vm-c", 1_796_224_495.25));
+    for bad in ["", "{}", "{\"message\":\"x\"}", "{\"target\":\"node\",\"timestamp\":\"soon\"}"] {
+        assert!(read_log("vm-c", bad).0.is_empty(), "{bad}");
+    }
+}
