list: one that lost its leader reads at once, and yields when refused

What had changed before: a VM without a leader waited its share among all 79 before it read for itself. It now reads as though it were the only one, and half as often after each refusal.

--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_turn.rs
@@ -1,8 +1,8 @@
 //! Whose turn it is to read the platform's list of upstreams, and how often.
 //!
 //! The platform takes so many calls a second from all VMs together, and a list comes in pages.
-//! The leader reads for all. A VM that lost the leader reads for itself, so seldom that all of
-//! them together leave room. A VM that has just started does not read: without a leader it has no
+//! The leader reads for all. A VM that lost the leader reads for itself, and less often when it is
+//! refused, so that all of them together leave room. A VM that has just started does not read: without a leader it has no
 //! configuration to serve by, and the leader gives it the list. When all of 300 VMs read after a
 //! common restart, the platform refused nearly every call and none of them, the leader included,
 //! came to the end of a list. See `docs/design/fleet-news.md`.
@@ -39,9 +39,20 @@
         self.pause_ms(self.pages, LEADER_PART)
     }
 
-    /// How long a VM waits that reads for itself, in milliseconds.
-    pub fn alone_pause_ms(&self) -> u64 {
-        self.pause_ms(self.pages * self.vms.max(1), ALONE_PART)
+    /// How long a VM waits that reads for itself, in milliseconds: see [`AloneNeed`].
+    pub fn alone_pause_ms(&self, need: AloneNeed, refusals: u32) -> u64 {
+        self.alone_span_ms(self.pages, need, refusals).max(READ_MS)
+    }
+
+    fn alone_span_ms(&self, calls: usize, need: AloneNeed, refusals: u32) -> u64 {
+        let among_all = self.span_ms(calls * self.vms.max(1), ALONE_PART);
+        match need {
+            AloneNeed::Untold => among_all,
+            AloneNeed::Lost => {
+                let alone = self.span_ms(calls, ALONE_PART);
+                alone.saturating_mul(1 << refusals.min(10)).min(among_all)
+            }
+        }
     }
 
     /// The pause before page `number` of a leader's reading, in milliseconds.
@@ -54,10 +65,10 @@
 
     /// The same of a VM that reads for itself. How many pages there are it may not know before,
     /// so each is paid for.
-    pub fn alone_page_ms(&self, number: usize) -> u64 {
+    pub fn alone_page_ms(&self, number: usize, need: AloneNeed, refusals: u32) -> u64 {
         match number {
             0 => 0,
-            _ => self.span_ms(self.vms.max(1), ALONE_PART),
+            _ => self.alone_span_ms(1, need, refusals),
         }
     }
 
@@ -83,11 +94,22 @@
     pub has_list: bool,
 }
 
-/// Whether a VM that doesn't lead must read the list for itself.
-pub fn must_read_alone(standing: ListStanding, now_ms: u64) -> bool {
-    let Some(first_heard_ms) = standing.first_heard_ms else { return false };
+/// Why a VM that doesn't lead reads the list for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AloneNeed {
+    /// It lost its leader, and may be the only one that did. It reads as though it were, and half
+    /// as often after each refusal, down to its share among all: an upstream that leaves must get
+    /// nothing after some seconds, also without a leader.
+    Lost,
+    /// Its leader has no list to tell, and so all others read too.
+    Untold,
+}
+
+/// Whether a VM that doesn't lead must read the list for itself, and why.
+pub fn alone_need(standing: ListStanding, now_ms: u64) -> Option<AloneNeed> {
+    let first_heard_ms = standing.first_heard_ms?;
     match standing.has_list {
-        true => standing.heard_ms + ALONE_MS < now_ms,
-        false => first_heard_ms + UNTOLD_MS < now_ms,
+        true => (standing.heard_ms + ALONE_MS < now_ms).then_some(AloneNeed::Lost),
+        false => (first_heard_ms + UNTOLD_MS < now_ms).then_some(AloneNeed::Untold),
     }
 }
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -8,6 +8,7 @@
 
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
+use crate::coordination::list_turn::UNTOLD_MS;
 use crate::coordination::vm_roster::{RosterMark, RosterNews, RENEW_MS, SETTLE_MS};
 use crate::protocol::vm_wire::{
     decode, encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
@@ -42,7 +43,9 @@
         loop {
             self.renew();
             let silent = self.view.borrow().heard_ms + LEADER_SILENT_MS <= self.now_ms();
-            let pause = if silent { SEEK_MS } else { RENEW_MS };
+            // A VM without a list can't serve; the leader may have read one by now.
+            let untold = self.upstreams.borrow().read_ms == 0 && self.clock.age_ms() < UNTOLD_MS;
+            let pause = if silent || untold { SEEK_MS } else { RENEW_MS };
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -14,7 +14,7 @@
 
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
-use crate::coordination::list_turn::{must_read_alone, ListCost, ListStanding};
+use crate::coordination::list_turn::{alone_need, AloneNeed, ListCost, ListStanding};
 use crate::coordination::upstream_seats::SeatTable;
 use crate::protocol::vm_wire::{VmId, VmMessage};
 use crate::protocol::wire_adapter::UpstreamPage;
@@ -45,55 +45,95 @@
     Other(String),
 }
 
+impl std::fmt::Display for ListFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            ListFault::TooMany => write!(f, "the platform takes no more calls"),
+            ListFault::Other(text) => write!(f, "{text}"),
+        }
+    }
+}
+
+/// What a VM remembers from one reading to the next.
+#[derive(Default)]
+struct ReadingTurn {
+    /// The term in which it last read as the leader.
+    read_term: u64,
+    /// Why it reads for itself, if it does.
+    need: Option<AloneNeed>,
+    /// Refusals in a row while it does.
+    refusals: u32,
+    /// Other failures in a row.
+    fails: u64,
+}
+
 impl VmNode {
     /// Reads the list, again and again, when it is this VM's turn.
     pub async fn keep_list(self: Rc<Self>) {
-        let mut fails = 0u64;
-        let mut read_term = 0;
+        let mut turn = ReadingTurn::default();
         let mut swept_ms = 0;
-        let mut was_alone = false;
         loop {
             let now_ms = self.now_ms();
-            let vouches = |keeper: &KeeperDriver| keeper.may_vouch(now_ms);
-            let term = self.keeper.borrow().as_ref().filter(|k| vouches(k)).map(|k| k.term());
-            let alone = term.is_none() && must_read_alone(self.list_standing(), now_ms);
-            if alone && !was_alone {
-                // All of them turn to it at one moment, so each begins at another.
-                self.set_list_due(self.draw() % self.list_cost().alone_pause_ms());
-            }
-            was_alone = alone;
-            let due = now_ms >= self.view.borrow().list_due_ms;
-            let new_leader = term.is_some_and(|term| term != read_term);
             if now_ms >= swept_ms + SWEEP_MS {
                 swept_ms = now_ms;
                 self.sweep();
             }
-            if !(new_leader || due && (alone || term.is_some())) {
+            let vouches = |keeper: &KeeperDriver| keeper.may_vouch(now_ms);
+            let term = self.keeper.borrow().as_ref().filter(|k| vouches(k)).map(|k| k.term());
+            let need = match term {
+                Some(_) => None,
+                None => alone_need(self.list_standing(), now_ms),
+            };
+            if need.is_some() && turn.need.is_none() {
+                // Many may turn to it at one moment, so each begins at another.
+                turn.refusals = 0;
+                let pause_ms = self.pause_ms(need, 0);
+                self.set_list_due(self.draw() % pause_ms);
+            }
+            turn.need = need;
+            let new_leader = term.is_some_and(|term| term != turn.read_term);
+            let due = now_ms >= self.view.borrow().list_due_ms;
+            if !(new_leader || due && (need.is_some() || term.is_some())) {
                 tokio::time::sleep(LOOK_TIME).await;
                 continue;
             }
-            read_term = term.unwrap_or(read_term);
-            match self.read_list(alone).await {
-                Ok(rows) => {
-                    fails = 0;
-                    self.take_list(rows);
-                    self.contact_changed.notify_waiters();
-                    let cost = self.list_cost();
-                    let pause_ms =
-                        if alone { cost.alone_pause_ms() } else { cost.leader_pause_ms() };
-                    self.set_list_due(pause_ms + self.draw() % 50);
-                }
-                Err(error) => {
-                    if fails == 0 {
-                        warn!(target: "list", "cannot be read: {error}");
-                    }
-                    fails += 1;
-                    self.set_list_due(fails.min(5) * FAIL_MS + self.draw() % FAIL_MS);
+            turn.read_term = term.unwrap_or(turn.read_term);
+            self.take_turn(&mut turn).await;
+        }
+    }
+
+    /// Reads once, and sets when the next turn is.
+    async fn take_turn(&self, turn: &mut ReadingTurn) {
+        match self.read_list(turn.need, turn.refusals).await {
+            Ok(rows) => {
+                (turn.fails, turn.refusals) = (0, 0);
+                self.take_list(rows);
+                self.contact_changed.notify_waiters();
+                self.set_list_due(self.pause_ms(turn.need, 0) + self.draw() % 50);
+            }
+            Err(ListFault::TooMany) if turn.need.is_some() => {
+                turn.refusals += 1;
+                let pause_ms = self.pause_ms(turn.need, turn.refusals);
+                self.set_list_due(pause_ms / 2 + self.draw() % pause_ms);
+            }
+            Err(error) => {
+                if turn.fails == 0 {
+                    warn!(target: "list", "cannot be read: {error}");
                 }
+                turn.fails += 1;
+                self.set_list_due(turn.fails.min(5) * FAIL_MS + self.draw() % FAIL_MS);
             }
         }
     }
 
+    fn pause_ms(&self, need: Option<AloneNeed>, refusals: u32) -> u64 {
+        let cost = self.list_cost();
+        match need {
+            Some(need) => cost.alone_pause_ms(need, refusals),
+            None => cost.leader_pause_ms(),
+        }
+    }
+
     fn list_cost(&self) -> ListCost {
         let view = self.view.borrow();
         let calls_per_s = self.settings.borrow().list.calls_per_s;
@@ -199,20 +239,27 @@
         }
     }
 
-    async fn read_list(&self, alone: bool) -> Result<Vec<UpstreamEntry>, String> {
+    async fn read_list(
+        &self,
+        need: Option<AloneNeed>,
+        refusals: u32,
+    ) -> Result<Vec<UpstreamEntry>, ListFault> {
         let mut rows = Vec::new();
         let mut next: Option<String> = None;
         for number in 0..MOST_PAGES {
             let cost = self.list_cost();
-            let pause_ms =
-                if alone { cost.alone_page_ms(number) } else { cost.leader_page_ms(number) };
+            let pause_ms = match need {
+                Some(need) => cost.alone_page_ms(number, need, refusals),
+                None => cost.leader_page_ms(number),
+            };
             if pause_ms > 0 {
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
-            if alone && !must_read_alone(self.list_standing(), self.now_ms()) {
-                return Err("a leader tells it by now".to_string());
+            if need.is_some() && alone_need(self.list_standing(), self.now_ms()).is_none() {
+                return Err(ListFault::Other("a leader tells it by now".to_string()));
             }
-            let page = self.read_page(next.as_deref()).await?;
+            let tries = if need.is_some() { 0 } else { PAGE_TRIES };
+            let page = self.read_page(next.as_deref(), tries).await?;
             rows.extend(page.rows);
             match page.next {
                 Some(token) => next = Some(token),
@@ -222,25 +269,24 @@
                 }
             }
         }
-        Err(format!("more than {MOST_PAGES} pages"))
+        Err(ListFault::Other(format!("more than {MOST_PAGES} pages")))
     }
 
-    /// Reads one page; again, after a pause, when the platform takes no more calls just now, so
-    /// that the pages before it aren't read in vain.
-    async fn read_page(&self, token: Option<&str>) -> Result<UpstreamPage, String> {
+    /// Reads one page; so many times again, after a pause, when the platform takes no more calls
+    /// just now, so that the pages before it aren't read in vain.
+    async fn read_page(&self, token: Option<&str>, tries: u32) -> Result<UpstreamPage, ListFault> {
         let call = self.adapter.list_call(token);
-        let mut tries = 0;
+        let mut left = tries;
         loop {
-            let body = tokio::time::timeout(CALL_TIME, self.call_list(&call));
-            match body.await.map_err(|_| "no answer in time".to_string())? {
-                Ok(body) => return self.adapter.read_list(&body),
-                Err(ListFault::TooMany) if tries < PAGE_TRIES => {
-                    tries += 1;
+            let body = tokio::time::timeout(CALL_TIME, self.call_list(&call)).await;
+            match body.unwrap_or_else(|_| Err(ListFault::Other("no answer in time".to_string()))) {
+                Ok(body) => return self.adapter.read_list(&body).map_err(ListFault::Other),
+                Err(ListFault::TooMany) if left > 0 => {
+                    left -= 1;
                     let pause_ms = FAIL_MS + self.draw() % FAIL_MS;
                     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 }
-                Err(ListFault::TooMany) => return Err("too many calls".to_string()),
-                Err(ListFault::Other(text)) => return Err(text),
+                Err(fault) => return Err(fault),
             }
         }
     }
