--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -48,7 +48,7 @@
         /// that isn't known.
         committed: bool,
     },
-    /// To the leader: the newest document, please.
+    /// To a keeper: the newest document that you know to be committed, please.
     WantDocument,
     /// The newest document.
     Document {
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -229,7 +229,7 @@
         self.contact_changed.notify_waiters();
         self.tell_if_changed();
         if want_document {
-            self.links.send(from, &VmMessage::WantDocument);
+            self.ask_document(from);
         }
         if want_list {
             let have = self.upstreams.borrow().mark;
@@ -237,6 +237,16 @@
         }
     }
 
+    /// Asks for the newest document at any keeper, since each holds what is committed: after a
+    /// common restart all VMs ask, and 70 large documents are seconds of one leader's link, in
+    /// which it can neither read the list nor be heard. One that lags is asked again elsewhere.
+    pub(super) fn ask_document(&self, leader: VmId) {
+        let view = self.view.borrow();
+        let keepers: Vec<VmId> = view.keepers.iter().copied().filter(|id| *id != self.id).collect();
+        let keeper = keepers.get(self.draw() as usize % keepers.len().max(1));
+        self.links.send(keeper.copied().unwrap_or(leader), &VmMessage::WantDocument);
+    }
+
     /// A leader is in contact with itself; true when this VM leads.
     fn grant_to_itself(&self, now_ms: u64) -> bool {
         let row = self.own_row();
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -307,7 +307,7 @@
         let book = self.book.borrow().clone().filter(|book| book.book.version == before);
         match book.and_then(|book| change.apply(&book.document)) {
             Some(document) => self.apply_document(version, &document),
-            None => self.links.send(from, &VmMessage::WantDocument),
+            None => self.ask_document(from),
         }
     }
 
