--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -216,6 +216,11 @@
         if told.not_run {
             if told.other_life {
                 self.note_sign(place.upstream, UpstreamSign::Gone, "another life listens there");
+            } else {
+                info!(
+                    target: "upstream", life = place.send.life, attempt = self.caller.attempt,
+                    status = head.status.as_u16(), "did not run it",
+                );
             }
             let read = Limited::new(body, HELD_BYTES as usize).collect().await;
             if read.is_ok() {
