reading: three large files split by what they hold

The views of a replay, who waits at a keeper, and the tests of the queue stand in files of their own; nothing else changed.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -33,6 +33,7 @@
 mod replay_alone;
 pub mod replay_outcome;
 pub mod replay_truth;
+mod replay_views;
 pub mod retry;
 pub mod router_lease;
 pub mod session_watch;
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -12,6 +12,8 @@
 
 use super::clock::{wall_ms, NodeClock};
 use super::datagram::DatagramPort;
+pub use super::keeper_waiter::OperateReply;
+use super::keeper_waiter::Waiter;
 use crate::coordination::leaving::LeavingMark;
 use crate::coordination::load_spread::LoadTable;
 use crate::coordination::order_pace::orders_to_send;
@@ -75,54 +77,6 @@
     Stop,
 }
 
-/// The answer to an operator's operation.
-#[derive(Clone, Debug, PartialEq)]
-pub enum OperateReply {
-    /// Committed, with the state machine's answer.
-    Done(KeeperAnswer),
-    /// Not taken.
-    Refused(RaftRefusal),
-    /// Taken, but it is not known whether it will be committed.
-    Unsure,
-}
-
-enum Waiter {
-    Operate(Sender<OperateReply>),
-    Call(Sender<KeeperReply>),
-    Datagram(DatagramPort, SocketAddr, u64),
-    Nobody,
-}
-
-impl Waiter {
-    fn answer(self, answer: KeeperAnswer) {
-        match self {
-            Waiter::Operate(sender) => drop(sender.send(OperateReply::Done(answer))),
-            Waiter::Call(sender) => {
-                let reply = match answer {
-                    KeeperAnswer::Claim(answers) => KeeperReply::Claims(answers),
-                    _ => KeeperReply::Done,
-                };
-                drop(sender.send(reply));
-            }
-            Waiter::Nobody => {}
-            Waiter::Datagram(port, from, number) => {
-                if let KeeperAnswer::Claim(answers) = answer {
-                    port.send(from, &Datagram::ClaimAnswers { number, answers: Some(answers) });
-                }
-            }
-        }
-    }
-
-    fn unsure(self) {
-        match self {
-            Waiter::Operate(sender) => drop(sender.send(OperateReply::Unsure)),
-            Waiter::Call(sender) => drop(sender.send(KeeperReply::Unsure)),
-            // It asks again, perhaps elsewhere: claims carry their attempt.
-            Waiter::Datagram(..) | Waiter::Nobody => {}
-        }
-    }
-}
-
 /// The ways out of the loop: sending needs sockets that the loop does not own.
 pub struct LoopOutlets {
     /// For short messages.
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -11,6 +11,7 @@
 pub mod keeper_loop;
 pub mod keeper_node;
 pub mod keeper_operator;
+mod keeper_waiter;
 pub mod router_claims;
 pub mod router_control;
 pub mod router_engines;
