list: a leader's marks never fall

Change: the latest mark outlives a list read alone, and a reading that began as a leader's is dropped when it ends as nobody's.

--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -95,6 +95,9 @@
     pub read_ms: u64,
     /// Which state this is, when a leader told it.
     pub mark: ListMark,
+    /// The latest mark that was held here. It outlives a list that this VM read for itself, so
+    /// that a leader who did so in between never tells a mark that others have passed already.
+    latest: ListMark,
     leaving: HashSet<UpstreamKey>,
     steps: VecDeque<ListStep>,
 }
@@ -112,7 +115,7 @@
         let newer = (mark.term, mark.change) > (self.mark.term, self.mark.change);
         if newer {
             self.replace(rows, now_ms);
-            self.mark = mark;
+            self.set_mark(mark);
             self.steps.clear();
         }
         newer
@@ -126,7 +129,7 @@
             return None;
         }
         let from = self.mark;
-        let to = ListMark { term, change: from.change + 1 };
+        let to = ListMark { term, change: self.latest.change + 1 };
         let step = ListStep { from, to, change };
         self.note_step(step.clone());
         Some(step)
@@ -153,8 +156,13 @@
         Some(ListStep { from: have, to: self.mark, change })
     }
 
+    fn set_mark(&mut self, mark: ListMark) {
+        self.mark = mark;
+        self.latest = mark;
+    }
+
     fn note_step(&mut self, step: ListStep) {
-        self.mark = step.to;
+        self.set_mark(step.to);
         if self.steps.len() == STEPS_KEPT {
             self.steps.pop_front();
         }
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -107,7 +107,7 @@
         match self.read_list(turn.need, turn.refusals).await {
             Ok(rows) => {
                 (turn.fails, turn.refusals) = (0, 0);
-                self.take_list(rows);
+                self.take_list(rows, turn.need.is_some());
                 self.contact_changed.notify_waiters();
                 self.set_list_due(self.pause_ms(turn.need, 0) + self.draw() % 50);
             }
@@ -162,7 +162,7 @@
         UpstreamKey(0)
     }
 
-    fn take_list(&self, mut rows: Vec<UpstreamEntry>) {
+    fn take_list(&self, mut rows: Vec<UpstreamEntry>, alone: bool) {
         let now_ms = self.now_ms();
         let led = match &*self.keeper.borrow() {
             Some(keeper) if keeper.may_vouch(now_ms) => {
@@ -171,7 +171,10 @@
             _ => None,
         };
         let Some((term, seats)) = led else {
-            self.take_list_alone(rows, now_ms);
+            // Read as a leader, and no longer one that may vouch: the next leader reads anew.
+            if alone {
+                self.take_list_alone(rows, now_ms);
+            }
             return;
         };
         let before = SeatTable::of(&seats);
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -89,6 +89,23 @@
     }
 }
 
+#[test]
+fn a_leader_that_read_for_itself_meanwhile_is_heard_again_at_once() {
+    let (mut leader, mut follower) = leader_and_follower();
+    for number in 3..9 {
+        let step = leader.lead(entries(&[1, number]), 1, 10).expect("news");
+        assert!(follower.follow(step, 10));
+    }
+    // It could not vouch for a moment, while a reading was under way.
+    leader.take_alone(entries(&[1]), 20);
+
+    leader.lead(vec![entry(1, true)], 1, 30).expect("news");
+    let taken = follower.take_whole(leader.mark, leader.rows(), 30);
+
+    assert!(taken, "{:?} after {:?}", leader.mark, follower.mark);
+    assert!(follower.rows()[0].leaving);
+}
+
 #[test]
 fn an_older_whole_list_takes_nothing_back() {
     let (mut leader, mut follower) = leader_and_follower();
@@ -241,6 +258,8 @@
     NewTerm,
     /// The follower reads a list for itself.
     Alone(Vec<u16>),
+    /// The leader does, since it could not vouch for a moment, and then reads as the leader.
+    LeaderAlone(Vec<u16>),
     /// The last step that was lost comes after all.
     Late,
     /// The follower asks.
@@ -253,6 +272,7 @@
         6 => (numbers(), any::<bool>()).prop_map(|(list, heard)| Happening::Read(list, heard)),
         1 => Just(Happening::NewTerm),
         1 => numbers().prop_map(Happening::Alone),
+        1 => numbers().prop_map(Happening::LeaderAlone),
         1 => Just(Happening::Late),
         2 => Just(Happening::Ask),
     ];
@@ -290,6 +310,10 @@
                 Happening::Alone(list) => {
                     follower.take_alone(entries(&list), now_ms);
                 }
+                Happening::LeaderAlone(list) => {
+                    leader.take_alone(entries(&list), now_ms);
+                    leader.lead(entries(&list), term, now_ms);
+                }
                 Happening::Late => {
                     lost.take().map(|step| follower.follow(step, now_ms));
                 }
