reading: one way to the log's budget, losses counted in one call

Cause: the lock of the budget was taken by two copies of one line, a loop added lines one at a time, and explain had a closure and a function that each served one place. Behaviour and assertions stay.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -1,6 +1,6 @@
 //! `wingshed explain`: the story of a request, or of a span of time, out of logs.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use argh::FromArgs;
 use wingshed_lib::coordination::log_story::{
@@ -61,18 +61,14 @@
             .map_err(|error| format!("{}: {error}", path.display()))?;
         let vm = path.file_stem().map_or_else(String::new, |name| name.to_string_lossy().into());
         let (lines, other) = read_log(&vm, &text);
-        note_other(path, other);
+        if other > 0 {
+            eprintln!("wingshed: {}: {other} lines are no log lines, passed over", path.display());
+        }
         all.extend(lines);
     }
     Ok(all)
 }
 
-fn note_other(path: &Path, other: usize) {
-    if other > 0 {
-        eprintln!("wingshed: {}: {other} lines are no log lines, passed over", path.display());
-    }
-}
-
 /// One line: the mark of its reason, time, VM, part, message, fields.
 fn written(told: &StoryLine) -> String {
     let mark = match told.reason {
@@ -83,8 +79,7 @@
         StoryReason::Span => "",
     };
     let line = &told.line;
-    let skipped = |name: &str| name == "level";
-    let fields = line.fields.iter().filter(|(name, _)| !skipped(name));
+    let fields = line.fields.iter().filter(|(name, _)| *name != "level");
     let fields: Vec<String> = fields
         .map(|(name, value)| match value.as_str() {
             Some(text) => format!("{name}={text}"),
--- a/daemons/src/log_writer.rs
+++ b/daemons/src/log_writer.rs
@@ -6,7 +6,7 @@
 
 use std::io::Write;
 use std::os::fd::{AsRawFd, RawFd};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
 use tracing::callsite::Identifier;
@@ -41,8 +41,11 @@
 
     fn verdict(&self, place: Identifier) -> LineVerdict {
         let now_ms = self.started.elapsed().as_millis() as u64;
-        let mut budget = self.budget.lock().unwrap_or_else(|poison| poison.into_inner());
-        budget.take(place, now_ms)
+        self.budget().take(place, now_ms)
+    }
+
+    fn budget(&self) -> MutexGuard<'_, LineBudget<Identifier>> {
+        self.budget.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Writes what fits without waiting; false when it didn't.
@@ -131,9 +134,7 @@
         }
         bytes.extend_from_slice(&self.bytes);
         if !self.writer.write_now(&bytes) {
-            let budget = self.writer.budget.lock();
-            let mut budget = budget.unwrap_or_else(|poison| poison.into_inner());
-            (0..=folded + dropped).for_each(|_| budget.note_lost());
+            self.writer.budget().note_lost(1 + folded + dropped);
         }
     }
 }
--- a/lib/src/coordination/line_budget.rs
+++ b/lib/src/coordination/line_budget.rs
@@ -76,8 +76,8 @@
         LineVerdict::Write { folded, dropped: std::mem::take(&mut self.dropped) }
     }
 
-    /// A line that should have been written could not be.
-    pub fn note_lost(&mut self) {
-        self.dropped += 1;
+    /// So many lines that should have been written, or told as missing, could not be.
+    pub fn note_lost(&mut self, lines: u32) {
+        self.dropped += lines;
     }
 }
--- a/lib/tests/test_explaining.rs
+++ b/lib/tests/test_explaining.rs
@@ -35,7 +35,7 @@
     let mut budget = LineBudget::default();
     let places = 0..LINES_IN_ALL * 3;
     let verdicts: Vec<LineVerdict> = places.map(|place| budget.take(place, 999)).collect();
-    budget.note_lost();
+    budget.note_lost(1);
 
     let next = budget.take(0, 1000);
 
