demo: a run-once request refused as not run may run when it is sent again

Cause: the demo counted an alert as wrong when it was refused as not run (busy, or its engine refused it) and its second send, which every alert gets, then ran. The claim of a request that surely did not run is released so that the caller may try again, so the router was right and the count was wrong. Ruled out: the router refusing what runs (no run without a send that accounts for it). Change: the count stands in standin/verdict.rs with tests: a run is held against a refusal unless the second send accounts for it, once; a duplicate of what ran must be dropped.

--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -7,12 +7,12 @@
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
-use wingshed_lib::protocol::caller::RanMark;
 use wingshed_lib::protocol::engine::run_id;
 use wingshed_lib::transport::http_client::HttpClient;
 use wingshed_standin::caller::{chat_call, directory, plain_call, send, CallerAnswer, ChatAsk};
 use wingshed_standin::engine::whole_text;
 use wingshed_standin::system::{SystemMake, SystemStandIn};
+use wingshed_standin::verdict::{AnswerVerdict, RequestView};
 
 use crate::table::to_text;
 
@@ -39,6 +39,18 @@
     duplicate: Option<CallerAnswer>,
 }
 
+impl DemoResult {
+    fn view<'a>(&'a self, starts: &HashMap<String, u64>) -> RequestView<'a> {
+        RequestView {
+            expected: &self.expected,
+            exact: self.service != "plain",
+            first: &self.answer,
+            second: self.duplicate.as_ref(),
+            starts: starts.get(&self.run).copied().unwrap_or(0),
+        }
+    }
+}
+
 /// Runs the demo; true when every promise held.
 pub fn run(command: &DemoCommand) -> Result<bool, String> {
     let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
@@ -196,15 +208,18 @@
 fn report(system: &SystemStandIn, results: &[DemoResult], skew: &[f64], wire: f64) -> bool {
     let starts = system.starts();
     let mut rows = Vec::new();
+    let verdict = |result: &DemoResult| result.view(&starts).verdict();
     let mut wrong = 0;
     let mut refused = 0;
     let mut explicit = 0;
     for service in SERVICES {
-        let own: Vec<&DemoResult> = results.iter().filter(|r| r.service == service).collect();
-        let whole = own.iter().filter(|result| is_whole(result)).count();
-        let not_run = own.iter().filter(|result| is_true_refusal(result, &starts)).count();
-        let failed = own.iter().filter(|result| is_explicit_failure(result)).count();
-        wrong += own.len() - whole - not_run - failed;
+        let own: Vec<AnswerVerdict> =
+            results.iter().filter(|r| r.service == service).map(verdict).collect();
+        let count = |kind| own.iter().filter(|verdict| **verdict == kind).count();
+        let whole = count(AnswerVerdict::Whole);
+        let not_run = count(AnswerVerdict::Refused);
+        let failed = count(AnswerVerdict::Failed);
+        wrong += count(AnswerVerdict::Wrong);
         refused += not_run;
         explicit += failed;
         rows.push(vec![
@@ -223,6 +238,7 @@
     let doubled = alerts.iter().filter(|r| starts.get(&r.run).is_some_and(|n| *n > 1)).count();
     let duplicates = alerts.iter().filter_map(|result| result.duplicate.as_ref());
     let dropped = duplicates.filter(|answer| answer.status == 409).count();
+    let taken_again = alerts.len() - dropped;
     let counters = counters(system);
     let count = |name: &str| counters.get(name).copied().unwrap_or(0);
     let (reused, cold) = (count("cache.reused"), count("cache.cold"));
@@ -243,42 +259,22 @@
         ("control bytes sent a second a router", format!("{wire:.0}")),
         ("requests that hopped between routers", hopped.to_string()),
         ("run-once duplicates sent, dropped", format!("{}, {dropped}", alerts.len())),
+        ("run-once requests sent again after a refusal, and taken", taken_again.to_string()),
         ("run-once requests that ran twice", doubled.to_string()),
     ];
     let rows: Vec<Vec<String>> =
         summary.iter().map(|(name, value)| vec![name.to_string(), value.clone()]).collect();
     println!("{}", to_text(&["measure", "value"], &rows));
-    let bad =
-        |r: &&DemoResult| !is_whole(r) && !is_true_refusal(r, &starts) && !is_explicit_failure(r);
+    let bad = |r: &&DemoResult| verdict(r) == AnswerVerdict::Wrong;
     for result in results.iter().filter(bad).take(5) {
         println!("wrong: {} {:?}", result.service, result.answer);
     }
-    let held = wrong == 0 && doubled == 0 && dropped == alerts.len();
+    let undropped = alerts.iter().filter(|result| !result.view(&starts).second_holds()).count();
+    let held = wrong == 0 && doubled == 0 && undropped == 0;
     println!("\n{}", if held { "Every promise held." } else { "A promise was broken." });
     held
 }
 
-fn is_whole(result: &DemoResult) -> bool {
-    let answer = &result.answer;
-    match result.service {
-        "plain" => answer.whole && answer.body.contains(&result.expected),
-        _ => answer.whole && answer.text == result.expected,
-    }
-}
-
-/// A refusal is true when it says that nothing ran, and nothing did.
-fn is_true_refusal(result: &DemoResult, starts: &HashMap<String, u64>) -> bool {
-    let said = result.answer.ran == Some(RanMark::No);
-    said && !is_whole(result) && !starts.contains_key(&result.run)
-}
-
-/// A stream that cannot be completed must say so, and never end as if it were whole.
-fn is_explicit_failure(result: &DemoResult) -> bool {
-    let answer = &result.answer;
-    let said = answer.error_event.is_some() || (answer.status >= 500 && !answer.code().is_empty());
-    said && !answer.whole && answer.ran != Some(RanMark::No)
-}
-
 fn counters(system: &SystemStandIn) -> HashMap<String, u64> {
     let mut sums = HashMap::new();
     for router in system.routers.iter().flatten() {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod server;
 pub mod system;
 pub mod trace;
+pub mod verdict;
--- /dev/null
+++ b/standin/tests/test_verdict.rs
@@ -0,0 +1,68 @@
+//! How a caller's count judges answers: strict on promises, fair to a request sent again.
+
+use wingshed_lib::protocol::caller::RanMark;
+use wingshed_standin::caller::CallerAnswer;
+use wingshed_standin::verdict::{AnswerVerdict, RequestView};
+
+fn whole() -> CallerAnswer {
+    let (text, ran) = ("abc".to_string(), Some(RanMark::Yes));
+    CallerAnswer { status: 200, text, whole: true, ran, ..CallerAnswer::default() }
+}
+
+fn refused() -> CallerAnswer {
+    let body = r#"{"error":{"code":"busy"}}"#.to_string();
+    CallerAnswer { status: 503, body, ran: Some(RanMark::No), ..CallerAnswer::default() }
+}
+
+fn dropped() -> CallerAnswer {
+    CallerAnswer { status: 409, ran: Some(RanMark::Yes), ..CallerAnswer::default() }
+}
+
+fn view<'a>(
+    first: &'a CallerAnswer,
+    second: Option<&'a CallerAnswer>,
+    starts: u64,
+) -> RequestView<'a> {
+    RequestView { expected: "abc", exact: true, first, second, starts }
+}
+
+#[test]
+fn a_refused_request_that_is_sent_again_may_run_once() {
+    let (first, second) = (refused(), whole());
+
+    let again = view(&first, Some(&second), 1);
+
+    assert_eq!(again.verdict(), AnswerVerdict::Refused);
+    assert!(again.second_holds());
+}
+
+#[test]
+fn a_refusal_is_false_when_no_second_send_accounts_for_the_run() {
+    let (first, second, refused_again) = (refused(), dropped(), refused());
+
+    let verdicts = [
+        view(&first, None, 1).verdict(),
+        view(&first, Some(&second), 1).verdict(),
+        view(&first, Some(&refused_again), 1).verdict(),
+        view(&first, Some(&whole()), 2).verdict(),
+    ];
+
+    assert_eq!(verdicts, [AnswerVerdict::Wrong; 4]);
+}
+
+#[test]
+fn a_duplicate_of_what_ran_must_be_dropped() {
+    let (first, second, other) = (whole(), dropped(), whole());
+
+    assert!(view(&first, Some(&second), 1).second_holds());
+    assert!(!view(&first, Some(&other), 2).second_holds());
+}
+
+#[test]
+fn a_stream_that_ends_without_a_word_is_wrong() {
+    let cut = CallerAnswer { status: 200, ran: Some(RanMark::Yes), ..CallerAnswer::default() };
+    let told = CallerAnswer { error_event: Some("engine died".to_string()), ..cut.clone() };
+
+    assert_eq!(view(&cut, None, 1).verdict(), AnswerVerdict::Wrong);
+    assert_eq!(view(&told, None, 1).verdict(), AnswerVerdict::Failed);
+}
