admission: a request is sent only where engines can still serve it

Change: engine_room decides by places, how long requests hold them and lateness, all learned; refusals tell when a place is expected; loads are told every 50 ms under pressure; under pressure a prompt goes to three engines of its order at most. Figures wingshed_hold_ms and wingshed_places_used.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod claim_batch;
 pub mod directory;
+pub mod engine_room;
 pub mod event_splice;
 pub mod fair_queue;
 pub mod group_plan;
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -33,6 +33,8 @@
     pub load: u32,
     /// Set aside on passive signs.
     pub aside: bool,
+    /// It has no room for this request, as far as known; see [`super::engine_room`].
+    pub full: bool,
     /// The request was sent there before.
     pub tried: bool,
     /// It takes no new work, but may still be asked for what it keeps.
@@ -54,6 +56,15 @@
     pub fetch_from: Option<UpstreamKey>,
 }
 
+/// Why there is no choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceFault {
+    /// No upstream takes work that wasn't tried before.
+    NoUpstream,
+    /// Some would take it, and none has room.
+    Full,
+}
+
 /// Which parts this VM sent to which engine, and when.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixMemory {
@@ -80,18 +91,19 @@
     }
 }
 
-/// The engine for a prompt.
+/// The engine for a prompt, among the first `spread` of its order.
 pub fn choose_engine(
     candidates: &[UpstreamCandidate],
     prompt: &[PromptPart],
     memory: &PrefixMemory,
     moves: bool,
+    spread: usize,
     now_ms: u64,
-) -> Option<UpstreamPick> {
+) -> Result<UpstreamPick, ChoiceFault> {
     let shared = shared_parts(prompt);
     let (Some(root), Some(deep)) = (shared.first(), shared.last()) else {
         let upstream = choose_plain(candidates, now_ms)?;
-        return Some(UpstreamPick { upstream, fetch_from: None });
+        return Ok(UpstreamPick { upstream, fetch_from: None });
     };
     let usable = usable(candidates);
     let order = engine_order(&usable, deep.id);
@@ -99,8 +111,10 @@
     let total: u32 = taking().map(|candidate| candidate.load).sum();
     let mean = (total + 1) as f64 / taking().count().max(1) as f64;
     let bound = LOAD_MULTIPLE * mean + LOAD_ABOVE;
-    let below = taking().find(|candidate| (candidate.load as f64) < bound);
-    let pick = below.or_else(|| taking().min_by_key(|candidate| candidate.load))?;
+    let with_room = || taking().take(spread).filter(|candidate| !candidate.full);
+    let below = with_room().find(|candidate| (candidate.load as f64) < bound);
+    let pick = below.or_else(|| with_room().min_by_key(|candidate| candidate.load));
+    let pick = pick.ok_or_else(|| no_choice(taking().count()))?;
 
     let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
     let mut source = None;
@@ -115,7 +129,14 @@
         }
     }
     let fetch_from = source.filter(|key| *key != pick.key);
-    Some(UpstreamPick { upstream: pick.key, fetch_from })
+    Ok(UpstreamPick { upstream: pick.key, fetch_from })
+}
+
+fn no_choice(taking: usize) -> ChoiceFault {
+    match taking {
+        0 => ChoiceFault::NoUpstream,
+        _ => ChoiceFault::Full,
+    }
 }
 
 /// All engines with a seat, the best for this part first; then those without one. Of two
@@ -148,12 +169,16 @@
 }
 
 /// The least loaded upstream; the near ones among equals, and `draw` among those.
-pub fn choose_plain(candidates: &[UpstreamCandidate], draw: u64) -> Option<UpstreamKey> {
+pub fn choose_plain(
+    candidates: &[UpstreamCandidate],
+    draw: u64,
+) -> Result<UpstreamKey, ChoiceFault> {
     let usable = usable(candidates);
-    let best = usable.iter().filter(|candidate| !candidate.leaving).min_by_key(|candidate| {
+    let taking = || usable.iter().filter(|candidate| !candidate.leaving);
+    let best = taking().filter(|candidate| !candidate.full).min_by_key(|candidate| {
         (candidate.load, !candidate.near, rendezvous_score(draw, candidate.key.0))
     });
-    best.map(|candidate| candidate.key)
+    best.map(|candidate| candidate.key).ok_or_else(|| no_choice(taking().count()))
 }
 
 /// Those not set aside, or all when all are; never one that was tried.
--- a/lib/src/coordination/vm_roster.rs
+++ b/lib/src/coordination/vm_roster.rs
@@ -12,11 +12,24 @@
 
 /// How often a VM renews, in milliseconds; see `docs/design/platform.md`.
 pub const RENEW_MS: u64 = 300;
+/// Renewals a second that a leader takes from VMs whose upstreams are nearly full, all together;
+/// each costs it some 40 µs.
+const PRESSED_RENEWALS_PER_S: u64 = 600;
+/// The shortest time between two of them, in milliseconds.
+const PRESSED_RENEW_MS: u64 = 50;
+/// Upstreams count as pressed for this long after one of them was nearly full, in milliseconds.
+pub const PRESSED_KEEP_MS: u64 = 1000;
 /// A VM that was not heard for this long isn't told of to callers.
 pub const ROW_KEEP_MS: u64 = 1300;
 /// A new leader knows every VM after this long.
 pub const SETTLE_MS: u64 = 1500;
 
+/// How often a VM renews while upstreams are nearly full, in milliseconds: loads must be fresh
+/// then, since every VM that takes a place for free fills it.
+pub fn pressed_renew_ms(vms: usize) -> u64 {
+    (vms as u64 * 1000 / PRESSED_RENEWALS_PER_S).clamp(PRESSED_RENEW_MS, RENEW_MS)
+}
+
 /// What one VM tells of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterRow {
@@ -256,6 +269,11 @@
     /// What the other VMs have in flight at an upstream.
     pub fn others(&self, upstream: UpstreamKey) -> u32 {
         let sum = self.sums.get(&upstream).copied().unwrap_or(0);
-        sum.saturating_sub(self.own_part.get(&upstream).copied().unwrap_or(0))
+        sum.saturating_sub(self.own_part(upstream))
+    }
+
+    /// What this VM had in flight there when it told of itself.
+    pub fn own_part(&self, upstream: UpstreamKey) -> u32 {
+        self.own_part.get(&upstream).copied().unwrap_or(0)
     }
 }
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -9,7 +9,9 @@
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
 use crate::coordination::list_turn::UNTOLD_MS;
-use crate::coordination::vm_roster::{RosterMark, RosterNews, RENEW_MS, SETTLE_MS};
+use crate::coordination::vm_roster::{
+    pressed_renew_ms, RosterMark, RosterNews, PRESSED_KEEP_MS, RENEW_MS, SETTLE_MS,
+};
 use crate::protocol::vm_wire::{
     decode, encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
 };
@@ -45,11 +47,18 @@
             let silent = self.view.borrow().heard_ms + LEADER_SILENT_MS <= self.now_ms();
             // A VM without a list can't serve; the leader may have read one by now.
             let untold = self.upstreams.borrow().read_ms == 0 && self.clock.age_ms() < UNTOLD_MS;
-            let pause = if silent || untold { SEEK_MS } else { RENEW_MS };
+            let pause = if silent || untold { SEEK_MS } else { self.renew_pause_ms() };
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
 
+    fn renew_pause_ms(&self) -> u64 {
+        match self.pressed_ms.get() + PRESSED_KEEP_MS > self.now_ms() {
+            true => pressed_renew_ms(self.view.borrow().roster.rows.len()),
+            false => RENEW_MS,
+        }
+    }
+
     /// Renews once, with the leader or with whoever may know it.
     pub fn renew(&self) {
         let now_ms = self.now_ms();
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -21,7 +21,9 @@
 use super::vm_relay::AnswerBody;
 use super::vm_send::SendResult;
 use crate::coordination::attempt_plan::{AttemptCount, NextStep, SendOutcome};
+use crate::coordination::engine_room::RoomRequest;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
+use crate::coordination::upstream_choice::ChoiceFault;
 use crate::protocol::wire_adapter::CallerRequest;
 use crate::state::route_book::{pick_share, RouteDecision, RouteRule};
 use crate::state::vm_figures::RequestEnd;
@@ -138,10 +140,20 @@
             let Some(service) = pick_share(&rule.shares, draw) else {
                 return self.refuse(&count, "no service");
             };
+            let at = (route, service);
             let service = &book.book.services[service];
-            if !noted {
+            let named = workspace.and_then(|at| book.book.workspace(at));
+            let room = RoomRequest {
+                rank: rule.priority,
+                workspace: named.map(|workspace| workspace.name.as_str()),
+                goal_ms: rule.goal_ms,
+                wait_ms: self.caller.wait_ms.unwrap_or(rule.timeout_ms),
+            };
+            let first = !noted;
+            if first {
                 noted = true;
                 self.note_first(&service.name);
+                self.with_room(&service.name, |known| known.note_asked(&room, self.node.now_ms()));
             }
             let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
             if left < LEAST_LEFT_MS {
@@ -153,16 +165,15 @@
                     _ => self.fail(&count, "no repeat left"),
                 };
             }
-            let moves = service.engine.as_ref().is_some_and(|engine| engine.moves);
-            let engine = service.engine.is_some() && rule.prompt_parts;
-            let Some(pick) = self.choose(&service.name, engine, moves, &tried, draw) else {
-                return match count.give_up() {
-                    NextStep::Refuse => self.refuse(&count, "no upstream"),
-                    _ => self.fail(&count, "no upstream"),
-                };
+            let pick = match self.choose(service, rule, Some(&room), &tried) {
+                Ok(pick) => pick,
+                Err(fault) => return self.refuse_unplaced(&count, &service.name, fault),
             };
+            if first {
+                self.with_room(&service.name, |known| known.note_taken(&room));
+            }
             tried.push(pick.upstream);
-            let Some(place) = self.place(&book, route, workspace, pick, left, None) else {
+            let Some(place) = self.place(&book, at, workspace, pick, left, None) else {
                 continue;
             };
             if count.sent > 0 {
@@ -262,9 +273,38 @@
     }
 
     fn refuse(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
+        self.refuse_until(count, why, RETRY_MS)
+    }
+
+    fn refuse_until(&self, count: &AttemptCount, why: &str, retry_ms: u64) -> Response<AnswerBody> {
         self.note_end(RequestEnd::Refused);
-        info!(target: "request", attempt = self.caller.attempt, sent = count.sent, "refused: {why}");
-        refusal(StatusCode::SERVICE_UNAVAILABLE, why, RETRY_MS)
+        let attempt = &self.caller.attempt;
+        info!(target: "request", attempt, sent = count.sent, retry_ms, "refused: {why}");
+        refusal(StatusCode::SERVICE_UNAVAILABLE, why, retry_ms)
+    }
+
+    /// No upstream was chosen.
+    fn refuse_unplaced(
+        &self,
+        count: &AttemptCount,
+        service: &str,
+        fault: ChoiceFault,
+    ) -> Response<AnswerBody> {
+        let why = match fault {
+            ChoiceFault::NoUpstream => "no upstream",
+            ChoiceFault::Full => "no room",
+        };
+        if count.may_have_run {
+            return self.fail(count, why);
+        }
+        let retry_ms = match fault {
+            ChoiceFault::NoUpstream => RETRY_MS,
+            ChoiceFault::Full => {
+                let own = self.node.in_flight.borrow().values().sum();
+                self.with_room(service, |room| room.return_ms(own, self.node.now_ms()))
+            }
+        };
+        self.refuse_until(count, why, retry_ms)
     }
 
     fn fail(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
--- a/lib/src/transport/vm_guard.rs
+++ b/lib/src/transport/vm_guard.rs
@@ -5,16 +5,33 @@
 use super::vm_node::VmNode;
 use crate::state::ids::UpstreamKey;
 
-/// Counts a request in flight at an upstream.
+/// Counts a request in flight at an upstream, and the place that it holds at an engine.
 pub(super) struct FlightGuard {
     node: Rc<VmNode>,
     upstream: UpstreamKey,
+    place: Option<EnginePlace>,
+    began_ms: u64,
+}
+
+/// Whose place at which service a request holds.
+pub(super) struct EnginePlace {
+    pub(super) service: String,
+    pub(super) workspace: Option<String>,
 }
 
 impl FlightGuard {
-    pub(super) fn new(node: &Rc<VmNode>, upstream: UpstreamKey) -> FlightGuard {
+    pub(super) fn new(
+        node: &Rc<VmNode>,
+        upstream: UpstreamKey,
+        place: Option<EnginePlace>,
+    ) -> FlightGuard {
         *node.in_flight.borrow_mut().entry(upstream).or_default() += 1;
-        FlightGuard { node: node.clone(), upstream }
+        if let Some(place) = &place {
+            let mut rooms = node.rooms.borrow_mut();
+            let room = rooms.entry(place.service.clone()).or_default();
+            room.enter(place.workspace.as_deref());
+        }
+        FlightGuard { node: node.clone(), upstream, place, began_ms: node.now_ms() }
     }
 }
 
@@ -27,6 +44,11 @@
                 in_flight.remove(&self.upstream);
             }
         }
+        let Some(place) = &self.place else { return };
+        if let Some(room) = self.node.rooms.borrow_mut().get_mut(&place.service) {
+            let held_ms = self.node.now_ms().saturating_sub(self.began_ms);
+            room.leave(place.workspace.as_deref(), held_ms);
+        }
     }
 }
 
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -13,13 +13,14 @@
 use super::vm_front::own_answer;
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
+use crate::coordination::engine_room::ServiceRoom;
 use crate::state::vm_figures::{RequestEnd, VmFigures, BUCKETS_MS};
 
 /// One figure: name, kind, what it tells and in which unit.
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 22] = [
+pub const FIGURES: [FigureEntry; 24] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -39,6 +40,8 @@
     ("wingshed_upstreams_aside", "gauge", "Upstreams that this VM has set aside."),
     ("wingshed_list_age_ms", "gauge", "Milliseconds since the list was last told or read."),
     ("wingshed_repeats_left", "gauge", "Repeats that this VM may still send now, by service."),
+    ("wingshed_hold_ms", "gauge", "Milliseconds that a request holds an engine, by service."),
+    ("wingshed_places_used", "gauge", "Percent of the engines' places that are used, by service."),
     ("wingshed_leads", "gauge", "1 while this VM's keeper leads and may vouch."),
     ("wingshed_term", "gauge", "The term of this VM's keeper; 0 for a VM without one."),
     ("wingshed_voters", "gauge", "Voters of the group; 0 for a VM without a keeper."),
@@ -74,6 +77,10 @@
             "wingshed_requests_total" => write_ends(text, &figures),
             "wingshed_first_byte_ms" => write_first_bytes(text, &figures),
             "wingshed_repeats_left" => self.write_repeats_left(text),
+            "wingshed_hold_ms" => self.write_rooms(text, name, ServiceRoom::hold_ms),
+            "wingshed_places_used" => {
+                self.write_rooms(text, name, |room| 100.0 * room.used_part());
+            }
             _ => drop(writeln!(text, "{name} {}", self.plain_figure(&figures, name))),
         }
     }
@@ -112,6 +119,16 @@
         }
     }
 
+    fn write_rooms(&self, text: &mut String, name: &str, value: impl Fn(&ServiceRoom) -> f64) {
+        let rooms = self.rooms.borrow();
+        let mut rows: Vec<(&String, u64)> =
+            rooms.iter().map(|(service, room)| (service, value(room) as u64)).collect();
+        rows.sort_unstable();
+        for (service, value) in rows {
+            let _ = writeln!(text, "{name}{{service=\"{service}\"}} {value}");
+        }
+    }
+
     fn write_repeats_left(&self, text: &mut String) {
         let (allowance, now_ms) = (self.allowance(), self.now_ms());
         let vms = self.view.borrow().roster.rows.len();
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -23,6 +23,7 @@
 use super::vm_links::{accept_links, LinkTable};
 use super::vm_pool::ConnectionPool;
 use super::vm_sockets::listen;
+use crate::coordination::engine_room::ServiceRoom;
 use crate::coordination::leader_contact::LeaderContact;
 use crate::coordination::outlier::OutlierTable;
 use crate::coordination::raft_message::HEARTBEAT_MS;
@@ -103,6 +104,10 @@
     pub pool: ConnectionPool,
     /// Requests in flight by upstream.
     pub in_flight: RefCell<HashMap<UpstreamKey, u32>>,
+    /// What was learned of the room at each service of engines.
+    pub rooms: RefCell<HashMap<String, ServiceRoom>>,
+    /// When an engine was last nearly full.
+    pub pressed_ms: Cell<u64>,
     /// Passive signs.
     pub outliers: RefCell<OutlierTable>,
     /// What it has counted.
@@ -163,6 +168,8 @@
             keeper: RefCell::default(),
             pool: ConnectionPool::default(),
             in_flight: RefCell::default(),
+            rooms: RefCell::default(),
+            pressed_ms: Cell::new(0),
             outliers: RefCell::default(),
             figures: RefCell::default(),
             figures_path: RefCell::default(),
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -13,15 +13,17 @@
 use tracing::info;
 
 use super::vm_forward::CallerTask;
-use super::vm_guard::FlightGuard;
+use super::vm_guard::{EnginePlace, FlightGuard};
 use super::vm_node::BookInForce;
 use super::vm_pool::{ConnectFault, ConnectionLease};
 use crate::coordination::attempt_plan::SendOutcome;
+use crate::coordination::engine_room::{RoomNews, RoomRequest, ServiceRoom};
 use crate::coordination::upstream_choice::{
-    choose_engine, choose_plain, UpstreamCandidate, UpstreamPick,
+    choose_engine, choose_plain, ChoiceFault, UpstreamCandidate, UpstreamPick,
 };
 use crate::protocol::wire_adapter::{UpstreamAnswer, UpstreamSend};
 use crate::state::ids::UpstreamKey;
+use crate::state::route_book::{RouteRule, ServiceEntry};
 use crate::state::upstream_list::UpstreamEntry;
 
 /// At most this share of a service's upstreams is set aside on passive signs.
@@ -32,10 +34,18 @@
 /// Fresh connections on which one send is tried when resting ones turn out closed.
 const STALE_CONNECTIONS: usize = 3;
 
+/// From this part of the bound on an engine's load VMs tell each other of loads more often.
+const PRESSED_PART: f64 = 0.75;
+
+/// Under pressure a prompt is sent to so many engines of its order at most: each further one
+/// reads or moves its shared parts anew, and pushes others out of its memory.
+const PRESSED_SPREAD: usize = 3;
+
 /// One send's place.
 pub(super) struct SendPlace {
     pub(super) book: Rc<BookInForce>,
     pub(super) route: usize,
+    pub(super) service: usize,
     pub(super) upstream: UpstreamKey,
     pub(super) address: SocketAddr,
     pub(super) send: UpstreamSend,
@@ -78,22 +88,75 @@
 }
 
 impl CallerTask {
+    /// Chooses an upstream; `room` is what asks for a place, and a request without it gets one
+    /// wherever there is an upstream.
     pub(super) fn choose(
         &self,
-        service: &str,
-        engine: bool,
-        moves: bool,
+        service: &ServiceEntry,
+        rule: &RouteRule,
+        room: Option<&RoomRequest>,
         tried: &[UpstreamKey],
-        draw: u64,
-    ) -> Option<UpstreamPick> {
+    ) -> Result<UpstreamPick, ChoiceFault> {
         let now_ms = self.node.now_ms();
-        let candidates = self.candidates(service, tried, now_ms);
-        if engine {
-            let memory = self.node.prefixes.borrow();
-            return choose_engine(&candidates, &self.caller.prompt, &memory, moves, now_ms);
+        let mut candidates = self.candidates(&service.name, tried, now_ms);
+        let engine = service.engine.as_ref().filter(|_| rule.prompt_parts);
+        let Some(engine) = engine else {
+            let upstream = choose_plain(&candidates, self.draw)?;
+            return Ok(UpstreamPick { upstream, fetch_from: None });
+        };
+        let pressed = room.is_some_and(|room| {
+            engine.slots > 0 && self.mark_full(&service.name, engine.slots, room, &mut candidates)
+        });
+        let spread = if pressed { PRESSED_SPREAD } else { usize::MAX };
+        let memory = self.node.prefixes.borrow();
+        choose_engine(&candidates, &self.caller.prompt, &memory, engine.moves, spread, now_ms)
+    }
+
+    /// Marks the engines that have no room for a request; true when all are nearly full.
+    fn mark_full(
+        &self,
+        service: &str,
+        places: u32,
+        request: &RoomRequest,
+        candidates: &mut [UpstreamCandidate],
+    ) -> bool {
+        let news = self.room_news(candidates);
+        let rooms = self.node.rooms.borrow();
+        let bound = rooms.get(service).map(|room| room.bound(places, request));
+        let bound = bound.unwrap_or(f64::from(places));
+        for candidate in candidates {
+            candidate.full = f64::from(candidate.load) + news.growth() >= bound;
+        }
+        let pressed = news.mean() >= PRESSED_PART * bound;
+        if pressed {
+            self.node.pressed_ms.set(self.node.now_ms());
+        }
+        pressed
+    }
+
+    fn room_news(&self, candidates: &[UpstreamCandidate]) -> RoomNews {
+        let in_flight = self.node.in_flight.borrow();
+        let view = self.node.view.borrow();
+        let mut news = RoomNews { vms: view.roster.rows.len(), ..RoomNews::default() };
+        for candidate in candidates.iter().filter(|candidate| !candidate.leaving) {
+            if candidate.aside {
+                continue;
+            }
+            news.told += candidate.load;
+            news.own += in_flight.get(&candidate.key).copied().unwrap_or(0);
+            news.own_told += view.told.own_part(candidate.key);
+            news.engines += 1;
+        }
+        news
+    }
+
+    /// Lets `act` use what was learned of the room at a service.
+    pub(super) fn with_room<T>(&self, service: &str, act: impl FnOnce(&mut ServiceRoom) -> T) -> T {
+        let mut rooms = self.node.rooms.borrow_mut();
+        match rooms.get_mut(service) {
+            Some(room) => act(room),
+            None => act(rooms.entry(service.to_string()).or_default()),
         }
-        let upstream = choose_plain(&candidates, draw)?;
-        Some(UpstreamPick { upstream, fetch_from: None })
     }
 
     fn candidates(
@@ -112,6 +175,7 @@
             key,
             load: in_flight.get(&key).copied().unwrap_or(0) + view.told.others(key),
             aside: outliers.is_aside(key, now_ms),
+            full: false,
             tried: tried.contains(&key),
             leaving: entry.leaving,
             seat: entry.seat,
@@ -125,7 +189,7 @@
     pub(super) fn place(
         &self,
         book: &Rc<BookInForce>,
-        route: usize,
+        (route, service): (usize, usize),
         workspace: Option<usize>,
         pick: UpstreamPick,
         left_ms: u64,
@@ -147,12 +211,18 @@
             resume_after,
         };
         let address = entry.address;
-        Some(SendPlace { book: book.clone(), route, upstream: pick.upstream, address, send })
+        let upstream = pick.upstream;
+        Some(SendPlace { book: book.clone(), route, service, upstream, address, send })
     }
 
     /// Sends once and reads the head of the answer.
     pub(super) async fn send(&self, place: &SendPlace, deadline: Instant) -> SendResult {
-        let guard = FlightGuard::new(&self.node, place.upstream);
+        let service = &place.book.book.services[place.service];
+        let engine_place = service.engine.as_ref().map(|_| EnginePlace {
+            service: service.name.clone(),
+            workspace: place.send.workspace.clone(),
+        });
+        let guard = FlightGuard::new(&self.node, place.upstream, engine_place);
         let mut fresh = false;
         for _ in 0..STALE_CONNECTIONS {
             let lease = match fresh {
@@ -264,16 +334,21 @@
             figures.note_first_byte(place.send.workspace.as_deref(), took_ms);
             figures.late += u64::from(late);
         }
+        let own = self.node.in_flight.borrow().get(&place.upstream).copied().unwrap_or(0);
+        let others = self.node.view.borrow().told.others(place.upstream);
+        let service = &place.book.book.services[place.service];
+        if let Some(engine) = &service.engine {
+            self.with_room(&service.name, |room| {
+                room.note_first_event(late, own + others, engine.slots);
+            });
+        }
         if !late {
             return;
         }
-        let in_flight = self.node.in_flight.borrow().get(&place.upstream).copied();
         info!(
             target: "request", attempt = self.caller.attempt, took_ms, goal_ms = rule.goal_ms,
             life = place.send.life, left_ms = place.send.left_ms,
-            own = in_flight.unwrap_or(0),
-            others = self.node.view.borrow().told.others(place.upstream),
-            fetched = place.send.fetch_from.is_some(), "late {what}",
+            own, others, fetched = place.send.fetch_from.is_some(), "late {what}",
         );
     }
 
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -122,16 +122,17 @@
             let (book, route, workspace) = self.decide().ok()?;
             let rule = &book.book.routes[route];
             let service = pick_share(&rule.shares, self.draw)?;
-            let service = &book.book.services[service];
+            let entry = &book.book.services[service];
             let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
             let spent = count.sent >= rule.most_upstreams || left < LEAST_LEFT_MS;
-            if spent || !self.spend_repeat(&service.name) {
+            if spent || !self.spend_repeat(&entry.name) {
                 return None;
             }
-            let moves = service.engine.as_ref().is_some_and(|engine| engine.moves);
-            let pick = self.choose(&service.name, true, moves, tried, self.draw)?;
+            // What was begun goes on whatever room there is.
+            let pick = self.choose(entry, rule, None, tried).ok()?;
             tried.push(pick.upstream);
-            let place = self.place(&book, route, workspace, pick, left, after.clone())?;
+            let at = (route, service);
+            let place = self.place(&book, at, workspace, pick, left, after.clone())?;
             match self.send(&place, deadline).await {
                 SendResult::Answer(answer) => {
                     count.note(SendOutcome::Failed);
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -12,7 +12,7 @@
 use wingshed_lib::coordination::outlier::OutlierTable;
 use wingshed_lib::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use wingshed_lib::coordination::upstream_choice::{
-    choose_engine, choose_plain, PrefixMemory, UpstreamCandidate, NEW_ENGINE_MS,
+    choose_engine, choose_plain, ChoiceFault, PrefixMemory, UpstreamCandidate, NEW_ENGINE_MS,
 };
 use wingshed_lib::coordination::upstream_seats::{SeatTable, WAIT_MS};
 use wingshed_lib::coordination::vm_roster::{RosterRow, ToldLoad, UpstreamLoad, VmRoster};
@@ -27,6 +27,7 @@
         key: UpstreamKey(key),
         load,
         aside: false,
+        full: false,
         tried: false,
         leaving: false,
         seat: Some(key),
@@ -40,6 +41,8 @@
 }
 
 const LATE: u64 = 10 * NEW_ENGINE_MS;
+/// A spread that leaves no engine out.
+const ALL: usize = usize::MAX;
 
 #[test]
 fn next_steps_keep_the_promise_of_not_run() {
@@ -167,11 +170,11 @@
 fn the_same_part_goes_to_the_same_engine_and_spills_when_that_is_full() {
     let memory = PrefixMemory::default();
     let calm: Vec<UpstreamCandidate> = (1..=6).map(|key| candidate(key, 2)).collect();
-    let first = choose_engine(&calm, &prompt(), &memory, true, LATE).unwrap();
+    let first = choose_engine(&calm, &prompt(), &memory, true, ALL, LATE).unwrap();
     for shift in 1..5 {
         let mut other_order = calm.clone();
         other_order.rotate_left(shift);
-        let again = choose_engine(&other_order, &prompt(), &memory, true, LATE).unwrap();
+        let again = choose_engine(&other_order, &prompt(), &memory, true, ALL, LATE).unwrap();
         assert_eq!(again.upstream, first.upstream, "every VM computes the same order");
     }
 
@@ -180,18 +183,45 @@
         ..*c
     };
     let busy: Vec<UpstreamCandidate> = calm.iter().map(full).collect();
-    let spill = choose_engine(&busy, &prompt(), &memory, true, LATE).unwrap();
+    let spill = choose_engine(&busy, &prompt(), &memory, true, ALL, LATE).unwrap();
     assert_ne!(spill.upstream, first.upstream);
     assert_eq!(spill.fetch_from, Some(first.upstream));
-    let fixed = choose_engine(&busy, &prompt(), &memory, false, LATE).unwrap();
+    let fixed = choose_engine(&busy, &prompt(), &memory, false, ALL, LATE).unwrap();
     assert_eq!(fixed.fetch_from, None, "no fetch where engines can't move memory");
 }
 
+#[test]
+fn a_prompt_is_refused_when_the_engines_of_its_spread_have_no_room() {
+    let memory = PrefixMemory::default();
+    let calm: Vec<UpstreamCandidate> = (1..=6).map(|key| candidate(key, 2)).collect();
+    let choose = |all: &[UpstreamCandidate], spread| {
+        choose_engine(all, &prompt(), &memory, true, spread, LATE).map(|pick| pick.upstream)
+    };
+    let mut busy = calm.clone();
+    let mut taken = Vec::new();
+
+    for _ in 0..3 {
+        let next = choose(&busy, 3).unwrap();
+        taken.push(next);
+        for candidate in busy.iter_mut().filter(|candidate| candidate.key == next) {
+            candidate.full = true;
+        }
+    }
+
+    assert_eq!(choose(&busy, 3), Err(ChoiceFault::Full), "three of its order are full");
+    assert!(!taken.contains(&choose(&busy, ALL).unwrap()), "a fourth has room");
+    for candidate in &mut busy {
+        candidate.full = true;
+    }
+    assert_eq!(choose(&busy, ALL), Err(ChoiceFault::Full));
+    assert_eq!(choose(&[], ALL), Err(ChoiceFault::NoUpstream));
+}
+
 #[test]
 fn what_a_leaving_engine_keeps_is_fetched_by_the_heir_of_its_seat() {
     let memory = PrefixMemory::default();
     let calm: Vec<UpstreamCandidate> = (1..=6).map(|key| candidate(key, 2)).collect();
-    let first = choose_engine(&calm, &prompt(), &memory, true, LATE).unwrap().upstream;
+    let first = choose_engine(&calm, &prompt(), &memory, true, ALL, LATE).unwrap().upstream;
     let mut release = calm.clone();
     for candidate in &mut release {
         candidate.leaving = candidate.key == first;
@@ -204,7 +234,7 @@
     };
     release.push(heir);
 
-    let pick = choose_engine(&release, &prompt(), &memory, true, LATE).unwrap();
+    let pick = choose_engine(&release, &prompt(), &memory, true, ALL, LATE).unwrap();
 
     assert_eq!(pick.upstream, heir.key);
     assert_eq!(pick.fetch_from, Some(first));
@@ -214,12 +244,16 @@
 fn upstreams_set_aside_are_used_only_when_nothing_else_is_left() {
     let mut all = vec![candidate(1, 9), candidate(2, 0), candidate(3, 1)];
     all[1].aside = true;
-    assert_eq!(choose_plain(&all, 5), Some(UpstreamKey(3)));
+    assert_eq!(choose_plain(&all, 5), Ok(UpstreamKey(3)));
     all[0].tried = true;
     all[2].tried = true;
-    assert_eq!(choose_plain(&all, 5), Some(UpstreamKey(2)), "better than none");
+    assert_eq!(choose_plain(&all, 5), Ok(UpstreamKey(2)), "better than none");
     all[1].leaving = true;
-    assert_eq!(choose_plain(&all, 5), None, "one that leaves takes nothing");
+    assert_eq!(
+        choose_plain(&all, 5),
+        Err(ChoiceFault::NoUpstream),
+        "one that leaves takes nothing"
+    );
 }
 
 #[test]
