fleet: configurations travel packed, and are asked for only when not told

Cause: a configuration of 1,689 routes (some 400 KB) went to 84 VMs over the leader's link of 100 Mbit/s, and every VM asked a keeper for it again with each grant, every 150 ms, while it was on its way. Ruled out: the platform's list being slow (it answered others), lost datagrams. Change: PackedText in the log, on disk and between VMs; LeaderContact::wants_document asks at once only where there is none, else after 300 ms, and again after 600. Older logs are read as they stand. Tests: a fifth of the size, damage, when to ask.

--- a/lib/src/coordination/engine_room.rs
+++ b/lib/src/coordination/engine_room.rs
@@ -232,8 +232,8 @@
     fn kind_is_ahead(&self, rank: u8) -> bool {
         let share = |kind: &KindShare| (kind.asked >= LEAST_ASKED).then(|| kind.taken / kind.asked);
         let Some(own) = self.kinds.get(&rank).and_then(share) else { return false };
-        let urgent = self.kinds.range(..rank).filter_map(|(_, kind)| share(kind));
-        urgent.fold(false, |ahead, other| ahead || own > other + AHEAD_PART)
+        let mut urgent = self.kinds.range(..rank).filter_map(|(_, kind)| share(kind));
+        urgent.any(|other| own > other + AHEAD_PART)
     }
 
     /// Whether an answer would come after its goal even if it came at once: it earns less than one
--- a/lib/src/coordination/leader_contact.rs
+++ b/lib/src/coordination/leader_contact.rs
@@ -8,12 +8,22 @@
 /// its way to an upstream, in milliseconds.
 pub const REVOKE_MARGIN_MS: u64 = 400;
 
+/// A version that is new is told by the leader at once; a VM that still lacks it after this long
+/// asks for the whole, in milliseconds. Asking at the first grant that names it brought every
+/// document twice and more often, 35 MB each time at 92 VMs.
+pub const TOLD_MS: u64 = 300;
+/// A whole document is asked for again after this long, in milliseconds: one of the largest takes
+/// a third of it on a link of 10 Mbit/s.
+pub const ASK_AGAIN_MS: u64 = 600;
+
 /// One VM's contact with a leader.
 #[derive(Clone, Debug, Default)]
 pub struct LeaderContact {
     confirmed_ms: u64,
     pending: Option<(u64, u64)>,
     applied: u64,
+    behind_since_ms: Option<u64>,
+    asked_ms: Option<u64>,
 }
 
 impl LeaderContact {
@@ -26,8 +36,27 @@
         }
     }
 
+    /// Whether to ask for the newest document now, having heard of `version`: at once while there
+    /// is none here, else when it was not told in time; and again after a while.
+    pub fn wants_document(&mut self, version: u64, now_ms: u64) -> bool {
+        if version <= self.applied {
+            (self.behind_since_ms, self.asked_ms) = (None, None);
+            return false;
+        }
+        let since_ms = *self.behind_since_ms.get_or_insert(now_ms);
+        let untold = self.applied == 0 || since_ms + TOLD_MS <= now_ms;
+        let asked = self.asked_ms.is_some_and(|asked_ms| asked_ms + ASK_AGAIN_MS > now_ms);
+        if untold && !asked {
+            self.asked_ms = Some(now_ms);
+        }
+        untold && !asked
+    }
+
     /// A version is in force here.
     pub fn note_applied(&mut self, version: u64) {
+        if version > self.applied {
+            (self.behind_since_ms, self.asked_ms) = (None, None);
+        }
         self.applied = self.applied.max(version);
         if let Some((sent_ms, version)) = self.pending {
             if version <= self.applied {
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -10,6 +10,7 @@
 use crate::coordination::vm_roster::{RosterMark, RosterNews, RosterRow, UpstreamLoad};
 use crate::state::document_change::DocumentChange;
 use crate::state::ids::Incarnation;
+use crate::state::packed_text::PackedText;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
 
 /// The largest frame, in bytes: a document of the largest size and its frame.
@@ -35,8 +36,7 @@
         /// The asker's number for it.
         number: u64,
         /// The document as the operator sent it.
-        #[serde(with = "serde_bytes")]
-        document: Vec<u8>,
+        document: PackedText,
         /// Its version.
         version: u64,
     },
@@ -55,8 +55,7 @@
         /// Its version.
         version: u64,
         /// The document as the operator sent it.
-        #[serde(with = "serde_bytes")]
-        document: Vec<u8>,
+        document: PackedText,
     },
     /// The newest document, told against an earlier one.
     DocumentChange {
--- a/lib/src/state/fleet_record.rs
+++ b/lib/src/state/fleet_record.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::ids::UpstreamKey;
+use super::packed_text::PackedText;
 
 /// Who holds, or last held, a seat: a place in the order of engines.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,9 +30,8 @@
 pub struct HeldDocument {
     /// The version; 0 for none.
     pub version: u64,
-    /// The bytes.
-    #[serde(with = "serde_bytes")]
-    pub bytes: Vec<u8>,
+    /// The document, packed.
+    pub text: PackedText,
 }
 
 /// What a command of the replicated log asks.
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod keeper_machine;
 pub mod log_store;
+pub mod packed_text;
 pub mod prompt_part;
 pub mod rendezvous;
 pub mod roster;
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -203,7 +203,7 @@
 
     fn take_grant(&self, from: VmId, grant: GrantNote) {
         let now_ms = self.now_ms();
-        let (mut want_list, mut want_document) = (false, false);
+        let mut want_list = false;
         {
             let mut view = self.view.borrow_mut();
             if view.leader != Some(from) {
@@ -228,8 +228,7 @@
             }
             if view.wanted_ms + WANT_AGAIN_MS <= now_ms {
                 want_list = grant.list.change > 0 && grant.list != upstreams.mark;
-                want_document = grant.version > self.contact.borrow().applied();
-                if want_list || want_document {
+                if want_list {
                     view.wanted_ms = now_ms;
                 }
             }
@@ -237,7 +236,7 @@
         self.contact.borrow_mut().note_grant(grant.sent_ms, grant.version);
         self.contact_changed.notify_waiters();
         self.tell_if_changed();
-        if want_document {
+        if self.contact.borrow_mut().wants_document(grant.version, now_ms) {
             self.ask_document(from);
         }
         if want_list {
--- a/lib/src/transport/vm_control.rs
+++ b/lib/src/transport/vm_control.rs
@@ -15,6 +15,7 @@
 use super::vm_relay::AnswerBody;
 use crate::protocol::vm_wire::VmMessage;
 use crate::protocol::wire_adapter::ControlCall;
+use crate::state::packed_text::PackedText;
 
 /// The largest document, in bytes.
 const DOCUMENT_BYTES: usize = 8 << 20;
@@ -44,7 +45,8 @@
             return own_answer(StatusCode::BAD_REQUEST, node.adapter.write_findings(&findings));
         }
     };
-    let committed = tokio::time::timeout(ANSWER_TIME, node.replicate(version, &body)).await;
+    let committed =
+        tokio::time::timeout(ANSWER_TIME, node.replicate(version, PackedText::pack(&body))).await;
     match committed {
         Ok(()) => own_answer(StatusCode::OK, "{}"),
         Err(_) => {
@@ -69,20 +71,20 @@
 
 impl VmNode {
     /// Returns once a document of this version, or of a higher one, is committed.
-    async fn replicate(self: &Rc<Self>, version: u64, document: &[u8]) {
+    async fn replicate(self: &Rc<Self>, version: u64, document: PackedText) {
         loop {
             // What is in force was committed before it was told.
             if self.contact.borrow().applied() >= version {
                 return;
             }
-            if self.put_at_leader(version, document).await {
+            if self.put_at_leader(version, &document).await {
                 return;
             }
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
 
-    async fn put_at_leader(self: &Rc<Self>, version: u64, document: &[u8]) -> bool {
+    async fn put_at_leader(self: &Rc<Self>, version: u64, document: &PackedText) -> bool {
         let now_ms = self.now_ms();
         let own = self.keeper.borrow().as_ref().and_then(|keeper| keeper.leader());
         let leads = own.is_some_and(|id| id.0 == self.id);
@@ -96,7 +98,7 @@
         let (sender, receiver) = oneshot::channel();
         let number = self.draw() ^ now_ms;
         self.asked_puts.borrow_mut().insert(number, sender);
-        let message = VmMessage::Put { number, document: document.to_vec(), version };
+        let message = VmMessage::Put { number, document: document.clone(), version };
         self.links.send(leader, &message);
         let answer = tokio::time::timeout(ANSWER_TIME / 2, receiver).await;
         self.asked_puts.borrow_mut().remove(&number);
--- a/lib/src/transport/vm_keeper.rs
+++ b/lib/src/transport/vm_keeper.rs
@@ -20,6 +20,7 @@
 use crate::state::log_store::{
     EntryPayload, GroupMember, GroupMembership, LogBatch, LogEntry, StoredState,
 };
+use crate::state::packed_text::PackedText;
 
 /// A job that takes longer than this makes a leader resign, in milliseconds.
 const STUCK_MS: u64 = 600;
@@ -227,7 +228,7 @@
     pub fn put(
         &mut self,
         version: u64,
-        document: &[u8],
+        document: &PackedText,
         now_ms: u64,
     ) -> (oneshot::Receiver<bool>, KeeperOutcome) {
         let mut outcome = KeeperOutcome::default();
@@ -241,7 +242,7 @@
             let _ = reply.send(false);
             return (receiver, outcome);
         }
-        let document = HeldDocument { version, bytes: document.to_vec() };
+        let document = HeldDocument { version, text: document.clone() };
         let payload = EntryPayload::Command(FleetCommand::Document(document).encode());
         let mut place = None;
         self.step(now_ms, &mut outcome, |core, output| {
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -35,6 +35,7 @@
 use crate::state::document_change::DocumentChange;
 use crate::state::fleet_record::HeldDocument;
 use crate::state::ids::{Incarnation, KeeperId, UpstreamKey};
+use crate::state::packed_text::PackedText;
 use crate::state::route_book::RouteBook;
 use crate::state::upstream_list::{ListMark, UpstreamList};
 use crate::state::vm_figures::VmFigures;
@@ -265,6 +266,17 @@
         }
     }
 
+    /// The same for a packed document.
+    fn apply_packed(&self, version: u64, document: &PackedText) {
+        if version <= self.contact.borrow().applied() {
+            return;
+        }
+        match document.unpack() {
+            Ok(document) => self.apply_document(version, &document),
+            Err(error) => error!(target: "book", version, "cannot be unpacked: {error}"),
+        }
+    }
+
     /// Sends what a keeper's step asks for and applies what it committed.
     pub fn carry_out(&self, outcome: KeeperOutcome) {
         for (to, message) in outcome.messages {
@@ -279,7 +291,7 @@
             None => return,
         };
         let before = self.book.borrow().clone();
-        self.apply_document(held.version, &held.bytes);
+        self.apply_packed(held.version, &held.text);
         if vouches {
             self.tell_document(before.as_deref(), held);
         }
@@ -291,16 +303,19 @@
         let view = self.view.borrow();
         let others = view.roster.rows.iter().map(|row| row.id);
         let others = others.filter(|id| *id != self.id && !view.keepers.contains(id));
-        let change = before.map(|before| {
-            let change = DocumentChange::between(&before.document, &held.bytes);
+        let book = self.book.borrow().clone();
+        let after = book.filter(|book| book.book.version == held.version);
+        let change = before.zip(after).map(|(before, after)| {
+            let change = DocumentChange::between(&before.document, &after.document);
             (before.book.version, change)
         });
-        let small = change.filter(|(_, change)| change.new_bytes() * 2 < held.bytes.len());
+        let packed = held.text.packed_bytes();
+        let small = change.filter(|(_, change)| change.new_bytes() * 2 < packed);
         let message = match small {
             Some((before, change)) => {
                 VmMessage::DocumentChange { before, version: held.version, change }
             }
-            None => VmMessage::Document { version: held.version, document: held.bytes },
+            None => VmMessage::Document { version: held.version, document: held.text },
         };
         self.links.send_all(others, &message);
     }
@@ -351,12 +366,12 @@
                 let held = keeper.as_ref().map(|keeper| &keeper.record.document);
                 if let Some(held) = held.filter(|held| held.version > 0) {
                     self.links.send_shared(from, held.version, &self.document_frame, || {
-                        let (version, document) = (held.version, held.bytes.clone());
+                        let (version, document) = (held.version, held.text.clone());
                         VmMessage::Document { version, document }
                     });
                 }
             }
-            VmMessage::Document { version, document } => self.apply_document(version, &document),
+            VmMessage::Document { version, document } => self.apply_packed(version, &document),
             VmMessage::DocumentChange { before, version, change } => {
                 self.take_document_change(from, before, version, &change);
             }
@@ -371,7 +386,7 @@
     }
 
     /// Proposes a document here; true when it is committed.
-    pub async fn put_here(&self, version: u64, document: &[u8]) -> bool {
+    pub async fn put_here(&self, version: u64, document: &PackedText) -> bool {
         let now_ms = self.now_ms();
         let put =
             self.keeper.borrow_mut().as_mut().map(|keeper| keeper.put(version, document, now_ms));
--- /dev/null
+++ b/lib/tests/test_document_news.rs
@@ -0,0 +1,74 @@
+//! How a configuration travels: packed, and asked for only by who was not told it.
+
+use proptest::prelude::*;
+use wingshed_lib::coordination::leader_contact::{LeaderContact, ASK_AGAIN_MS, TOLD_MS};
+use wingshed_lib::state::packed_text::PackedText;
+
+/// A configuration with so many routes, its names drawn as a platform might draw them.
+fn document(routes: u64) -> Vec<u8> {
+    let route = |number: u64| {
+        let draw = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        format!(
+            r#"{{"name":"r-{draw:x}","host":"h{:x}.example","pathPrefix":"/{:x}/","kind":"streaming","timeoutMs":4000,"goalMs":500,"priority":0,"service":"svc","maxAttempts":2,"public":false,"sticky":true,"canResume":true,"gapTargetMs":300}}"#,
+            draw % 97,
+            draw >> 40,
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!(r#"{{"version":7,"routes":[{}]}}"#, routes.join(",")).into_bytes()
+}
+
+#[test]
+fn a_large_configuration_travels_in_a_fifth_of_its_size() {
+    let document = document(1700);
+
+    let packed = PackedText::pack(&document);
+
+    let (before, after) = (document.len(), packed.packed_bytes());
+    assert!(before > 350_000 && after * 5 < before, "{before} bytes, packed {after}");
+    assert_eq!(packed.unpack().unwrap(), document);
+}
+
+#[test]
+fn what_was_never_packed_is_read_as_it_stands_and_damage_is_an_error() {
+    let raw: PackedText =
+        rmp_serde::from_slice(&rmp_serde::to_vec(&bytes(b"{}")).unwrap()).unwrap();
+    let whole = rmp_serde::to_vec(&PackedText::pack(&document(20))).unwrap();
+    let mut torn = whole.clone();
+    let middle = torn.len() / 2;
+    torn[middle] ^= 0xff;
+    let torn: PackedText = rmp_serde::from_slice(&torn).unwrap();
+
+    assert_eq!(raw.unpack().unwrap(), b"{}");
+    assert!(torn.unpack().is_err());
+}
+
+fn bytes(bytes: &[u8]) -> serde_bytes::ByteBuf {
+    serde_bytes::ByteBuf::from(bytes.to_vec())
+}
+
+#[test]
+fn a_vm_asks_for_a_document_only_when_it_has_none_or_was_not_told_in_time() {
+    let mut fresh = LeaderContact::default();
+    let mut serving = LeaderContact::default();
+    serving.note_applied(3);
+
+    assert!(fresh.wants_document(4, 1000), "it can't serve without one");
+    assert!(!fresh.wants_document(4, 1000 + ASK_AGAIN_MS - 1), "the answer is on its way");
+    assert!(fresh.wants_document(4, 1000 + ASK_AGAIN_MS), "or lost");
+
+    assert!(!serving.wants_document(3, 1000), "nothing is newer");
+    assert!(!serving.wants_document(4, 1000), "it is being told");
+    assert!(!serving.wants_document(5, 1000 + TOLD_MS - 1));
+    assert!(serving.wants_document(5, 1000 + TOLD_MS));
+    serving.note_applied(5);
+    assert!(!serving.wants_document(5, 1000 + 2 * TOLD_MS));
+    assert!(!serving.wants_document(6, 1000 + 9 * TOLD_MS), "each one is given its time");
+}
+
+proptest! {
+    #[test]
+    fn a_text_comes_back_byte_for_byte(text in proptest::collection::vec(any::<u8>(), 0..5000)) {
+        prop_assert_eq!(PackedText::pack(&text).unpack().unwrap(), text);
+    }
+}
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -18,6 +18,7 @@
 use wingshed_lib::coordination::vm_roster::{RosterRow, ToldLoad, UpstreamLoad, VmRoster};
 use wingshed_lib::state::fleet_record::{FleetCommand, FleetRecord, HeldDocument, SeatRow};
 use wingshed_lib::state::ids::{Incarnation, KeeperId, UpstreamKey};
+use wingshed_lib::state::packed_text::PackedText;
 use wingshed_lib::state::prompt_part::PromptPart;
 use wingshed_lib::state::route_book::{pick_share, RequestKind, ServiceShare};
 use wingshed_lib::state::upstream_list::{UpstreamEntry, UpstreamList};
@@ -361,14 +362,15 @@
 fn the_highest_version_holds_whatever_comes_later() {
     let mut record = FleetRecord::default();
     let put = |version, text: &str| {
-        let bytes = text.as_bytes().to_vec();
-        FleetCommand::Document(HeldDocument { version, bytes }).encode()
+        let text = PackedText::pack(text.as_bytes());
+        FleetCommand::Document(HeldDocument { version, text }).encode()
     };
     let steps = [(3, "c", true), (2, "b", false), (3, "other", false), (9, "d", true)];
     for (version, text, changes) in steps {
         assert_eq!(record.apply(&put(version, text)), Ok(changes), "{version}");
     }
-    assert_eq!((record.document.version, record.document.bytes.as_slice()), (9, &b"d"[..]));
+    let text = record.document.text.unpack().unwrap();
+    assert_eq!((record.document.version, text.as_slice()), (9, &b"d"[..]));
 
     let image = record.image();
     let mut newer = FleetRecord::default();
