list: its age is told, and a VM reads for itself once that is too old

Cause: a VM took its list for good while any leader answered it. Ruled out: reading more often at the leader (it could not read at all). Change: grants tell how old the leader's list is; a VM whose list is older than half of the time in which a leaving upstream must get nothing reads for itself and says so; budget of these times held by a test for the deployments known.

--- a/daemons/tests/test_processes.rs
+++ b/daemons/tests/test_processes.rs
@@ -299,6 +299,24 @@
     assert_eq!(code, Some(0));
 }
 
+#[test]
+fn a_router_ends_after_sigterm_though_its_keeper_is_silent() {
+    let site = Site::new(1, 1);
+    let keeper = keeper(&site.path("keeper-0"));
+    let engines = [EngineStandIn::start(EngineMake::default())];
+    site.configure(&engines);
+    let mut router = router(&site.path("router-0"), None);
+    site.wait_serving();
+
+    keeper.signal(libc::SIGSTOP);
+    router.signal(libc::SIGTERM);
+    let began = Instant::now();
+    let code = router.wait(Duration::from_secs(60));
+    eprintln!("ended after {:?}", began.elapsed());
+
+    assert_eq!(code, Some(0));
+}
+
 #[test]
 fn a_router_that_ran_out_of_descriptors_serves_again() {
     let site = Site::new(1, 1);
--- a/lib/src/coordination/leader_contact.rs
+++ b/lib/src/coordination/leader_contact.rs
@@ -15,6 +15,9 @@
 /// A whole document is asked for again after this long, in milliseconds: one of the largest takes
 /// a third of it on a link of 10 Mbit/s.
 pub const ASK_AGAIN_MS: u64 = 600;
+/// The same while there is none, which is when nothing can be served: after a common restart the
+/// keeper that was asked may not know yet what is committed.
+pub const ASK_FIRST_MS: u64 = 150;
 
 /// One VM's contact with a leader.
 #[derive(Clone, Debug, Default)]
@@ -45,7 +48,8 @@
         }
         let since_ms = *self.behind_since_ms.get_or_insert(now_ms);
         let untold = self.applied == 0 || since_ms + TOLD_MS <= now_ms;
-        let asked = self.asked_ms.is_some_and(|asked_ms| asked_ms + ASK_AGAIN_MS > now_ms);
+        let again_ms = if self.applied == 0 { ASK_FIRST_MS } else { ASK_AGAIN_MS };
+        let asked = self.asked_ms.is_some_and(|asked_ms| asked_ms + again_ms > now_ms);
         if untold && !asked {
             self.asked_ms = Some(now_ms);
         }
--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_turn.rs
@@ -10,8 +10,13 @@
 /// How often the leader reads, in milliseconds: the list itself lags by 800 ms, and an upstream
 /// that leaves must get nothing after 3 s.
 pub const READ_MS: u64 = 600;
-/// A VM that heard no leader for this long reads for itself, in milliseconds.
-pub const ALONE_MS: u64 = 2500;
+/// A VM whose list is older than this part of the time after which an upstream that leaves must get
+/// nothing reads for itself: the rest is for the start of its reading, which is spread, and for the
+/// reading. A leader that leads well keeps the list younger than 1.3 s.
+const STALE_PART: f64 = 0.5;
+/// Kept for the exchange with the leader when a list is so long that reading it takes more than
+/// that, in milliseconds.
+const EXCHANGE_MS: u64 = 900;
 /// A VM that is in contact and was told no list for this long reads one, in milliseconds: its
 /// leader can't. A leader reads 60 pages in 2 s where 47 calls a second are taken.
 pub const UNTOLD_MS: u64 = 6000;
@@ -39,6 +44,17 @@
         self.pause_ms(self.pages, LEADER_PART)
     }
 
+    /// The age of a VM's list at which it reads for itself, in milliseconds, where an upstream that
+    /// leaves must get nothing after `drain_ms`; never so young that a leader can't keep to it.
+    pub fn stale_ms(&self, drain_ms: u64) -> u64 {
+        let kept_to = 2 * self.leader_pause_ms() + EXCHANGE_MS;
+        let bound_ms = (drain_ms as f64 * STALE_PART) as u64;
+        match self.pages <= PAGES_AT_ONCE {
+            true => bound_ms,
+            false => bound_ms.max(kept_to),
+        }
+    }
+
     /// How long a VM waits that reads for itself, in milliseconds: see [`AloneNeed`].
     pub fn alone_pause_ms(&self, need: AloneNeed, refusals: u32) -> u64 {
         self.alone_span_ms(self.pages, need, refusals).max(READ_MS)
@@ -88,8 +104,10 @@
 pub struct ListStanding {
     /// When a leader answered first, if one did.
     pub first_heard_ms: Option<u64>,
-    /// When a leader answered last.
-    pub heard_ms: u64,
+    /// When the list that is here was surely the platform's, as read or as the leader told.
+    pub news_ms: u64,
+    /// The age at which that is too old; see [`ListCost::stale_ms`].
+    pub stale_ms: u64,
     /// Whether it has a list.
     pub has_list: bool,
 }
@@ -97,7 +115,8 @@
 /// Why a VM that doesn't lead reads the list for itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AloneNeed {
-    /// It lost its leader, and may be the only one that did. It reads as though it were, and half
+    /// It was told nothing of the list for too long: it lost its leader, or its leader can't read.
+    /// It may be the only one. It reads as though it were, and half
     /// as often after each refusal, down to its share among all: an upstream that leaves must get
     /// nothing after some seconds, also without a leader.
     Lost,
@@ -109,7 +128,11 @@
 pub fn alone_need(standing: ListStanding, now_ms: u64) -> Option<AloneNeed> {
     let first_heard_ms = standing.first_heard_ms?;
     match standing.has_list {
-        true => (standing.heard_ms + ALONE_MS < now_ms).then_some(AloneNeed::Lost),
+        true => {
+            // A list that came just now is confirmed with the next answer of the leader.
+            let news_ms = standing.news_ms.max(first_heard_ms);
+            (news_ms + standing.stale_ms < now_ms).then_some(AloneNeed::Lost)
+        }
         false => (first_heard_ms + UNTOLD_MS < now_ms).then_some(AloneNeed::Untold),
     }
 }
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -136,6 +136,9 @@
     pub version: u64,
     /// The state of the list of upstreams.
     pub list: ListMark,
+    /// How long ago the leader read that state, or saw that it still is the platform's, in
+    /// milliseconds.
+    pub list_age_ms: u32,
     /// The keepers.
     pub keepers: Vec<VmId>,
     /// What is new in the roster. A leader tells it once it has led long enough to have heard
--- a/lib/src/state/vm_settings.rs
+++ b/lib/src/state/vm_settings.rs
@@ -8,6 +8,8 @@
 pub struct FleetBounds {
     /// A key that was taken away must be refused after this long.
     pub revoke_ms: u64,
+    /// An upstream that leaves must get nothing after this long.
+    pub drain_ms: u64,
     /// A change is in force everywhere after this long.
     pub apply_ms: u64,
     /// From SIGTERM to SIGKILL.
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -15,6 +15,7 @@
 use crate::protocol::vm_wire::{
     decode, encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
 };
+use crate::state::upstream_list::UpstreamList;
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
 const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
@@ -39,6 +40,11 @@
     }
 }
 
+/// The age of a leader's list; one that it never read is older than any.
+fn list_age_ms(list: &UpstreamList, now_ms: u64) -> u32 {
+    u32::try_from(now_ms.saturating_sub(list.read_ms)).unwrap_or(u32::MAX)
+}
+
 impl VmNode {
     /// Renews, again and again.
     pub async fn keep_contact(self: Rc<Self>) {
@@ -174,6 +180,7 @@
                     term: keeper.term(),
                     version: keeper.record.document.version,
                     list: upstreams.mark,
+                    list_age_ms: list_age_ms(&upstreams, now_ms),
                     keepers: keeper.members().iter().map(|id| id.0).collect(),
                     roster: roster_news(keeper, note.roster, now_ms),
                     loads: match note.list == upstreams.mark {
@@ -212,6 +219,10 @@
             view.leader = Some(from);
             view.heard_ms = now_ms;
             view.first_heard_ms.get_or_insert(now_ms);
+            if grant.list.change > 0 && grant.list == self.upstreams.borrow().mark {
+                let news_ms = grant.sent_ms.saturating_sub(u64::from(grant.list_age_ms));
+                view.list_news_ms = view.list_news_ms.max(news_ms);
+            }
             if !grant.keepers.is_empty() {
                 view.keepers = grant.keepers;
             }
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -41,6 +41,8 @@
 enum ListFault {
     /// The platform takes no more calls just now.
     TooMany,
+    /// It was told meanwhile, so the rest isn't read.
+    Told,
     /// Anything else.
     Other(String),
 }
@@ -49,6 +51,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             ListFault::TooMany => write!(f, "the platform takes no more calls"),
+            ListFault::Told => write!(f, "a leader tells it by now"),
             ListFault::Other(text) => write!(f, "{text}"),
         }
     }
@@ -85,6 +88,7 @@
                 None => alone_need(self.list_standing(), now_ms),
             };
             if need.is_some() && turn.need.is_none() {
+                self.note_stale(need, now_ms);
                 // Many may turn to it at one moment, so each begins at another.
                 turn.refusals = 0;
                 let pause_ms = self.pause_ms(need, 0);
@@ -109,13 +113,19 @@
                 (turn.fails, turn.refusals) = (0, 0);
                 self.take_list(rows, turn.need.is_some());
                 self.contact_changed.notify_waiters();
-                self.set_list_due(self.pause_ms(turn.need, 0) + self.draw() % 50);
+                let mut pause_ms = self.pause_ms(turn.need, 0);
+                if turn.need.is_some() {
+                    // It is young enough until then, and all others may be reading too.
+                    pause_ms = pause_ms.max(self.list_standing().stale_ms / 2);
+                }
+                self.set_list_due(pause_ms + self.draw() % 50);
             }
             Err(ListFault::TooMany) if turn.need.is_some() => {
                 turn.refusals += 1;
                 let pause_ms = self.pause_ms(turn.need, turn.refusals);
                 self.set_list_due(pause_ms / 2 + self.draw() % pause_ms);
             }
+            Err(ListFault::Told) => self.set_list_due(self.pause_ms(None, 0)),
             Err(error) => {
                 if turn.fails == 0 {
                     warn!(target: "list", "cannot be read: {error}");
@@ -143,7 +153,17 @@
     fn list_standing(&self) -> ListStanding {
         let view = self.view.borrow();
         let has_list = self.upstreams.borrow().read_ms > 0;
-        ListStanding { first_heard_ms: view.first_heard_ms, heard_ms: view.heard_ms, has_list }
+        ListStanding {
+            first_heard_ms: view.first_heard_ms,
+            news_ms: view.list_news_ms,
+            stale_ms: self.list_cost().stale_ms(self.settings.borrow().bounds.drain_ms),
+            has_list,
+        }
+    }
+
+    fn note_stale(&self, need: Option<AloneNeed>, now_ms: u64) {
+        let age_ms = now_ms.saturating_sub(self.view.borrow().list_news_ms);
+        info!(target: "list", age_ms, need = ?need, "too old, is read without the leader");
     }
 
     /// Forgets what belongs to upstreams that are on the list no more.
@@ -164,6 +184,7 @@
 
     fn take_list(&self, mut rows: Vec<UpstreamEntry>, alone: bool) {
         let now_ms = self.now_ms();
+        self.view.borrow_mut().list_news_ms = now_ms;
         let led = match &*self.keeper.borrow() {
             Some(keeper) if keeper.may_vouch(now_ms) => {
                 Some((keeper.term(), keeper.record.seats.clone()))
@@ -259,7 +280,7 @@
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
             if need.is_some() && alone_need(self.list_standing(), self.now_ms()).is_none() {
-                return Err(ListFault::Other("a leader tells it by now".to_string()));
+                return Err(ListFault::Told);
             }
             let tries = if need.is_some() { 0 } else { PAGE_TRIES };
             let page = self.read_page(next.as_deref(), tries).await?;
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -71,6 +71,9 @@
     pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
     /// Pages of the list of upstreams, as this VM last read it.
     pub list_pages: usize,
+    /// When the list that is here was surely the platform's; see
+    /// [`crate::coordination::list_turn::ListStanding`].
+    pub list_news_ms: u64,
     /// When the list of upstreams should be read again, by whoever reads it.
     pub list_due_ms: u64,
     /// When something was last asked for, so that it isn't asked for with each grant.
--- a/lib/tests/test_document_news.rs
+++ b/lib/tests/test_document_news.rs
@@ -1,7 +1,9 @@
 //! How a configuration travels: packed, and asked for only by who was not told it.
 
 use proptest::prelude::*;
-use wingshed_lib::coordination::leader_contact::{LeaderContact, ASK_AGAIN_MS, TOLD_MS};
+use wingshed_lib::coordination::leader_contact::{
+    LeaderContact, ASK_AGAIN_MS, ASK_FIRST_MS, TOLD_MS,
+};
 use wingshed_lib::state::packed_text::PackedText;
 
 /// A configuration with so many routes, its names drawn as a platform might draw them.
@@ -54,15 +56,17 @@
     serving.note_applied(3);
 
     assert!(fresh.wants_document(4, 1000), "it can't serve without one");
-    assert!(!fresh.wants_document(4, 1000 + ASK_AGAIN_MS - 1), "the answer is on its way");
-    assert!(fresh.wants_document(4, 1000 + ASK_AGAIN_MS), "or lost");
+    assert!(!fresh.wants_document(4, 1000 + ASK_FIRST_MS - 1), "the answer is on its way");
+    assert!(fresh.wants_document(4, 1000 + ASK_FIRST_MS), "or lost, or nobody knew it yet");
 
     assert!(!serving.wants_document(3, 1000), "nothing is newer");
     assert!(!serving.wants_document(4, 1000), "it is being told");
     assert!(!serving.wants_document(5, 1000 + TOLD_MS - 1));
     assert!(serving.wants_document(5, 1000 + TOLD_MS));
+    assert!(!serving.wants_document(5, 1000 + TOLD_MS + ASK_AGAIN_MS - 1));
+    assert!(serving.wants_document(5, 1000 + TOLD_MS + ASK_AGAIN_MS));
     serving.note_applied(5);
-    assert!(!serving.wants_document(5, 1000 + 2 * TOLD_MS));
+    assert!(!serving.wants_document(5, 1000 + 8 * TOLD_MS));
     assert!(!serving.wants_document(6, 1000 + 9 * TOLD_MS), "each one is given its time");
 }
 
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -5,10 +5,10 @@
 
 use proptest::prelude::*;
 use wingshed_lib::coordination::list_turn::{
-    alone_need, AloneNeed, ListCost, ListStanding, ALONE_MS, PAGES_AT_ONCE, UNTOLD_MS,
+    alone_need, AloneNeed, ListCost, ListStanding, PAGES_AT_ONCE, UNTOLD_MS,
 };
 use wingshed_lib::coordination::vm_roster::{
-    RosterCopy, RosterMark, RosterRow, ToldLoad, UpstreamLoad, VmRoster, ROW_KEEP_MS,
+    RosterCopy, RosterMark, RosterRow, ToldLoad, UpstreamLoad, VmRoster, RENEW_MS, ROW_KEEP_MS,
 };
 use wingshed_lib::state::document_change::DocumentChange;
 use wingshed_lib::state::ids::UpstreamKey;
@@ -214,21 +214,52 @@
 
 #[test]
 fn a_vm_reads_for_itself_only_when_no_leader_gives_it_a_list() {
-    let standing =
-        |first_heard_ms, heard_ms, has_list| ListStanding { first_heard_ms, heard_ms, has_list };
+    const STALE_MS: u64 = 1500;
+    let standing = |first_heard_ms, news_ms, has_list| ListStanding {
+        first_heard_ms,
+        news_ms,
+        stale_ms: STALE_MS,
+        has_list,
+    };
     let (lost, untold) = (Some(AloneNeed::Lost), Some(AloneNeed::Untold));
     let cases = [
         ("it has just started, as all others may have", standing(None, 0, false), 60_000, None),
         ("its leader will tell it", standing(Some(100), 300, false), 100 + UNTOLD_MS, None),
         ("its leader can't tell it", standing(Some(100), 300, false), 101 + UNTOLD_MS, untold),
-        ("its leader tells it", standing(Some(100), 9000, true), 9000 + ALONE_MS, None),
-        ("it lost its leader", standing(Some(100), 9000, true), 9001 + ALONE_MS, lost),
+        ("its leader tells it", standing(Some(100), 9000, true), 9000 + STALE_MS, None),
+        ("nobody tells it", standing(Some(100), 9000, true), 9001 + STALE_MS, lost),
+        ("it was told a moment ago", standing(Some(100), 0, true), 100 + STALE_MS, None),
+        ("and nothing since", standing(Some(100), 0, true), 101 + STALE_MS, lost),
     ];
     for (case, standing, now_ms, need) in cases {
         assert_eq!(alone_need(standing, now_ms), need, "{case}");
     }
 }
 
+#[test]
+fn a_leaving_upstream_is_known_in_time_whether_or_not_a_leader_tells() {
+    // Calls a second, pages, VMs, the time that is allowed in milliseconds.
+    let cases =
+        [(50.0, 1, 10, 3000), (47.0, 1, 12, 3000), (360.0, 3, 92, 4000), (260.0, 3, 79, 4000)];
+    // What one call takes where nothing is slow, and the way of one exchange with the leader.
+    let (call_ms, exchange_ms) = (25, RENEW_MS + 25);
+    for (calls_per_s, pages, vms, drain_ms) in cases {
+        let cost = ListCost { calls_per_s, pages, vms };
+        let pages = pages as u64;
+        let stale_ms = cost.stale_ms(drain_ms);
+
+        let told_ms = cost.leader_pause_ms() + pages * call_ms + exchange_ms;
+        let page_ms = cost.alone_page_ms(1, AloneNeed::Lost, 0);
+        let started_ms = stale_ms + cost.alone_pause_ms(AloneNeed::Lost, 0);
+        let alone_ms = started_ms + pages * call_ms + (pages - 1) * page_ms;
+
+        assert!(told_ms < stale_ms, "{cost:?}: a list that is told is never taken for old");
+        assert!(alone_ms + 500 < drain_ms, "{cost:?}: {alone_ms} ms without a leader");
+    }
+    let long = ListCost { calls_per_s: 47.0, pages: 60, vms: 300 };
+    assert!(long.stale_ms(3000) > long.leader_pause_ms(), "a leader can keep to it");
+}
+
 fn document(version: u32, routes: &[u16]) -> Vec<u8> {
     let routes: Vec<String> =
         routes.iter().map(|route| format!("{{\"name\":\"r{route}\",\"on\":{{}}}}")).collect();
