engines: where parts are kept against the order is told

Cause: a VM names the source of a shared part by the order of engines; when engines die and VMs know so at different times, it names one that lacks it, and the part is read again.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod event_splice;
 pub mod fair_queue;
 pub mod group_plan;
+pub mod holder_news;
 pub mod home;
 pub mod kv_move;
 pub mod leader_contact;
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 
+use super::holder_news::LEAST_TOLD_TOKENS;
 use crate::state::ids::UpstreamKey;
 use crate::state::prompt_part::{shared_parts, PromptPart};
 use crate::state::rendezvous::rendezvous_score;
@@ -54,6 +55,16 @@
     pub upstream: UpstreamKey,
     /// Where that engine should fetch what is kept of the prompt.
     pub fetch_from: Option<UpstreamKey>,
+    /// The deepest shared part, when no other VM would guess that this engine keeps it, and what
+    /// the shared parts hold is worth telling.
+    pub against_order: Option<u64>,
+}
+
+impl UpstreamPick {
+    /// A choice of an upstream that keeps nothing.
+    pub fn plain(upstream: UpstreamKey) -> UpstreamPick {
+        UpstreamPick { upstream, fetch_from: None, against_order: None }
+    }
 }
 
 /// Why there is no choice.
@@ -84,6 +95,11 @@
         }
     }
 
+    /// Another VM sent this part to the engine.
+    pub fn note_told(&mut self, part: u64, engine: UpstreamKey, now_ms: u64) {
+        self.sent.insert((part, engine), now_ms);
+    }
+
     /// Whether the engine surely had this part lately.
     pub fn holds(&self, part: u64, engine: UpstreamKey, now_ms: u64) -> bool {
         let sent_ms = self.sent.get(&(part, engine));
@@ -103,7 +119,7 @@
     let shared = shared_parts(prompt);
     let (Some(root), Some(deep)) = (shared.first(), shared.last()) else {
         let upstream = choose_plain(candidates, now_ms)?;
-        return Ok(UpstreamPick { upstream, fetch_from: None });
+        return Ok(UpstreamPick::plain(upstream));
     };
     let usable = usable(candidates);
     let order = engine_order(&usable, deep.id);
@@ -129,7 +145,13 @@
         }
     }
     let fetch_from = source.filter(|key| *key != pick.key);
-    Ok(UpstreamPick { upstream: pick.key, fetch_from })
+    // Others may not have set aside what this VM has.
+    let all = || candidates.iter().filter(|candidate| !candidate.leaving);
+    let rank = |c: &&UpstreamCandidate| c.seat.map(|seat| rendezvous_score(deep.id, seat));
+    let guessed = all().max_by_key(rank).map(|candidate| candidate.key);
+    let told = moves && tokens >= LEAST_TOLD_TOKENS && guessed != Some(pick.key);
+    let against_order = told.then_some(deep.id);
+    Ok(UpstreamPick { upstream: pick.key, fetch_from, against_order })
 }
 
 fn no_choice(taking: usize) -> ChoiceFault {
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::raft_message::RaftMessage;
 use crate::coordination::vm_roster::{RosterMark, RosterNews, RosterRow, UpstreamLoad};
 use crate::state::document_change::DocumentChange;
@@ -123,6 +124,10 @@
     pub roster: RosterMark,
     /// The state of the list of upstreams that it holds.
     pub list: ListMark,
+    /// Where it sent parts against the order.
+    pub holders: Vec<HolderNote>,
+    /// What it has heard of others' such notes.
+    pub holders_heard: HolderMark,
 }
 
 /// What the leader answers, while it surely leads.
@@ -146,6 +151,10 @@
     pub roster: RosterNews,
     /// What all VMs have in flight, summed.
     pub loads: LoadNews,
+    /// What others told of where parts are kept.
+    pub holders: Vec<HolderNote>,
+    /// What was heard of that with this answer.
+    pub holders_heard: HolderMark,
 }
 
 /// Encodes a message or datagram.
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -8,6 +8,7 @@
 
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
+use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::list_turn::UNTOLD_MS;
 use crate::coordination::vm_roster::{
     pressed_renew_ms, RosterMark, RosterNews, PRESSED_KEEP_MS, RENEW_MS, SETTLE_MS,
@@ -85,7 +86,11 @@
         let row = self.own_row();
         let mut view = self.view.borrow_mut();
         let (roster, list) = (view.roster.mark, self.upstreams.borrow().mark);
-        let note = RenewalNote { sent_ms: now_ms, row, keeper, loads, roster, list };
+        let mut desk = self.holders.borrow_mut();
+        let (holders, holders_heard) = (desk.outbox.take(), desk.heard);
+        let sent_ms = now_ms;
+        let note =
+            RenewalNote { sent_ms, row, keeper, loads, roster, list, holders, holders_heard };
         view.own_told.insert(now_ms, note.loads.clone());
         view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
         encode(&VmDatagram::Renew(note))
@@ -175,6 +180,8 @@
             Some(keeper) if keeper.may_vouch(now_ms) => {
                 keeper.roster.note(note.row, note.keeper, note.loads, now_ms);
                 let upstreams = self.upstreams.borrow();
+                let (holders, holders_heard) =
+                    self.exchange_holders(keeper.term(), &note.holders, note.holders_heard, now_ms);
                 VmDatagram::Grant(GrantNote {
                     sent_ms: note.sent_ms,
                     term: keeper.term(),
@@ -189,6 +196,8 @@
                         }
                         false => LoadNews::Keyed(keeper.roster.loads()),
                     },
+                    holders,
+                    holders_heard,
                 })
             }
             Some(keeper) => VmDatagram::Elsewhere {
@@ -208,8 +217,31 @@
         self.send_datagram(from, &encode(&answer));
     }
 
+    /// Takes what a VM tells of holders, as the leader, and gives what others told.
+    fn exchange_holders(
+        &self,
+        term: u64,
+        told: &[HolderNote],
+        heard: HolderMark,
+        now_ms: u64,
+    ) -> (Vec<HolderNote>, HolderMark) {
+        let mut desk = self.holders.borrow_mut();
+        let fresh = desk.ring.take(term, told);
+        self.learn_holders(&fresh, now_ms);
+        desk.ring.news(heard)
+    }
+
+    fn learn_holders(&self, notes: &[HolderNote], now_ms: u64) {
+        let mut prefixes = self.prefixes.borrow_mut();
+        for note in notes {
+            prefixes.note_told(note.part, note.engine, now_ms);
+        }
+    }
+
     fn take_grant(&self, from: VmId, grant: GrantNote) {
         let now_ms = self.now_ms();
+        self.learn_holders(&grant.holders, now_ms);
+        self.holders.borrow_mut().heard = grant.holders_heard;
         let mut want_list = false;
         {
             let mut view = self.view.borrow_mut();
@@ -275,6 +307,11 @@
             return false;
         };
         keeper.roster.note(row, Some(keeper.incarnation), loads.clone(), now_ms);
+        {
+            let mut desk = self.holders.borrow_mut();
+            let own = desk.outbox.take();
+            desk.ring.take(keeper.term(), &own);
+        }
         let mut view = self.view.borrow_mut();
         view.leader = Some(self.id);
         view.heard_ms = now_ms;
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -24,6 +24,7 @@
 use super::vm_pool::ConnectionPool;
 use super::vm_sockets::listen;
 use crate::coordination::engine_room::ServiceRoom;
+use crate::coordination::holder_news::{HolderMark, HolderOutbox, HolderRing};
 use crate::coordination::leader_contact::LeaderContact;
 use crate::coordination::outlier::OutlierTable;
 use crate::coordination::raft_message::HEARTBEAT_MS;
@@ -52,6 +53,17 @@
     pub document: Vec<u8>,
 }
 
+/// What a VM tells of holders, has heard of them, and tells on while it leads.
+#[derive(Default)]
+pub struct HolderDesk {
+    /// What it has to tell.
+    pub outbox: HolderOutbox,
+    /// What it has heard.
+    pub heard: HolderMark,
+    /// What it was told as the leader.
+    pub ring: HolderRing,
+}
+
 /// What a VM knows of the others.
 #[derive(Default)]
 pub struct FleetView {
@@ -120,6 +132,8 @@
     pub figures_path: RefCell<String>,
     /// What this VM sent where.
     pub prefixes: RefCell<PrefixMemory>,
+    /// Where parts are kept against the order: told and heard.
+    pub holders: RefCell<HolderDesk>,
     /// Repeats, by service.
     pub budgets: RefCell<HashMap<String, RepeatBudget>>,
     /// Links to other VMs.
@@ -178,6 +192,7 @@
             figures: RefCell::default(),
             figures_path: RefCell::default(),
             prefixes: RefCell::default(),
+            holders: RefCell::default(),
             budgets: RefCell::default(),
             links,
             list_frame: RefCell::default(),
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -49,6 +49,8 @@
     pub(super) upstream: UpstreamKey,
     pub(super) address: SocketAddr,
     pub(super) send: UpstreamSend,
+    /// See [`UpstreamPick::against_order`].
+    pub(super) against_order: Option<u64>,
 }
 
 /// What a send brought.
@@ -102,7 +104,7 @@
         let engine = service.engine.as_ref().filter(|_| rule.prompt_parts);
         let Some(engine) = engine else {
             let upstream = choose_plain(&candidates, self.draw)?;
-            return Ok(UpstreamPick { upstream, fetch_from: None });
+            return Ok(UpstreamPick::plain(upstream));
         };
         let pressed = room.is_some_and(|room| {
             engine.slots > 0 && self.mark_full(&service.name, engine.slots, room, &mut candidates)
@@ -212,7 +214,8 @@
         };
         let address = entry.address;
         let upstream = pick.upstream;
-        Some(SendPlace { book: book.clone(), route, service, upstream, address, send })
+        let (book, against_order) = (book.clone(), pick.against_order);
+        Some(SendPlace { book, route, service, upstream, address, send, against_order })
     }
 
     /// Sends once and reads the head of the answer.
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -14,6 +14,7 @@
 use super::vm_send::{ComingBody, GoodAnswer, GoodBody, SendPlace, SendResult};
 use crate::coordination::attempt_plan::{AttemptCount, SendOutcome};
 use crate::coordination::event_splice::EventSplice;
+use crate::coordination::holder_news::HolderNote;
 use crate::state::ids::UpstreamKey;
 use crate::state::route_book::{pick_share, RequestKind};
 use crate::state::vm_figures::RequestEnd;
@@ -41,6 +42,10 @@
                 let now_ms = self.node.now_ms();
                 let mut prefixes = self.node.prefixes.borrow_mut();
                 prefixes.note_sent(&self.caller.prompt, place.upstream, now_ms);
+                if let Some(part) = place.against_order {
+                    let note = HolderNote { part, engine: place.upstream };
+                    self.node.holders.borrow_mut().outbox.add(note, now_ms);
+                }
             }
         }
         self.node.figures.borrow_mut().note_end(match answer.head.status.is_server_error() {
