engines: who came before the first prompt is no newcomer

Cause: an engine first seen a second after the first one counted as new for 20 s, so that what it kept was sought elsewhere; when everything starts, engines come to the list over some 5 s, and most were new for the first 15 s of traffic. Ruled out: notes of holders coming too late (of 3.6 million tokens read again with a living holder 2.6 million had been there for over 3 s). Change: new is who came after this VM's first prompt. The test fails on the code before.

--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -81,11 +81,14 @@
 pub struct PrefixMemory {
     sent: HashMap<(u64, UpstreamKey), u64>,
     swept_ms: u64,
+    /// When this VM first sent a prompt.
+    since_ms: Option<u64>,
 }
 
 impl PrefixMemory {
     /// A request with this prompt was sent to the engine.
     pub fn note_sent(&mut self, prompt: &[PromptPart], engine: UpstreamKey, now_ms: u64) {
+        self.since_ms.get_or_insert(now_ms);
         for part in shared_parts(prompt) {
             self.sent.insert((part.id, engine), now_ms);
         }
@@ -181,10 +184,12 @@
     now_ms: u64,
 ) -> Option<UpstreamKey> {
     let known = order.iter().find(|candidate| memory.holds(part, candidate.key, now_ms));
+    // Engines that were there before the first prompt are not new, however lately they came: they
+    // come to the list one after the other when everything starts.
     let oldest = order.iter().map(|candidate| candidate.first_seen_ms).min()?;
+    let since_ms = memory.since_ms.unwrap_or(oldest + NEW_ENGINE_MS / 20);
     let new = |candidate: &UpstreamCandidate| {
-        candidate.first_seen_ms + NEW_ENGINE_MS > now_ms
-            && candidate.first_seen_ms > oldest + NEW_ENGINE_MS / 20
+        candidate.first_seen_ms + NEW_ENGINE_MS > now_ms && candidate.first_seen_ms > since_ms
     };
     let expected = || order.iter().find(|candidate| candidate.seat.is_some() && !new(candidate));
     known.or_else(expected).map(|candidate| candidate.key)
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -191,6 +191,30 @@
     assert_eq!(fixed.fetch_from, None, "no fetch where engines can't move memory");
 }
 
+#[test]
+fn engines_that_came_one_after_the_other_before_the_first_prompt_are_no_newcomers() {
+    let mut memory = PrefixMemory::default();
+    let mut all: Vec<UpstreamCandidate> = (1..=6).map(|key| candidate(key, 2)).collect();
+    for (candidate, came) in all.iter_mut().zip(1..) {
+        candidate.first_seen_ms = LATE + 700 * came;
+    }
+    let now_ms = LATE + 8000;
+    let other = [PromptPart { id: 77, tokens: 100 }, PromptPart { id: 78, tokens: 100 }];
+    memory.note_sent(&other, UpstreamKey(1), LATE + 6000);
+    let choose = |all: &[UpstreamCandidate]| {
+        choose_engine(all, &prompt(), &memory, true, ALL, now_ms).unwrap()
+    };
+    let home = choose(&all).upstream;
+    for candidate in all.iter_mut().filter(|candidate| candidate.key == home) {
+        candidate.load = 40;
+    }
+
+    let spill = choose(&all);
+
+    assert_ne!(spill.upstream, home);
+    assert_eq!(spill.fetch_from, Some(home), "the first of the order keeps it");
+}
+
 #[test]
 fn a_prompt_is_refused_when_the_engines_of_its_spread_have_no_room() {
     let memory = PrefixMemory::default();
