--- a/lib/tests/test_document_news.rs
+++ b/lib/tests/test_document_news.rs
@@ -11,7 +11,7 @@
     let route = |number: u64| {
         let draw = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         format!(
-            r#"{{"name":"r-{draw:x}","host":"h{:x}.example","under":"/{:x}/","kind":"stream","longest_ms":4000,"goal_ms":500,"priority":0,"service":"svc","maxAttempts":2,"public":false,"sticky":true,"canResume":true,"gapTargetMs":300}}"#,
+            r#"{{"name":"r-{draw:x}","host":"h{:x}.example","under":"/{:x}/","kind":"stream","longest_ms":4000,"goal_ms":500,"priority":0,"service":"svc","tries":2,"public":false,"prompt_parts":true,"resumable":true,"gap_ms":300}}"#,
             draw % 97,
             draw >> 40,
         )
