reading: the choice of an upstream in a file of its own, one fixture of engines

Cause: vm_send had grown to 400 lines with two jobs, and two tests built the same candidate. Change: vm_choice holds what a VM knows of upstreams and whether there is room; behaviour as it was. Also: the keepers' bench packs its documents; it had not compiled since configurations are packed, which the tests that I had run in between did not show.

--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -25,6 +25,7 @@
 pub mod router_shared;
 pub mod router_status;
 pub mod seen;
+mod vm_choice;
 pub mod vm_contact;
 pub mod vm_control;
 pub mod vm_disk;
--- /dev/null
+++ b/lib/src/transport/vm_choice.rs
@@ -0,0 +1,118 @@
+//! Which upstream a request goes to: what this VM knows of each, and whether there is room.
+
+use super::vm_forward::CallerTask;
+use crate::coordination::engine_room::{RoomNews, RoomRequest, ServiceRoom};
+use crate::coordination::upstream_choice::{
+    choose_engine, choose_plain, ChoiceFault, EngineRules, UpstreamCandidate, UpstreamPick,
+};
+use crate::state::ids::UpstreamKey;
+use crate::state::route_book::{RouteRule, ServiceEntry};
+use crate::state::upstream_list::UpstreamEntry;
+
+/// From this part of the bound on an engine's load VMs tell each other of loads more often.
+const PRESSED_PART: f64 = 0.75;
+/// Under pressure a prompt is sent to so many engines of its order at most: each further one
+/// reads or moves its shared parts anew, and pushes others out of its memory.
+const PRESSED_SPREAD: usize = 3;
+
+impl CallerTask {
+    /// Chooses an upstream; `room` is what asks for a place, and a request without it gets one
+    /// wherever there is an upstream.
+    pub(super) fn choose(
+        &self,
+        service: &ServiceEntry,
+        rule: &RouteRule,
+        room: Option<&RoomRequest>,
+        tried: &[UpstreamKey],
+    ) -> Result<UpstreamPick, ChoiceFault> {
+        let now_ms = self.node.now_ms();
+        let mut candidates = self.candidates(&service.name, tried, now_ms);
+        let engine = service.engine.as_ref().filter(|_| rule.prompt_parts);
+        let Some(engine) = engine else {
+            let upstream = choose_plain(&candidates, self.draw)?;
+            return Ok(UpstreamPick::plain(upstream));
+        };
+        let pressed = room.is_some_and(|room| {
+            engine.slots > 0 && self.mark_full(&service.name, engine.slots, room, &mut candidates)
+        });
+        let spread = if pressed { PRESSED_SPREAD } else { usize::MAX };
+        let memory = self.node.prefixes.borrow();
+        let load_limit = self.node.settings.borrow().bounds.load_limit;
+        let rules = EngineRules { moves: engine.moves, spread, load_limit };
+        choose_engine(&candidates, &self.caller.prompt, &memory, &rules, now_ms)
+    }
+
+    /// Marks the engines that have no room for a request; true when all are nearly full.
+    fn mark_full(
+        &self,
+        service: &str,
+        places: u32,
+        request: &RoomRequest,
+        candidates: &mut [UpstreamCandidate],
+    ) -> bool {
+        let news = self.room_news(candidates);
+        let rooms = self.node.rooms.borrow();
+        let bound = rooms.get(service).map(|room| room.bound(places, request));
+        let bound = bound.unwrap_or(f64::from(places));
+        for candidate in candidates {
+            candidate.full = f64::from(candidate.load) + news.growth() >= bound;
+        }
+        let pressed = news.mean() >= PRESSED_PART * bound;
+        if pressed {
+            self.node.pressed_ms.set(self.node.now_ms());
+        }
+        pressed
+    }
+
+    fn room_news(&self, candidates: &[UpstreamCandidate]) -> RoomNews {
+        let in_flight = self.node.in_flight.borrow();
+        let view = self.node.view.borrow();
+        let mut news = RoomNews { vms: view.roster.rows.len(), ..RoomNews::default() };
+        for candidate in candidates.iter().filter(|candidate| !candidate.leaving) {
+            if candidate.aside {
+                continue;
+            }
+            news.told += candidate.load;
+            news.own += in_flight.get(&candidate.key).copied().unwrap_or(0);
+            news.own_told += view.told.own_part(candidate.key);
+            news.engines += 1;
+        }
+        news
+    }
+
+    /// Lets `act` use what was learned of the room at a service.
+    pub(super) fn with_room<T>(&self, service: &str, act: impl FnOnce(&mut ServiceRoom) -> T) -> T {
+        let mut rooms = self.node.rooms.borrow_mut();
+        match rooms.get_mut(service) {
+            Some(room) => act(room),
+            None => act(rooms.entry(service.to_string()).or_default()),
+        }
+    }
+
+    fn candidates(
+        &self,
+        service: &str,
+        tried: &[UpstreamKey],
+        now_ms: u64,
+    ) -> Vec<UpstreamCandidate> {
+        let node = &self.node;
+        let upstreams = node.upstreams.borrow();
+        let view = node.view.borrow();
+        let in_flight = node.in_flight.borrow();
+        let outliers = node.outliers.borrow();
+        let settings = node.settings.borrow();
+        let candidate = |(key, entry): (UpstreamKey, &UpstreamEntry)| UpstreamCandidate {
+            key,
+            load: in_flight.get(&key).copied().unwrap_or(0) + view.told.others(key),
+            aside: outliers.is_aside(key, now_ms),
+            full: false,
+            tried: tried.contains(&key),
+            leaving: entry.leaving,
+            seat: entry.seat,
+            near: entry.zone == settings.zone,
+            first_seen_ms: upstreams.first_seen_ms.get(&key).copied().unwrap_or(0),
+        };
+        let living = upstreams.of_service(service).filter(|(key, _)| !outliers.is_gone(*key));
+        living.map(candidate).collect()
+    }
+}
--- a/lib/tests/test_holder_news.rs
+++ b/lib/tests/test_holder_news.rs
@@ -1,6 +1,9 @@
 //! Where parts are kept against the order: told once, heard by all, and used as a source.
 
+mod testutils;
+
 use proptest::prelude::*;
+use testutils::engines::candidate;
 use wingshed_lib::coordination::holder_news::{
     HolderMark, HolderNote, HolderOutbox, HolderRing, NOTES_TOLD,
 };
@@ -16,20 +19,6 @@
     HolderNote { part, engine: UpstreamKey(engine) }
 }
 
-fn candidate(key: u64) -> UpstreamCandidate {
-    UpstreamCandidate {
-        key: UpstreamKey(key),
-        load: 2,
-        aside: false,
-        full: false,
-        tried: false,
-        leaving: false,
-        seat: Some(key),
-        near: false,
-        first_seen_ms: 1,
-    }
-}
-
 fn prompt() -> Vec<PromptPart> {
     [(1, 600), (2, 9000), (3, 500)].map(|(id, tokens)| PromptPart { id, tokens }).to_vec()
 }
@@ -45,7 +34,7 @@
 
 #[test]
 fn a_part_that_was_read_elsewhere_is_fetched_from_there_by_a_vm_that_never_sent_it() {
-    let calm: Vec<UpstreamCandidate> = (1..=8).map(candidate).collect();
+    let calm: Vec<UpstreamCandidate> = (1..=8).map(|key| candidate(key, 2)).collect();
     let (home, _, told) = pick(&calm, &PrefixMemory::default());
     assert_eq!(told, None, "every VM guesses the first of the order");
 
@@ -113,7 +102,7 @@
             if listens {
                 let (told, next) = ring.news(mark);
                 prop_assert!(told.len() <= NOTES_TOLD && next.heard >= mark.heard);
-                told.iter().for_each(|note| drop(heard.insert(note.part, note.engine)));
+                heard.extend(told.iter().map(|note| (note.part, note.engine)));
                 mark = next;
             }
         }
@@ -122,7 +111,7 @@
             if told.is_empty() {
                 break;
             }
-            told.iter().for_each(|note| drop(heard.insert(note.part, note.engine)));
+            heard.extend(told.iter().map(|note| (note.part, note.engine)));
             mark = next;
         }
         let (all, _) = ring.news(HolderMark { term: 1, heard: mark.heard });
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -1,8 +1,11 @@
 //! The pure decisions of a VM of the fleet, as tables.
 
+mod testutils;
+
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
+use testutils::engines::candidate;
 use wingshed_lib::coordination::attempt_plan::{
     AttemptCount, NextStep, SendOutcome, MOST_UNREACHED,
 };
@@ -24,20 +27,6 @@
 use wingshed_lib::state::route_book::{pick_share, RequestKind, ServiceShare};
 use wingshed_lib::state::upstream_list::{UpstreamEntry, UpstreamList};
 
-fn candidate(key: u64, load: u32) -> UpstreamCandidate {
-    UpstreamCandidate {
-        key: UpstreamKey(key),
-        load,
-        aside: false,
-        full: false,
-        tried: false,
-        leaving: false,
-        seat: Some(key),
-        near: false,
-        first_seen_ms: 1,
-    }
-}
-
 fn prompt() -> Vec<PromptPart> {
     [(1, 2000), (2, 6000), (3, 500)].map(|(id, tokens)| PromptPart { id, tokens }).to_vec()
 }
--- a/lib/tests/testutils/keeper_bench.rs
+++ b/lib/tests/testutils/keeper_bench.rs
@@ -15,6 +15,7 @@
 use wingshed_lib::coordination::vm_roster::RosterRow;
 use wingshed_lib::state::ids::{Incarnation, KeeperId};
 use wingshed_lib::state::log_store::StoredState;
+use wingshed_lib::state::packed_text::PackedText;
 use wingshed_lib::transport::vm_disk::{DiskJob, DiskReport};
 use wingshed_lib::transport::vm_keeper::{KeeperDriver, KeeperIdentity, KeeperOutcome};
 
@@ -396,7 +397,8 @@
         let (version, now_ms) = (self.puts, self.now_ms);
         let mut receiver = None;
         self.act(at, |driver| {
-            let (answer, outcome) = driver.put(version, &version.to_le_bytes(), now_ms);
+            let (answer, outcome) =
+                driver.put(version, &PackedText::pack(&version.to_le_bytes()), now_ms);
             receiver = Some(answer);
             outcome
         });
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -1,6 +1,7 @@
 //! Fixtures shared by the integration tests.
 #![allow(dead_code)]
 
+pub mod engines;
 pub mod keeper_bench;
 pub mod raft_bench;
 
