admission: growth is bounded by what is told, and old news refuse nothing

Cause: growth since the last news was the VM's own change times the other VMs: with few requests a VM, chance looked like a crowd; and a VM that lost its leader went on refusing by the last loads. Ruled out: slower learning of it (it is a bound on what may be believed, not on how fast). Change: RoomNews::growth at most doubles what was told; is_fresh.

--- a/lib/src/coordination/engine_room.rs
+++ b/lib/src/coordination/engine_room.rs
@@ -45,6 +45,9 @@
 /// No VM stands for more than this many others when its own change since the last news is taken
 /// for theirs: with few requests a VM the change is mostly chance.
 const MOST_ALIKE: f64 = 16.0;
+/// Loads that were told longer ago refuse nothing, in milliseconds: the VM has lost its leader, and
+/// what was a crowd then may have gone.
+const FRESH_MS: u64 = 1000;
 /// The part of the places that come free that refused callers are told of; the rest is for new
 /// ones.
 const RETURN_PART: f64 = 0.1;
@@ -80,20 +83,32 @@
     pub vms: usize,
     /// Engines that take work.
     pub engines: usize,
+    /// How long ago the others' load was told, in milliseconds.
+    pub age_ms: u64,
 }
 
 impl RoomNews {
+    /// Whether anything may be refused by this: not by news of a load that has long passed.
+    pub fn is_fresh(&self) -> bool {
+        self.age_ms <= FRESH_MS
+    }
+
     /// The load of an engine in the mean.
     pub fn mean(&self) -> f64 {
-        f64::from(self.told) / self.engines.max(1) as f64 + self.growth()
+        self.told_mean() + self.growth()
+    }
+
+    fn told_mean(&self) -> f64 {
+        f64::from(self.told) / self.engines.max(1) as f64
     }
 
     /// By how many requests an engine's load has likely grown since it was told: news is some
     /// 300 ms old, and what this VM sent since then others likely sent too. A fall isn't counted
-    /// on, since all VMs would fill the same places.
+    /// on, since all VMs would fill the same places; nor does a load more than double meanwhile.
     pub fn growth(&self) -> f64 {
         let others = (self.vms.saturating_sub(1) as f64).min(MOST_ALIKE);
-        f64::from(self.own.saturating_sub(self.own_told)) * others / self.engines.max(1) as f64
+        let sent = f64::from(self.own.saturating_sub(self.own_told));
+        (sent * others / self.engines.max(1) as f64).min(self.told_mean() + 1.0)
     }
 }
 
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -51,6 +51,9 @@
         candidates: &mut [UpstreamCandidate],
     ) -> bool {
         let news = self.room_news(candidates);
+        if !news.is_fresh() {
+            return false;
+        }
         let rooms = self.node.rooms.borrow();
         let bound = rooms.get(service).map(|room| room.bound(places, request));
         let bound = bound.unwrap_or(f64::from(places));
@@ -67,7 +70,11 @@
     fn room_news(&self, candidates: &[UpstreamCandidate]) -> RoomNews {
         let in_flight = self.node.in_flight.borrow();
         let view = self.node.view.borrow();
-        let mut news = RoomNews { vms: view.roster.rows.len(), ..RoomNews::default() };
+        let mut news = RoomNews {
+            vms: view.roster.rows.len(),
+            age_ms: self.node.now_ms().saturating_sub(view.heard_ms),
+            ..RoomNews::default()
+        };
         for candidate in candidates.iter().filter(|candidate| !candidate.leaving) {
             if candidate.aside {
                 continue;
