--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod address;
 pub mod caller;
 pub mod engine;
+pub mod engine_make;
 pub mod plain;
 pub mod platform;
 pub mod server;
