reading: one way to a service's room, and nothing worked out twice for a choice

Cause: the guard of a request in flight had its own copy of the look-up of a service's room and made a name for each send; growth was worked out for each engine, and the order's first engine also where nothing is told. The demo's line of requests taken on their second send counted refused ones too. Change: VmNode::with_room serves both; no decision, bound or assertion is other than before.

--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -238,7 +238,8 @@
     let doubled = alerts.iter().filter(|r| starts.get(&r.run).is_some_and(|n| *n > 1)).count();
     let duplicates = alerts.iter().filter_map(|result| result.duplicate.as_ref());
     let dropped = duplicates.filter(|answer| answer.status == 409).count();
-    let taken_again = alerts.len() - dropped;
+    let second_whole = |r: &&&DemoResult| r.duplicate.as_ref().is_some_and(|answer| answer.whole);
+    let taken_again = alerts.iter().filter(second_whole).count();
     let counters = counters(system);
     let count = |name: &str| counters.get(name).copied().unwrap_or(0);
     let (reused, cold) = (count("cache.reused"), count("cache.cold"));
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -173,8 +173,8 @@
     // Others may not have set aside what this VM has.
     let all = || candidates.iter().filter(|candidate| !candidate.leaving);
     let rank = |c: &&UpstreamCandidate| c.seat.map(|seat| rendezvous_score(deep.id, seat));
-    let guessed = all().max_by_key(rank).map(|candidate| candidate.key);
-    let told = moves && tokens >= LEAST_TOLD_TOKENS && guessed != Some(pick.key);
+    let guessed = || all().max_by_key(rank).map(|candidate| candidate.key);
+    let told = moves && tokens >= LEAST_TOLD_TOKENS && guessed() != Some(pick.key);
     let against_order = told.then_some(deep.id);
     Ok(UpstreamPick { upstream: pick.key, fetch_from, against_order })
 }
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -1,6 +1,7 @@
 //! Which upstream a request goes to: what this VM knows of each, and whether there is room.
 
 use super::vm_forward::CallerTask;
+use super::vm_node::VmNode;
 use crate::coordination::engine_room::{RoomNews, RoomRequest, ServiceRoom};
 use crate::coordination::upstream_choice::{
     choose_engine, choose_plain, ChoiceFault, EngineRules, UpstreamCandidate, UpstreamPick,
@@ -59,8 +60,9 @@
         let rooms = self.node.rooms.borrow();
         let bound = rooms.get(service).map(|room| room.bound(places, request));
         let bound = bound.unwrap_or(f64::from(places));
+        let growth = news.growth();
         for candidate in candidates {
-            candidate.full = f64::from(candidate.load) + news.growth() >= bound;
+            candidate.full = f64::from(candidate.load) + growth >= bound;
         }
         let pressed = news.mean() >= PRESSED_PART * bound;
         if pressed {
@@ -77,10 +79,8 @@
             age_ms: self.node.now_ms().saturating_sub(view.heard_ms),
             ..RoomNews::default()
         };
-        for candidate in candidates.iter().filter(|candidate| !candidate.leaving) {
-            if candidate.aside {
-                continue;
-            }
+        let counts = |candidate: &&UpstreamCandidate| !candidate.leaving && !candidate.aside;
+        for candidate in candidates.iter().filter(counts) {
             news.told += candidate.load;
             news.own += in_flight.get(&candidate.key).copied().unwrap_or(0);
             news.own_told += view.told.own_part(candidate.key);
@@ -89,15 +89,6 @@
         news
     }
 
-    /// Lets `act` use what was learned of the room at a service.
-    pub(super) fn with_room<T>(&self, service: &str, act: impl FnOnce(&mut ServiceRoom) -> T) -> T {
-        let mut rooms = self.node.rooms.borrow_mut();
-        match rooms.get_mut(service) {
-            Some(room) => act(room),
-            None => act(rooms.entry(service.to_string()).or_default()),
-        }
-    }
-
     fn candidates(
         &self,
         service: &str,
@@ -125,3 +116,14 @@
         living.map(candidate).collect()
     }
 }
+
+impl VmNode {
+    /// Lets `act` use what was learned of the room at a service.
+    pub(super) fn with_room<T>(&self, service: &str, act: impl FnOnce(&mut ServiceRoom) -> T) -> T {
+        let mut rooms = self.rooms.borrow_mut();
+        match rooms.get_mut(service) {
+            Some(room) => act(room),
+            None => act(rooms.entry(service.to_string()).or_default()),
+        }
+    }
+}
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -155,7 +155,7 @@
                 self.note_first(&service.name);
                 if let Some(room) = &room {
                     let now_ms = self.node.now_ms();
-                    self.with_room(&service.name, |known| known.note_asked(room, now_ms));
+                    self.node.with_room(&service.name, |known| known.note_asked(room, now_ms));
                 }
             }
             let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
@@ -173,7 +173,7 @@
                 Err(fault) => return self.refuse_unplaced(&count, &service.name, fault),
             };
             if let (true, Some(room)) = (first, &room) {
-                self.with_room(&service.name, |known| known.note_taken(room));
+                self.node.with_room(&service.name, |known| known.note_taken(room));
             }
             tried.push(pick.upstream);
             let Some(place) = self.place(&book, at, workspace, pick, left, None) else {
@@ -302,7 +302,9 @@
         }
         let retry_ms = match fault {
             ChoiceFault::NoUpstream => RETRY_MS,
-            ChoiceFault::Full => self.with_room(service, |room| room.return_ms(self.node.now_ms())),
+            ChoiceFault::Full => {
+                self.node.with_room(service, |room| room.return_ms(self.node.now_ms()))
+            }
         };
         self.refuse_until(count, why, retry_ms)
     }
--- a/lib/src/transport/vm_guard.rs
+++ b/lib/src/transport/vm_guard.rs
@@ -27,9 +27,7 @@
     ) -> FlightGuard {
         *node.in_flight.borrow_mut().entry(upstream).or_default() += 1;
         if let Some(place) = &place {
-            let mut rooms = node.rooms.borrow_mut();
-            let room = rooms.entry(place.service.clone()).or_default();
-            room.enter(place.workspace.as_deref());
+            node.with_room(&place.service, |room| room.enter(place.workspace.as_deref()));
         }
         FlightGuard { node: node.clone(), upstream, place, began_ms: node.now_ms() }
     }
@@ -45,10 +43,8 @@
             }
         }
         let Some(place) = &self.place else { return };
-        if let Some(room) = self.node.rooms.borrow_mut().get_mut(&place.service) {
-            let held_ms = self.node.now_ms().saturating_sub(self.began_ms);
-            room.leave(place.workspace.as_deref(), held_ms);
-        }
+        let held_ms = self.node.now_ms().saturating_sub(self.began_ms);
+        self.node.with_room(&place.service, |room| room.leave(place.workspace.as_deref(), held_ms));
     }
 }
 
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -231,7 +231,7 @@
         let others = self.node.view.borrow().told.others(place.upstream);
         let service = &place.book.book.services[place.service];
         if let Some(engine) = &service.engine {
-            self.with_room(&service.name, |room| {
+            self.node.with_room(&service.name, |room| {
                 room.note_first_event(late, own + others, engine.slots);
             });
         }
