requests: what became of one is told when its connection is reset

Cause: a request whose caller's connection broke left no line, and one that may run once was cut at its upstream, so that nobody could say whether it took effect.

A planned stop waits for such requests.

--- a/lib/src/coordination/attempt_plan.rs
+++ b/lib/src/coordination/attempt_plan.rs
@@ -20,6 +20,31 @@
     TimedOut,
 }
 
+/// What is known of whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunKnowledge {
+    /// It didn't, and never will.
+    NotRun,
+    /// It was sent, and what came of it isn't known.
+    Unknown,
+    /// An upstream began to answer with a stream, and may have been cut.
+    Begun,
+    /// An upstream ran it to its end.
+    Ran,
+}
+
+impl RunKnowledge {
+    /// The word for it in logs; the same as in `wingshed-ran`, and one more.
+    pub fn name(self) -> &'static str {
+        match self {
+            RunKnowledge::NotRun => "no",
+            RunKnowledge::Unknown => "unknown",
+            RunKnowledge::Begun => "begun",
+            RunKnowledge::Ran => "yes",
+        }
+    }
+}
+
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AttemptCount {
@@ -52,6 +77,14 @@
 pub const MOST_UNREACHED: u32 = 4;
 
 impl AttemptCount {
+    /// What is known while no send is under way and no answer is passed on.
+    pub fn knowledge(&self) -> RunKnowledge {
+        match self.may_have_run {
+            true => RunKnowledge::Unknown,
+            false => RunKnowledge::NotRun,
+        }
+    }
+
     /// Notes an outcome.
     pub fn note(&mut self, outcome: SendOutcome) {
         match outcome {
--- a/lib/src/state/vm_figures.rs
+++ b/lib/src/state/vm_figures.rs
@@ -87,6 +87,8 @@
     pub cut: u64,
     /// Answers whose first byte came after their goal.
     pub late: u64,
+    /// Callers that left before they had the whole answer.
+    pub left: u64,
     /// Signs against upstreams.
     pub signs: u64,
 }
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -43,5 +43,6 @@
 mod vm_send;
 pub mod vm_sockets;
 mod vm_stream;
+mod vm_trail;
 pub mod wire_count;
 pub mod worker_pool;
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -12,6 +12,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
 use tokio::time::{timeout_at, Instant};
 use tracing::info;
 
@@ -20,12 +22,13 @@
 use super::vm_node::{BookInForce, VmNode};
 use super::vm_relay::AnswerBody;
 use super::vm_send::SendResult;
-use crate::coordination::attempt_plan::{AttemptCount, NextStep, SendOutcome};
+use super::vm_trail::{CallerTrail, CallerWatch, ConnectionTrail};
+use crate::coordination::attempt_plan::{AttemptCount, NextStep, RunKnowledge, SendOutcome};
 use crate::coordination::engine_room::RoomRequest;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::upstream_choice::ChoiceFault;
 use crate::protocol::wire_adapter::CallerRequest;
-use crate::state::route_book::{pick_share, RouteDecision, RouteRule};
+use crate::state::route_book::{pick_share, RequestKind, RouteDecision, RouteRule};
 use crate::state::vm_figures::RequestEnd;
 
 /// When a refused caller may come back, in milliseconds.
@@ -51,6 +54,8 @@
     pub(super) arrived: Instant,
     /// Decides between the services of a split route, for all sends alike.
     pub(super) draw: u64,
+    pub(super) trail: Rc<CallerTrail>,
+    pub(super) connection: ConnectionTrail,
     pub(super) _serving: ServingGuard,
 }
 
@@ -66,7 +71,9 @@
 pub async fn serve_caller(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = Instant::now();
     let serving = ServingGuard::new(&node);
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let connection = head.extensions.remove::<ConnectionTrail>().unwrap_or_default();
+    connection.note_request();
     let caller = match node.adapter.read_request(&head) {
         Ok(caller) => caller,
         Err(fault) => {
@@ -95,8 +102,25 @@
         Err(_) => return close_after(own_answer(StatusCode::REQUEST_TIMEOUT, "")),
     };
     let draw = node.draw();
-    let task = CallerTask { node, head, body, caller, arrived, draw, _serving: serving };
-    task.serve().await
+    let trail = CallerTrail::new(&node, &caller.attempt);
+    let watch = CallerWatch(trail.clone());
+    let task = CallerTask {
+        node,
+        head,
+        body,
+        caller,
+        arrived,
+        draw,
+        trail,
+        connection,
+        _serving: serving,
+    };
+    let answer = match task.must_end() {
+        true => task.serve_to_its_end().await,
+        false => task.serve().await,
+    };
+    watch.0.note_answered();
+    answer
 }
 
 /// Waits a little for a VM that has just started to become ready.
@@ -123,6 +147,30 @@
 }
 
 impl CallerTask {
+    /// Whether the request is brought to its end although its caller leaves: it may run once, and a
+    /// run that is cut leaves nobody able to say whether it took effect. Streams are not: an engine
+    /// would write on for nobody.
+    fn must_end(&self) -> bool {
+        match self.decide() {
+            Ok((book, route, _)) => book.book.routes[route].kind == RequestKind::Once,
+            Err(_) => false,
+        }
+    }
+
+    /// Serves apart from the caller's connection, and tells the end if that is gone by then.
+    async fn serve_to_its_end(self) -> Response<AnswerBody> {
+        let (sender, receiver) = oneshot::channel();
+        let trail = self.trail.clone();
+        spawn_local(async move {
+            let answer = self.serve().await;
+            let status = answer.status().as_u16();
+            if sender.send(answer).is_err() {
+                trail.tell_ended(status);
+            }
+        });
+        receiver.await.unwrap_or_else(|_| own_answer(StatusCode::BAD_GATEWAY, "given up"))
+    }
+
     async fn serve(self) -> Response<AnswerBody> {
         let mut count = AttemptCount::default();
         let mut tried = Vec::new();
@@ -182,8 +230,10 @@
             if count.sent > 0 {
                 self.node.figures.borrow_mut().repeats += 1;
             }
+            self.trail.note(RunKnowledge::Unknown);
             let outcome = match self.send(&place, deadline).await {
                 SendResult::Answer(answer) => {
+                    self.trail.note(RunKnowledge::Ran);
                     let failed = answer.head.status.is_server_error();
                     let repeat = failed && {
                         let mut after = count;
@@ -200,6 +250,7 @@
                 SendResult::Bad(outcome) => outcome,
             };
             count.note(outcome);
+            self.trail.note(count.knowledge());
             match count.next(outcome, rule.kind, rule.most_upstreams) {
                 NextStep::Repeat | NextStep::Elsewhere => {}
                 NextStep::Refuse => return self.refuse(&count, "not run"),
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -18,7 +18,8 @@
 use super::vm_guard::OpenGuard;
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
-use super::vm_sockets::{listen, set_stream};
+use super::vm_sockets::{listen, set_stream, WatchedStream};
+use super::vm_trail::ConnectionTrail;
 use crate::coordination::vm_roster::RosterRow;
 
 /// A caller's connection may rest this much longer than the book says, in milliseconds, so
@@ -97,10 +98,12 @@
     let limits = node.book.borrow().as_ref().map(|book| book.book.limits);
     let rest_ms = limits.map_or(USUAL_REST_MS, |limits| limits.idle_ms) + REST_SLACK_MS;
     let head_bytes = limits.map_or(USUAL_HEAD_BYTES, |limits| limits.head_bytes);
+    let trail = ConnectionTrail::default();
     let service = {
-        let node = node.clone();
-        service_fn(move |request| {
+        let (node, trail) = (node.clone(), trail.clone());
+        service_fn(move |mut request: Request<Incoming>| {
             let (node, serve) = (node.clone(), serve.clone());
+            request.extensions_mut().insert(trail.clone());
             async move {
                 let answer = serve(node.clone(), request).await;
                 let stopping = node.stopping_ms.get().is_some();
@@ -109,6 +112,7 @@
         })
     };
     let _open = OpenGuard::new(&node);
+    let (stream, broken) = WatchedStream::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(rest_ms))
@@ -124,6 +128,9 @@
             let _ = connection.await;
         }
     }
+    if broken.get() {
+        trail.tell_broken(node.now_ms());
+    }
 }
 
 /// Answers whether the VM is ready.
@@ -217,7 +224,8 @@
         tokio::time::sleep(Duration::from_millis(LINGER_MS.min(grace_ms / 2))).await;
         self.closing.notify_waiters();
         let end_ms = began_ms + grace_ms.saturating_sub(GRACE_MARGIN_MS);
-        while self.connections.get() > 0 && self.now_ms() < end_ms {
+        let at_work = || self.connections.get() > 0 || self.serving.get() > 0;
+        while at_work() && self.now_ms() < end_ms {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         info!(target: "node", serving = self.serving.get(), "ends");
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -20,13 +20,14 @@
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 24] = [
+pub const FIGURES: [FigureEntry; 25] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
     ("wingshed_resumed_total", "counter", "Streams taken up at another upstream."),
     ("wingshed_cut_total", "counter", "Streams that ended before their end."),
     ("wingshed_late_total", "counter", "Answers whose first byte came after their goal."),
+    ("wingshed_left_total", "counter", "Callers that left before the whole answer."),
     ("wingshed_signs_total", "counter", "Signs against upstreams."),
     ("wingshed_serving", "gauge", "Requests that are being served."),
     ("wingshed_connections", "gauge", "Connections that are open at the listeners."),
@@ -38,7 +39,7 @@
     ("wingshed_roster", "gauge", "VMs in the roster."),
     ("wingshed_upstreams", "gauge", "Upstreams on the list, those that leave included."),
     ("wingshed_upstreams_aside", "gauge", "Upstreams that this VM has set aside."),
-    ("wingshed_list_age_ms", "gauge", "Milliseconds since the list was last told or read."),
+    ("wingshed_list_age_ms", "gauge", "Milliseconds since the list was surely the platform's."),
     ("wingshed_repeats_left", "gauge", "Repeats that this VM may still send now, by service."),
     ("wingshed_hold_ms", "gauge", "Milliseconds that a request holds an engine, by service."),
     ("wingshed_places_used", "gauge", "Percent of the engines' places that are used, by service."),
@@ -94,6 +95,7 @@
             "wingshed_resumed_total" => figures.resumed,
             "wingshed_cut_total" => figures.cut,
             "wingshed_late_total" => figures.late,
+            "wingshed_left_total" => figures.left,
             "wingshed_signs_total" => figures.signs,
             "wingshed_serving" => u64::from(self.serving.get()),
             "wingshed_connections" => u64::from(self.connections.get()),
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -12,7 +12,7 @@
 use super::vm_forward::{CallerTask, LEAST_LEFT_MS};
 use super::vm_relay::{AnswerBody, CutShort};
 use super::vm_send::{ComingBody, GoodAnswer, GoodBody, SendPlace, SendResult};
-use crate::coordination::attempt_plan::{AttemptCount, SendOutcome};
+use crate::coordination::attempt_plan::{AttemptCount, RunKnowledge, SendOutcome};
 use crate::coordination::event_splice::EventSplice;
 use crate::coordination::holder_news::HolderNote;
 use crate::state::ids::UpstreamKey;
@@ -64,7 +64,10 @@
             response
         };
         let coming = match body {
-            GoodBody::Whole(bytes) => return respond(AnswerBody::whole(bytes), headers),
+            GoodBody::Whole(bytes) => {
+                self.connection.note_answer(&self.caller.attempt, self.node.now_ms());
+                return respond(AnswerBody::whole(bytes), headers);
+            }
             GoodBody::Coming(coming) => coming,
         };
         let (pieces, body) = AnswerBody::pieces();
@@ -90,11 +93,16 @@
         mut count: AttemptCount,
     ) {
         let mut splice = resumable.then(|| EventSplice::after(self.caller.last_event.clone()));
+        self.trail.note(RunKnowledge::Begun);
         let mut tried = vec![place.upstream];
         let mut next = Some((place, coming));
         while let Some((place, coming)) = next.take() {
             match self.relay_run(&place, *coming, deadline, &pieces, splice.as_mut()).await {
-                RunEnd::Complete | RunEnd::CallerLeft => return,
+                RunEnd::Complete => {
+                    self.connection.note_answer(&self.caller.attempt, self.node.now_ms());
+                    return;
+                }
+                RunEnd::CallerLeft => return self.trail.tell_left(),
                 RunEnd::TimedOut => {
                     info!(
                         target: "request", attempt = self.caller.attempt,
