signs: upstreams that fail everybody are named by the leader

A VM sets an engine aside after three failures in a row, and each of 300 VMs meets one engine every minute or so: nobody ever sets it aside.

--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::fleet_signs::SignNote;
 use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::raft_message::RaftMessage;
 use crate::coordination::vm_roster::{RosterMark, RosterNews, RosterRow, UpstreamLoad};
 use crate::state::document_change::DocumentChange;
-use crate::state::ids::Incarnation;
+use crate::state::ids::{Incarnation, UpstreamKey};
 use crate::state::packed_text::PackedText;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
 
@@ -172,6 +173,8 @@
     pub holders: Vec<HolderNote>,
     /// What it has heard of others' such notes.
     pub holders_heard: HolderMark,
+    /// How its sends went.
+    pub signs: Vec<SignNote>,
 }
 
 /// What the leader answers, while it surely leads.
@@ -199,6 +202,8 @@
     pub holders: Vec<HolderNote>,
     /// What was heard of that with this answer.
     pub holders_heard: HolderMark,
+    /// Upstreams that fail whoever sends to them.
+    pub failing: Vec<UpstreamKey>,
 }
 
 /// Encodes a message or datagram.
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -12,6 +12,9 @@
 
 /// From this part of the bound on an engine's load VMs tell each other of loads more often.
 const PRESSED_PART: f64 = 0.75;
+/// Upstreams that fail everybody are left alone for this long after the leader named them last, in
+/// milliseconds.
+const FAILING_KEEP_MS: u64 = 1000;
 /// Under pressure a prompt is sent to so many engines of its order at most: each further one
 /// reads or moves its shared parts anew, and pushes others out of its memory. In a burst of five
 /// times the usual traffic 3 gave 0.692 of worth and all engines 0.667, on engines with 12 places 0.553
@@ -101,10 +104,13 @@
         let in_flight = node.in_flight.borrow();
         let outliers = node.outliers.borrow();
         let settings = node.settings.borrow();
+        // What was told a while ago says nothing: nobody would try them again.
+        let told = view.heard_ms + FAILING_KEEP_MS > now_ms;
+        let failing = |key| told && view.failing.contains(&key);
         let candidate = |(key, entry): (UpstreamKey, &UpstreamEntry)| UpstreamCandidate {
             key,
             load: in_flight.get(&key).copied().unwrap_or(0) + view.told.others(key),
-            aside: outliers.is_aside(key, now_ms),
+            aside: outliers.is_aside(key, now_ms) || failing(key),
             full: false,
             tried: tried.contains(&key),
             leaving: entry.leaving,
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -9,6 +9,7 @@
 use super::vm_keeper::KeeperDriver;
 use super::vm_list_news::told_age_ms;
 use super::vm_node::VmNode;
+use crate::coordination::fleet_signs::SignNote;
 use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::list_turn::UNTOLD_MS;
 use crate::coordination::vm_roster::{
@@ -17,6 +18,7 @@
 use crate::protocol::vm_wire::{
     decode, encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
 };
+use crate::state::ids::UpstreamKey;
 use crate::state::upstream_list::ListMark;
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
@@ -128,9 +130,17 @@
         let (roster, list) = (view.roster.mark, self.upstreams.borrow().mark);
         let mut desk = self.holders.borrow_mut();
         let (holders, holders_heard) = (desk.outbox.take(), desk.heard);
-        let sent_ms = now_ms;
-        let note =
-            RenewalNote { sent_ms, row, keeper, loads, roster, list, holders, holders_heard };
+        let note = RenewalNote {
+            sent_ms: now_ms,
+            row,
+            keeper,
+            loads,
+            roster,
+            list,
+            holders,
+            holders_heard,
+            signs: self.signs.borrow_mut().outbox.take(),
+        };
         view.own_told.insert(now_ms, note.loads.clone());
         view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
         encode(&VmDatagram::Renew(note))
@@ -234,6 +244,7 @@
                 let upstreams = self.upstreams.borrow();
                 let (holders, holders_heard) =
                     self.exchange_holders(keeper.term(), &note.holders, note.holders_heard, now_ms);
+                let failing = self.take_signs(keeper.term(), &note.signs, now_ms);
                 VmDatagram::Grant(GrantNote {
                     sent_ms: note.sent_ms,
                     term: keeper.term(),
@@ -250,6 +261,7 @@
                     },
                     holders,
                     holders_heard,
+                    failing,
                 })
             }
             Some(keeper) => {
@@ -285,6 +297,22 @@
         }
     }
 
+    /// Takes how a VM's sends went, as the leader, and gives those that fail everybody.
+    fn take_signs(&self, term: u64, notes: &[SignNote], now_ms: u64) -> Vec<UpstreamKey> {
+        let upstreams = self.upstreams.borrow();
+        let service = |key| upstreams.entries.get(&key).map_or("", |entry| entry.service.as_str());
+        let fleet = |key| upstreams.taking(service(key)).map(|(key, _)| key);
+        let mut desk = self.signs.borrow_mut();
+        let before = desk.table.named(now_ms);
+        desk.table.take(term, notes, fleet, now_ms);
+        let named = desk.table.named(now_ms);
+        for entry in named.iter().filter(|key| !before.contains(key)) {
+            let life = upstreams.entries.get(entry).map_or("", |entry| entry.life.as_str());
+            info!(target: "upstream", life, "fails whoever sends to it");
+        }
+        named
+    }
+
     /// Takes what a VM tells of holders, as the leader, and gives what others told.
     fn exchange_holders(
         &self,
@@ -325,6 +353,7 @@
             }
             view.roster.take(grant.roster);
             view.vms = view.roster.rows.len();
+            view.failing = grant.failing;
             let own = view.own_told.get(&grant.sent_ms).cloned().unwrap_or_default();
             let upstreams = self.upstreams.borrow();
             match grant.loads {
@@ -382,7 +411,10 @@
             let own = desk.outbox.take();
             desk.ring.take(keeper.term(), &own);
         }
+        let own_signs = self.signs.borrow_mut().outbox.take();
+        let failing = self.take_signs(keeper.term(), &own_signs, now_ms);
         let mut view = self.view.borrow_mut();
+        view.failing = failing;
         view.leader = Some(self.id);
         view.term = keeper.term();
         view.heard_ms = now_ms;
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -174,6 +174,7 @@
         let known = |key| upstreams.entries.contains_key(&key);
         self.pool.sweep(|key| known(key) || key == self.list_key(), self.now_ms());
         self.outliers.borrow_mut().sweep(known);
+        self.signs.borrow_mut().table.sweep(known);
     }
 
     fn set_list_due(&self, pause_ms: u64) {
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -25,6 +25,7 @@
 use super::vm_pool::ConnectionPool;
 use super::vm_sockets::listen;
 use crate::coordination::engine_room::ServiceRoom;
+use crate::coordination::fleet_signs::{SignOutbox, SignTable};
 use crate::coordination::holder_news::{HolderMark, HolderOutbox, HolderRing};
 use crate::coordination::leader_contact::LeaderContact;
 use crate::coordination::outlier::OutlierTable;
@@ -65,6 +66,15 @@
     pub ring: HolderRing,
 }
 
+/// How a VM's sends went, and what it was told of all VMs' while it leads.
+#[derive(Default)]
+pub struct SignDesk {
+    /// What it has to tell.
+    pub outbox: SignOutbox,
+    /// What it was told as the leader.
+    pub table: SignTable,
+}
+
 /// What a VM knows of the others.
 #[derive(Default)]
 pub struct FleetView {
@@ -80,6 +90,8 @@
     pub heard_ms: u64,
     /// What others have in flight.
     pub told: ToldLoad,
+    /// Upstreams that fail whoever sends to them, as the leader last told.
+    pub failing: Vec<UpstreamKey>,
     /// What this VM told of its own, by the time of telling.
     pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
     /// Pages of the list of upstreams, as this VM last read it.
@@ -136,6 +148,8 @@
     pub prefixes: RefCell<PrefixMemory>,
     /// Where parts are kept against the order: told and heard.
     pub holders: RefCell<HolderDesk>,
+    /// How sends went, here and elsewhere.
+    pub signs: RefCell<SignDesk>,
     /// Repeats, by service.
     pub budgets: RefCell<HashMap<String, RepeatBudget>>,
     /// Links to other VMs.
@@ -201,6 +215,7 @@
             figures_path: RefCell::default(),
             prefixes: RefCell::default(),
             holders: RefCell::default(),
+            signs: RefCell::default(),
             budgets: RefCell::default(),
             links,
             list_frame: RefCell::default(),
--- /dev/null
+++ b/lib/tests/test_fleet_signs.rs
@@ -0,0 +1,122 @@
+//! Upstreams that fail everybody, as the leader of a fleet hears of them.
+
+use wingshed_lib::coordination::fleet_signs::{
+    SignNote, SignOutbox, SignTable, FIRST_NAMED_MS, NAMED_SHARE, SIGNS_TOLD,
+};
+use wingshed_lib::state::ids::UpstreamKey;
+
+const TERM: u64 = 3;
+const BAD: UpstreamKey = UpstreamKey(7);
+
+fn fleet(_: UpstreamKey) -> impl Iterator<Item = UpstreamKey> {
+    (1..=12).map(UpstreamKey)
+}
+
+fn note(upstream: UpstreamKey, well: u16, failed: u16) -> SignNote {
+    SignNote { upstream, well, failed }
+}
+
+/// A table that was told these sends at one upstream, one a VM, 10 ms apart.
+fn told(outcomes: &[bool]) -> SignTable {
+    let mut table = SignTable::default();
+    for (at, well) in outcomes.iter().enumerate() {
+        let notes = [note(BAD, u16::from(*well), u16::from(!*well))];
+        table.take(TERM, &notes, fleet, 1000 + at as u64 * 10);
+    }
+    table
+}
+
+#[test]
+fn only_one_that_fails_nearly_all_is_named() {
+    let half: Vec<bool> = (0..100).map(|at| at % 2 == 0).collect();
+    let now_and_then: Vec<bool> = (0..100).map(|at| at % 20 != 0).collect();
+    let mostly: Vec<bool> = (0..100).map(|at| at % 5 == 0).collect();
+    let cases = [
+        ("all fail", vec![false; 6], true),
+        ("too few to say", vec![false; 3], false),
+        ("four in five fail: it keeps and serves", mostly, false),
+        ("half", half, false),
+        ("now and then", now_and_then, false),
+        ("well", vec![true; 50], false),
+    ];
+    for (case, outcomes, named) in cases {
+        let table = told(&outcomes);
+
+        assert_eq!(table.named(2200) == [BAD], named, "{case}");
+    }
+}
+
+#[test]
+fn failures_that_are_long_ago_name_nobody() {
+    let mut table = SignTable::default();
+    for at in 0..20 {
+        table.take(TERM, &[note(BAD, 0, 1)], fleet, 1000 + at * 2000);
+    }
+    assert!(table.named(41_000).is_empty(), "one every 2 s");
+}
+
+#[test]
+fn a_name_holds_twice_as_long_each_time_until_it_serves_again() {
+    let mut table = told(&[false; 6]);
+    // The fourth named it.
+    let mut now_ms = 1030;
+    for times in 0..3 {
+        let until_ms = now_ms + (FIRST_NAMED_MS << times);
+        table.take(TERM, &[note(BAD, 0, 9)], fleet, now_ms + 100);
+        assert_eq!(table.named(until_ms - 1), [BAD], "named {times} times before");
+        assert!(table.named(until_ms).is_empty(), "and tried again after it");
+        now_ms = until_ms + 10;
+        table.take(TERM, &[note(BAD, 0, 2)], fleet, now_ms);
+    }
+    let tried_ms = now_ms + (FIRST_NAMED_MS << 3) + 10;
+
+    table.take(TERM, &[note(BAD, 9, 0)], fleet, tried_ms);
+    table.take(TERM, &[note(BAD, 0, 5)], fleet, tried_ms + 20_000);
+
+    assert!(table.named(tried_ms + 20_000 + FIRST_NAMED_MS).is_empty(), "as at first");
+}
+
+#[test]
+fn at_most_a_part_of_a_service_is_named() {
+    let mut table = SignTable::default();
+    for upstream in 1..=12 {
+        table.take(TERM, &[note(UpstreamKey(upstream), 0, 10)], fleet, 1000);
+    }
+    assert_eq!(table.named(1001).len(), (12.0 * NAMED_SHARE) as usize);
+}
+
+#[test]
+fn another_term_knows_nothing_of_earlier_ones() {
+    let mut table = told(&[false; 6]);
+    table.take(TERM + 1, &[], fleet, 1100);
+    assert!(table.named(1100).is_empty());
+}
+
+#[test]
+fn a_vm_tells_each_outcome_once_in_bounded_notes() {
+    let mut outbox = SignOutbox::default();
+    for upstream in 0..SIGNS_TOLD as u64 + 5 {
+        outbox.note(UpstreamKey(upstream), upstream % 2 == 0);
+    }
+    outbox.note(UpstreamKey(0), false);
+
+    let (first, second, third) = (outbox.take(), outbox.take(), outbox.take());
+
+    assert_eq!(first[0], note(UpstreamKey(0), 1, 1));
+    assert_eq!((first.len(), second.len(), third.len()), (SIGNS_TOLD, 5, 0));
+}
+
+#[test]
+fn three_hundred_vms_leave_a_broken_engine_after_some_failures_in_all() {
+    // Each VM by itself needs three failures in a row: 900 failed requests in all.
+    let mut table = SignTable::default();
+    let (mut failed, mut vm) = (0, 0);
+    for now_ms in (1000..3000).step_by(5) {
+        vm = (vm + 1) % 300;
+        if table.named(now_ms).is_empty() {
+            failed += 1;
+            table.take(TERM, &[note(BAD, 0, 1)], fleet, now_ms + 1);
+        }
+    }
+    assert!(failed <= 5, "{failed} requests failed in 2 s");
+}
