loads: told by the upstreams in use

Ruled out: lists and configurations (told by steps; the rate is the same through calm seconds).

Change: zeros are counted where that is shorter.

--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -14,6 +14,7 @@
 use crate::state::ids::{Incarnation, UpstreamKey};
 use crate::state::packed_text::PackedText;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
+use crate::state::zero_runs::pack_zeros;
 
 /// The largest frame, in bytes: a document of the largest size and its frame.
 pub const LARGEST_FRAME: usize = 16 << 20;
@@ -94,10 +95,23 @@
     /// One byte an upstream, in the order of the list that the asker holds too: with a thousand
     /// upstreams a keyed row each is more than a link of a small VM takes.
     Placed(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// The same with its zeros counted, where that is shorter.
+    Runs(#[serde(with = "serde_bytes")] Vec<u8>),
     /// By key, for an asker with another state of the list.
     Keyed(Vec<UpstreamLoad>),
 }
 
+impl LoadNews {
+    /// The shorter way to tell one byte an upstream.
+    pub fn placed(sums: Vec<u8>) -> LoadNews {
+        let runs = pack_zeros(&sums);
+        match runs.len() < sums.len() {
+            true => LoadNews::Runs(runs),
+            false => LoadNews::Placed(sums),
+        }
+    }
+}
+
 /// What travels as a datagram.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum VmDatagram {
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -19,3 +19,4 @@
 pub mod upstream_list;
 pub mod vm_figures;
 pub mod vm_settings;
+pub mod zero_runs;
--- /dev/null
+++ b/lib/src/state/zero_runs.rs
@@ -0,0 +1,38 @@
+//! Bytes most of which are zero, told short.
+//!
+//! A leader tells each VM one byte for each upstream three times a second. Before 3,000 upstreams that
+//! is 3 KB an answer and most of a leader's 4.4 MB a second at 300 VMs, though few of them have anything
+//! in flight. Here each byte that isn't zero comes with the number of zeros before it.
+
+/// The most zeros that one pair tells.
+const LONGEST_RUN: usize = u8::MAX as usize;
+
+/// The bytes as pairs of a number of zeros and the byte after them. Zeros at the end aren't told.
+pub fn pack_zeros(bytes: &[u8]) -> Vec<u8> {
+    let mut packed = Vec::new();
+    let mut zeros = 0;
+    for byte in bytes {
+        if *byte == 0 && zeros < LONGEST_RUN {
+            zeros += 1;
+            continue;
+        }
+        packed.extend([zeros as u8, *byte]);
+        zeros = 0;
+    }
+    packed
+}
+
+/// The bytes of which [`pack_zeros`] made `packed`; `None` when they would be more than `length`.
+pub fn unpack_zeros(packed: &[u8], length: usize) -> Option<Vec<u8>> {
+    let mut bytes = Vec::with_capacity(length);
+    for pair in packed.chunks(2) {
+        let [zeros, byte] = pair else { return None };
+        bytes.resize(bytes.len() + usize::from(*zeros), 0);
+        bytes.push(*byte);
+        if bytes.len() > length {
+            return None;
+        }
+    }
+    bytes.resize(length, 0);
+    Some(bytes)
+}
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -21,6 +21,7 @@
 };
 use crate::state::ids::UpstreamKey;
 use crate::state::upstream_list::ListMark;
+use crate::state::zero_runs::unpack_zeros;
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
 const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
@@ -254,7 +255,7 @@
                     roster: roster_news(keeper, note.roster, now_ms),
                     loads: match note.list == upstreams.mark {
                         true => {
-                            LoadNews::Placed(keeper.roster.placed_loads(upstreams.entries.keys()))
+                            LoadNews::placed(keeper.roster.placed_loads(upstreams.entries.keys()))
                         }
                         false => LoadNews::Keyed(keeper.roster.loads()),
                     },
@@ -360,8 +361,14 @@
                 LoadNews::Placed(sums) if grant.list == upstreams.mark => {
                     view.told.tell_placed(upstreams.entries.keys(), &sums, &own);
                 }
+                LoadNews::Runs(runs) if grant.list == upstreams.mark => {
+                    match unpack_zeros(&runs, upstreams.entries.len()) {
+                        Some(sums) => view.told.tell_placed(upstreams.entries.keys(), &sums, &own),
+                        None => debug!(target: "contact", "loads of another list"),
+                    }
+                }
                 // The list has changed since the renewal was sent; the next answer will fit.
-                LoadNews::Placed(_) => {}
+                LoadNews::Placed(_) | LoadNews::Runs(_) => {}
             }
         }
         self.contact.borrow_mut().note_grant(grant.sent_ms, grant.version);
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -12,9 +12,11 @@
     addresses_ttl_s, seek_pause_ms, RosterCopy, RosterMark, RosterRow, ToldLoad, UpstreamLoad,
     VmRoster, RENEW_MS, ROW_KEEP_MS,
 };
+use wingshed_lib::protocol::vm_wire::LoadNews;
 use wingshed_lib::state::document_change::DocumentChange;
 use wingshed_lib::state::ids::UpstreamKey;
 use wingshed_lib::state::upstream_list::{ListMark, ListStep, UpstreamEntry, UpstreamList};
+use wingshed_lib::state::zero_runs::{pack_zeros, unpack_zeros};
 
 fn entry(number: u16, leaving: bool) -> UpstreamEntry {
     UpstreamEntry {
@@ -460,7 +462,36 @@
     };
 }
 
+#[test]
+fn loads_of_many_upstreams_are_told_by_those_in_use() {
+    let mut sums = vec![0; 3000];
+    (0..300).for_each(|at| sums[at * 10 + at % 7] = 1 + (at % 4) as u8);
+
+    let told = LoadNews::placed(sums.clone());
+
+    // One byte an upstream before: 3,000.
+    let LoadNews::Runs(runs) = told else { panic!("{told:?}") };
+    assert_eq!(runs.len(), 600);
+    assert_eq!(unpack_zeros(&runs, 3000), Some(sums));
+    let busy = vec![2; 250];
+    assert!(matches!(LoadNews::placed(busy.clone()), LoadNews::Placed(told) if told == busy));
+}
+
+#[test]
+fn runs_that_fit_no_list_are_no_loads() {
+    assert_eq!(unpack_zeros(&[3, 1], 3), None, "longer than the list");
+    assert_eq!(unpack_zeros(&[3], 9), None, "half a pair");
+    assert_eq!(unpack_zeros(&[], 2), Some(vec![0, 0]));
+}
+
 proptest! {
+    #[test]
+    fn any_loads_come_back_from_their_runs(
+        sums in proptest::collection::vec(prop_oneof![9 => Just(0u8), 1 => any::<u8>()], 0..2000),
+    ) {
+        prop_assert_eq!(unpack_zeros(&pack_zeros(&sums), sums.len()), Some(sums));
+    }
+
     #[test]
     fn whatever_is_lost_one_question_ends_with_what_the_leader_holds(
         happenings in happenings(),
