contact: a leader that granted itself first tells that it leads, too

Cause, by reading: what kept a leader from telling twice was the term that it also notes when it grants itself; where that came first, nobody was told and VMs found it by asking. Change: a mark of its own.

--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -68,10 +68,9 @@
             Some(keeper) if keeper.may_vouch(now_ms) => keeper.term(),
             _ => return,
         };
-        if self.view.borrow().term >= term {
+        if std::mem::replace(&mut self.view.borrow_mut().told_term, term) == term {
             return;
         }
-        self.view.borrow_mut().term = term;
         let bytes = encode(&VmDatagram::Leads { term });
         let known: Vec<VmId> = {
             let mut seekers = self.seekers.borrow_mut();
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -98,6 +98,8 @@
     pub list_pages: usize,
     /// The term of the last leader that answered.
     pub term: u64,
+    /// The last term in which this VM told the others that it leads.
+    pub told_term: u64,
     /// How many VMs there are, as whoever answered last knew.
     pub vms: usize,
     /// When the list of upstreams should be read again, by whoever reads it.
