--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -152,7 +152,7 @@
     pub version_age_ms: u32,
 }
 
-/// What a VM that doesn't lead knows, as of the question it answers. The ages are those at which the
+/// What a VM knows, as of the question that it answers. The ages are those at which the
 /// question came, so that together with its time they prove something at the asker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerNote {
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -257,7 +257,7 @@
     }
 
     /// Notes how a send went, for the leader.
-    pub(super) fn signs_note(&self, upstream: UpstreamKey, went_well: bool) {
+    pub(super) fn note_outcome(&self, upstream: UpstreamKey, went_well: bool) {
         self.node.signs.borrow_mut().outbox.note(upstream, went_well);
     }
 
@@ -277,7 +277,7 @@
             UpstreamSign::Silent => outliers.note_dead(upstream, fleet, ASIDE_SHARE, now_ms),
             UpstreamSign::Failure => outliers.note_failure(upstream, fleet, ASIDE_SHARE, now_ms),
         }
-        self.signs_note(upstream, false);
+        self.note_outcome(upstream, false);
         info!(
             target: "upstream", life = entry.life, attempt = self.caller.attempt,
             aside = outliers.is_aside(upstream, now_ms), "{what}",
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -49,7 +49,7 @@
             }
         }
         if matches!(answer.body, GoodBody::Whole(_)) || !answer.head.status.is_success() {
-            self.signs_note(place.upstream, answer.head.status.is_success());
+            self.note_outcome(place.upstream, answer.head.status.is_success());
         }
         self.node.figures.borrow_mut().note_end(match answer.head.status.is_server_error() {
             true => RequestEnd::UpstreamFailed,
@@ -210,7 +210,7 @@
             }
         }
         self.node.outliers.borrow_mut().note_success(place.upstream);
-        self.signs_note(place.upstream, true);
+        self.note_outcome(place.upstream, true);
         lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
         RunEnd::Complete
     }
