reading: what others tell of the list's age and of loads is taken in one place

Cause, by reading the change: an answer's proof of the list's age was worked out alike for a leader's answer and for another VM's; loads told by place had two arms that differ by their packing; and a leader gathered the named upstreams twice for each of some 1,000 renewals a second, only to log what is new.

Ruled out: one check for keys and for a known newer version (their bounds and what they need differ), one function for writing files with the log's store (its errors name what the log was doing).

Change: `take_list_age`, `LoadNews::into_sums`, and `SignTable::take` returns what it names. Nothing is decided otherwise; no test is changed.

--- a/lib/src/coordination/fleet_signs.rs
+++ b/lib/src/coordination/fleet_signs.rs
@@ -101,16 +101,18 @@
 
 impl SignTable {
     /// Takes what a VM told the leader of `term`; `fleet` gives the upstreams of the service of one.
+    /// Returns those that are named by it.
     pub fn take<F: Iterator<Item = UpstreamKey>>(
         &mut self,
         term: u64,
         notes: &[SignNote],
         fleet: impl Fn(UpstreamKey) -> F,
         now_ms: u64,
-    ) {
+    ) -> Vec<UpstreamKey> {
         if term != self.term {
             *self = SignTable { term, ..SignTable::default() };
         }
+        let mut fresh = Vec::new();
         for note in notes {
             let row = self.rows.entry(note.upstream).or_default();
             if row.named_until_ms > now_ms {
@@ -124,30 +126,34 @@
                 row.times = 0;
             }
             let least = if row.times > 0 { LEAST_FAILED_AGAIN } else { LEAST_FAILED };
-            if row.failed >= least && row.well <= WELL_BORNE * row.failed {
-                self.name(note.upstream, fleet(note.upstream), now_ms);
+            let fails = row.failed >= least && row.well <= WELL_BORNE * row.failed;
+            if fails && self.name(note.upstream, fleet(note.upstream), now_ms) {
+                fresh.push(note.upstream);
             }
         }
+        fresh
     }
 
+    /// Names one, unless too many of its service are named; true when it did.
     fn name(
         &mut self,
         upstream: UpstreamKey,
         fleet: impl Iterator<Item = UpstreamKey>,
         now_ms: u64,
-    ) {
+    ) -> bool {
         let (mut all, mut named) = (0, 0);
         for other in fleet {
             all += 1;
             named += usize::from(self.is_named(other, now_ms));
         }
         if named + 1 > (f64::from(all) * NAMED_SHARE) as usize {
-            return;
+            return false;
         }
         let row = self.rows.entry(upstream).or_default();
         row.named_until_ms = now_ms + (FIRST_NAMED_MS << row.times.min(MOST_DOUBLINGS));
         row.times += 1;
         (row.well, row.failed) = (0.0, 0.0);
+        true
     }
 
     fn is_named(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -14,7 +14,7 @@
 use crate::state::ids::{Incarnation, UpstreamKey};
 use crate::state::packed_text::PackedText;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
-use crate::state::zero_runs::pack_zeros;
+use crate::state::zero_runs::{pack_zeros, unpack_zeros};
 
 /// The largest frame, in bytes: a document of the largest size and its frame.
 pub const LARGEST_FRAME: usize = 16 << 20;
@@ -110,6 +110,15 @@
             false => LoadNews::Placed(sums),
         }
     }
+
+    /// One byte for each of so many upstreams; `None` when they are told by key, or of another list.
+    pub fn into_sums(self, upstreams: usize) -> Option<Vec<u8>> {
+        match self {
+            LoadNews::Placed(sums) => Some(sums),
+            LoadNews::Runs(runs) => unpack_zeros(&runs, upstreams),
+            LoadNews::Keyed(_) => None,
+        }
+    }
 }
 
 /// What travels as a datagram.
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -21,7 +21,6 @@
 };
 use crate::state::ids::UpstreamKey;
 use crate::state::upstream_list::ListMark;
-use crate::state::zero_runs::unpack_zeros;
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
 const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
@@ -305,14 +304,11 @@
         let service = |key| upstreams.entries.get(&key).map_or("", |entry| entry.service.as_str());
         let fleet = |key| upstreams.taking(service(key)).map(|(key, _)| key);
         let mut desk = self.signs.borrow_mut();
-        let before = desk.table.named(now_ms);
-        desk.table.take(term, notes, fleet, now_ms);
-        let named = desk.table.named(now_ms);
-        for entry in named.iter().filter(|key| !before.contains(key)) {
-            let life = upstreams.entries.get(entry).map_or("", |entry| entry.life.as_str());
+        for key in desk.table.take(term, notes, fleet, now_ms) {
+            let life = upstreams.entries.get(&key).map_or("", |entry| entry.life.as_str());
             info!(target: "upstream", life, "fails whoever sends to it");
         }
-        named
+        desk.table.named(now_ms)
     }
 
     /// Takes what a VM tells of holders, as the leader, and gives what others told.
@@ -340,7 +336,7 @@
         let now_ms = self.now_ms();
         self.learn_holders(&grant.holders, now_ms);
         self.holders.borrow_mut().heard = grant.holders_heard;
-        self.take_told_list(&grant);
+        self.take_list_age(grant.list, grant.sent_ms, grant.list_age_ms);
         {
             let mut view = self.view.borrow_mut();
             if view.leader != Some(from) {
@@ -360,11 +356,8 @@
             let upstreams = self.upstreams.borrow();
             match grant.loads {
                 LoadNews::Keyed(loads) => view.told.tell(&loads, &own),
-                LoadNews::Placed(sums) if grant.list == upstreams.mark => {
-                    view.told.tell_placed(upstreams.entries.keys(), &sums, &own);
-                }
-                LoadNews::Runs(runs) if grant.list == upstreams.mark => {
-                    match unpack_zeros(&runs, upstreams.entries.len()) {
+                placed if grant.list == upstreams.mark => {
+                    match placed.into_sums(upstreams.entries.len()) {
                         Some(sums) => view.told.tell_placed(upstreams.entries.keys(), &sums, &own),
                         None => debug!(target: "contact", "loads of another list"),
                     }
@@ -385,16 +378,6 @@
         self.tell_askers();
     }
 
-    /// What a leader tells of the age of its list.
-    fn take_told_list(&self, grant: &GrantNote) {
-        let mut upstreams = self.upstreams.borrow_mut();
-        upstreams.hear(grant.list);
-        if grant.list_age_ms < u32::MAX {
-            let news_ms = grant.sent_ms.saturating_sub(u64::from(grant.list_age_ms));
-            upstreams.confirm(grant.list, news_ms);
-        }
-    }
-
     /// Asks for the newest document at any keeper, since each holds what is committed: after a
     /// common restart all VMs ask, and 70 large documents are seconds of one leader's link, in
     /// which it can neither read the list nor be heard. One that lags is asked again elsewhere.
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -152,14 +152,9 @@
     /// Takes what another VM knows.
     pub(super) fn take_peer_news(&self, from: VmId, note: PeerNote) {
         let now_ms = self.now_ms();
-        let proved_ms = |age_ms: u32| note.sent_ms.saturating_sub(u64::from(age_ms));
-        self.upstreams.borrow_mut().hear(note.list);
-        if note.list_age_ms < u32::MAX {
-            let news_ms = proved_ms(note.list_age_ms);
-            self.upstreams.borrow_mut().confirm(note.list, news_ms);
-        }
+        self.take_list_age(note.list, note.sent_ms, note.list_age_ms);
         if note.version > 0 && note.version_age_ms < u32::MAX {
-            let sent_ms = proved_ms(note.version_age_ms);
+            let sent_ms = note.sent_ms.saturating_sub(u64::from(note.version_age_ms));
             self.contact.borrow_mut().note_grant(sent_ms, note.version);
             if self.contact.borrow_mut().wants_document(note.version, now_ms) {
                 self.ask_document(from);
@@ -172,6 +167,16 @@
         self.tell_askers();
     }
 
+    /// Another VM answered a question of `sent_ms` that it held the state `mark` then, and how long
+    /// before that was surely the platform's.
+    pub(super) fn take_list_age(&self, mark: ListMark, sent_ms: u64, age_ms: u32) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        upstreams.hear(mark);
+        if age_ms < u32::MAX {
+            upstreams.confirm(mark, sent_ms.saturating_sub(u64::from(age_ms)));
+        }
+    }
+
     /// Asks for a newer state of the list, unless that was done a moment ago. A VM that holds none
     /// takes the whole from any keeper, since after a common restart all do; `holder` has it surely.
     pub(super) fn want_list(&self, holder: VmId, now_ms: u64) {
