silence: dark upstreams are found by few VMs and known to all

Cause: each VM learns alone which engine is dark: 83 VMs waited 400 ms for 1,776 connections, and 2.5 s for 1,169 requests on open ones; 702 callers got 502 though nothing had reached a server. Change: connections are waited for as long as connecting takes; who waits for an answer tries to connect; doubts go to the leader, which tries by itself and tells all VMs; requests that may repeat leave a dark upstream at once.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -41,6 +41,7 @@
 pub mod retry;
 pub mod router_lease;
 pub mod session_watch;
+pub mod silence;
 pub mod trace;
 pub mod upstream_choice;
 pub mod upstream_seats;
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -159,6 +159,13 @@
         /// Its term.
         term: u64,
     },
+    /// The leader tells which upstreams are dark; see `silence`.
+    Dark {
+        /// Its term.
+        term: u64,
+        /// All of them.
+        upstreams: Vec<UpstreamKey>,
+    },
     /// To any VM: what do you know that I don't?
     AskNews(NewsAsk),
     /// Its answer, at once or when it knows more.
@@ -217,6 +224,8 @@
     pub signs: Vec<SignNote>,
     /// How many orders of zones it knows of.
     pub zone_orders: u64,
+    /// Upstreams that it could not reach.
+    pub doubts: Vec<UpstreamKey>,
 }
 
 /// What the leader answers, while it surely leads.
@@ -248,6 +257,8 @@
     pub failing: Vec<UpstreamKey>,
     /// The last orders of zones, unless the asker knows of as many.
     pub zones: Option<ZoneOrders>,
+    /// Upstreams that are dark.
+    pub dark: Vec<UpstreamKey>,
 }
 
 /// Encodes a message or datagram.
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -41,6 +41,7 @@
 pub mod vm_pool;
 pub mod vm_relay;
 mod vm_send;
+mod vm_silence;
 pub mod vm_sockets;
 mod vm_stream;
 mod vm_trail;
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -122,7 +122,7 @@
         let candidate = |(key, entry): (UpstreamKey, &UpstreamEntry)| UpstreamCandidate {
             key,
             load: in_flight.get(&key).copied().unwrap_or(0) + view.told.others(key),
-            aside: outliers.is_aside(key, now_ms) || failing(key),
+            aside: outliers.is_aside(key, now_ms) || failing(key) || node.is_dark(key),
             full: false,
             tried: tried.contains(&key),
             leaving: entry.leaving,
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -139,6 +139,7 @@
             holders_heard,
             signs: self.signs.borrow_mut().outbox.take(),
             zone_orders: self.zones.borrow().watch.orders.taken(),
+            doubts: self.silence.borrow_mut().view.take_doubts(),
         };
         view.own_told.insert(now_ms, note.loads.clone());
         view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
@@ -210,6 +211,11 @@
             VmDatagram::Renew(note) => self.answer_renewal(from, note),
             VmDatagram::Grant(grant) => self.take_grant(from, grant),
             VmDatagram::Leads { term } => self.take_leadership(from, term),
+            VmDatagram::Dark { term, upstreams } => {
+                if term >= self.view.borrow().term {
+                    self.take_dark(upstreams);
+                }
+            }
             VmDatagram::AskNews(ask) => self.answer_ask(from, ask),
             VmDatagram::PeerNews(note) => self.take_peer_news(from, note),
             VmDatagram::Elsewhere { leader, keepers, vms } => {
@@ -244,6 +250,7 @@
                 let (holders, holders_heard) =
                     self.exchange_holders(keeper.term(), &note.holders, note.holders_heard, now_ms);
                 let failing = self.take_signs(keeper.term(), &note.signs, now_ms);
+                self.take_doubts(keeper.term(), from, &note.doubts);
                 VmDatagram::Grant(GrantNote {
                     sent_ms: note.sent_ms,
                     term: keeper.term(),
@@ -263,6 +270,7 @@
                     failing,
                     zones: (keeper.record.zones.taken() != note.zone_orders)
                         .then(|| keeper.record.zones.clone()),
+                    dark: self.silence.borrow().table.dark(),
                 })
             }
             Some(keeper) => {
@@ -300,6 +308,9 @@
 
     /// Takes how a VM's sends went, as the leader, and gives those that fail everybody.
     fn take_signs(&self, term: u64, notes: &[SignNote], now_ms: u64) -> Vec<UpstreamKey> {
+        for note in notes.iter().filter(|note| note.well > 0) {
+            self.silence.borrow_mut().table.heard(note.upstream, note.well, now_ms);
+        }
         if !names_failing(self.view.borrow().vms) {
             return Vec::new();
         }
@@ -340,6 +351,7 @@
         self.learn_holders(&grant.holders, now_ms);
         self.holders.borrow_mut().heard = grant.holders_heard;
         self.take_list_age(grant.list, grant.sent_ms, grant.list_age_ms);
+        self.take_dark(grant.dark);
         if let Some(orders) = grant.zones {
             self.take_zones(orders);
         }
@@ -410,6 +422,8 @@
         }
         let own_signs = self.signs.borrow_mut().outbox.take();
         let failing = self.take_signs(keeper.term(), &own_signs, now_ms);
+        let doubts = self.silence.borrow_mut().view.take_doubts();
+        self.take_doubts(keeper.term(), self.id, &doubts);
         let mut view = self.view.borrow_mut();
         view.failing = failing;
         view.leader = Some(self.id);
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -176,6 +176,9 @@
         self.outliers.borrow_mut().sweep(known);
         self.signs.borrow_mut().table.sweep(known);
         self.zones.borrow_mut().cold.sweep(known);
+        let mut silence = self.silence.borrow_mut();
+        silence.table.sweep(known);
+        silence.view.sweep(known);
     }
 
     fn set_list_due(&self, pause_ms: u64) {
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -20,7 +20,7 @@
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 25] = [
+pub const FIGURES: [FigureEntry; 27] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -39,6 +39,8 @@
     ("wingshed_roster", "gauge", "VMs in the roster."),
     ("wingshed_upstreams", "gauge", "Upstreams on the list, those that leave included."),
     ("wingshed_upstreams_aside", "gauge", "Upstreams that this VM has set aside."),
+    ("wingshed_upstreams_dark", "gauge", "Upstreams that nobody reaches, as the leader tells."),
+    ("wingshed_zones_emptied", "gauge", "Zones to which nothing more is sent."),
     ("wingshed_list_age_ms", "gauge", "Milliseconds since the list was surely the platform's."),
     ("wingshed_repeats_left", "gauge", "Repeats that this VM may still send now, by service."),
     ("wingshed_hold_ms", "gauge", "Milliseconds that a request holds an engine, by service."),
@@ -103,6 +105,11 @@
             "wingshed_ready" => u64::from(self.is_ready()),
             "wingshed_version" => self.contact.borrow().applied(),
             "wingshed_contact_age_ms" => self.contact.borrow().age_ms(now_ms),
+            "wingshed_upstreams_dark" => self.silence.borrow().view.told(now_ms).len() as u64,
+            "wingshed_zones_emptied" => {
+                let zones = self.zones.borrow();
+                zones.watch.orders.rows().iter().filter(|row| row.emptied).count() as u64
+            }
             "wingshed_leader_silent_ms" => now_ms.saturating_sub(self.view.borrow().heard_ms),
             "wingshed_roster" => self.view.borrow().roster.rows.len() as u64,
             "wingshed_upstreams" => upstreams.entries.len() as u64,
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -23,6 +23,7 @@
 use super::vm_links::{accept_links, LinkTable};
 use super::vm_list_news::ListDesk;
 use super::vm_pool::ConnectionPool;
+use super::vm_silence::SilenceDesk;
 use super::vm_sockets::listen;
 use super::vm_zones::{ZoneDesk, ZoneVerdict};
 use crate::coordination::engine_room::ServiceRoom;
@@ -155,6 +156,10 @@
     pub signs: RefCell<SignDesk>,
     /// Zones that are emptied, and cold upstreams.
     pub zones: RefCell<ZoneDesk>,
+    /// Upstreams that are silent.
+    pub silence: RefCell<SilenceDesk>,
+    /// Told when others are silent than before.
+    pub silence_changed: Notify,
     /// Repeats, by service.
     pub budgets: RefCell<HashMap<String, RepeatBudget>>,
     /// Links to other VMs.
@@ -222,6 +227,8 @@
             holders: RefCell::default(),
             signs: RefCell::default(),
             zones: RefCell::default(),
+            silence: RefCell::default(),
+            silence_changed: Notify::new(),
             budgets: RefCell::default(),
             links,
             list_frame: RefCell::default(),
@@ -511,6 +518,9 @@
         spawn_local(self.clone().take_datagrams());
         self.start_keeper()?;
         spawn_local(self.clone().tick_keeper());
+        if settings.data_folder.is_some() {
+            spawn_local(self.clone().watch_silence());
+        }
         spawn_local(self.clone().keep_contact());
         spawn_local(self.clone().keep_list());
         info!(
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -4,7 +4,7 @@
 //! it closes the connection at once, which is how an upstream learns that its caller
 //! has left.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -17,14 +17,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::vm_sockets::set_stream;
+use crate::coordination::silence::ConnectPatience;
 use crate::state::ids::UpstreamKey;
 
-/// A connection that isn't up after this long is given up: nothing was sent, so another
-/// upstream can still be asked.
-pub const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// How long a resting connection is kept when the upstream doesn't say, in milliseconds.
 const USUAL_REST_MS: u64 = 4000;
 /// A connection is left alone this long before the upstream would close it, in milliseconds.
@@ -51,6 +49,7 @@
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
     resting: Rc<RefCell<HashMap<UpstreamKey, Vec<RestingConnection>>>>,
+    patience: Rc<Cell<ConnectPatience>>,
 }
 
 /// A connection in use. Dropping it closes the connection.
@@ -93,19 +92,25 @@
         None
     }
 
-    /// A new connection to the upstream.
+    /// A new connection to the upstream. One that isn't up after some times what connecting takes is
+    /// given up: nothing was sent, so another upstream can still be asked.
     pub async fn connect(
         &self,
         upstream: UpstreamKey,
         address: SocketAddr,
     ) -> Result<ConnectionLease, ConnectFault> {
-        let stream = match timeout(CONNECT_TIME, TcpStream::connect(address)).await {
+        let wait = Duration::from_millis(self.patience.get().wait_ms());
+        let began = Instant::now();
+        let stream = match timeout(wait, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Err(ConnectFault::NobodyListens)
             }
             Ok(Err(_)) | Err(_) => return Err(ConnectFault::NoAnswer),
         };
+        let mut patience = self.patience.get();
+        patience.note(began.elapsed().as_secs_f64() * 1000.0);
+        self.patience.set(patience);
         set_stream(&stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -16,6 +16,7 @@
 use super::vm_guard::{EnginePlace, FlightGuard};
 use super::vm_node::BookInForce;
 use super::vm_pool::{ConnectFault, ConnectionLease};
+use super::vm_silence::Waited;
 use crate::coordination::attempt_plan::SendOutcome;
 use crate::coordination::upstream_choice::UpstreamPick;
 use crate::protocol::wire_adapter::{UpstreamAnswer, UpstreamSend};
@@ -119,6 +120,7 @@
             workspace: place.send.workspace.clone(),
         });
         let guard = FlightGuard::new(&self.node, place.upstream, engine_place);
+        let may_repeat = place.book.book.routes[place.route].kind.may_repeat();
         let mut fresh = false;
         for _ in 0..STALE_CONNECTIONS {
             let lease = match fresh {
@@ -131,6 +133,7 @@
             let mut lease = match lease {
                 Ok(lease) => lease,
                 Err(fault) => {
+                    self.node.note_connect(place.upstream, Some(fault));
                     self.note_fault(place.upstream, fault);
                     return SendResult::Bad(SendOutcome::NotSent);
                 }
@@ -138,18 +141,26 @@
             fresh = true;
             let request = self.upstream_request(place);
             let sent = lease.sender().try_send_request(request);
-            match timeout_at(deadline, sent).await {
-                Ok(Ok(answer)) => {
+            let at = (place.upstream, place.address);
+            match self.node.wait_for(at, sent, deadline, may_repeat).await {
+                Waited::Done(Ok(answer)) => {
                     return self.check_answer(place, answer, lease, guard, deadline).await
                 }
-                Ok(Err(mut error)) => {
+                Waited::Done(Err(mut error)) => {
                     if error.take_message().is_some() {
                         continue;
                     }
                     self.note_failure(place.upstream, "broken");
                     return SendResult::Bad(SendOutcome::Broken);
                 }
-                Err(_) => {
+                Waited::Dark => {
+                    info!(
+                        target: "upstream", life = place.send.life,
+                        attempt = self.caller.attempt, "is dark, is not waited for",
+                    );
+                    return SendResult::Bad(SendOutcome::Broken);
+                }
+                Waited::TimedOut => {
                     self.note_failure(place.upstream, "silent");
                     return SendResult::Bad(SendOutcome::TimedOut);
                 }
--- /dev/null
+++ b/lib/src/transport/vm_silence.rs
@@ -0,0 +1,191 @@
+//! Waiting for upstreams that may be silent: who tries to reach them, and who is told.
+//!
+//! Invariant: a try is a connection and nothing more, so that it runs nothing anywhere; one that comes
+//! up is kept for the next request. See `docs/design/silence.md`.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, Instant};
+use tracing::info;
+
+use super::vm_node::VmNode;
+use super::vm_pool::ConnectFault;
+use crate::coordination::silence::{SilenceTable, SilenceView};
+use crate::protocol::vm_wire::{encode, VmDatagram, VmId};
+use crate::state::ids::UpstreamKey;
+
+/// An upstream that says nothing for this long while it owes an answer is tried.
+const TRY_AFTER: Duration = Duration::from_millis(250);
+/// Doubts are told at once, but renewals that they cause are at least this far apart, in milliseconds.
+const TELL_MS: u64 = 60;
+/// How often a leader looks which upstreams to try, and tells what has changed.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What a VM knows of silent upstreams, and what all told it while it leads.
+#[derive(Default)]
+pub struct SilenceDesk {
+    /// What it knows.
+    pub view: SilenceView,
+    /// What it was told as the leader.
+    pub table: SilenceTable,
+    /// What it told last as the leader.
+    told: Vec<UpstreamKey>,
+    /// When it last renewed for a doubt.
+    renewed_ms: u64,
+}
+
+/// What came of waiting for an upstream.
+pub(super) enum Waited<T> {
+    /// It said something, or its connection ended.
+    Done(T),
+    /// The time was over.
+    TimedOut,
+    /// It is dark.
+    Dark,
+}
+
+impl VmNode {
+    /// Waits for something that an upstream owes, and tries whether it can be reached when it says
+    /// nothing. Gives up on a dark one only if `may_leave`: else it may still be at work.
+    pub(super) async fn wait_for<T>(
+        self: &Rc<Self>,
+        (upstream, address): (UpstreamKey, SocketAddr),
+        owed: impl Future<Output = T>,
+        deadline: Instant,
+        may_leave: bool,
+    ) -> Waited<T> {
+        tokio::pin!(owed);
+        let mut try_at = Instant::now() + TRY_AFTER;
+        loop {
+            let changed = self.silence_changed.notified();
+            if may_leave && self.is_dark(upstream) {
+                return Waited::Dark;
+            }
+            tokio::select! {
+                biased;
+                done = owed.as_mut() => return Waited::Done(done),
+                () = sleep_until(deadline) => return Waited::TimedOut,
+                () = sleep_until(try_at) => {
+                    try_at += TRY_AFTER;
+                    self.try_upstream(upstream, address);
+                }
+                () = changed => {}
+            }
+        }
+    }
+
+    /// Whether an upstream is dark, as far as this VM knows.
+    pub(super) fn is_dark(&self, upstream: UpstreamKey) -> bool {
+        self.silence.borrow().view.is_dark(upstream, self.now_ms())
+    }
+
+    /// A connection to an upstream came up, or didn't.
+    pub(super) fn note_connect(&self, upstream: UpstreamKey, fault: Option<ConnectFault>) {
+        let now_ms = self.now_ms();
+        match fault {
+            None => self.silence.borrow_mut().view.reached(upstream),
+            Some(ConnectFault::NobodyListens) => {}
+            Some(ConnectFault::NoAnswer) => {
+                {
+                    let mut desk = self.silence.borrow_mut();
+                    desk.view.doubt(upstream, now_ms);
+                    if desk.renewed_ms + TELL_MS > now_ms {
+                        return;
+                    }
+                    desk.renewed_ms = now_ms;
+                }
+                self.renew();
+                self.silence_changed.notify_waiters();
+            }
+        }
+    }
+
+    fn try_upstream(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr) {
+        if self.silence.borrow_mut().view.begin_try(upstream, self.now_ms()) {
+            spawn_local(self.clone().connect_only(upstream, address));
+        }
+    }
+
+    /// Connects, and keeps the connection; true when it came up.
+    async fn connect_only(self: Rc<Self>, upstream: UpstreamKey, address: SocketAddr) -> bool {
+        let reached = self.pool.connect(upstream, address).await;
+        self.note_connect(upstream, reached.as_ref().err().copied());
+        match reached {
+            Ok(lease) => {
+                lease.finish(false, None, self.now_ms()).await;
+                true
+            }
+            // What answers that nobody listens is a machine that can be reached.
+            Err(fault) => fault == ConnectFault::NobodyListens,
+        }
+    }
+
+    /// Takes a VM's doubts, as the leader of `term`.
+    pub(super) fn take_doubts(&self, term: u64, from: VmId, doubts: &[UpstreamKey]) {
+        let now_ms = self.now_ms();
+        let mut desk = self.silence.borrow_mut();
+        for upstream in doubts {
+            desk.table.doubt(term, *upstream, from, now_ms);
+        }
+    }
+
+    /// Tries what is doubted and tells what is dark, for ever; a VM that doesn't lead does nothing.
+    pub(super) async fn watch_silence(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now_ms = self.now_ms();
+            let term = match &*self.keeper.borrow() {
+                Some(keeper) if keeper.may_vouch(now_ms) => keeper.term(),
+                _ => continue,
+            };
+            let due = self.silence.borrow_mut().table.due(now_ms);
+            for upstream in due {
+                let address = self.upstreams.borrow().entries.get(&upstream).map(|row| row.address);
+                if let Some(address) = address {
+                    spawn_local(self.clone().try_as_leader(upstream, address));
+                }
+            }
+            self.tell_dark(term);
+        }
+    }
+
+    async fn try_as_leader(self: Rc<Self>, upstream: UpstreamKey, address: SocketAddr) {
+        let reached = self.clone().connect_only(upstream, address).await;
+        let now_ms = self.now_ms();
+        self.silence.borrow_mut().table.tried(upstream, self.id, reached, now_ms);
+    }
+
+    /// Tells all VMs which upstreams are dark, if others are than before.
+    fn tell_dark(&self, term: u64) {
+        let dark = self.silence.borrow().table.dark();
+        let before = std::mem::replace(&mut self.silence.borrow_mut().told, dark.clone());
+        self.take_dark(dark.clone());
+        if before == dark {
+            return;
+        }
+        let lives = |keys: &[UpstreamKey], without: &[UpstreamKey]| -> Vec<String> {
+            let upstreams = self.upstreams.borrow();
+            let other = keys.iter().filter(|key| !without.contains(key));
+            other.filter_map(|key| Some(upstreams.entries.get(key)?.life.clone())).collect()
+        };
+        let (fresh, back) = (lives(&dark, &before), lives(&before, &dark));
+        info!(target: "silence", dark = dark.len(), ?fresh, ?back, "changed");
+        let bytes = encode(&VmDatagram::Dark { term, upstreams: dark });
+        let others: Vec<VmId> = self.view.borrow().roster.rows.iter().map(|row| row.id).collect();
+        for to in others.into_iter().filter(|id| *id != self.id) {
+            self.send_datagram(to, &bytes);
+        }
+    }
+
+    /// The leader tells which upstreams are dark.
+    pub(super) fn take_dark(&self, dark: Vec<UpstreamKey>) {
+        let now_ms = self.now_ms();
+        if self.silence.borrow_mut().view.tell(dark, now_ms) {
+            self.silence_changed.notify_waiters();
+        }
+    }
+}
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -6,12 +6,13 @@
 use hyper::Response;
 use tokio::sync::mpsc::Sender;
 use tokio::task::spawn_local;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 use tracing::info;
 
 use super::vm_forward::{CallerTask, LEAST_LEFT_MS};
 use super::vm_relay::{AnswerBody, CutShort};
 use super::vm_send::{ComingBody, GoodAnswer, GoodBody, SendPlace, SendResult};
+use super::vm_silence::Waited;
 use crate::coordination::attempt_plan::{AttemptCount, RunKnowledge, SendOutcome};
 use crate::coordination::event_splice::EventSplice;
 use crate::coordination::holder_news::HolderNote;
@@ -176,21 +177,23 @@
     ) -> RunEnd {
         let ComingBody { told, mut body, lease, guard } = coming;
         let _guard = guard;
+        let at = (place.upstream, place.address);
+        let may_leave = splice.is_some();
         let mut first = true;
         loop {
             let frame = tokio::select! {
                 biased;
                 () = pieces.closed() => return RunEnd::CallerLeft,
-                frame = timeout_at(deadline, body.frame()) => frame,
+                frame = self.node.wait_for(at, body.frame(), deadline, may_leave) => frame,
             };
             let data = match frame {
-                Err(_) => return RunEnd::TimedOut,
-                Ok(Some(Err(_))) => return RunEnd::Broken,
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+                Waited::TimedOut => return RunEnd::TimedOut,
+                Waited::Dark | Waited::Done(Some(Err(_))) => return RunEnd::Broken,
+                Waited::Done(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
-                Ok(None) => break,
+                Waited::Done(None) => break,
             };
             if std::mem::take(&mut first) {
                 self.note_first_byte(place, "first piece");
--- /dev/null
+++ b/lib/tests/test_silence.rs
@@ -0,0 +1,166 @@
+//! Silent upstreams: who doubts, when all are told, and when it is taken back.
+
+use proptest::prelude::*;
+use wingshed_lib::coordination::silence::{
+    ConnectPatience, SilenceTable, SilenceView, PATIENCE_MS,
+};
+use wingshed_lib::state::ids::UpstreamKey;
+
+const ENGINE: UpstreamKey = UpstreamKey(7);
+const LEADER: u32 = 1;
+const TERM: u64 = 3;
+
+/// A table in which VM 2 doubts the engine at `now_ms`.
+fn doubted(now_ms: u64) -> SilenceTable {
+    let mut table = SilenceTable::default();
+    table.doubt(TERM, ENGINE, 2, now_ms);
+    table
+}
+
+#[test]
+fn a_doubt_that_the_leader_shares_makes_an_upstream_dark_and_one_connection_takes_it_back() {
+    let mut table = doubted(1000);
+    assert!(table.dark().is_empty(), "one VM may be the one that is cut off");
+    assert_eq!(table.due(1000), [ENGINE]);
+    assert!(table.due(1010).is_empty(), "it is being tried");
+
+    table.tried(ENGINE, LEADER, false, 1120);
+    assert_eq!(table.dark(), [ENGINE]);
+    assert!(table.due(1200).is_empty(), "it was tried a moment ago");
+    assert_eq!(table.due(1420), [ENGINE]);
+    table.tried(ENGINE, LEADER, true, 1425);
+    assert!(table.dark().is_empty());
+    assert!(table.due(9000).is_empty(), "nobody doubts it any more");
+}
+
+#[test]
+fn a_dark_upstream_stays_dark_while_it_cannot_be_reached_though_nobody_sends_to_it() {
+    let mut table = doubted(1000);
+    table.due(1000);
+    table.tried(ENGINE, LEADER, false, 1120);
+
+    for round in 1..100 {
+        let now_ms = 1120 + 450 * round;
+        assert_eq!(table.due(now_ms), [ENGINE]);
+        table.tried(ENGINE, LEADER, false, now_ms + 120);
+        assert_eq!(table.dark(), [ENGINE], "round {round}");
+    }
+}
+
+#[test]
+fn one_that_answers_others_is_not_dark() {
+    let mut table = doubted(1000);
+    table.due(1000);
+    table.tried(ENGINE, LEADER, false, 1120);
+    table.heard(ENGINE, 4, 1300);
+    assert!(table.dark().is_empty(), "the leader and one VM are cut off from it, others are not");
+
+    let mut table = doubted(1000);
+    table.heard(ENGINE, 1, 1050);
+    table.due(1100);
+    table.tried(ENGINE, LEADER, false, 1400);
+    assert_eq!(table.dark(), [ENGINE], "it answered somebody just before it went dark");
+}
+
+#[test]
+fn a_doubt_that_nobody_shares_is_forgotten() {
+    let mut alone = SilenceTable::default();
+    alone.doubt(TERM, ENGINE, LEADER, 1000);
+    alone.due(1000);
+    alone.tried(ENGINE, LEADER, false, 1120);
+    assert!(alone.dark().is_empty(), "the leader alone");
+    assert!(alone.due(5000).is_empty());
+
+    let mut reached = doubted(1000);
+    reached.due(1000);
+    reached.tried(ENGINE, LEADER, true, 1010);
+    assert!(reached.dark().is_empty() && reached.due(5000).is_empty());
+}
+
+#[test]
+fn a_new_leader_goes_by_what_it_is_told_itself() {
+    let mut table = doubted(1000);
+    table.due(1000);
+    table.tried(ENGINE, LEADER, false, 1120);
+    assert_eq!(table.dark(), [ENGINE]);
+
+    table.doubt(TERM + 1, UpstreamKey(8), 5, 1200);
+    assert!(table.dark().is_empty());
+}
+
+#[test]
+fn a_vm_goes_by_what_it_is_told_and_what_it_met_while_that_is_fresh() {
+    let mut view = SilenceView::default();
+    view.tell(vec![ENGINE], 1000);
+    assert!(view.is_dark(ENGINE, 1500));
+    assert!(!view.is_dark(ENGINE, 2100), "its leader is silent, too");
+
+    view.tell(Vec::new(), 3000);
+    view.doubt(ENGINE, 3000);
+    view.doubt(ENGINE, 3010);
+    assert!(view.is_dark(ENGINE, 3100));
+    assert_eq!(view.take_doubts(), [ENGINE], "told once");
+    assert!(view.take_doubts().is_empty());
+    view.reached(ENGINE);
+    assert!(!view.is_dark(ENGINE, 3100));
+}
+
+#[test]
+fn an_upstream_that_owes_an_answer_is_tried_now_and_then() {
+    let mut view = SilenceView::default();
+    let tries = (0..2000).step_by(10).filter(|now_ms| view.begin_try(ENGINE, 5000 + now_ms));
+    assert_eq!(tries.count(), 4);
+}
+
+#[test]
+fn patience_follows_what_connecting_takes() {
+    let mut patience = ConnectPatience::default();
+    assert_eq!(patience.wait_ms(), PATIENCE_MS.1 as u64, "nothing is known yet");
+    (0..50).for_each(|_| patience.note(2.0));
+    assert_eq!(patience.wait_ms(), PATIENCE_MS.0 as u64);
+    (0..50).for_each(|at| patience.note(200.0 + f64::from(at % 7) * 30.0));
+    assert_eq!(patience.wait_ms(), PATIENCE_MS.1 as u64, "a full link slows all connections");
+}
+
+/// A fleet of `vms` VMs that send to one engine, which is dark from 1,000 to 3,000 ms; gives when all
+/// were told, and until when one of them still took it for dark.
+fn play(vms: u32, sends_a_second: u64, seed: u64) -> (Option<u64>, Option<u64>) {
+    let mut table = SilenceTable::default();
+    let dark_at = |now_ms: u64| (1000..3000).contains(&now_ms);
+    let mut tries: Vec<(u64, bool)> = Vec::new();
+    let (mut first, mut last) = (None, None);
+    for now_ms in (0..6000).step_by(10) {
+        let told = !table.dark().is_empty();
+        let sends = (now_ms * 31 + seed) % 1000 < sends_a_second * 10;
+        if sends && !told {
+            let vm = 2 + (now_ms / 10 * 17 + seed) as u32 % vms;
+            match dark_at(now_ms) {
+                true => table.doubt(TERM, ENGINE, vm, now_ms + 120),
+                false => table.heard(ENGINE, 1, now_ms),
+            }
+        }
+        tries.extend(table.due(now_ms).iter().map(|_| (now_ms + 120, !dark_at(now_ms))));
+        let (due, later) = tries.into_iter().partition(|(due_ms, _)| *due_ms <= now_ms);
+        tries = later;
+        for (_, reached) in due as Vec<(u64, bool)> {
+            table.tried(ENGINE, LEADER, reached, now_ms);
+        }
+        if !table.dark().is_empty() {
+            first.get_or_insert(now_ms);
+            last = Some(now_ms);
+        }
+    }
+    (first, last)
+}
+
+proptest! {
+    #[test]
+    fn all_know_of_a_dark_engine_within_a_second_of_sends_and_of_its_return(
+        vms in 2u32..300, sends in 5u64..50, seed in 0u64..10_000,
+    ) {
+        let (first, last) = play(vms, sends, seed);
+        let first = first.expect("somebody sends to it");
+        prop_assert!((1000..2000).contains(&first), "told at {first}");
+        prop_assert!(last.is_some_and(|last| last < 3600), "until {last:?}");
+    }
+}
