--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -21,8 +21,8 @@
 use super::vm_guard::ServingGuard;
 use super::vm_node::{BookInForce, VmNode};
 use super::vm_relay::AnswerBody;
+use super::vm_request_record::{ConnectionRecord, RecordWatch, RequestRecord};
 use super::vm_send::SendResult;
-use super::vm_trail::{CallerTrail, CallerWatch, ConnectionTrail};
 use crate::coordination::attempt_plan::{AttemptCount, NextStep, RunKnowledge, SendOutcome};
 use crate::coordination::engine_room::RoomRequest;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
@@ -54,8 +54,8 @@
     pub(super) arrived: Instant,
     /// Decides between the services of a split route, for all sends alike.
     pub(super) draw: u64,
-    pub(super) trail: Rc<CallerTrail>,
-    pub(super) connection: ConnectionTrail,
+    pub(super) record: Rc<RequestRecord>,
+    pub(super) connection: ConnectionRecord,
     pub(super) _serving: ServingGuard,
 }
 
@@ -72,7 +72,7 @@
     let arrived = Instant::now();
     let serving = ServingGuard::new(&node);
     let (mut head, body) = request.into_parts();
-    let connection = head.extensions.remove::<ConnectionTrail>().unwrap_or_default();
+    let connection = head.extensions.remove::<ConnectionRecord>().unwrap_or_default();
     connection.note_request();
     let caller = match node.adapter.read_request(&head) {
         Ok(caller) => caller,
@@ -102,8 +102,8 @@
         Err(_) => return close_after(own_answer(StatusCode::REQUEST_TIMEOUT, "")),
     };
     let draw = node.draw();
-    let trail = CallerTrail::new(&node, &caller.attempt);
-    let watch = CallerWatch(trail.clone());
+    let record = RequestRecord::new(&node, &caller.attempt);
+    let watch = RecordWatch(record.clone());
     let task = CallerTask {
         node,
         head,
@@ -111,7 +111,7 @@
         caller,
         arrived,
         draw,
-        trail,
+        record,
         connection,
         _serving: serving,
     };
@@ -160,12 +160,12 @@
     /// Serves apart from the caller's connection, and tells the end if that is gone by then.
     async fn serve_to_its_end(self) -> Response<AnswerBody> {
         let (sender, receiver) = oneshot::channel();
-        let trail = self.trail.clone();
+        let record = self.record.clone();
         spawn_local(async move {
             let answer = self.serve().await;
             let status = answer.status().as_u16();
             if sender.send(answer).is_err() {
-                trail.tell_ended(status);
+                record.tell_ended(status);
             }
         });
         receiver.await.unwrap_or_else(|_| own_answer(StatusCode::BAD_GATEWAY, "given up"))
@@ -231,10 +231,10 @@
             if count.sent > 0 {
                 self.node.figures.borrow_mut().repeats += 1;
             }
-            self.trail.note(RunKnowledge::Unknown);
+            self.record.note(RunKnowledge::Unknown);
             let outcome = match self.send(&place, deadline).await {
                 SendResult::Answer(answer) => {
-                    self.trail.note(RunKnowledge::Ran);
+                    self.record.note(RunKnowledge::Ran);
                     let failed = answer.head.status.is_server_error();
                     let repeat = failed && {
                         let mut after = count;
@@ -251,7 +251,7 @@
                 SendResult::Bad(outcome) => outcome,
             };
             count.note(outcome);
-            self.trail.note(count.knowledge());
+            self.record.note(count.knowledge());
             match count.next(outcome, rule.kind, rule.most_upstreams) {
                 NextStep::Repeat | NextStep::Elsewhere => {}
                 NextStep::Refuse => return self.refuse(&count, "not run"),
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -18,8 +18,8 @@
 use super::vm_guard::OpenGuard;
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
+use super::vm_request_record::ConnectionRecord;
 use super::vm_sockets::{listen, set_stream, WatchedStream};
-use super::vm_trail::ConnectionTrail;
 use crate::coordination::vm_roster::{addresses_ttl_s, RosterRow};
 
 /// A caller's connection may rest this much longer than the book says, in milliseconds, so
@@ -95,12 +95,12 @@
     let limits = node.book.borrow().as_ref().map(|book| book.book.limits);
     let rest_ms = limits.map_or(USUAL_REST_MS, |limits| limits.idle_ms) + REST_SLACK_MS;
     let head_bytes = limits.map_or(USUAL_HEAD_BYTES, |limits| limits.head_bytes);
-    let trail = ConnectionTrail::default();
+    let record = ConnectionRecord::default();
     let service = {
-        let (node, trail) = (node.clone(), trail.clone());
+        let (node, record) = (node.clone(), record.clone());
         service_fn(move |mut request: Request<Incoming>| {
             let (node, serve) = (node.clone(), serve.clone());
-            request.extensions_mut().insert(trail.clone());
+            request.extensions_mut().insert(record.clone());
             async move {
                 let answer = serve(node.clone(), request).await;
                 let stopping = node.stopping_ms.get().is_some();
@@ -126,7 +126,7 @@
         }
     }
     if broken.get() {
-        trail.tell_broken(node.now_ms());
+        record.tell_broken(node.now_ms());
     }
 }
 
--- a/lib/src/transport/vm_trail.rs
+++ b/lib/src/transport/vm_request_record.rs
@@ -20,16 +20,16 @@
 const HANDED_MS: u64 = 2000;
 
 /// What is known of one request.
-pub(super) struct CallerTrail {
+pub(super) struct RequestRecord {
     node: Rc<VmNode>,
     attempt: String,
     ran: Cell<RunKnowledge>,
     answered: Cell<bool>,
 }
 
-impl CallerTrail {
-    pub(super) fn new(node: &Rc<VmNode>, attempt: &str) -> Rc<CallerTrail> {
-        Rc::new(CallerTrail {
+impl RequestRecord {
+    pub(super) fn new(node: &Rc<VmNode>, attempt: &str) -> Rc<RequestRecord> {
+        Rc::new(RequestRecord {
             node: node.clone(),
             attempt: attempt.to_string(),
             ran: Cell::new(RunKnowledge::NotRun),
@@ -62,9 +62,9 @@
 }
 
 /// Stands for a caller that waits; dropped with its connection.
-pub(super) struct CallerWatch(pub(super) Rc<CallerTrail>);
+pub(super) struct RecordWatch(pub(super) Rc<RequestRecord>);
 
-impl Drop for CallerWatch {
+impl Drop for RecordWatch {
     fn drop(&mut self) {
         if !self.0.answered.get() {
             self.0.tell_left();
@@ -74,9 +74,9 @@
 
 /// The last answer that a connection was handed: the attempt and when.
 #[derive(Clone, Default)]
-pub(super) struct ConnectionTrail(Arc<Mutex<Option<(String, u64)>>>);
+pub(super) struct ConnectionRecord(Arc<Mutex<Option<(String, u64)>>>);
 
-impl ConnectionTrail {
+impl ConnectionRecord {
     /// A request came, so that the answer before it did come to the caller.
     pub(super) fn note_request(&self) {
         self.set(None);
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -97,7 +97,7 @@
         mut count: AttemptCount,
     ) {
         let mut splice = resumable.then(|| EventSplice::after(self.caller.last_event.clone()));
-        self.trail.note(RunKnowledge::Begun);
+        self.record.note(RunKnowledge::Begun);
         let mut tried = vec![place.upstream];
         let mut next = Some((place, coming));
         while let Some((place, coming)) = next.take() {
@@ -106,7 +106,7 @@
                     self.connection.note_answer(&self.caller.attempt, self.node.now_ms());
                     return;
                 }
-                RunEnd::CallerLeft => return self.trail.tell_left(),
+                RunEnd::CallerLeft => return self.record.tell_left(),
                 RunEnd::TimedOut => {
                     info!(
                         target: "request", attempt = self.caller.attempt,
