--- a/lib/src/coordination/fleet_signs.rs
+++ b/lib/src/coordination/fleet_health.rs
@@ -16,7 +16,7 @@
 use crate::state::ids::UpstreamKey;
 
 /// Notes that one VM tells with one renewal, some 12 bytes each; the rest waits for the next.
-pub const SIGNS_TOLD: usize = 64;
+pub const REPORTS_TOLD: usize = 64;
 /// So many failures, weighted by age, are needed: four within half a second or so.
 pub const LEAST_FAILED: f64 = 3.5;
 /// And so many of one that was named before and has served nothing since: each time its name ends all
@@ -42,7 +42,7 @@
 
 /// How a VM's sends to one upstream went since it told last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SignNote {
+pub struct HealthReport {
     /// The upstream.
     pub upstream: UpstreamKey,
     /// Sends that were answered with success, to their end.
@@ -53,11 +53,11 @@
 
 /// What a VM has to tell.
 #[derive(Clone, Debug, Default)]
-pub struct SignOutbox {
+pub struct HealthOutbox {
     counts: BTreeMap<UpstreamKey, (u16, u16)>,
 }
 
-impl SignOutbox {
+impl HealthOutbox {
     /// A send ended.
     pub fn note(&mut self, upstream: UpstreamKey, went_well: bool) {
         let (well, failed) = self.counts.entry(upstream).or_default();
@@ -66,18 +66,18 @@
     }
 
     /// The notes for the next renewal.
-    pub fn take(&mut self) -> Vec<SignNote> {
+    pub fn take(&mut self) -> Vec<HealthReport> {
         let mut notes = Vec::new();
-        while notes.len() < SIGNS_TOLD {
+        while notes.len() < REPORTS_TOLD {
             let Some((upstream, (well, failed))) = self.counts.pop_first() else { break };
-            notes.push(SignNote { upstream, well, failed });
+            notes.push(HealthReport { upstream, well, failed });
         }
         notes
     }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct SignRow {
+struct HealthRow {
     well: f64,
     failed: f64,
     at_ms: u64,
@@ -85,7 +85,7 @@
     times: u32,
 }
 
-impl SignRow {
+impl HealthRow {
     fn age(&mut self, now_ms: u64) {
         let weight = 0.5f64.powf(now_ms.saturating_sub(self.at_ms) as f64 / HALF_LIFE_MS);
         (self.well, self.failed, self.at_ms) = (self.well * weight, self.failed * weight, now_ms);
@@ -94,23 +94,23 @@
 
 /// What a leader was told.
 #[derive(Clone, Debug, Default)]
-pub struct SignTable {
+pub struct HealthTable {
     term: u64,
-    rows: HashMap<UpstreamKey, SignRow>,
+    rows: HashMap<UpstreamKey, HealthRow>,
 }
 
-impl SignTable {
+impl HealthTable {
     /// Takes what a VM told the leader of `term`; `fleet` gives the upstreams of the service of one.
     /// Returns those that are named by it.
     pub fn take<F: Iterator<Item = UpstreamKey>>(
         &mut self,
         term: u64,
-        notes: &[SignNote],
+        notes: &[HealthReport],
         fleet: impl Fn(UpstreamKey) -> F,
         now_ms: u64,
     ) -> Vec<UpstreamKey> {
         if term != self.term {
-            *self = SignTable { term, ..SignTable::default() };
+            *self = HealthTable { term, ..HealthTable::default() };
         }
         let mut fresh = Vec::new();
         for note in notes {
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -10,7 +10,7 @@
 pub mod engine_room;
 pub mod event_splice;
 pub mod fair_queue;
-pub mod fleet_signs;
+pub mod fleet_health;
 pub mod group_plan;
 pub mod holder_news;
 pub mod home;
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -85,7 +85,7 @@
     pub load: u32,
     /// Requests in flight from this VM.
     pub own: u32,
-    /// Set aside on passive signs.
+    /// Set aside on passive health checks.
     pub aside: bool,
     /// It has no room for this request, as far as known; see [`super::engine_room`].
     pub full: bool,
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::fleet_signs::SignNote;
+use crate::coordination::fleet_health::HealthReport;
 use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::raft_message::RaftMessage;
 use crate::coordination::vm_roster::{RosterMark, RosterNews, RosterRow, UpstreamLoad};
@@ -221,7 +221,7 @@
     /// What it has heard of others' such notes.
     pub holders_heard: HolderMark,
     /// How its sends went.
-    pub signs: Vec<SignNote>,
+    pub health_reports: Vec<HealthReport>,
     /// How many orders of zones it knows of.
     pub zone_orders: u64,
     /// Upstreams that it could not reach.
--- a/lib/src/state/configuration.rs
+++ b/lib/src/state/configuration.rs
@@ -69,7 +69,7 @@
     pub kind: FleetKind,
     /// No upstream is given work at or above this multiple of the fleet's mean.
     pub multiple: f64,
-    /// At most this share of the fleet is set aside on passive signs at once.
+    /// At most this share of the fleet is set aside on passive health checks at once.
     pub set_aside_share: f64,
     /// Requests that may wait at one router.
     pub queue: usize,
--- a/lib/src/transport/router_engines.rs
+++ b/lib/src/transport/router_engines.rs
@@ -314,7 +314,7 @@
 }
 
 impl RouterShared {
-    /// A failure is a passive sign against an upstream.
+    /// A failure counts against an upstream as a passive health check.
     pub(super) fn note_failure(&self, upstream: UpstreamKey) {
         let view = self.view();
         let Some(sight) = view.upstreams.get(&upstream) else { return };
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -9,7 +9,7 @@
 use super::vm_keeper::KeeperDriver;
 use super::vm_list_news::told_age_ms;
 use super::vm_node::VmNode;
-use crate::coordination::fleet_signs::{names_failing, SignNote};
+use crate::coordination::fleet_health::{names_failing, HealthReport};
 use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::list_turn::UNTOLD_MS;
 use crate::coordination::vm_roster::{
@@ -137,7 +137,7 @@
             list,
             holders,
             holders_heard,
-            signs: self.signs.borrow_mut().outbox.take(),
+            health_reports: self.health.borrow_mut().outbox.take(),
             zone_orders: self.zones.borrow().watch.orders.taken(),
             doubts: self.silence.borrow_mut().view.take_doubts(),
         };
@@ -249,7 +249,7 @@
                 let upstreams = self.upstreams.borrow();
                 let (holders, holders_heard) =
                     self.exchange_holders(keeper.term(), &note.holders, note.holders_heard, now_ms);
-                let failing = self.take_signs(keeper.term(), &note.signs, now_ms);
+                let failing = self.take_health_reports(keeper.term(), &note.health_reports, now_ms);
                 self.take_doubts(keeper.term(), from, &note.doubts);
                 VmDatagram::Grant(GrantNote {
                     sent_ms: note.sent_ms,
@@ -307,7 +307,12 @@
     }
 
     /// Takes how a VM's sends went, as the leader, and gives those that fail everybody.
-    fn take_signs(&self, term: u64, notes: &[SignNote], now_ms: u64) -> Vec<UpstreamKey> {
+    fn take_health_reports(
+        &self,
+        term: u64,
+        notes: &[HealthReport],
+        now_ms: u64,
+    ) -> Vec<UpstreamKey> {
         for note in notes.iter().filter(|note| note.well > 0) {
             self.silence.borrow_mut().table.heard(note.upstream, note.well, now_ms);
         }
@@ -317,7 +322,7 @@
         let upstreams = self.upstreams.borrow();
         let service = |key| upstreams.entries.get(&key).map_or("", |entry| entry.service.as_str());
         let fleet = |key| upstreams.taking(service(key)).map(|(key, _)| key);
-        let mut desk = self.signs.borrow_mut();
+        let mut desk = self.health.borrow_mut();
         for key in desk.table.take(term, notes, fleet, now_ms) {
             let life = upstreams.entries.get(&key).map_or("", |entry| entry.life.as_str());
             info!(target: "upstream", life, "fails whoever sends to it");
@@ -420,8 +425,8 @@
             let own = desk.outbox.take();
             desk.ring.take(keeper.term(), &own);
         }
-        let own_signs = self.signs.borrow_mut().outbox.take();
-        let failing = self.take_signs(keeper.term(), &own_signs, now_ms);
+        let own_reports = self.health.borrow_mut().outbox.take();
+        let failing = self.take_health_reports(keeper.term(), &own_reports, now_ms);
         let doubts = self.silence.borrow_mut().view.take_doubts();
         self.take_doubts(keeper.term(), self.id, &doubts);
         let mut view = self.view.borrow_mut();
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -174,7 +174,7 @@
         let known = |key| upstreams.entries.contains_key(&key);
         self.pool.sweep(|key| known(key) || key == self.list_key(), self.now_ms());
         self.outliers.borrow_mut().sweep(known);
-        self.signs.borrow_mut().table.sweep(known);
+        self.health.borrow_mut().table.sweep(known);
         self.zones.borrow_mut().cold.sweep(known);
         let mut silence = self.silence.borrow_mut();
         silence.table.sweep(known);
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -27,7 +27,7 @@
 use super::vm_sockets::listen;
 use super::vm_zones::{ZoneDesk, ZoneVerdict};
 use crate::coordination::engine_room::ServiceRoom;
-use crate::coordination::fleet_signs::{SignOutbox, SignTable};
+use crate::coordination::fleet_health::{HealthOutbox, HealthTable};
 use crate::coordination::holder_news::{HolderMark, HolderOutbox, HolderRing};
 use crate::coordination::leader_contact::LeaderContact;
 use crate::coordination::outlier::OutlierTable;
@@ -71,11 +71,11 @@
 
 /// How a VM's sends went, and what it was told of all VMs' while it leads.
 #[derive(Default)]
-pub struct SignDesk {
+pub struct HealthDesk {
     /// What it has to tell.
-    pub outbox: SignOutbox,
+    pub outbox: HealthOutbox,
     /// What it was told as the leader.
-    pub table: SignTable,
+    pub table: HealthTable,
 }
 
 /// What a VM knows of the others.
@@ -145,7 +145,7 @@
     pub plain_holds: RefCell<HashMap<String, PlainHold>>,
     /// When an engine was last nearly full.
     pub pressed_ms: Cell<u64>,
-    /// Passive signs.
+    /// Passive health checks.
     pub outliers: RefCell<OutlierTable>,
     /// What it has counted.
     pub figures: RefCell<VmFigures>,
@@ -156,7 +156,7 @@
     /// Where parts are kept against the order: told and heard.
     pub holders: RefCell<HolderDesk>,
     /// How sends went, here and elsewhere.
-    pub signs: RefCell<SignDesk>,
+    pub health: RefCell<HealthDesk>,
     /// Zones that are emptied, and cold upstreams.
     pub zones: RefCell<ZoneDesk>,
     /// Upstreams that are silent.
@@ -229,7 +229,7 @@
             figures_path: RefCell::default(),
             prefixes: RefCell::default(),
             holders: RefCell::default(),
-            signs: RefCell::default(),
+            health: RefCell::default(),
             zones: RefCell::default(),
             silence: RefCell::default(),
             silence_changed: Notify::new(),
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -1,5 +1,5 @@
 //! One send of a caller's request to one upstream: the head, the answer's head,
-//! and the signs that an upstream gives of its health by it.
+//! and what it tells of the upstream's health.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 use crate::protocol::wire_adapter::{UpstreamAnswer, UpstreamSend};
 use crate::state::ids::UpstreamKey;
 
-/// At most this share of a service's upstreams is set aside on passive signs.
+/// At most this share of a service's upstreams is set aside on passive health checks.
 const ASIDE_SHARE: f64 = 0.34;
 /// A plain answer up to this length is taken whole before it is passed on, so that one that
 /// breaks off can still be asked for again.
@@ -70,8 +70,8 @@
     pub(super) guard: FlightGuard,
 }
 
-/// A passive sign of an upstream's health.
-enum UpstreamSign {
+/// What a send tells against an upstream.
+enum HealthFault {
     /// This life has ended.
     Gone,
     /// It can't be reached.
@@ -193,7 +193,11 @@
         let told = self.node.adapter.read_answer(&head);
         if told.not_run {
             if told.other_life {
-                self.note_sign(place.upstream, UpstreamSign::Gone, "another life listens there");
+                self.note_health_fault(
+                    place.upstream,
+                    HealthFault::Gone,
+                    "another life listens there",
+                );
             } else {
                 info!(
                     target: "upstream", life = place.send.life, attempt = self.caller.attempt,
@@ -263,34 +267,34 @@
     fn note_fault(&self, upstream: UpstreamKey, fault: ConnectFault) {
         match fault {
             ConnectFault::NobodyListens => {
-                self.note_sign(upstream, UpstreamSign::Gone, "nobody listens there");
+                self.note_health_fault(upstream, HealthFault::Gone, "nobody listens there");
             }
             ConnectFault::NoAnswer => {
-                self.note_sign(upstream, UpstreamSign::Silent, "cannot be reached");
+                self.note_health_fault(upstream, HealthFault::Silent, "cannot be reached");
             }
         }
     }
 
     /// Notes how a send went, for the leader.
     pub(super) fn note_outcome(&self, upstream: UpstreamKey, went_well: bool) {
-        self.node.signs.borrow_mut().outbox.note(upstream, went_well);
+        self.node.health.borrow_mut().outbox.note(upstream, went_well);
     }
 
     pub(super) fn note_failure(&self, upstream: UpstreamKey, what: &'static str) {
-        self.note_sign(upstream, UpstreamSign::Failure, what);
+        self.note_health_fault(upstream, HealthFault::Failure, what);
     }
 
-    fn note_sign(&self, upstream: UpstreamKey, sign: UpstreamSign, what: &'static str) {
+    fn note_health_fault(&self, upstream: UpstreamKey, fault: HealthFault, what: &'static str) {
         let now_ms = self.node.now_ms();
         let upstreams = self.node.upstreams.borrow();
         let Some(entry) = upstreams.entries.get(&upstream) else { return };
         let fleet = upstreams.taking(&entry.service).map(|(key, _)| key);
         self.node.figures.borrow_mut().signs += 1;
         let mut outliers = self.node.outliers.borrow_mut();
-        match sign {
-            UpstreamSign::Gone => outliers.note_gone(upstream),
-            UpstreamSign::Silent => outliers.note_dead(upstream, fleet, ASIDE_SHARE, now_ms),
-            UpstreamSign::Failure => outliers.note_failure(upstream, fleet, ASIDE_SHARE, now_ms),
+        match fault {
+            HealthFault::Gone => outliers.note_gone(upstream),
+            HealthFault::Silent => outliers.note_dead(upstream, fleet, ASIDE_SHARE, now_ms),
+            HealthFault::Failure => outliers.note_failure(upstream, fleet, ASIDE_SHARE, now_ms),
         }
         self.note_outcome(upstream, false);
         info!(
--- a/lib/tests/test_fleet_signs.rs
+++ b/lib/tests/test_fleet_health.rs
@@ -1,7 +1,8 @@
 //! Upstreams that fail everybody, as the leader of a fleet hears of them.
 
-use wingshed_lib::coordination::fleet_signs::{
-    names_failing, SignNote, SignOutbox, SignTable, FIRST_NAMED_MS, NAMED_SHARE, SIGNS_TOLD,
+use wingshed_lib::coordination::fleet_health::{
+    names_failing, HealthOutbox, HealthReport, HealthTable, FIRST_NAMED_MS, NAMED_SHARE,
+    REPORTS_TOLD,
 };
 use wingshed_lib::state::ids::UpstreamKey;
 
@@ -12,13 +13,13 @@
     (1..=12).map(UpstreamKey)
 }
 
-fn note(upstream: UpstreamKey, well: u16, failed: u16) -> SignNote {
-    SignNote { upstream, well, failed }
+fn note(upstream: UpstreamKey, well: u16, failed: u16) -> HealthReport {
+    HealthReport { upstream, well, failed }
 }
 
 /// A table that was told these sends at one upstream, one a VM, 10 ms apart.
-fn told(outcomes: &[bool]) -> SignTable {
-    let mut table = SignTable::default();
+fn told(outcomes: &[bool]) -> HealthTable {
+    let mut table = HealthTable::default();
     for (at, well) in outcomes.iter().enumerate() {
         let notes = [note(BAD, u16::from(*well), u16::from(!*well))];
         table.take(TERM, &notes, fleet, 1000 + at as u64 * 10);
@@ -48,7 +49,7 @@
 
 #[test]
 fn failures_that_are_long_ago_name_nobody() {
-    let mut table = SignTable::default();
+    let mut table = HealthTable::default();
     for at in 0..20 {
         table.take(TERM, &[note(BAD, 0, 1)], fleet, 1000 + at * 2000);
     }
@@ -78,7 +79,7 @@
 
 #[test]
 fn at_most_a_part_of_a_service_is_named() {
-    let mut table = SignTable::default();
+    let mut table = HealthTable::default();
     for upstream in 1..=12 {
         table.take(TERM, &[note(UpstreamKey(upstream), 0, 10)], fleet, 1000);
     }
@@ -99,8 +100,8 @@
 
 #[test]
 fn a_vm_tells_each_outcome_once_in_bounded_notes() {
-    let mut outbox = SignOutbox::default();
-    for upstream in 0..SIGNS_TOLD as u64 + 5 {
+    let mut outbox = HealthOutbox::default();
+    for upstream in 0..REPORTS_TOLD as u64 + 5 {
         outbox.note(UpstreamKey(upstream), upstream % 2 == 0);
     }
     outbox.note(UpstreamKey(0), false);
@@ -108,13 +109,13 @@
     let (first, second, third) = (outbox.take(), outbox.take(), outbox.take());
 
     assert_eq!(first[0], note(UpstreamKey(0), 1, 1));
-    assert_eq!((first.len(), second.len(), third.len()), (SIGNS_TOLD, 5, 0));
+    assert_eq!((first.len(), second.len(), third.len()), (REPORTS_TOLD, 5, 0));
 }
 
 #[test]
 fn three_hundred_vms_leave_a_broken_engine_after_some_failures_in_all() {
     // Each VM by itself needs three failures in a row: 900 failed requests in all.
-    let mut table = SignTable::default();
+    let mut table = HealthTable::default();
     let (mut failed, mut vm) = (0, 0);
     for now_ms in (1000..3000).step_by(5) {
         vm = (vm + 1) % 300;
