--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -13,6 +13,7 @@
 pub mod packed_text;
 pub mod prompt_part;
 pub mod rendezvous;
+pub mod rollout_order;
 pub mod roster;
 pub mod route_book;
 pub mod settings;
--- /dev/null
+++ b/lib/src/state/rollout_order.rs
@@ -0,0 +1,214 @@
+//! Orders to move a service's traffic to upstreams of another version, and how far each has come.
+//!
+//! Invariants: the orders of a service are numbered without a gap, and one is taken only after the
+//! one before it has ended. The steps of an order are numbered too, and a step is taken only with the
+//! number after the last; so a step that was proposed on what held before changes nothing. An end
+//! is final. See `docs/design/rollouts.md`.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A version of upstreams, by the hash of its name.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct VersionKey(pub u32);
+
+impl VersionKey {
+    /// The key of an upstream whose version isn't told, or can't be read.
+    pub const UNKNOWN: VersionKey = VersionKey(0);
+
+    /// The key of the version with this name; an empty name is no version.
+    pub fn of(name: &str) -> VersionKey {
+        match name.is_empty() {
+            true => VersionKey::UNKNOWN,
+            false => VersionKey((xxh3_64(name.as_bytes()) as u32).max(1)),
+        }
+    }
+}
+
+impl std::fmt::Display for VersionKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+/// How far an order has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RolloutPhase {
+    /// A small part of the requests goes to the target.
+    Trial,
+    /// All requests go to the target; what runs elsewhere ends.
+    Shift,
+    /// The traffic is moved; the other upstreams may end.
+    Complete,
+    /// Nothing goes to the target.
+    RolledBack,
+}
+
+impl RolloutPhase {
+    /// Whether this is an end.
+    pub fn is_end(self) -> bool {
+        matches!(self, RolloutPhase::Complete | RolloutPhase::RolledBack)
+    }
+
+    fn may_follow(self, before: RolloutPhase) -> bool {
+        match before {
+            RolloutPhase::Trial => self != RolloutPhase::Complete,
+            RolloutPhase::Shift => self != RolloutPhase::Trial,
+            RolloutPhase::Complete | RolloutPhase::RolledBack => false,
+        }
+    }
+}
+
+/// What an operator asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutOrder {
+    /// The service's name.
+    pub service: String,
+    /// The order's place among those of the service; the first is 1.
+    pub number: u64,
+    /// The name of the version that the traffic is to be moved to.
+    pub target: String,
+    /// How long it may take, in milliseconds.
+    pub duration_ms: u64,
+    /// VMs that the leader heard when it took the order; each has its part of what is handed out at
+    /// the start.
+    pub vms: u32,
+}
+
+/// A step of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutStep {
+    /// The service's name.
+    pub service: String,
+    /// The number of the order.
+    pub number: u64,
+    /// The number of the step; the first after the order itself is 1.
+    pub step: u64,
+    /// The phase from now on; the same as before when only the time is noted.
+    pub phase: RolloutPhase,
+    /// How long the order has run, in milliseconds, as the leader counts it.
+    pub spent_ms: u64,
+    /// With [`RolloutPhase::Complete`]: the versions that the traffic was moved away from.
+    pub retired: Vec<VersionKey>,
+}
+
+/// What a command of the log does to the orders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RolloutCommand {
+    /// Begins an order.
+    Start(RolloutOrder),
+    /// Takes it a step on.
+    Step(RolloutStep),
+}
+
+/// The last order of a service, and how far it has come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutRow {
+    /// The order.
+    pub order: RolloutOrder,
+    /// Its phase.
+    pub phase: RolloutPhase,
+    /// The number of its last step; 0 for the order itself.
+    pub step: u64,
+    /// See [`RolloutStep::spent_ms`].
+    pub spent_ms: u64,
+    /// See [`RolloutStep::retired`].
+    pub retired: Vec<VersionKey>,
+}
+
+impl RolloutRow {
+    /// The key of the target.
+    pub fn target(&self) -> VersionKey {
+        VersionKey::of(&self.order.target)
+    }
+
+    /// The step that would take the order to `phase`.
+    pub fn next_step(&self, phase: RolloutPhase, spent_ms: u64) -> RolloutStep {
+        RolloutStep {
+            service: self.order.service.clone(),
+            number: self.order.number,
+            step: self.step + 1,
+            phase,
+            spent_ms,
+            retired: Vec::new(),
+        }
+    }
+}
+
+/// The last order of each service that ever got one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutTable {
+    rows: Vec<RolloutRow>,
+    changes: u64,
+}
+
+impl RolloutTable {
+    /// The last order of each service, in no particular order.
+    pub fn rows(&self) -> &[RolloutRow] {
+        &self.rows
+    }
+
+    /// How many orders and steps were taken, for all services together: the later of two states has
+    /// more.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The last order of a service.
+    pub fn row(&self, service: &str) -> Option<&RolloutRow> {
+        self.rows.iter().find(|row| row.order.service == service)
+    }
+
+    /// Whether any order hasn't ended.
+    pub fn any_runs(&self) -> bool {
+        self.rows.iter().any(|row| !row.phase.is_end())
+    }
+
+    /// Applies a command; false when another was taken first.
+    pub fn take(&mut self, command: RolloutCommand) -> bool {
+        let taken = match command {
+            RolloutCommand::Start(order) => self.start(order),
+            RolloutCommand::Step(step) => self.take_step(step),
+        };
+        self.changes += u64::from(taken);
+        taken
+    }
+
+    fn start(&mut self, order: RolloutOrder) -> bool {
+        let before = self.row(&order.service);
+        let number = before.map_or(0, |row| row.order.number);
+        if order.number != number + 1 || before.is_some_and(|row| !row.phase.is_end()) {
+            return false;
+        }
+        self.rows.retain(|row| row.order.service != order.service);
+        let phase = RolloutPhase::Trial;
+        self.rows.push(RolloutRow { order, phase, step: 0, spent_ms: 0, retired: Vec::new() });
+        true
+    }
+
+    fn take_step(&mut self, step: RolloutStep) -> bool {
+        let rows = self.rows.iter_mut();
+        let Some(row) = rows.into_iter().find(|row| {
+            let own = row.order.service == step.service && row.order.number == step.number;
+            own && row.step + 1 == step.step && step.phase.may_follow(row.phase)
+        }) else {
+            return false;
+        };
+        row.phase = step.phase;
+        row.step = step.step;
+        row.spent_ms = row.spent_ms.max(step.spent_ms);
+        row.retired = step.retired;
+        true
+    }
+
+    /// Takes a later state of all orders; true when something changed.
+    pub fn take_later(&mut self, other: RolloutTable) -> bool {
+        let later = other.changes > self.changes;
+        if later {
+            *self = other;
+        }
+        later
+    }
+}
--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::ids::UpstreamKey;
+use super::rollout_order::VersionKey;
 
 /// One life of one upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +32,9 @@
     /// It has started, or came back, a moment ago and bears little yet.
     #[serde(default)]
     pub cold: bool,
+    /// Its version.
+    #[serde(default)]
+    pub version: VersionKey,
 }
 
 impl UpstreamEntry {
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -15,6 +15,7 @@
 use wingshed_lib::protocol::vm_wire::LoadNews;
 use wingshed_lib::state::document_change::DocumentChange;
 use wingshed_lib::state::ids::UpstreamKey;
+use wingshed_lib::state::rollout_order::VersionKey;
 use wingshed_lib::state::upstream_list::{ListMark, ListStep, UpstreamEntry, UpstreamList};
 use wingshed_lib::state::zero_runs::{pack_zeros, unpack_zeros};
 
@@ -27,6 +28,7 @@
         leaving,
         seat: Some(u64::from(number)),
         cold: false,
+        version: VersionKey::default(),
     }
 }
 
--- a/lib/tests/test_list_keeping.rs
+++ b/lib/tests/test_list_keeping.rs
@@ -7,6 +7,7 @@
     decode_frame_body, decode_frame_head, encode_frame, VmMessage, FRAME_HEAD,
 };
 use wingshed_lib::state::kept_list::{read_kept, write_kept, KeptList};
+use wingshed_lib::state::rollout_order::VersionKey;
 use wingshed_lib::state::upstream_list::{ListMark, UpstreamEntry};
 
 fn list(upstreams: u16, change: u64) -> KeptList {
@@ -18,6 +19,7 @@
         leaving: number % 7 == 0,
         seat: Some(u64::from(number)),
         cold: false,
+        version: VersionKey::default(),
     };
     let mark = ListMark { term: 3, change, reader: 5 };
     KeptList { mark, rows: (0..upstreams).map(row).collect() }
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -29,6 +29,7 @@
 use wingshed_lib::state::ids::{Incarnation, KeeperId, UpstreamKey};
 use wingshed_lib::state::packed_text::PackedText;
 use wingshed_lib::state::prompt_part::PromptPart;
+use wingshed_lib::state::rollout_order::VersionKey;
 use wingshed_lib::state::route_book::{pick_share, RequestKind, ServiceShare};
 use wingshed_lib::state::upstream_list::{UpstreamEntry, UpstreamList};
 
@@ -334,6 +335,7 @@
         leaving,
         seat: None,
         cold: false,
+        version: VersionKey::default(),
     }
 }
 
