rollouts: evidence is summed as it is told, odds slice by slice judge it

A leader must weigh what 400 VMs tell four times a second, and tell an unsound version from what fails or slows everywhere. The sums are now kept up renewal by renewal; the verdict multiplies clipped odds of slices in which both sides answered. `wingshed bench rollouts` plays orders on the decision code and compares two other ways.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -2,15 +2,25 @@
 
 use argh::FromArgs;
 
+use crate::bench_rollouts::{self, RolloutsOptions};
 use crate::{bench_classes, bench_control, bench_decision, bench_keeper, bench_relay};
 
-/// measure: decision, relay, streams, keeper, control, classes or memory
+/// measure: decision, relay, streams, keeper, control, classes, rollouts or memory
 #[derive(FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub struct BenchCommand {
     /// which measurement
     #[argh(positional)]
     what: String,
+    /// rollouts: orders of each case
+    #[argh(option)]
+    seeds: Option<u64>,
+    /// rollouts: requests a second, only these
+    #[argh(option)]
+    rate: Option<u64>,
+    /// rollouts: the time of an order, only this
+    #[argh(option)]
+    seconds: Option<u64>,
 }
 
 /// Runs one measurement.
@@ -23,6 +33,10 @@
         "keeper" => bench_keeper::keeper()?,
         "classes" => bench_classes::classes()?,
         "control" => bench_control::control()?,
+        "rollouts" => {
+            let BenchCommand { seeds, rate, seconds, .. } = *command;
+            bench_rollouts::rollouts(&RolloutsOptions { seeds, rate, seconds });
+        }
         other => return Err(format!("there is no measurement `{other}`")),
     }
     Ok(true)
--- /dev/null
+++ b/cli/src/bench_rollouts.rs
@@ -0,0 +1,234 @@
+//! How often roll-outs are judged wrongly, how late, and what it exposes: the decision code alone.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+
+use wingshed_lib::coordination::rollout_verdict::{is_enough, VerdictState};
+
+use crate::bench_decision::percentile;
+use crate::rollout_play::{play, FaultTime, JudgeWay, PlayCase, PlayEnd, PlaySetting, TargetFault};
+use crate::rollout_ways::{judge_whole, judge_window};
+use crate::table::to_text;
+
+const RATES: [u64; 3] = [20, 300, 1000];
+const SECONDS: [u64; 3] = [8, 12, 30];
+const SEEDS: u64 = 200;
+const THREADS: usize = 3;
+const WAYS: [&str; 3] =
+    ["odds, slice by slice", "window, thresholds", "since the order, deviations"];
+/// An unsound version must be rolled back this long after its 50th bad answer.
+const ROLL_BACK_MS: f64 = 5000.0;
+
+/// What is played, of what can be.
+pub struct RolloutsOptions {
+    /// Orders of each case.
+    pub seeds: Option<u64>,
+    /// Only this many requests a second.
+    pub rate: Option<u64>,
+    /// Only orders of this time.
+    pub seconds: Option<u64>,
+}
+
+/// One line of the table.
+struct PlayLine {
+    name: String,
+    fault: TargetFault,
+    time: FaultTime,
+    setting: PlaySetting,
+}
+
+fn lines() -> Vec<PlayLine> {
+    let settings = [
+        ("steady", PlaySetting::Steady),
+        ("bursts", PlaySetting::Bursts),
+        ("cold for 3 s", PlaySetting::Cold),
+        ("leader lost", PlaySetting::LeaderLost),
+        ("a route fails 14%", PlaySetting::FailingRoute),
+        ("all routes fail 14%", PlaySetting::AllFailing),
+    ];
+    let (fault, time) = (TargetFault::Sound, FaultTime::Always);
+    let sound = |(name, setting)| PlayLine { name: format!("sound, {name}"), fault, time, setting };
+    let mut lines: Vec<PlayLine> = settings.into_iter().map(sound).collect();
+    let faults = [
+        ("fails 5%", TargetFault::Fails(0.05)),
+        ("fails 20%", TargetFault::Fails(0.2)),
+        ("fails 50%", TargetFault::Fails(0.5)),
+        ("2 times slower", TargetFault::Slower(1.0, 2.0)),
+        ("4 times slower", TargetFault::Slower(1.0, 4.0)),
+        ("8 times slower", TargetFault::Slower(1.0, 8.0)),
+        ("half 4 times slower", TargetFault::Slower(0.5, 4.0)),
+    ];
+    let times = [
+        ("", FaultTime::Always),
+        (", from the middle", FaultTime::Middle),
+        (", in bursts", FaultTime::Burst),
+        (", one route of ten", FaultTime::OneRoute),
+    ];
+    for (fault_name, fault) in faults {
+        let setting = PlaySetting::Steady;
+        let line =
+            |(name, time)| PlayLine { name: format!("{fault_name}{name}"), fault, time, setting };
+        lines.extend(times.into_iter().map(line));
+    }
+    lines
+}
+
+/// Prints the tables.
+pub fn rollouts(options: &RolloutsOptions) {
+    let rates = options.rate.map_or(RATES.to_vec(), |rate| vec![rate]);
+    let seconds = options.seconds.map_or(SECONDS.to_vec(), |seconds| vec![seconds]);
+    let seeds = options.seeds.unwrap_or(SEEDS);
+    let grid: Vec<(u64, u64)> =
+        rates.iter().flat_map(|rate| seconds.iter().map(|seconds| (*rate, *seconds))).collect();
+    let lines = lines();
+    let mut cases = Vec::new();
+    for line in &lines {
+        for (rate, seconds) in &grid {
+            let (fault, time, setting) = (line.fault, line.time, line.setting);
+            let (rate, seconds) = (*rate, *seconds);
+            let case = |seed| PlayCase { fault, time, setting, rate, seconds, seed: seed + 1 };
+            cases.extend((0..seeds).map(case));
+        }
+    }
+    let ends = play_all(&cases);
+    let of_line =
+        |at: usize| &ends[at * grid.len() * seeds as usize..][..grid.len() * seeds as usize];
+    let rows: Vec<Vec<String>> =
+        (0..lines.len()).map(|at| to_row(&lines[at], of_line(at), seeds)).collect();
+    let grid_names = grid.iter().map(|(rate, seconds)| format!("{rate}/s {seconds} s"));
+    let figures = ["exposed p50", "most", "over", "found p50 s", "past 50th s", "late"];
+    let head: Vec<String> = std::iter::once("target".to_string())
+        .chain(grid_names)
+        .chain(figures.iter().map(|name| name.to_string()))
+        .collect();
+    let head: Vec<&str> = head.iter().map(String::as_str).collect();
+    println!("Rolled back, of {seeds}; sound ones: complete. Exposure as a part of its bound.\n");
+    println!("{}\n", to_text(&head, &rows));
+    let rows: Vec<Vec<String>> =
+        (0..WAYS.len()).map(|way| to_way_row(way, &lines, &ends)).collect();
+    let head = [
+        "way",
+        "sound complete",
+        "fails 5%",
+        "20%",
+        "50%",
+        "2 times slower",
+        "4",
+        "8",
+        "half 4",
+        "over the bound",
+        "late",
+    ];
+    println!("Parts in 1,000 of all cases that were judged rightly.\n");
+    println!("{}", to_text(&head, &rows));
+}
+
+fn play_all(cases: &[PlayCase]) -> Vec<PlayEnd> {
+    let next = AtomicUsize::new(0);
+    let ends: Mutex<Vec<(usize, PlayEnd)>> = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| loop {
+                let at = next.fetch_add(1, Ordering::Relaxed);
+                let Some(case) = cases.get(at) else { break };
+                let end = play_one(case);
+                ends.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push((at, end));
+            });
+        }
+    });
+    let mut ends = ends.into_inner().unwrap_or_else(|poisoned| poisoned.into_inner());
+    ends.sort_by_key(|(at, _)| *at);
+    ends.into_iter().map(|(_, end)| end).collect()
+}
+
+fn play_one(case: &PlayCase) -> PlayEnd {
+    let mut verdict = VerdictState::default();
+    let mut window = VecDeque::new();
+    let mut ways: [JudgeWay; 3] = [
+        Box::new(|sums, now_ms, begins| {
+            if begins {
+                verdict = VerdictState::default();
+            }
+            verdict.judge(sums, now_ms).is_some()
+        }),
+        Box::new(|sums, now_ms, begins| {
+            if begins {
+                window.clear();
+            }
+            judge_window(&mut window, sums, now_ms)
+        }),
+        Box::new(|sums, _, _| judge_whole(sums)),
+    ];
+    play(case, &mut ways)
+}
+
+/// How long after the 50th bad answer it was found, where there was one before the end.
+fn past_fiftieth_ms(end: &PlayEnd, way: usize, end_ms: f64) -> Option<f64> {
+    let found_ms = end.ways[way].found_ms.map_or(end_ms, |found_ms| found_ms as f64);
+    end.fiftieth_ms.map(|fiftieth_ms| found_ms - fiftieth_ms as f64)
+}
+
+fn is_late(end: &PlayEnd, way: usize) -> bool {
+    past_fiftieth_ms(end, way, f64::INFINITY).is_some_and(|past_ms| past_ms > ROLL_BACK_MS)
+}
+
+fn is_over(end: &PlayEnd, way: usize) -> bool {
+    end.ways[way].exposed as f64 > end.bound
+}
+
+fn is_right(line: &PlayLine, end: &PlayEnd, way: usize) -> bool {
+    let found = end.ways[way].found_ms.is_some();
+    match line.fault {
+        TargetFault::Sound => !found && is_enough(&end.sums_at_move),
+        _ => found,
+    }
+}
+
+fn to_row(line: &PlayLine, ends: &[PlayEnd], seeds: u64) -> Vec<String> {
+    let mut row = vec![line.name.clone()];
+    for cell in ends.chunks(seeds as usize) {
+        row.push(cell.iter().filter(|end| is_right(line, end, 0)).count().to_string());
+    }
+    if line.fault == TargetFault::Sound {
+        return row;
+    }
+    let exposed: Vec<f64> = ends.iter().map(|end| end.ways[0].exposed as f64 / end.bound).collect();
+    let found = ends.iter().filter_map(|end| end.ways[0].found_ms);
+    let found: Vec<f64> = found.map(|found_ms| found_ms as f64 / 1000.0).collect();
+    let past = ends.iter().filter(|end| end.ways[0].found_ms.is_some());
+    let past = past.filter_map(|end| past_fiftieth_ms(end, 0, 0.0));
+    let past_most = past.fold(f64::NEG_INFINITY, f64::max) / 1000.0;
+    row.push(format!("{:.2}", percentile(&exposed, 0.5)));
+    row.push(format!("{:.2}", percentile(&exposed, 1.0)));
+    row.push(ends.iter().filter(|end| is_over(end, 0)).count().to_string());
+    row.push(format!("{:.1}", percentile(&found, 0.5)));
+    row.push(if past_most.is_finite() { format!("{past_most:.1}") } else { "-".to_string() });
+    row.push(ends.iter().filter(|end| is_late(end, 0)).count().to_string());
+    row
+}
+
+fn to_way_row(way: usize, lines: &[PlayLine], ends: &[PlayEnd]) -> Vec<String> {
+    let each = ends.len() / lines.len();
+    let of_lines = || lines.iter().zip(ends.chunks(each));
+    let thousandths = |fault: &dyn Fn(&TargetFault) -> bool| {
+        let (mut right, mut all) = (0, 0);
+        for (line, ends) in of_lines().filter(|(line, _)| fault(&line.fault)) {
+            right += ends.iter().filter(|end| is_right(line, end, way)).count();
+            all += ends.len();
+        }
+        format!("{:.0}", 1000.0 * right as f64 / all.max(1) as f64)
+    };
+    let mut row = vec![WAYS[way].to_string()];
+    row.push(thousandths(&|fault| *fault == TargetFault::Sound));
+    let mut faults: Vec<TargetFault> = lines.iter().map(|line| line.fault).collect();
+    faults.dedup();
+    for one in faults.iter().filter(|fault| **fault != TargetFault::Sound) {
+        row.push(thousandths(&|fault| fault == one));
+    }
+    let unsound = || of_lines().filter(|(line, _)| line.fault != TargetFault::Sound);
+    let over = unsound().flat_map(|(_, ends)| ends).filter(|end| is_over(end, way)).count();
+    let late = unsound().flat_map(|(_, ends)| ends).filter(|end| is_late(end, way)).count();
+    row.extend([over.to_string(), late.to_string()]);
+    row
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod bench_decision;
 mod bench_keeper;
 mod bench_relay;
+mod bench_rollouts;
 mod check;
 mod config;
 mod demo;
@@ -16,6 +17,8 @@
 mod process;
 mod replay;
 mod report;
+mod rollout_play;
+mod rollout_ways;
 mod table;
 
 use argh::FromArgs;
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -41,6 +41,7 @@
 mod replay_views;
 pub mod retry;
 pub mod rollout_evidence;
+pub mod rollout_odds;
 pub mod rollout_share;
 pub mod rollout_verdict;
 pub mod router_lease;
--- a/lib/src/coordination/rollout_evidence.rs
+++ b/lib/src/coordination/rollout_evidence.rs
@@ -69,10 +69,18 @@
         self.squares += log * log;
     }
 
-    fn add(&mut self, other: &LogSums) {
-        self.count += other.count;
-        self.sum += other.sum;
-        self.squares += other.squares;
+    /// What was added since `before`, which are earlier sums of the same.
+    pub fn since(&self, before: &LogSums) -> LogSums {
+        LogSums {
+            count: self.count.saturating_sub(before.count),
+            sum: self.sum - before.sum,
+            squares: self.squares - before.squares,
+        }
+    }
+
+    /// The mean of the logarithms; 0 without any.
+    pub fn mean(&self) -> f64 {
+        f64::from(self.sum) / f64::from(self.count.max(1))
     }
 }
 
@@ -106,11 +114,14 @@
         }
     }
 
-    fn add(&mut self, other: &ArmSums) {
-        self.well += other.well;
-        self.bad += other.bad;
-        self.pace.add(&other.pace);
-        self.first.add(&other.first);
+    /// What was added since `before`, which are earlier sums of the same.
+    pub fn since(&self, before: &ArmSums) -> ArmSums {
+        ArmSums {
+            well: self.well.saturating_sub(before.well),
+            bad: self.bad.saturating_sub(before.bad),
+            pace: self.pace.since(&before.pace),
+            first: self.first.since(&before.first),
+        }
     }
 }
 
@@ -130,6 +141,12 @@
     pub fn all(&self) -> u64 {
         u64::from(self.base.all()) + u64::from(self.target.all())
     }
+
+    /// What was added since `before`, which are earlier sums of the same.
+    pub fn since(&self, before: &RouteSums) -> RouteSums {
+        let (base, target) = (self.base.since(&before.base), self.target.since(&before.target));
+        RouteSums { route: self.route, base, target }
+    }
 }
 
 /// What one VM counts of one order.
@@ -166,35 +183,97 @@
 }
 
 /// What a leader was told of one order by all VMs.
+///
+/// The sums are kept up with each renewal, so that taking one costs its rows and a look at the sums
+/// costs the routes, however many VMs tell.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceTable {
-    told: BTreeMap<(u32, u64), Vec<RouteSums>>,
+    told: HashMap<(u32, u64, RouteKey), RouteSums>,
+    totals: BTreeMap<RouteKey, RouteTotals>,
 }
 
 impl EvidenceTable {
-    /// Takes what a life of a VM tells of all it has counted.
+    /// Takes what a life of a VM tells of all it has counted. A row that counts fewer sends than the
+    /// one before was overtaken and changes nothing; a route that it tells no more, since others
+    /// are tried more, stays as it was told last.
     pub fn take(&mut self, vm: u32, life: u64, rows: Vec<RouteSums>, _now_ms: u64) {
-        let count = |rows: &[RouteSums]| rows.iter().map(RouteSums::all).sum::<u64>();
-        let known = self.told.entry((vm, life)).or_default();
-        if count(&rows) >= count(known) {
-            *known = rows;
+        for row in rows {
+            let known = self.told.entry((vm, life, row.route)).or_default();
+            if row.all() > known.all() {
+                let total = self.totals.entry(row.route).or_default();
+                total.replace(known, &row);
+                *known = row;
+            }
         }
     }
 
     /// The sums over all VMs.
     pub fn sums(&self) -> Vec<RouteSums> {
-        let mut sums: BTreeMap<RouteKey, RouteSums> = BTreeMap::new();
-        for row in self.told.values().flatten() {
-            let sum = sums.entry(row.route).or_default();
-            sum.route = row.route;
-            sum.base.add(&row.base);
-            sum.target.add(&row.target);
-        }
-        sums.into_values().collect()
+        let to_sums = |(route, total): (&RouteKey, &RouteTotals)| RouteSums {
+            route: *route,
+            base: total.base.to_sums(),
+            target: total.target.to_sums(),
+        };
+        self.totals.iter().map(to_sums).collect()
     }
 
     /// Answers of the target that weren't well.
     pub fn bad_answers(&self) -> u32 {
-        self.told.values().flatten().map(|row| row.target.bad).sum()
+        self.totals.values().map(|total| total.target.bad).sum()
+    }
+}
+
+/// Sums over VMs, so fine that replacing a part of them again and again shifts nothing.
+#[derive(Clone, Copy, Debug, Default)]
+struct LogTotals {
+    count: u32,
+    sum: f64,
+    squares: f64,
+}
+
+impl LogTotals {
+    fn replace(&mut self, before: &LogSums, after: &LogSums) {
+        self.count += after.count.saturating_sub(before.count);
+        self.sum += f64::from(after.sum) - f64::from(before.sum);
+        self.squares += f64::from(after.squares) - f64::from(before.squares);
+    }
+
+    fn to_sums(self) -> LogSums {
+        LogSums { count: self.count, sum: self.sum as f32, squares: self.squares as f32 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ArmTotals {
+    well: u32,
+    bad: u32,
+    pace: LogTotals,
+    first: LogTotals,
+}
+
+impl ArmTotals {
+    fn replace(&mut self, before: &ArmSums, after: &ArmSums) {
+        self.well += after.well.saturating_sub(before.well);
+        self.bad += after.bad.saturating_sub(before.bad);
+        self.pace.replace(&before.pace, &after.pace);
+        self.first.replace(&before.first, &after.first);
+    }
+
+    fn to_sums(self) -> ArmSums {
+        let (pace, first) = (self.pace.to_sums(), self.first.to_sums());
+        ArmSums { well: self.well, bad: self.bad, pace, first }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTotals {
+    base: ArmTotals,
+    target: ArmTotals,
+}
+
+impl RouteTotals {
+    fn replace(&mut self, before: &RouteSums, after: &RouteSums) {
+        self.base.replace(&before.base, &after.base);
+        self.target.replace(&before.target, &after.target);
     }
 }
--- a/lib/src/coordination/rollout_verdict.rs
+++ b/lib/src/coordination/rollout_verdict.rs
@@ -1,6 +1,39 @@
 //! Whether what a version under trial answers shows that it is unsound.
+//!
+//! The evidence of each route is cut into slices in which both sides answered at the same time, and
+//! each slice moves the odds that the target is unsound (`rollout_odds`): by failures, by the pace of
+//! answers, by the time to their first event; of each route alone and of all together. Invariants:
+//! a kind of request that fails everywhere, and what slows or fails both sides, never counts against the
+//! target; a sound one is found unsound in at most [`FALSE_FINDINGS`] of all orders, however many
+//! routes there are. See `docs/design/rollouts.md`, "Evidence".
 
-use super::rollout_evidence::{RouteKey, RouteSums};
+use std::collections::BTreeMap;
+
+use super::rollout_evidence::{LogSums, RouteKey, RouteSums};
+use super::rollout_odds::{
+    failure_logs, slow_logs, ChangeOdds, DegreeLogs, FailureReference, SoundLimits, TimeReference,
+    TimeSpread, AFTER, BESIDE, DEGREES,
+};
+
+/// In at most this part of all orders a sound target is found unsound.
+pub const FALSE_FINDINGS: f64 = 0.005;
+/// A slice lasts this long at least, in milliseconds: as long as VMs take to tell once.
+const SLICE_MS: u64 = 300;
+/// And at most this long, in milliseconds,
+const LONGEST_SLICE_MS: u64 = 1200;
+/// or until the other versions have answered so often.
+const SLICE_ANSWERS: u32 = 8;
+/// No slice ends before the other versions have answered so often on all routes together, or
+/// [`LONGEST_WAIT_MS`] have passed: before that nothing is known of what fails everywhere.
+const FIRST_ANSWERS: u32 = 30;
+/// See [`FIRST_ANSWERS`]; in milliseconds.
+const LONGEST_WAIT_MS: u64 = 3000;
+/// What counts how many answers each side gave of late keeps this part with each slice.
+const FLOW_KEPT: f64 = 0.7;
+/// Fewer answers of the target than this say nothing,
+const ENOUGH_ANSWERS: u32 = 12;
+/// unless there were few requests: then this part of all answers.
+const ENOUGH_PART: f64 = 0.04;
 
 /// What shows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,22 +61,237 @@
             UnsoundSign::Failures => "fails more",
             UnsoundSign::Slow => "is slower",
         };
-        write!(f, "{sign}: {}", self.figures)
+        match self.route {
+            Some(route) => write!(f, "{sign} on route {:08x}: {}", route.0, self.figures),
+            None => write!(f, "{sign}: {}", self.figures),
+        }
+    }
+}
+
+/// What the odds are kept for.
+const SIGNS: usize = 3;
+/// How the false findings are divided among the signs, as parts.
+const SIGN_PARTS: [f64; SIGNS] = [0.5, 0.25, 0.25];
+/// By sign: failures, pace, time to the first event.
+type SignLogs = [DegreeLogs; SIGNS];
+
+/// The odds by each sign.
+#[derive(Clone, Copy, Debug, Default)]
+struct SignOdds {
+    signs: [ChangeOdds; SIGNS],
+}
+
+impl SignOdds {
+    fn take(&mut self, logs: &SignLogs, lengths: f64) {
+        self.signs.iter_mut().zip(logs).for_each(|(odds, log)| odds.take(log, lengths));
+    }
+
+    /// The sign that shows most, and its odds.
+    fn most(&self) -> (usize, f64) {
+        let parts = self.signs.iter().zip(SIGN_PARTS);
+        let logs = parts.map(|(odds, part)| odds.log() + part.ln()).enumerate();
+        logs.max_by(|one, other| one.1.total_cmp(&other.1)).unwrap_or((0, f64::NEG_INFINITY))
+    }
+}
+
+/// What is remembered of one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTrial {
+    /// When its slice began, and the sums at that time.
+    since_ms: u64,
+    seen: RouteSums,
+    failures: FailureReference,
+    pace: TimeReference,
+    first: TimeReference,
+    odds: SignOdds,
+}
+
+impl RouteTrial {
+    /// How long its slice has lasted, in lengths of the shortest, if it ends now.
+    fn ripe(&self, slice: &RouteSums, now_ms: u64) -> Option<f64> {
+        let age_ms = now_ms.saturating_sub(self.since_ms);
+        let answers = slice.base.all().max(slice.target.all());
+        let ripe = age_ms >= LONGEST_SLICE_MS || (age_ms >= SLICE_MS && answers >= SLICE_ANSWERS);
+        ripe.then(|| age_ms.min(LONGEST_SLICE_MS) as f64 / SLICE_MS as f64)
+    }
+
+    /// Takes what the other versions answered in a slice.
+    fn take_base(&mut self, slice: &RouteSums) {
+        self.failures.take(&slice.base);
+        self.pace.take(&slice.base.pace);
+        self.first.take(&slice.base.first);
+    }
+
+    /// What a slice shows.
+    fn logs(&self, slice: &RouteSums, shared: &SharedReference, limits: &SoundLimits) -> SignLogs {
+        let (base, target) = (&slice.base, &slice.target);
+        [
+            failure_logs(target, self.failures.part(shared.failing), limits),
+            slow_logs(&target.pace, &base.pace, &self.pace, shared.pace_variance, limits),
+            slow_logs(&target.first, &base.first, &self.first, shared.first_variance, limits),
+        ]
+    }
+}
+
+/// What is known of the other versions on all routes together; stands in where a route has little.
+struct SharedReference {
+    failing: f64,
+    pace_variance: f64,
+    first_variance: f64,
+}
+
+/// Of all routes together.
+#[derive(Clone, Copy, Debug, Default)]
+struct AnswerFlow {
+    base: f64,
+    target: f64,
+}
+
+impl AnswerFlow {
+    fn take(&mut self, base: u32, target: u32) {
+        self.base = FLOW_KEPT * self.base + f64::from(base);
+        self.target = FLOW_KEPT * self.target + f64::from(target);
+    }
+
+    /// Which limits hold: whether the other versions still answer beside the target.
+    fn limits(&self) -> &'static SoundLimits {
+        match self.target > self.base {
+            true => &AFTER,
+            false => &BESIDE,
+        }
     }
 }
 
 /// What is remembered between two looks at the evidence of one order.
 #[derive(Clone, Debug, Default)]
-pub struct VerdictState {}
+pub struct VerdictState {
+    routes: BTreeMap<RouteKey, RouteTrial>,
+    all: SignOdds,
+    failures: FailureReference,
+    flow: AnswerFlow,
+    flow_seen: (u32, u32),
+    flow_ms: u64,
+    begun_ms: Option<u64>,
+}
 
 impl VerdictState {
     /// Looks at the sums over all VMs since the order; asked a few times a second.
-    pub fn judge(&mut self, _sums: &[RouteSums], _now_ms: u64) -> Option<UnsoundFinding> {
-        None
+    pub fn judge(&mut self, sums: &[RouteSums], now_ms: u64) -> Option<UnsoundFinding> {
+        self.watch_flow(sums, now_ms);
+        let slices = self.end_slices(sums, now_ms);
+        let shared = self.shared();
+        let limits = self.flow.limits();
+        let mut all = [[0.0; DEGREES]; SIGNS];
+        let mut longest = 0.0;
+        for (slice, lengths) in &slices {
+            let Some(trial) = self.routes.get_mut(&slice.route) else { continue };
+            let logs = trial.logs(slice, &shared, limits);
+            trial.odds.take(&logs, *lengths);
+            all.iter_mut().flatten().zip(logs.iter().flatten()).for_each(|(sum, log)| *sum += log);
+            longest = lengths.max(longest);
+        }
+        if !slices.is_empty() {
+            self.all.take(&all, longest);
+        }
+        self.finding(sums)
+    }
+
+    /// The slices that end now, and how long each has lasted.
+    fn end_slices(&mut self, sums: &[RouteSums], now_ms: u64) -> Vec<(RouteSums, f64)> {
+        let mut ended = Vec::new();
+        let begun_ms = *self.begun_ms.get_or_insert(now_ms);
+        let answers: u32 = sums.iter().map(|row| row.base.all()).sum();
+        let waits = answers < FIRST_ANSWERS && now_ms.saturating_sub(begun_ms) < LONGEST_WAIT_MS;
+        for row in sums {
+            let begun = RouteTrial { since_ms: now_ms, ..RouteTrial::default() };
+            let trial = self.routes.entry(row.route).or_insert(begun);
+            let slice = row.since(&trial.seen);
+            if let Some(lengths) = trial.ripe(&slice, now_ms).filter(|_| !waits) {
+                (trial.since_ms, trial.seen) = (now_ms, *row);
+                trial.take_base(&slice);
+                self.failures.take(&slice.base);
+                ended.push((slice, lengths));
+            }
+        }
+        ended
+    }
+
+    fn shared(&self) -> SharedReference {
+        let spread = |side: fn(&RouteTrial) -> &TimeReference| {
+            let routes = self.routes.values().map(side);
+            routes.fold(TimeSpread::default(), TimeSpread::with).shared_variance()
+        };
+        SharedReference {
+            failing: self.failures.shared_part(),
+            pace_variance: spread(|trial| &trial.pace),
+            first_variance: spread(|trial| &trial.first),
+        }
+    }
+
+    fn watch_flow(&mut self, sums: &[RouteSums], now_ms: u64) {
+        if now_ms.saturating_sub(self.flow_ms) < SLICE_MS {
+            return;
+        }
+        let base: u32 = sums.iter().map(|row| row.base.all()).sum();
+        let target: u32 = sums.iter().map(|row| row.target.all()).sum();
+        let (base_seen, target_seen) = self.flow_seen;
+        self.flow.take(base.saturating_sub(base_seen), target.saturating_sub(target_seen));
+        (self.flow_seen, self.flow_ms) = ((base, target), now_ms);
+    }
+
+    fn finding(&self, sums: &[RouteSums]) -> Option<UnsoundFinding> {
+        // Half for all routes together, half for each alone.
+        let needed = (2.0 / FALSE_FINDINGS).ln();
+        let needed_alone = needed + (self.routes.len().max(1) as f64).ln();
+        let (sign, odds) = self.all.most();
+        if odds >= needed {
+            return Some(to_finding(None, sign, odds - needed, sums));
+        }
+        let alone = self.routes.iter().map(|(route, trial)| (*route, trial.odds.most()));
+        let (route, (sign, odds)) = alone.max_by(|one, other| one.1 .1.total_cmp(&other.1 .1))?;
+        let own: Vec<RouteSums> = sums.iter().filter(|row| row.route == route).copied().collect();
+        (odds >= needed_alone).then(|| to_finding(Some(route), sign, odds - needed_alone, &own))
+    }
+}
+
+fn to_finding(
+    route: Option<RouteKey>,
+    sign: usize,
+    beyond: f64,
+    sums: &[RouteSums],
+) -> UnsoundFinding {
+    let sum = |count: fn(&RouteSums) -> u32| sums.iter().map(count).sum::<u32>();
+    let beyond = format!("odds e^{beyond:.1} beyond those needed");
+    if sign == 0 {
+        let target = (sum(|row| row.target.bad), sum(|row| row.target.all()));
+        let base = (sum(|row| row.base.bad), sum(|row| row.base.all()));
+        let figures = format!(
+            "{} of {} answers bad, elsewhere {} of {}; {beyond}",
+            target.0, target.1, base.0, base.1
+        );
+        return UnsoundFinding { route, sign: UnsoundSign::Failures, figures };
     }
+    let (what, side): (_, fn(&RouteSums) -> (LogSums, LogSums)) = match sign {
+        1 => ("pace", |row| (row.target.pace, row.base.pace)),
+        _ => ("first event", |row| (row.target.first, row.base.first)),
+    };
+    // Routes differ; so each is compared with itself, weighted by the target's answers.
+    let rows = sums.iter().map(side).filter(|(target, base)| target.count * base.count > 0);
+    let (slower, count) = rows.fold((0.0, 0), |(slower, count), (target, base)| {
+        let apart = target.mean() - base.mean();
+        (slower + apart * f64::from(target.count), count + target.count)
+    });
+    let times = (slower / f64::from(count.max(1))).exp();
+    let figures = format!("{what} {times:.1} times as long over {count} answers; {beyond}");
+    UnsoundFinding { route, sign: UnsoundSign::Slow, figures }
 }
 
-/// Whether the target answered enough for "not unsound" to say something.
+/// Whether the target answered enough for "not unsound" to say something: so often that half of them
+/// failing would have shown, or where there are few requests its part of them; and mostly well.
 pub fn is_enough(sums: &[RouteSums]) -> bool {
-    sums.iter().any(|row| row.target.well > 0)
+    let bad: u32 = sums.iter().map(|row| row.target.bad).sum();
+    let well: u32 = sums.iter().map(|row| row.target.well).sum();
+    let all: u64 = sums.iter().map(RouteSums::all).sum();
+    let few = (ENOUGH_PART * all as f64) as u32;
+    well > bad && well + bad >= ENOUGH_ANSWERS.min(few.max(1))
 }
