--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -42,6 +42,7 @@
 pub mod retry;
 pub mod rollout_evidence;
 pub mod rollout_lead;
+pub mod rollout_odds;
 pub mod rollout_share;
 pub mod rollout_verdict;
 pub mod rollout_watch;
--- a/lib/src/coordination/rollout_lead.rs
+++ b/lib/src/coordination/rollout_lead.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use super::rollout_evidence::EvidenceTable;
-use super::rollout_verdict::{is_enough, UnsoundFinding, VerdictState};
+use super::rollout_verdict::{is_enough, VerdictState};
 use super::rollout_watch::RolloutNote;
 use crate::state::rollout_order::{RolloutPhase, RolloutRow, RolloutStep, VersionKey};
 
@@ -214,7 +214,7 @@
     let to =
         |phase, why: String| Some(ProposedStep { step: row.next_step(phase, elapsed_ms), why });
     if let Some(finding) = order.verdict.judge(&sums, now_ms) {
-        return to(RolloutPhase::RolledBack, unsound_text(&finding));
+        return to(RolloutPhase::RolledBack, format!("it {finding}"));
     }
     let heard = led_ms >= HEAR_MS;
     let late = left_ms <= COMMIT_MS;
@@ -245,8 +245,3 @@
     let due = elapsed_ms >= row.spent_ms + NOTE_MS;
     due.then(|| ProposedStep { step: row.next_step(row.phase, elapsed_ms), why: String::new() })
 }
-
-fn unsound_text(finding: &UnsoundFinding) -> String {
-    let route = finding.route.map_or("all routes".to_string(), |route| format!("{:08x}", route.0));
-    format!("on {route} it {finding}")
-}
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -353,11 +353,12 @@
             let Some(keeper) = keeper.as_ref() else { return };
             let rows = keeper.record.rollouts.rows();
             let mut desk = self.rollouts.borrow_mut();
-            if rows.is_empty() || !desk.is_due(now_ms) {
+            if !desk.is_due(now_ms) {
                 return;
             }
+            // Also while there are none: an order that is there at the first look is one of before.
             desk.lead.observe(rows, now_ms);
-            if !keeper.may_vouch(now_ms) {
+            if rows.is_empty() || !keeper.may_vouch(now_ms) {
                 return;
             }
             let vms: BTreeSet<u32> = keeper.roster.rows().iter().map(|row| row.id).collect();
