list: an upstream is its name and its birth; an entry that can't be read costs itself

Cause: the name alone was the key of a life. One that left and started again under its name stayed leaving for good, and was charged with the loads, verdicts, prompts and connections of before. And one entry of another writer's made the whole page of the list unreadable. Change: the key is a hash of name and birth, so that every table and message tells incarnations apart; seats go to restarts at their addresses first. Entries are read one by one; those that can't be read are counted and told with their places. Who was known and can't be read now keeps its seat and gets no new work, unless nobody else of its service can be used. An unknown state is no leaving.

--- a/lib/src/coordination/upstream_seats.rs
+++ b/lib/src/coordination/upstream_seats.rs
@@ -1,6 +1,6 @@
 //! Seats: what the order of engines is computed from, in place of their lives.
 //!
-//! A life that takes another's place takes its seat, so that the prompts that were kept
+//! A life that takes another's place takes its seat (a restart that of its own address), so that the prompts that were kept
 //! there move to one engine and no others change theirs. A new upstream waits a little
 //! before it gets a seat of its own, since in a release the new one starts before the
 //! old one leaves; a new engine waits until the others are in use ([`patient_services`]).
@@ -85,16 +85,24 @@
         let living: BTreeSet<UpstreamKey> =
             rows.iter().filter(|row| !row.leaving).map(UpstreamEntry::key).collect();
         let mut vacant = VacantSeats::of(self.seats.values(), &living);
-        for row in rows.iter_mut().filter(|row| row.seat.is_none() && !row.leaving) {
-            let key = row.key();
-            let seen_ms = list.first_seen_ms.get(&key).copied().unwrap_or(now_ms);
+        // Restarts first: a newcomer elsewhere would take the seat that is theirs.
+        for row in rows.iter_mut().filter(|row| row.seat.is_none() && row.takes_work()) {
+            row.seat = vacant.take_place(row);
+            self.hold(row);
+        }
+        for row in rows.iter_mut().filter(|row| row.seat.is_none() && row.takes_work()) {
+            let seen_ms = list.first_seen_ms.get(&row.key()).copied().unwrap_or(now_ms);
             let waited = seen_ms + WAIT_MS <= now_ms && !patient.contains(&row.service);
             let own = first_list || waited;
-            row.seat = vacant.take_for(row).or_else(|| own.then(|| self.fresh_seat(row)));
-            if let Some(seat) = row.seat {
-                let (service, address) = (row.service.clone(), row.address);
-                self.seats.insert(seat, SeatRow { seat, service, address, holder: key });
-            }
+            row.seat = vacant.take_any(row).or_else(|| own.then(|| self.fresh_seat(row)));
+            self.hold(row);
+        }
+    }
+
+    fn hold(&mut self, row: &UpstreamEntry) {
+        if let Some(seat) = row.seat {
+            let (service, address) = (row.service.clone(), row.address);
+            self.seats.insert(seat, SeatRow { seat, service, address, holder: row.key() });
         }
     }
 
@@ -129,11 +137,14 @@
         vacant
     }
 
-    /// A seat of the same service; the one at the same address first, since that is a restart.
-    fn take_for(&mut self, row: &UpstreamEntry) -> Option<u64> {
-        let seats = self.by_service.get_mut(&row.service)?;
-        let restart = self.by_place.remove(&(row.service.clone(), row.address));
-        let restart = restart.filter(|seat| seats.remove(seat));
-        restart.or_else(|| seats.pop_first())
+    /// The seat of the same service at the same address: that of a restart.
+    fn take_place(&mut self, row: &UpstreamEntry) -> Option<u64> {
+        let seat = self.by_place.remove(&(row.service.clone(), row.address))?;
+        self.by_service.get_mut(&row.service)?.remove(&seat).then_some(seat)
+    }
+
+    /// Any seat of the same service.
+    fn take_any(&mut self, row: &UpstreamEntry) -> Option<u64> {
+        self.by_service.get_mut(&row.service)?.pop_first()
     }
 }
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -11,9 +11,9 @@
 use hyper::{Method, Uri};
 
 use crate::state::finding::Finding;
+use crate::state::list_reading::ListReading;
 use crate::state::prompt_part::PromptPart;
 use crate::state::route_book::RouteBook;
-use crate::state::upstream_list::UpstreamEntry;
 
 /// A caller's request, as far as its head tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -99,8 +99,8 @@
 /// A page of the list of upstreams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamPage {
-    /// The rows.
-    pub rows: Vec<UpstreamEntry>,
+    /// What it tells.
+    pub reading: ListReading,
     /// The name of the page that follows.
     pub next: Option<String>,
 }
--- a/lib/src/state/ids.rs
+++ b/lib/src/state/ids.rs
@@ -60,6 +60,17 @@
     pub fn of(name: &str) -> UpstreamKey {
         UpstreamKey(xxh3_64(name.as_bytes()))
     }
+
+    /// The key of the incarnation of this name that was born then, in Unix milliseconds; a name
+    /// without a birth is one incarnation. See `docs/design/identity.md`.
+    pub fn of_birth(name: &str, born: Option<u64>) -> UpstreamKey {
+        let Some(born) = born else { return UpstreamKey::of(name) };
+        let mut bytes = Vec::with_capacity(name.len() + 1 + size_of::<u64>());
+        bytes.extend_from_slice(name.as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(&born.to_le_bytes());
+        UpstreamKey(xxh3_64(&bytes))
+    }
 }
 
 impl FleetKey {
--- /dev/null
+++ b/lib/src/state/list_reading.rs
@@ -0,0 +1,136 @@
+//! One reading of the platform's list, before it becomes a state of it.
+//!
+//! Entries may come from writers that we don't know, and one that can't be read must not cost the
+//! others. Invariants: what can't be read names no upstream to use; of two entries of one name the
+//! later born holds; an upstream that was known and is named still, but can't be read now, is neither
+//! gone nor used while others of its service are. See `docs/design/identity.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::finding::Finding;
+use super::upstream_list::{EntryDoubt, UpstreamEntry, UpstreamList};
+
+/// An entry that can't be read, and what it tells of whom it names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadEntry {
+    /// What is wrong, with its place; the first thing, where there are several.
+    pub finding: Finding,
+    /// The name, if that can be read.
+    pub life: Option<String>,
+    /// The birth, likewise.
+    pub born: Option<u64>,
+    /// The address, likewise.
+    pub address: Option<SocketAddr>,
+}
+
+/// Whom entries that can't be read name, and with which births: by name, or by address where they tell
+/// no name. Found without a search: nothing bounds what other writers leave.
+#[derive(Default)]
+struct UnreadNames<'a> {
+    by_life: BTreeMap<&'a str, Vec<Option<u64>>>,
+    by_address: BTreeMap<SocketAddr, Vec<Option<u64>>>,
+}
+
+impl UnreadNames<'_> {
+    fn of(unread: &[UnreadEntry]) -> UnreadNames<'_> {
+        let mut names = UnreadNames::default();
+        for entry in unread {
+            match (&entry.life, entry.address) {
+                (Some(life), _) => names.by_life.entry(life).or_default().push(entry.born),
+                (None, Some(at)) => names.by_address.entry(at).or_default().push(entry.born),
+                (None, None) => {}
+            }
+        }
+        names
+    }
+
+    fn tell(&self, row: &UpstreamEntry) -> bool {
+        let same = |born: &Option<u64>| born.is_none() || *born == row.born;
+        let by_life = self.by_life.get(row.life.as_str());
+        let births = by_life.or_else(|| self.by_address.get(&row.address));
+        births.is_some_and(|births| births.iter().any(same))
+    }
+}
+
+/// All pages of one reading.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListReading {
+    /// Entries that were read.
+    pub rows: Vec<UpstreamEntry>,
+    /// Entries that were not.
+    pub unread: Vec<UnreadEntry>,
+    /// What is odd about entries that were read, with its place.
+    pub findings: Vec<Finding>,
+}
+
+/// What a reading tells, in view of what was known.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SettledReading {
+    /// The rows, one a name.
+    pub rows: Vec<UpstreamEntry>,
+    /// Names that stood there with several births.
+    pub doubled: Vec<String>,
+}
+
+impl ListReading {
+    /// Adds what page `number` tells, counted from 0.
+    pub fn append(&mut self, mut page: ListReading, number: usize) {
+        let findings = page.unread.iter_mut().map(|entry| &mut entry.finding);
+        for finding in findings.chain(&mut page.findings) {
+            finding.path = format!("page {}: {}", number + 1, finding.path);
+        }
+        self.rows.append(&mut page.rows);
+        self.unread.append(&mut page.unread);
+        self.findings.append(&mut page.findings);
+    }
+
+    /// What the reading tells. `None` when it has entries and none can be read: that is no news of
+    /// anyone, and what was known holds.
+    pub fn settle(&self, known: &UpstreamList) -> Option<SettledReading> {
+        if self.rows.is_empty() && !self.unread.is_empty() {
+            return None;
+        }
+        let (mut rows, doubled) = later_born(&self.rows);
+        let held = self.held(&rows, known);
+        rows.extend(held);
+        Some(SettledReading { rows, doubled })
+    }
+
+    /// Known upstreams that are named by entries which can't be read, and by no other. They stay as
+    /// they were known if their service has nobody else who takes work: refusing would serve nobody.
+    fn held(&self, rows: &[UpstreamEntry], known: &UpstreamList) -> Vec<UpstreamEntry> {
+        if self.unread.is_empty() {
+            return Vec::new();
+        }
+        let read: BTreeSet<&str> = rows.iter().map(|row| row.life.as_str()).collect();
+        let served: BTreeSet<&str> =
+            rows.iter().filter(|row| row.takes_work()).map(|row| row.service.as_str()).collect();
+        let names = UnreadNames::of(&self.unread);
+        let named = |row: &&UpstreamEntry| !read.contains(row.life.as_str()) && names.tell(row);
+        let hold = |row: &UpstreamEntry| {
+            let doubt = match row.doubt {
+                EntryDoubt::State => EntryDoubt::State,
+                _ if served.contains(row.service.as_str()) => EntryDoubt::Unread,
+                _ => EntryDoubt::None,
+            };
+            UpstreamEntry { doubt, ..row.clone() }
+        };
+        known.entries.values().filter(named).map(hold).collect()
+    }
+}
+
+/// One row a name, the later born of several; and the names that had several births.
+fn later_born(rows: &[UpstreamEntry]) -> (Vec<UpstreamEntry>, Vec<String>) {
+    let mut births: BTreeMap<&str, Option<u64>> = BTreeMap::new();
+    let mut doubled = BTreeSet::new();
+    for row in rows {
+        let born = births.entry(&row.life).or_insert(row.born);
+        if *born != row.born {
+            doubled.insert(row.life.clone());
+        }
+        *born = (*born).max(row.born);
+    }
+    let latest = rows.iter().filter(|row| births.get(row.life.as_str()) == Some(&row.born));
+    (latest.cloned().collect(), doubled.into_iter().collect())
+}
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod keeper_machine;
 pub mod kept_list;
+pub mod list_reading;
 pub mod log_store;
 pub mod packed_text;
 pub mod prompt_part;
--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -1,12 +1,14 @@
 //! The upstreams, as the platform's list or another VM told them.
 //!
-//! Leaving is sticky for a life: no list that lags can take it back. Each state of the list has a
+//! Leaving is sticky for an incarnation: no list that lags can take it back. A name that starts again
+//! is another incarnation with another key, so that nothing known of the earlier one is said of it;
+//! see `docs/design/identity.md`. Each state of the list has a
 //! mark, and VMs with the same mark hold the same rows; so a change can be told without the rest.
 //! Marks have one order, whoever read the state, and nothing is replaced by a lower one. How old a
 //! state is tells [`UpstreamList::news_ms`], which only a reading or a proof by exchange raises.
 //! See `docs/design/fleet-news.md`.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -14,10 +16,23 @@
 use super::ids::UpstreamKey;
 use super::rollout_order::VersionKey;
 
-/// One life of one upstream.
+/// What the list leaves open about an upstream. Unlike leaving it is not sticky: the next list that can be
+/// read in full ends it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryDoubt {
+    /// Nothing.
+    #[default]
+    None,
+    /// Whether it takes work: its state is none that we know.
+    State,
+    /// Anything but that it is named: it was known, and its entry can't be read any more.
+    Unread,
+}
+
+/// One incarnation of one upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
-    /// The name of this life; another life has another name.
+    /// The name under which it is listed. It may start again under it; then `born` is another.
     pub life: String,
     /// The service that it belongs to.
     pub service: String,
@@ -35,12 +50,23 @@
     /// Its version.
     #[serde(default)]
     pub version: VersionKey,
+    /// When it started, in Unix milliseconds, if it tells.
+    #[serde(default)]
+    pub born: Option<u64>,
+    /// What the list leaves open about it; while anything is, it gets no new work.
+    #[serde(default)]
+    pub doubt: EntryDoubt,
 }
 
 impl UpstreamEntry {
-    /// The key of this life.
+    /// The key of this incarnation.
     pub fn key(&self) -> UpstreamKey {
-        UpstreamKey::of(&self.life)
+        UpstreamKey::of_birth(&self.life, self.born)
+    }
+
+    /// Whether the list says that it takes new work.
+    pub fn takes_work(&self) -> bool {
+        !self.leaving && self.doubt == EntryDoubt::None
     }
 }
 
@@ -61,7 +87,7 @@
 pub struct ListChange {
     /// Rows that are new or other than before.
     pub rows: Vec<UpstreamEntry>,
-    /// Lives that are on the list no more.
+    /// Incarnations that are on the list no more.
     pub gone: Vec<UpstreamKey>,
 }
 
@@ -108,6 +134,10 @@
     pub news_ms: u64,
     /// Which state this is.
     pub mark: ListMark,
+    /// How many incarnations were replaced by later ones under their names.
+    pub replaced: u64,
+    /// The names of those that the last change replaced.
+    pub replaced_last: Vec<String>,
     /// The highest number of a change that was heard of. A leader that knew only its own would tell
     /// marks that others have passed already, and none would take its list.
     heard_change: u64,
@@ -216,7 +246,9 @@
         self.leaving.retain(|key| entries.contains_key(key));
         let other = entries.iter().filter(|(key, row)| self.entries.get(key) != Some(*row));
         let rows = other.map(|(_, row)| row.clone()).collect();
-        let gone = self.entries.keys().filter(|key| !entries.contains_key(key)).copied().collect();
+        let gone: Vec<UpstreamKey> =
+            self.entries.keys().filter(|key| !entries.contains_key(key)).copied().collect();
+        self.note_replaced(&gone, &entries);
         self.first_seen_ms.retain(|key, _| entries.contains_key(key));
         for key in entries.keys() {
             self.first_seen_ms.entry(*key).or_insert(now_ms);
@@ -225,6 +257,21 @@
         ListChange { rows, gone }
     }
 
+    /// Notes whose names are on the list as before while their incarnations aren't.
+    fn note_replaced(
+        &mut self,
+        gone: &[UpstreamKey],
+        entries: &BTreeMap<UpstreamKey, UpstreamEntry>,
+    ) {
+        let gone = gone.iter().filter_map(|key| self.entries.get(key));
+        let gone: BTreeSet<&str> = gone.map(|row| row.life.as_str()).collect();
+        let again = entries.values().filter(|row| gone.contains(row.life.as_str()));
+        let again =
+            if gone.is_empty() { Vec::new() } else { again.map(|row| row.life.clone()).collect() };
+        self.replaced += again.len() as u64;
+        self.replaced_last = again;
+    }
+
     /// The rows, to tell another VM.
     pub fn rows(&self) -> Vec<UpstreamEntry> {
         self.entries.values().cloned().collect()
@@ -244,6 +291,6 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (UpstreamKey, &'a UpstreamEntry)> + 'a {
-        self.of_service(service).filter(|(_, entry)| !entry.leaving)
+        self.of_service(service).filter(|(_, entry)| entry.takes_work())
     }
 }
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -9,7 +9,7 @@
 };
 use crate::state::ids::UpstreamKey;
 use crate::state::route_book::{RouteRule, ServiceEntry};
-use crate::state::upstream_list::UpstreamEntry;
+use crate::state::upstream_list::{EntryDoubt, UpstreamEntry};
 
 /// From this part of the bound on an engine's load VMs tell each other of loads more often.
 const PRESSED_PART: f64 = 0.75;
@@ -152,7 +152,8 @@
             full: false,
             tried: tried.contains(&key),
             leaving: entry.leaving,
-            withheld: node.is_withheld(entry, service.cold_per_s),
+            withheld: entry.doubt != EntryDoubt::None
+                || node.is_withheld(entry, service.cold_per_s),
             seat: entry.seat,
             near: entry.zone == settings.zone,
             first_seen_ms: upstreams.first_seen_ms.get(&key).copied().unwrap_or(0),
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -15,10 +15,13 @@
 
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
+use crate::coordination::line_budget::LINES_A_PLACE;
 use crate::coordination::list_turn::{list_deed, ListCost, ListDeed, ListStanding};
 use crate::coordination::upstream_seats::{patient_services, SeatTable};
 use crate::protocol::wire_adapter::UpstreamPage;
+use crate::state::finding::Finding;
 use crate::state::ids::UpstreamKey;
+use crate::state::list_reading::ListReading;
 use crate::state::upstream_list::UpstreamEntry;
 
 /// The pause after a call that failed, times the failures in a row, in milliseconds.
@@ -34,6 +37,10 @@
 /// The most pages that are read, so that a list that never ends can't hold the VM.
 const MOST_PAGES: usize = 1000;
 
+/// Findings that are remembered from one reading to the next, so that each is logged once.
+const MOST_FOUND: usize = 256;
+/// Lives that one line names.
+const LIVES_NAMED: usize = 8;
 /// How often one page is asked for again when the platform takes no more calls.
 const PAGE_TRIES: u32 = 5;
 
@@ -109,10 +116,12 @@
     /// Reads once, and sets when the next turn is.
     async fn take_turn(&self, turn: &mut ReadingTurn) {
         let began_ms = self.now_ms();
-        match self.read_list(turn.alone, turn.refusals).await {
+        let reading = self.read_list(turn.alone, turn.refusals).await;
+        match reading.and_then(|reading| self.settle_reading(&reading)) {
             Ok(rows) => {
                 (turn.fails, turn.refusals) = (0, 0);
                 self.take_reading(rows, turn.alone, began_ms);
+                self.note_replaced();
                 self.contact_changed.notify_waiters();
                 self.tell_askers();
                 self.set_list_due(self.list_cost().leader_pause_ms() + self.draw() % 50);
@@ -168,6 +177,45 @@
         info!(target: "list", age_ms, rank, "too old, is read without the leader");
     }
 
+    /// What a reading tells, in view of what was known; says what of it can't be read.
+    fn settle_reading(&self, reading: &ListReading) -> Result<Vec<UpstreamEntry>, ListFault> {
+        self.note_unread(reading);
+        let settled = reading.settle(&self.upstreams.borrow());
+        let nothing = || ListFault::Other("none of its entries can be read".to_string());
+        let settled = settled.ok_or_else(nothing)?;
+        if !settled.doubled.is_empty() {
+            let lives = &settled.doubled;
+            info!(target: "list", ?lives, "stand there with several births, the later ones hold");
+        }
+        Ok(settled.rows)
+    }
+
+    /// Logs what can't be read and was not so at the last reading, within the budget of one place.
+    fn note_unread(&self, reading: &ListReading) {
+        let texts = |findings: &mut dyn Iterator<Item = &Finding>| -> BTreeSet<String> {
+            findings.take(MOST_FOUND).map(Finding::to_string).collect()
+        };
+        let unread = reading.unread.iter().map(|entry| &entry.finding);
+        let found = texts(&mut unread.chain(&reading.findings));
+        let mut desk = self.list_desk.borrow_mut();
+        desk.unread = reading.unread.len() + reading.findings.len();
+        let (all, odd) = (reading.unread.len(), reading.findings.len());
+        let fresh = || found.iter().filter(|text| !desk.found.contains(*text));
+        for text in fresh().take(LINES_A_PLACE as usize) {
+            info!(target: "list", finding = text, unread = all, odd, "holds what cannot be read");
+        }
+        desk.found = found;
+    }
+
+    /// Logs which incarnations the last change replaced.
+    pub(super) fn note_replaced(&self) {
+        let lives = std::mem::take(&mut self.upstreams.borrow_mut().replaced_last);
+        if !lives.is_empty() {
+            let (count, lives) = (lives.len(), &lives[..lives.len().min(LIVES_NAMED)]);
+            info!(target: "list", count, ?lives, "started again under their names");
+        }
+    }
+
     /// Forgets what belongs to upstreams that are on the list no more.
     fn sweep(&self) {
         let upstreams = self.upstreams.borrow();
@@ -243,8 +291,8 @@
         upstreams.read(rows, None, self.id, began_ms);
     }
 
-    async fn read_list(&self, alone: bool, refusals: u32) -> Result<Vec<UpstreamEntry>, ListFault> {
-        let mut rows = Vec::new();
+    async fn read_list(&self, alone: bool, refusals: u32) -> Result<ListReading, ListFault> {
+        let mut reading = ListReading::default();
         let mut next: Option<String> = None;
         for number in 0..MOST_PAGES {
             let cost = self.list_cost();
@@ -260,12 +308,12 @@
             }
             let tries = if alone { 0 } else { PAGE_TRIES };
             let page = self.read_page(next.as_deref(), tries).await?;
-            rows.extend(page.rows);
+            reading.append(page.reading, number);
             match page.next {
                 Some(token) => next = Some(token),
                 None => {
                     self.view.borrow_mut().list_pages = number + 1;
-                    return Ok(rows);
+                    return Ok(reading);
                 }
             }
         }
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -6,7 +6,7 @@
 //! Invariant: an answer to a question proves only what was so when the question was sent. See
 //! `docs/design/fleet-news.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crossbeam::channel::Sender;
 use tracing::info;
@@ -42,6 +42,9 @@
     /// When this VM asked last, and how often in a row.
     asked_ms: u64,
     round: usize,
+    /// Entries that could not be read in full, at this VM's last reading, and what was wrong.
+    pub(super) unread: usize,
+    pub(super) found: BTreeSet<String>,
     /// The thread that keeps the list on disk, at a keeper.
     pub disk: Option<Sender<DiskJob>>,
     /// What it was last given, and whether it is still at it.
@@ -249,8 +252,7 @@
             return;
         }
         if self.upstreams.borrow_mut().follow(step, self.now_ms()) {
-            self.contact_changed.notify_waiters();
-            self.tell_askers();
+            self.note_told();
         } else {
             self.links.send(from, &VmMessage::WantList { have });
         }
@@ -259,11 +261,22 @@
     /// Takes a whole list that another VM told, or that was kept on disk.
     pub(super) fn take_list(&self, mark: ListMark, rows: Vec<UpstreamEntry>) {
         if self.upstreams.borrow_mut().take_whole(mark, rows, self.now_ms()) {
-            self.contact_changed.notify_waiters();
-            self.tell_askers();
+            self.note_told();
         }
     }
 
+    /// Another VM's state was taken: that one knows what of it could not be read.
+    fn note_told(&self) {
+        {
+            let mut desk = self.list_desk.borrow_mut();
+            desk.unread = 0;
+            desk.found.clear();
+        }
+        self.upstreams.borrow_mut().replaced_last.clear();
+        self.contact_changed.notify_waiters();
+        self.tell_askers();
+    }
+
     /// Has the disk keep the list, if it is another than before and the disk is free.
     pub(super) fn keep_on_disk(&self) {
         let upstreams = self.upstreams.borrow();
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -20,7 +20,7 @@
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 27] = [
+pub const FIGURES: [FigureEntry; 29] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -38,10 +38,12 @@
     ("wingshed_leader_silent_ms", "gauge", "Milliseconds since the leader answered."),
     ("wingshed_roster", "gauge", "VMs in the roster."),
     ("wingshed_upstreams", "gauge", "Upstreams on the list, those that leave included."),
+    ("wingshed_upstreams_replaced_total", "counter", "Upstreams that started again by name."),
     ("wingshed_upstreams_aside", "gauge", "Upstreams that this VM has set aside."),
     ("wingshed_upstreams_dark", "gauge", "Upstreams that nobody reaches, as the leader tells."),
     ("wingshed_zones_emptied", "gauge", "Zones to which nothing more is sent."),
     ("wingshed_list_age_ms", "gauge", "Milliseconds since the list was surely the platform's."),
+    ("wingshed_list_unread", "gauge", "Entries not read in full when this VM last read the list."),
     ("wingshed_repeats_left", "gauge", "Repeats that this VM may still send now, by service."),
     ("wingshed_hold_ms", "gauge", "Milliseconds that a request holds an engine, by service."),
     ("wingshed_places_used", "gauge", "Percent of the engines' places that are used, by service."),
@@ -113,6 +115,8 @@
             "wingshed_leader_silent_ms" => now_ms.saturating_sub(self.view.borrow().heard_ms),
             "wingshed_roster" => self.view.borrow().roster.rows.len() as u64,
             "wingshed_upstreams" => upstreams.entries.len() as u64,
+            "wingshed_upstreams_replaced_total" => upstreams.replaced,
+            "wingshed_list_unread" => self.list_desk.borrow().unread as u64,
             "wingshed_upstreams_aside" => {
                 let outliers = self.outliers.borrow();
                 let keys = upstreams.entries.keys();
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -16,7 +16,9 @@
 use wingshed_lib::state::document_change::DocumentChange;
 use wingshed_lib::state::ids::UpstreamKey;
 use wingshed_lib::state::rollout_order::VersionKey;
-use wingshed_lib::state::upstream_list::{ListMark, ListStep, UpstreamEntry, UpstreamList};
+use wingshed_lib::state::upstream_list::{
+    EntryDoubt, ListMark, ListStep, UpstreamEntry, UpstreamList,
+};
 use wingshed_lib::state::zero_runs::{pack_zeros, unpack_zeros};
 
 fn entry(number: u16, leaving: bool) -> UpstreamEntry {
@@ -29,6 +31,8 @@
         seat: Some(u64::from(number)),
         cold: false,
         version: VersionKey::default(),
+        born: None,
+        doubt: EntryDoubt::None,
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_identity.rs
@@ -0,0 +1,386 @@
+//! Who an upstream is: its name and its birth together.
+
+use std::collections::BTreeSet;
+
+use wingshed_lib::coordination::fleet_health::{HealthReport, HealthTable};
+use wingshed_lib::coordination::outlier::OutlierTable;
+use wingshed_lib::coordination::silence::SilenceView;
+use wingshed_lib::coordination::upstream_choice::PrefixMemory;
+use wingshed_lib::coordination::upstream_seats::SeatTable;
+use wingshed_lib::coordination::vm_roster::{ToldLoad, UpstreamLoad};
+use wingshed_lib::state::finding::Finding;
+use wingshed_lib::state::kept_list::{read_kept, write_kept, KeptList};
+use wingshed_lib::state::list_reading::{ListReading, UnreadEntry};
+use wingshed_lib::state::prompt_part::PromptPart;
+use wingshed_lib::state::rollout_order::VersionKey;
+use wingshed_lib::state::upstream_list::{EntryDoubt, UpstreamEntry, UpstreamList};
+
+const READER: u32 = 9;
+const PART: u64 = 77;
+
+fn entry(life: &str, born: Option<u64>) -> UpstreamEntry {
+    UpstreamEntry {
+        life: life.to_string(),
+        service: "s".to_string(),
+        address: "10.0.0.1:1".parse().unwrap(),
+        zone: "z".to_string(),
+        leaving: false,
+        seat: None,
+        cold: false,
+        version: VersionKey::default(),
+        born,
+        doubt: EntryDoubt::None,
+    }
+}
+
+fn at(address: &str, row: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry { address: address.parse().unwrap(), ..row }
+}
+
+fn leaving(row: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry { leaving: true, ..row }
+}
+
+fn doubtful(doubt: EntryDoubt, row: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry { doubt, ..row }
+}
+
+/// A list as it was read once.
+fn list(rows: &[UpstreamEntry]) -> UpstreamList {
+    let mut list = UpstreamList::default();
+    list.read(rows.to_vec(), Some(1), READER, 1000);
+    list
+}
+
+fn unread(life: Option<&str>, born: Option<u64>) -> UnreadEntry {
+    let finding = Finding { path: "$".to_string(), line: None, text: "is odd".to_string() };
+    UnreadEntry { finding, life: life.map(str::to_string), born, address: None }
+}
+
+fn reading(rows: &[UpstreamEntry], unread: &[UnreadEntry]) -> ListReading {
+    ListReading { rows: rows.to_vec(), unread: unread.to_vec(), findings: Vec::new() }
+}
+
+/// The rows that a reading leaves, by name.
+fn settled(reading: &ListReading, known: &UpstreamList) -> Vec<UpstreamEntry> {
+    let mut rows = reading.settle(known).expect("something of it was read").rows;
+    rows.sort_by(|a, b| a.life.cmp(&b.life));
+    rows
+}
+
+#[test]
+fn a_name_with_another_birth_is_another_incarnation() {
+    let keys: BTreeSet<_> =
+        [None, Some(1), Some(2)].into_iter().map(|born| entry("i", born).key()).collect();
+
+    assert_eq!(keys.len(), 3);
+}
+
+#[test]
+fn an_upstream_that_left_and_is_born_again_takes_work() {
+    let mut known = list(&[leaving(entry("i", Some(1)))]);
+
+    known.read(vec![entry("i", Some(2))], Some(1), READER, 2000);
+
+    assert_eq!(known.taking("s").count(), 1);
+}
+
+#[test]
+fn an_upstream_that_left_is_not_taken_back_without_another_birth() {
+    for born in [None, Some(1)] {
+        let mut known = list(&[leaving(entry("i", born))]);
+
+        known.read(vec![entry("i", born)], Some(1), READER, 2000);
+
+        assert_eq!(known.taking("s").count(), 0, "born {born:?}");
+    }
+}
+
+#[test]
+fn a_step_in_which_one_name_is_gone_and_new_leads_to_the_new_incarnation() {
+    let mut leader = list(&[leaving(entry("i", Some(1)))]);
+    let mut follower = UpstreamList::default();
+    follower.take_whole(leader.mark, leader.rows(), 1000);
+    let step = leader.read(vec![entry("i", Some(2))], Some(1), READER, 2000).unwrap();
+
+    assert!(follower.follow(step, 2000));
+
+    assert_eq!(follower.rows(), [entry("i", Some(2))]);
+}
+
+#[test]
+fn steps_that_are_joined_name_the_last_of_several_incarnations() {
+    let mut leader = list(&[entry("i", Some(1))]);
+    let mut follower = UpstreamList::default();
+    follower.take_whole(leader.mark, leader.rows(), 1000);
+    leader.read(vec![entry("i", Some(2))], Some(1), READER, 2000);
+    leader.read(vec![entry("i", Some(3))], Some(1), READER, 3000);
+
+    follower.follow(leader.step_since(follower.mark).unwrap(), 3000);
+
+    assert_eq!(follower.rows(), [entry("i", Some(3))]);
+}
+
+#[test]
+fn incarnations_that_are_replaced_are_counted_and_other_newcomers_are_not() {
+    let mut known = list(&[entry("a", Some(1)), entry("b", Some(1))]);
+
+    known.read(vec![entry("a", Some(2)), entry("c", Some(2))], Some(1), READER, 2000);
+
+    assert_eq!((known.replaced, known.replaced_last), (1, vec!["a".to_string()]));
+}
+
+#[test]
+fn a_list_from_disk_keeps_births() {
+    let folder = tempfile::tempdir().unwrap();
+    let known = list(&[entry("i", Some(7))]);
+
+    write_kept(folder.path(), &KeptList { mark: known.mark, rows: known.rows() }).unwrap();
+
+    let kept = read_kept(folder.path()).unwrap().unwrap();
+    assert_eq!(kept.rows, known.rows());
+}
+
+#[test]
+fn a_row_that_was_kept_before_births_were_known_has_none() {
+    let row = entry("i", None);
+    let version = VersionKey::default();
+    let kept = (&row.life, &row.service, row.address, &row.zone, false, row.seat, false, version);
+
+    let bytes = rmp_serde::to_vec(&kept).unwrap();
+
+    assert_eq!(rmp_serde::from_slice::<UpstreamEntry>(&bytes).unwrap(), row);
+}
+
+#[test]
+fn a_birth_that_is_read_after_a_list_from_disk_begins_anew() {
+    let mut known = UpstreamList::default();
+    let kept = list(&[leaving(entry("i", Some(1)))]);
+    known.take_whole(kept.mark, kept.rows(), 1000);
+
+    known.read(vec![entry("i", Some(2))], Some(2), READER, 2000);
+
+    assert_eq!(known.taking("s").count(), 1);
+}
+
+#[test]
+fn a_restart_takes_the_seat_at_its_address_before_newcomers_do() {
+    let a = at("10.0.0.1:1", entry("a", Some(1)));
+    let b = at("10.0.0.2:1", entry("b", Some(1)));
+    let mut table = SeatTable::default();
+    let mut rows = vec![a, b];
+    table.seat(&mut rows, &UpstreamList::default(), &BTreeSet::new(), 1000);
+    let seats: Vec<_> = rows.iter().map(|row| row.seat).collect();
+    let known = list(&rows);
+    // A newcomer stands before the two that start again, and one of their seats is the first vacant.
+    let mut rows = vec![
+        at("10.0.0.3:1", entry("c", Some(2))),
+        at("10.0.0.1:1", entry("a", Some(2))),
+        at("10.0.0.2:1", entry("b", Some(2))),
+    ];
+
+    table.seat(&mut rows, &known, &BTreeSet::new(), 1500);
+
+    assert_eq!(rows[1..].iter().map(|row| row.seat).collect::<Vec<_>>(), seats);
+}
+
+#[test]
+fn prompts_of_an_earlier_incarnation_count_as_lost() {
+    let mut memory = PrefixMemory::default();
+    let prompt = [PromptPart { id: PART, tokens: 900 }, PromptPart { id: 1, tokens: 9 }];
+
+    memory.note_sent(&prompt, entry("i", Some(1)).key(), 1000);
+
+    assert!(!memory.holds(PART, entry("i", Some(2)).key(), 1001));
+}
+
+#[test]
+fn loads_of_an_earlier_incarnation_are_not_those_of_the_next() {
+    let mut told = ToldLoad::default();
+
+    told.tell(&[UpstreamLoad { upstream: entry("i", Some(1)).key(), requests: 5 }], &[]);
+
+    assert_eq!(told.others(entry("i", Some(2)).key()), 0);
+}
+
+#[test]
+fn an_incarnation_that_ended_sets_nobody_aside_that_is_born_again() {
+    let mut outliers = OutlierTable::default();
+
+    outliers.note_gone(entry("i", Some(1)).key());
+
+    assert!(!outliers.is_aside(entry("i", Some(2)).key(), 1000));
+}
+
+#[test]
+fn a_silence_of_an_earlier_incarnation_is_not_that_of_the_next() {
+    let mut view = SilenceView::default();
+
+    view.tell(vec![entry("i", Some(1)).key()], 1000);
+
+    assert!(!view.is_dark(entry("i", Some(2)).key(), 1001));
+}
+
+#[test]
+fn a_vm_with_an_older_list_tells_nothing_against_the_new_incarnation() {
+    let others = ["a", "b", "c", "d"].map(|name| entry(name, None));
+    let known = list(&[&others[..], &[entry("i", Some(2))]].concat());
+    let fleet = |_| known.taking("s").map(|(key, _)| key).collect::<Vec<_>>().into_iter();
+    let named = |born| {
+        let mut table = HealthTable::default();
+        let upstream = entry("i", Some(born)).key();
+        table.take(1, &[HealthReport { upstream, well: 0, failed: 50 }], fleet, 1000);
+        table.named(1001).contains(&entry("i", Some(2)).key())
+    };
+
+    assert_eq!((named(1), named(2)), (false, true));
+}
+
+#[test]
+fn two_vms_that_know_different_incarnations_agree_on_the_newer_list() {
+    let mut newer = list(&[entry("i", Some(1))]);
+    let mut older = newer.clone();
+    newer.read(vec![entry("i", Some(2))], Some(1), READER, 2000);
+
+    assert!(!newer.take_whole(older.mark, older.rows(), 2100), "the older one is not taken");
+    older.take_whole(newer.mark, newer.rows(), 2100);
+
+    assert_eq!(older.rows(), newer.rows());
+}
+
+#[test]
+fn of_two_entries_of_one_name_the_later_born_holds() {
+    let (early, late) = (entry("i", Some(1)), entry("i", Some(2)));
+    for rows in [[late.clone(), early.clone()], [early, late.clone()]] {
+        let told = reading(&rows, &[]).settle(&UpstreamList::default()).unwrap();
+
+        assert_eq!((told.rows, told.doubled), (vec![late.clone()], vec!["i".to_string()]));
+    }
+}
+
+#[test]
+fn a_reading_of_which_nothing_can_be_read_is_no_news() {
+    let known = list(&[entry("i", Some(1))]);
+
+    assert_eq!(reading(&[], &[unread(None, None)]).settle(&known), None);
+}
+
+#[test]
+fn a_reading_without_entries_says_that_there_are_none() {
+    let known = list(&[entry("i", Some(1))]);
+
+    assert_eq!(settled(&reading(&[], &[]), &known), []);
+}
+
+#[test]
+fn a_known_upstream_whose_entry_cannot_be_read_stays_and_gets_no_new_work() {
+    let (a, b) = (entry("a", Some(1)), entry("b", Some(1)));
+    let known = list(&[a.clone(), b.clone()]);
+
+    let rows = settled(&reading(std::slice::from_ref(&b), &[unread(Some("a"), None)]), &known);
+
+    assert_eq!(rows, [doubtful(EntryDoubt::Unread, a), b]);
+}
+
+#[test]
+fn a_known_upstream_without_a_readable_name_is_found_by_its_address() {
+    let a = at("10.0.0.5:1", entry("a", Some(1)));
+    let b = entry("b", Some(1));
+    let known = list(&[a.clone(), b.clone()]);
+    let nameless = UnreadEntry { address: Some(a.address), ..unread(None, None) };
+
+    let rows = settled(&reading(std::slice::from_ref(&b), &[nameless]), &known);
+
+    assert_eq!(rows, [doubtful(EntryDoubt::Unread, a), b]);
+}
+
+#[test]
+fn known_upstreams_go_on_when_nobody_else_of_their_service_can_be_read() {
+    let a = entry("a", Some(1));
+    let other = UpstreamEntry { service: "other".to_string(), ..entry("b", Some(1)) };
+    let known = list(&[a.clone(), other.clone()]);
+
+    let rows = settled(&reading(std::slice::from_ref(&other), &[unread(Some("a"), None)]), &known);
+
+    assert_eq!(rows, [a, other]);
+}
+
+#[test]
+fn one_that_leaves_goes_on_leaving_when_nothing_can_be_read() {
+    let a = leaving(entry("a", Some(1)));
+    let other = UpstreamEntry { service: "other".to_string(), ..entry("b", Some(1)) };
+    let mut known = list(&[a, other.clone()]);
+    let rows = settled(&reading(&[other], &[unread(Some("a"), None)]), &known);
+
+    known.read(rows, Some(1), READER, 2000);
+
+    assert_eq!(known.taking("s").count(), 0);
+}
+
+#[test]
+fn an_unread_entry_with_another_birth_ends_the_known_incarnation() {
+    let b = entry("b", Some(1));
+    let known = list(&[entry("a", Some(1)), b.clone()]);
+
+    let rows = settled(&reading(std::slice::from_ref(&b), &[unread(Some("a"), Some(2))]), &known);
+
+    assert_eq!(rows, [b]);
+}
+
+#[test]
+fn an_entry_that_can_be_read_holds_beside_one_of_its_name_that_cannot() {
+    let a = entry("a", Some(1));
+    let known = list(std::slice::from_ref(&a));
+
+    let rows = settled(&reading(std::slice::from_ref(&a), &[unread(Some("a"), None)]), &known);
+
+    assert_eq!(rows, [a]);
+}
+
+#[test]
+fn an_unread_entry_of_an_unknown_name_adds_nobody() {
+    let b = entry("b", Some(1));
+    let known = list(std::slice::from_ref(&b));
+
+    let rows = settled(&reading(std::slice::from_ref(&b), &[unread(Some("new"), None)]), &known);
+
+    assert_eq!(rows, [b]);
+}
+
+#[test]
+fn a_doubt_ends_with_the_next_entry_that_is_read() {
+    for doubt in [EntryDoubt::State, EntryDoubt::Unread] {
+        let mut known = list(&[doubtful(doubt, entry("i", Some(1)))]);
+        let before = known.taking("s").count();
+
+        known.read(vec![entry("i", Some(1))], Some(1), READER, 2000);
+
+        assert_eq!((before, known.taking("s").count()), (0, 1), "{doubt:?} is not sticky");
+    }
+}
+
+#[test]
+fn one_in_doubt_keeps_its_seat() {
+    let mut table = SeatTable::default();
+    let mut rows = vec![entry("a", Some(1))];
+    table.seat(&mut rows, &UpstreamList::default(), &BTreeSet::new(), 1000);
+    let (seat, known) = (rows[0].seat, list(&rows));
+    let mut rows = vec![
+        at("10.0.0.9:1", entry("b", Some(2))),
+        doubtful(EntryDoubt::Unread, entry("a", Some(1))),
+    ];
+
+    table.seat(&mut rows, &known, &BTreeSet::new(), 90_000);
+
+    assert_eq!((rows[1].seat, rows[0].seat == seat), (seat, false));
+}
+
+#[test]
+fn one_in_doubt_that_has_no_seat_gets_none() {
+    let mut table = SeatTable::default();
+    let mut rows = vec![doubtful(EntryDoubt::State, entry("a", Some(1)))];
+
+    table.seat(&mut rows, &UpstreamList::default(), &BTreeSet::new(), 1000);
+
+    assert_eq!(rows[0].seat, None);
+}
--- a/lib/tests/test_list_keeping.rs
+++ b/lib/tests/test_list_keeping.rs
@@ -8,7 +8,7 @@
 };
 use wingshed_lib::state::kept_list::{read_kept, write_kept, KeptList};
 use wingshed_lib::state::rollout_order::VersionKey;
-use wingshed_lib::state::upstream_list::{ListMark, UpstreamEntry};
+use wingshed_lib::state::upstream_list::{EntryDoubt, ListMark, UpstreamEntry};
 
 fn list(upstreams: u16, change: u64) -> KeptList {
     let row = |number: u16| UpstreamEntry {
@@ -20,6 +20,8 @@
         seat: Some(u64::from(number)),
         cold: false,
         version: VersionKey::default(),
+        born: None,
+        doubt: EntryDoubt::None,
     };
     let mark = ListMark { term: 3, change, reader: 5 };
     KeptList { mark, rows: (0..upstreams).map(row).collect() }
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -31,7 +31,7 @@
 use wingshed_lib::state::prompt_part::PromptPart;
 use wingshed_lib::state::rollout_order::VersionKey;
 use wingshed_lib::state::route_book::{pick_share, RequestKind, ServiceShare};
-use wingshed_lib::state::upstream_list::{UpstreamEntry, UpstreamList};
+use wingshed_lib::state::upstream_list::{EntryDoubt, UpstreamEntry, UpstreamList};
 
 const LATE: u64 = 10 * NEW_ENGINE_MS;
 /// A spread that leaves no engine out.
@@ -336,6 +336,8 @@
         seat: None,
         cold: false,
         version: VersionKey::default(),
+        born: None,
+        doubt: EntryDoubt::None,
     }
 }
 
