--- a/lib/src/transport/vm_list_desk.rs
+++ b/lib/src/transport/vm_list_desk.rs
@@ -1,6 +1,6 @@
 //! What one VM holds of those who wait for the list of upstreams; see `docs/design/fleet-news.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crossbeam::channel::Sender;
 
@@ -18,6 +18,9 @@
     /// When this VM asked last, and how often in a row.
     pub(super) asked_ms: u64,
     pub(super) round: usize,
+    /// Entries that could not be read in full, at this VM's last reading, and what was wrong.
+    pub(super) unread: usize,
+    pub(super) found: BTreeSet<String>,
     /// The thread that keeps the list on disk, at a keeper.
     pub disk: Option<Sender<DiskJob>>,
     /// What it was last given, and whether it is still at it.
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -222,8 +222,7 @@
             return;
         }
         if self.upstreams.borrow_mut().follow(step, self.now_ms()) {
-            self.contact_changed.notify_waiters();
-            self.tell_askers();
+            self.note_told();
         } else {
             self.links.send(from, &VmMessage::WantList { have });
         }
@@ -232,11 +231,22 @@
     /// Takes a whole list that another VM told, or that was kept on disk.
     pub(super) fn take_list(&self, mark: ListMark, rows: Vec<UpstreamEntry>) {
         if self.upstreams.borrow_mut().take_whole(mark, rows, self.now_ms()) {
-            self.contact_changed.notify_waiters();
-            self.tell_askers();
+            self.note_told();
         }
     }
 
+    /// Another VM's state was taken: that one knows what of it could not be read.
+    fn note_told(&self) {
+        {
+            let mut desk = self.list_desk.borrow_mut();
+            desk.unread = 0;
+            desk.found.clear();
+        }
+        self.upstreams.borrow_mut().replaced_last.clear();
+        self.contact_changed.notify_waiters();
+        self.tell_askers();
+    }
+
     /// Has the disk keep the list, if it is another than before and the disk is free.
     pub(super) fn keep_on_disk(&self) {
         let upstreams = self.upstreams.borrow();
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -257,7 +257,7 @@
         let may_be_tried = |entry: &UpstreamEntry| {
             let key = entry.key();
             let reached = !outliers.is_gone(key) && !self.is_dark(key);
-            !entry.leaving && reached && !zones.watch.is_emptied(&entry.zone)
+            entry.takes_work() && reached && !zones.watch.is_emptied(&entry.zone)
         };
         let desk = self.rollouts.borrow();
         desk.watch().rule(service, lane, seen, may_be_tried, self.now_ms())
--- a/lib/tests/test_rollouts.rs
+++ b/lib/tests/test_rollouts.rs
@@ -13,7 +13,7 @@
 use wingshed_lib::state::rollout_order::{
     RolloutCommand, RolloutOrder, RolloutPhase, RolloutRow, RolloutStep, RolloutTable, VersionKey,
 };
-use wingshed_lib::state::upstream_list::UpstreamEntry;
+use wingshed_lib::state::upstream_list::{EntryDoubt, UpstreamEntry};
 
 const BOUND: ExposureBound = ExposureBound { share: 0.1, slack: 50.0 };
 const ROUTE: RouteKey = RouteKey(7);
@@ -48,6 +48,8 @@
         seat: None,
         cold: false,
         version: VersionKey::of(version),
+        born: None,
+        doubt: EntryDoubt::None,
     }
 }
 
