rollouts: figures of what each side got, and why a request went to a trial

Cause: nothing told an operator how much of a service went to a version under trial, how much of it failed, or why a given request went there. Change: a VM counts per order what it sent to each side and what came back badly (rollout_counts); the counts stay after the order's end. Figures of phase, requests, bad answers and share by service. The line of a request that goes to the target names version, order, phase, reason, upstream and counts. A request's story tells the last news of its order and leaves out sends of other requests.

--- a/lib/src/coordination/log_story.rs
+++ b/lib/src/coordination/log_story.rs
@@ -122,13 +122,16 @@
     };
     for vm in &vms {
         add(StoryReason::Belief, beliefs(lines, vm, first_s));
+        add(StoryReason::Belief, rollout_beliefs(lines, vm, &own_lines, first_s));
     }
     let near = |line: &&LogLine| {
         line.at_s >= first_s - BEFORE_S && line.at_s <= last_s + AFTER_S && !own(line)
     };
     let same_vm = |line: &&LogLine| {
         let part = line.part.as_str();
-        vms.contains(line.vm.as_str()) && part != "request" && part != "upstream"
+        // What was sent to a version under trial for other requests would bury this one.
+        let of_another = part == "rollout" && line.fields.contains_key("attempt");
+        vms.contains(line.vm.as_str()) && part != "request" && part != "upstream" && !of_another
     };
     let beside = lines.iter().filter(near).filter(same_vm);
     add(StoryReason::SameVm, nearest(beside.collect(), first_s));
@@ -157,6 +160,29 @@
     BELIEFS.iter().filter_map(last).collect()
 }
 
+/// What a VM knew of the roll-outs that a request belonged to: the last line of each before a time.
+fn rollout_beliefs<'a>(
+    lines: &'a [LogLine],
+    vm: &str,
+    own_lines: &[&LogLine],
+    before_s: f64,
+) -> Vec<&'a LogLine> {
+    let of_rollout = |line: &&&LogLine| line.part == "rollout" && line.vm == vm;
+    let service = |line: &&LogLine| line.fields.get("service").cloned();
+    let services = own_lines.iter().filter(of_rollout).filter_map(service);
+    let mut services: Vec<Value> = services.collect();
+    services.dedup();
+    let last = |service: Value| {
+        let told = lines.iter().filter(|line| {
+            let news = line.part == "rollout" && !line.fields.contains_key("attempt");
+            news && line.vm == vm && line.fields.get("service") == Some(&service)
+        });
+        let before = told.filter(|line| line.at_s <= before_s);
+        before.max_by(|a, b| a.at_s.total_cmp(&b.at_s))
+    };
+    services.into_iter().filter_map(last).collect()
+}
+
 fn nearest(mut lines: Vec<&LogLine>, to_s: f64) -> Vec<&LogLine> {
     lines.sort_by(|a, b| (a.at_s - to_s).abs().total_cmp(&(b.at_s - to_s).abs()));
     lines.truncate(MOST_BESIDE);
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -40,6 +40,7 @@
 pub mod replay_truth;
 mod replay_views;
 pub mod retry;
+pub mod rollout_counts;
 pub mod rollout_evidence;
 pub mod rollout_lead;
 pub mod rollout_odds;
--- a/lib/src/coordination/rollout_share.rs
+++ b/lib/src/coordination/rollout_share.rs
@@ -95,8 +95,8 @@
         (count.target + 1) as f64 <= allowed
     }
 
-    /// A request on this route is sent.
-    pub fn note_sent(&mut self, route: RouteKey, to_target: bool) {
+    /// A request on this route is sent. True when one to the target was within the share.
+    pub fn note_sent(&mut self, route: RouteKey, to_target: bool) -> bool {
         let within = self.within_share(route);
         let count = self.routes.entry(route).or_default();
         count.all += 1;
@@ -105,13 +105,7 @@
             (true, false) => self.head_sent += 1,
             (false, _) => {}
         }
-    }
-
-    /// Requests that went to the target, and all.
-    pub fn sent(&self) -> (u64, u64) {
-        let target: u64 = self.routes.values().map(|count| count.target).sum();
-        let all = self.routes.values().map(|count| count.all).sum();
-        (target + self.head_sent, all)
+        within
     }
 }
 
--- a/lib/src/coordination/rollout_watch.rs
+++ b/lib/src/coordination/rollout_watch.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::rollout_counts::RolloutCounts;
 use super::rollout_evidence::{EvidenceLedger, RolloutArm, RouteKey, RouteSums, TrialOutcome};
 use super::rollout_share::{ExposureBound, TrialLedger};
 use crate::state::ids::UpstreamKey;
@@ -61,6 +62,31 @@
     Back,
 }
 
+/// Why a request is sent to an upstream of one side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendReason {
+    /// It isn't one of the trial's.
+    Usual,
+    /// The target had less than its share of the route's requests at this VM.
+    Share,
+    /// It is one of those that are handed out at the start, beside the share.
+    HeadStart,
+    /// The traffic is moved to the target.
+    Moved,
+}
+
+impl SendReason {
+    /// For logs.
+    pub fn text(self) -> &'static str {
+        match self {
+            SendReason::Usual => "it isn't one of the trial's",
+            SendReason::Share => "the trial's share of this route isn't used up at this VM",
+            SendReason::HeadStart => "it is one of those handed out at the trial's start",
+            SendReason::Moved => "the traffic is moved there",
+        }
+    }
+}
+
 /// The order that a send belongs to, to note its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TrialTag {
@@ -69,6 +95,8 @@
     route: RouteKey,
     /// Which side of the roll-out it is on.
     pub arm: RolloutArm,
+    /// Why it goes there.
+    pub reason: SendReason,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +111,7 @@
     table: RolloutTable,
     proved_ms: Option<u64>,
     running: HashMap<String, RunningTrial>,
+    counts: HashMap<String, RolloutCounts>,
 }
 
 impl RolloutWatch {
@@ -112,6 +141,9 @@
             }
             let target = row.order.target.clone();
             news.push(RolloutNews { service: service.clone(), target, number, phase: row.phase });
+            if known.is_none_or(|(known, _)| known != number) {
+                self.counts.insert(service.clone(), RolloutCounts::default());
+            }
             let same = self.running.get(service).is_some_and(|run| run.evidence.number == number);
             if row.phase.is_end() {
                 self.running.remove(service);
@@ -216,10 +248,16 @@
         let (number, phase, target) = (row.order.number, row.phase, row.target());
         let run = self.running.get_mut(service)?;
         let arm = if version == target { RolloutArm::Target } else { RolloutArm::Base };
-        if phase == RolloutPhase::Trial {
-            run.ledger.note_sent(route, arm == RolloutArm::Target);
-        }
-        Some(TrialTag { service: service.to_string(), number, route, arm })
+        let to_target = arm == RolloutArm::Target;
+        let within = phase == RolloutPhase::Trial && run.ledger.note_sent(route, to_target);
+        let reason = match (to_target, phase) {
+            (true, RolloutPhase::Trial) if within => SendReason::Share,
+            (true, RolloutPhase::Trial) => SendReason::HeadStart,
+            (true, _) => SendReason::Moved,
+            (false, _) => SendReason::Usual,
+        };
+        self.counts.entry(service.to_string()).or_default().side(arm).sent += 1;
+        Some(TrialTag { service: service.to_string(), number, route, arm, reason })
     }
 
     /// A send has ended. True when the leader should hear of it soon.
@@ -229,7 +267,11 @@
             return false;
         }
         run.evidence.note(tag.route, tag.arm, outcome);
-        tag.arm == RolloutArm::Target && *outcome == TrialOutcome::Bad
+        let bad = *outcome == TrialOutcome::Bad;
+        if bad {
+            self.counts.entry(tag.service.clone()).or_default().side(tag.arm).bad += 1;
+        }
+        bad && tag.arm == RolloutArm::Target
     }
 
     /// What to tell the leader; `base_in_flight` counts this VM's requests at a service's upstreams of
@@ -249,10 +291,10 @@
         .collect()
     }
 
-    /// For figures: of each order that runs its row, the requests sent to the target and all.
-    pub fn sent(&self) -> impl Iterator<Item = (&RolloutRow, (u64, u64))> {
-        let rows = self.table.rows().iter();
-        rows.filter_map(|row| Some((row, self.running.get(&row.order.service)?.ledger.sent())))
+    /// For operators: what this VM sent since the last order of a service began, as far as it knew
+    /// of it while it ran.
+    pub fn counts(&self, service: &str) -> RolloutCounts {
+        self.counts.get(service).copied().unwrap_or_default()
     }
 }
 
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -14,13 +14,14 @@
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
 use crate::coordination::engine_room::ServiceRoom;
+use crate::state::rollout_order::{RolloutPhase, RolloutRow};
 use crate::state::vm_figures::{RequestEnd, VmFigures, BUCKETS_MS};
 
 /// One figure: name, kind, what it tells and in which unit.
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 27] = [
+pub const FIGURES: [FigureEntry; 32] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -48,6 +49,11 @@
     ("wingshed_leads", "gauge", "1 while this VM's keeper leads and may vouch."),
     ("wingshed_term", "gauge", "The term of this VM's keeper; 0 for a VM without one."),
     ("wingshed_voters", "gauge", "Voters of the group; 0 for a VM without a keeper."),
+    ("wingshed_rollouts_known", "gauge", "Services that ever got a roll-out, as this VM knows."),
+    ("wingshed_rollout_phase", "gauge", "0 ended, 1 trial, 2 traffic is moved, by service."),
+    ("wingshed_rollout_requests_total", "counter", "Requests sent, by service and side."),
+    ("wingshed_rollout_bad_total", "counter", "Bad answers to those, by service and side."),
+    ("wingshed_rollout_share", "gauge", "Percent of those sent to the target, by service."),
 ];
 
 /// Serves the figures.
@@ -84,6 +90,7 @@
             "wingshed_places_used" => {
                 self.write_rooms(text, name, |room| 100.0 * room.used_part());
             }
+            name if name.starts_with("wingshed_rollout_") => self.write_rollout_rows(text, name),
             _ => drop(writeln!(text, "{name} {}", self.plain_figure(&figures, name))),
         }
     }
@@ -124,6 +131,7 @@
             }
             "wingshed_term" => keeper.as_ref().map_or(0, |keeper| keeper.term()),
             "wingshed_voters" => keeper.as_ref().map_or(0, |keeper| keeper.voters() as u64),
+            "wingshed_rollouts_known" => self.rollouts.borrow().watch().table().rows().len() as u64,
             other => unreachable!("{other} is no plain figure"),
         }
     }
@@ -138,6 +146,37 @@
         }
     }
 
+    fn write_rollout_rows(&self, text: &mut String, name: &str) {
+        let desk = self.rollouts.borrow();
+        let watch = desk.watch();
+        let mut rows: Vec<&RolloutRow> = watch.table().rows().iter().collect();
+        rows.sort_unstable_by_key(|row| &row.order.service);
+        for row in rows {
+            let service = &row.order.service;
+            let counts = watch.counts(service);
+            let sides = |text: &mut String, target: u64, base: u64| {
+                for (side, count) in [("target", target), ("base", base)] {
+                    let label = format!("service=\"{service}\",side=\"{side}\"");
+                    let _ = writeln!(text, "{name}{{{label}}} {count}");
+                }
+            };
+            match name {
+                "wingshed_rollout_requests_total" => {
+                    sides(text, counts.target.sent, counts.base.sent);
+                }
+                "wingshed_rollout_bad_total" => sides(text, counts.target.bad, counts.base.bad),
+                "wingshed_rollout_share" => {
+                    let percent = counts.target_percent();
+                    let _ = writeln!(text, "{name}{{service=\"{service}\"}} {percent:.1}");
+                }
+                _ => {
+                    let phase = phase_figure(row.phase);
+                    let _ = writeln!(text, "{name}{{service=\"{service}\"}} {phase}");
+                }
+            }
+        }
+    }
+
     fn write_repeats_left(&self, text: &mut String) {
         let (allowance, now_ms) = (self.allowance(), self.now_ms());
         let vms = self.view.borrow().roster.rows.len();
@@ -150,6 +189,14 @@
     }
 }
 
+fn phase_figure(phase: RolloutPhase) -> u8 {
+    match phase {
+        RolloutPhase::Trial => 1,
+        RolloutPhase::Shift => 2,
+        RolloutPhase::Complete | RolloutPhase::RolledBack => 0,
+    }
+}
+
 fn write_ends(text: &mut String, figures: &VmFigures) {
     for end in RequestEnd::ALL {
         let (name, count) = (end.name(), figures.ended(end));
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -33,9 +33,9 @@
 use crate::state::upstream_list::UpstreamEntry;
 
 /// The largest body of an order, in bytes.
-const BODY_BYTES: usize = 4096;
+pub(super) const BODY_BYTES: usize = 4096;
 /// Operators go on to another VM after a second without an answer.
-const ANSWER_TIME: Duration = Duration::from_millis(850);
+pub(super) const ANSWER_TIME: Duration = Duration::from_millis(850);
 /// How often the leader looks at the evidence, in milliseconds.
 const LOOK_MS: u64 = 50;
 /// A step that isn't committed after this long is proposed again, in milliseconds.
@@ -112,23 +112,35 @@
             return own_answer(StatusCode::BAD_REQUEST, node.adapter.write_findings(&findings));
         }
     };
+    let refused = begin_rollout(&node, &call, arrived_ms).await;
+    refused.unwrap_or_else(|| own_answer(StatusCode::OK, "{}"))
+}
+
+/// Has the leader begin a roll-out that was asked for at `arrived_ms`; returns the refusal, if any.
+pub(super) async fn begin_rollout(
+    node: &Rc<VmNode>,
+    call: &RolloutCall,
+    arrived_ms: u64,
+) -> Option<Response<AnswerBody>> {
     if !node.has_service(&call.service) {
         if !node.confirm(arrived_ms, ANSWER_TIME).await {
-            return not_sure();
+            return Some(not_sure());
         }
         if !node.has_service(&call.service) {
             info!(target: "control", service = call.service, "refuses a roll-out, no such service");
             let text = format!("service '{}' is not known", call.service);
-            return own_answer(StatusCode::BAD_REQUEST, text);
+            return Some(own_answer(StatusCode::BAD_REQUEST, text));
         }
     }
-    let end = node.order_until(arrived_ms, || FleetOrder::Rollout(node.wish_of(&call))).await;
+    let end = node.order_until(arrived_ms, || FleetOrder::Rollout(node.wish_of(call))).await;
     let RolloutCall { service, target, duration_ms } = call;
     info!(target: "control", service, to = target, duration_ms, ?end, "a roll-out is asked for");
     match end {
-        OrderEnd::Taken => own_answer(StatusCode::OK, "{}"),
-        OrderEnd::UnderWay => own_answer(StatusCode::CONFLICT, "another one of it is under way"),
-        OrderEnd::NotTaken => not_sure(),
+        OrderEnd::Taken => None,
+        OrderEnd::UnderWay => {
+            Some(own_answer(StatusCode::CONFLICT, "another one of it is under way"))
+        }
+        OrderEnd::NotTaken => Some(not_sure()),
     }
 }
 
@@ -146,7 +158,8 @@
     answer
 }
 
-fn not_sure() -> Response<AnswerBody> {
+/// What operators are told while a VM can't learn what holds.
+pub(super) fn not_sure() -> Response<AnswerBody> {
     refusal(StatusCode::SERVICE_UNAVAILABLE, "not known what holds", 300)
 }
 
@@ -283,7 +296,7 @@
         &self,
         service: &str,
         rule: &RouteRule,
-        version: VersionKey,
+        entry: &UpstreamEntry,
         attempt: &str,
     ) -> Option<TrialTag> {
         let mut desk = self.rollouts.borrow_mut();
@@ -291,9 +304,16 @@
             return None;
         }
         let route = RouteKey::of(&rule.host, &rule.prefix);
-        let tag = desk.watch.note_sent(service, route, version)?;
+        let tag = desk.watch.note_sent(service, route, entry.version)?;
         if tag.arm == RolloutArm::Target {
-            info!(target: "rollout", attempt, service, "goes to the version that is rolled out");
+            let counts = desk.watch.counts(service);
+            let row = desk.watch.table().row(service)?;
+            info!(
+                target: "rollout", attempt, service, to = row.order.target,
+                number = row.order.number, phase = ?row.phase, why = tag.reason.text(),
+                life = entry.life, sent_target = counts.target.sent, sent_all = counts.sent(),
+                "goes to the version that is rolled out",
+            );
         }
         Some(tag)
     }
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -111,7 +111,7 @@
             resume_after,
         };
         let name = &book.book.services[service].name;
-        let tag = self.node.note_rollout_send(name, rule, entry.version, &self.caller.attempt);
+        let tag = self.node.note_rollout_send(name, rule, entry, &self.caller.attempt);
         let held = tag.is_some() && self.is_held_at(pick.upstream);
         let stream = rule.kind.is_stream();
         Some(SendPlace {
--- a/lib/tests/test_explaining.rs
+++ b/lib/tests/test_explaining.rs
@@ -112,6 +112,28 @@
     assert!(tell_request(&log(), "x9").is_empty(), "nobody names it");
 }
 
+const TRIAL_LOG: &str = r#"
+   1.0000 vm-a {"message":"is known","service":"s1","to":"v2","number":3,"phase":"Trial","target":"rollout"}
+   1.1000 vm-a {"message":"is known","service":"s2","to":"v9","number":1,"phase":"Trial","target":"rollout"}
+   8.9000 vm-a {"message":"goes to the version that is rolled out","attempt":"x2","service":"s1","to":"v2","number":3,"phase":"Trial","why":"w","life":"i-7","target":"rollout"}
+   9.0000 vm-a {"message":"goes to the version that is rolled out","attempt":"x1","service":"s1","to":"v2","number":3,"phase":"Trial","why":"w","life":"i-9","target":"rollout"}
+   9.2000 vm-a {"message":"is known","service":"s1","to":"v2","number":3,"phase":"RolledBack","target":"rollout"}
+"#;
+
+#[test]
+fn the_story_of_a_request_of_a_trial_names_its_order_and_no_other_request() {
+    let (lines, other) = read_log("file", TRIAL_LOG);
+    assert_eq!(other, 0);
+
+    let story = tell_request(&lines, "x1");
+
+    let told: Vec<(StoryReason, f64)> =
+        story.iter().map(|told| (told.reason, told.line.at_s)).collect();
+    let expected =
+        [(StoryReason::Belief, 1.0), (StoryReason::Request, 9.0), (StoryReason::SameVm, 9.2)];
+    assert_eq!(told, expected, "the order's own lines, what came of it, nothing of x2 and s2");
+}
+
 #[test]
 fn a_span_tells_all_lines_in_order_whatever_file_they_came_from() {
     let mut lines = log();
--- a/lib/tests/test_rollouts.rs
+++ b/lib/tests/test_rollouts.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use wingshed_lib::coordination::rollout_counts::{RolloutCounts, SideCount};
 use wingshed_lib::coordination::rollout_evidence::{RolloutArm, RouteKey, TrialOutcome};
 use wingshed_lib::coordination::rollout_lead::{RolloutLead, TargetStanding};
 use wingshed_lib::coordination::rollout_share::{ExposureBound, TrialLedger};
@@ -399,3 +400,27 @@
     assert_eq!(first, second, "what was told once is told again");
     assert_eq!(second[0].rows[0].target.bad, 3);
 }
+
+#[test]
+fn counts_for_operators_stay_after_the_end_and_begin_anew_with_the_next_order() {
+    let mut watch = watch_of(&[], 0);
+    let route = ROUTE;
+    let (target, base) = (VersionKey::of("v2"), VersionKey::of("v1"));
+    let tag = watch.note_sent("s1", route, target).expect("it runs");
+    watch.note_sent("s1", route, base);
+    watch.note_end(&tag, &TrialOutcome::Bad);
+    let mut orders = table(&[RolloutPhase::RolledBack]);
+    watch.take(orders.clone(), BOUND, 1);
+    let after_end = watch.counts("s1");
+
+    assert!(orders.take(RolloutCommand::Start(order(2))));
+    assert!(orders.take(RolloutCommand::Step(step(2, 1, RolloutPhase::RolledBack))));
+    watch.take(orders, BOUND, 1);
+
+    let expected = RolloutCounts {
+        target: SideCount { sent: 1, bad: 1 },
+        base: SideCount { sent: 1, bad: 0 },
+    };
+    assert_eq!(after_end, expected);
+    assert_eq!(watch.counts("s1"), RolloutCounts::default(), "the next one was known at its end");
+}
