control: the product's own calls for roll-outs and zones

Cause: operators had only the platform's calls: no list, no phase, no way to end a roll-out by hand, and nothing that tells which zones are emptied. Change: calls under /v1/rollouts and /v1/zones are parsed in fleet_calls and served where the platform's adapter knows a call not. Orders take the same way to the leader as the platform's; questions are confirmed first. An abort rolls back the order that was the last one when it was asked for, never a later one.

--- a/lib/src/protocol/http.rs
+++ b/lib/src/protocol/http.rs
@@ -87,7 +87,8 @@
     }
 }
 
-fn percent_decode(text: &str) -> String {
+/// The text that a percent-encoded one stands for.
+pub fn percent_decode(text: &str) -> String {
     let bytes = text.as_bytes();
     let mut out = Vec::with_capacity(bytes.len());
     let mut at = 0;
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod fleet_calls;
 pub mod http;
 pub mod keeper_wire;
 pub mod operator;
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -29,6 +29,7 @@
 pub mod vm_contact;
 pub mod vm_control;
 pub mod vm_disk;
+mod vm_fleet_calls;
 pub mod vm_forward;
 pub mod vm_front;
 mod vm_guard;
--- a/lib/src/transport/vm_control.rs
+++ b/lib/src/transport/vm_control.rs
@@ -1,5 +1,5 @@
 //! The operator's calls: put and get of the configuration; orders of zones are in `vm_zones`, of
-//! roll-outs in `vm_rollouts`.
+//! roll-outs in `vm_rollouts`. What the platform's adapter doesn't know goes to `vm_fleet_calls`.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tracing::info;
 
+use super::vm_fleet_calls::serve_fleet_call;
 use super::vm_front::{own_answer, refusal};
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
@@ -36,7 +37,7 @@
         ControlCall::StartRollout => start_rollout(node, request).await,
         ControlCall::GetRollout { service } => get_rollout(node, service).await,
         ControlCall::Faulty(fault) => own_answer(StatusCode::BAD_REQUEST, fault),
-        ControlCall::Unknown => own_answer(StatusCode::NOT_FOUND, ""),
+        ControlCall::Unknown => serve_fleet_call(node, request).await,
     }
 }
 
--- /dev/null
+++ b/lib/src/transport/vm_fleet_calls.rs
@@ -0,0 +1,132 @@
+//! Serves the product's own operators' interface of a VM: the paths and forms are in `fleet_calls`, the
+//! orders those of `vm_rollouts` and `vm_zones`. A question is answered only after the leader confirmed
+//! what this VM holds.
+
+use std::rc::Rc;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+use tracing::info;
+
+use super::vm_front::own_answer;
+use super::vm_node::VmNode;
+use super::vm_relay::AnswerBody;
+use super::vm_rollouts::{begin_rollout, not_sure, ANSWER_TIME, BODY_BYTES};
+use super::vm_zones::order_zone;
+use crate::protocol::fleet_calls::{
+    read_fleet_call, read_start, write_findings, FleetCall, RolloutView, ZoneView,
+};
+use crate::protocol::vm_wire::{FleetOrder, OrderEnd};
+
+/// Serves a call that the platform's adapter doesn't know.
+pub async fn serve_fleet_call(
+    node: Rc<VmNode>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match read_fleet_call(request.method().as_str(), request.uri().path()) {
+        FleetCall::ListRollouts => list_rollouts(&node).await,
+        FleetCall::StartRollout => start(&node, request).await,
+        FleetCall::GetRollout { service } => get(&node, &service).await,
+        FleetCall::AbortRollout { service } => abort(&node, service).await,
+        FleetCall::ListZones => list_zones(&node).await,
+        FleetCall::Zone { zone, emptied } => order_zone(node, request, zone, emptied).await,
+        FleetCall::Faulty(fault) => own_answer(StatusCode::BAD_REQUEST, fault),
+        FleetCall::Unknown => own_answer(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+async fn start(node: &Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived_ms = node.now_ms();
+    let body = match Limited::new(request.into_body(), BODY_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return own_answer(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let call = match read_start(&body) {
+        Ok(call) => call,
+        Err(findings) => {
+            info!(target: "control", findings = findings.len(), "refuses a roll-out");
+            return own_answer(StatusCode::BAD_REQUEST, write_findings(&findings));
+        }
+    };
+    let refused = begin_rollout(node, &call, arrived_ms).await;
+    refused.unwrap_or_else(|| row_answer(node, &call.service))
+}
+
+async fn get(node: &Rc<VmNode>, service: &str) -> Response<AnswerBody> {
+    match node.confirm(node.now_ms(), ANSWER_TIME).await {
+        true => row_answer(node, service),
+        false => not_sure(),
+    }
+}
+
+/// Rolls back the order that was the last one when the operator asked, never a later one.
+async fn abort(node: &Rc<VmNode>, service: String) -> Response<AnswerBody> {
+    let arrived_ms = node.now_ms();
+    if !node.confirm(arrived_ms, ANSWER_TIME).await {
+        return not_sure();
+    }
+    let Some(number) = node.last_rollout(&service) else { return row_answer(node, &service) };
+    let order = || FleetOrder::RollBack { service: service.clone(), number };
+    let end = node.order_until(arrived_ms, order).await;
+    info!(target: "control", service, number, ?end, "a roll-back is asked for");
+    match end {
+        OrderEnd::Taken => row_answer(node, &service),
+        OrderEnd::UnderWay => own_answer(StatusCode::CONFLICT, "it is complete"),
+        OrderEnd::NotTaken => not_sure(),
+    }
+}
+
+async fn list_rollouts(node: &Rc<VmNode>) -> Response<AnswerBody> {
+    if !node.confirm(node.now_ms(), ANSWER_TIME).await {
+        return not_sure();
+    }
+    let desk = node.rollouts.borrow();
+    let watch = desk.watch();
+    let rows = watch.table().rows().iter();
+    let mut views: Vec<RolloutView> =
+        rows.map(|row| RolloutView::new(row, &watch.counts(&row.order.service))).collect();
+    views.sort_by(|one, other| one.service.cmp(&other.service));
+    json_answer(&views)
+}
+
+async fn list_zones(node: &Rc<VmNode>) -> Response<AnswerBody> {
+    if !node.confirm(node.now_ms(), ANSWER_TIME).await {
+        return not_sure();
+    }
+    let zones = node.known_zones();
+    let desk = node.zones.borrow();
+    let orders = &desk.watch.orders;
+    let view = |zone: String| ZoneView {
+        emptied: orders.is_emptied(&zone),
+        number: orders.last_number(&zone),
+        zone,
+    };
+    json_answer(&zones.into_iter().map(view).collect::<Vec<_>>())
+}
+
+fn row_answer(node: &Rc<VmNode>, service: &str) -> Response<AnswerBody> {
+    let desk = node.rollouts.borrow();
+    match desk.watch().table().row(service) {
+        Some(row) => json_answer(&RolloutView::new(row, &desk.watch().counts(service))),
+        None => own_answer(StatusCode::NOT_FOUND, "there was none of this service"),
+    }
+}
+
+fn json_answer(value: &impl Serialize) -> Response<AnswerBody> {
+    let Ok(body) = serde_json::to_vec(value) else {
+        return own_answer(StatusCode::INTERNAL_SERVER_ERROR, "cannot be written");
+    };
+    let mut answer = own_answer(StatusCode::OK, body);
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+impl VmNode {
+    fn last_rollout(&self, service: &str) -> Option<u64> {
+        let desk = self.rollouts.borrow();
+        desk.watch().table().row(service).map(|row| row.order.number)
+    }
+}
--- a/lib/src/transport/vm_zones.rs
+++ b/lib/src/transport/vm_zones.rs
@@ -1,6 +1,7 @@
 //! Orders of availability zones: from an operator, and from the leader's grants into this VM's choice
 //! of upstreams. See `docs/design/zones.md`.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use http_body_util::{BodyExt, Limited};
@@ -63,6 +64,17 @@
             || self.upstreams.borrow().entries.values().any(|entry| entry.zone == zone)
     }
 
+    /// All zones that this VM knows, by name: of its settings, of upstreams, and those that ever got
+    /// an order.
+    pub(super) fn known_zones(&self) -> BTreeSet<String> {
+        let mut zones: BTreeSet<String> = self.settings.borrow().zones.iter().cloned().collect();
+        let upstreams = self.upstreams.borrow();
+        zones.extend(upstreams.entries.values().map(|entry| entry.zone.clone()));
+        let desk = self.zones.borrow();
+        zones.extend(desk.watch.orders.rows().iter().map(|row| row.zone.clone()));
+        zones
+    }
+
     /// Takes the last orders of zones as a leader told them.
     pub(super) fn take_zones(&self, orders: ZoneOrders) {
         let changes = self.zones.borrow_mut().watch.take(orders, self.now_ms());
