cli: roll-outs and zones from the command line

Cause: orders to VMs had to be written as HTTP calls by hand. Change: `wingshed rollout start|status|abort|list` and `wingshed zone evacuate|return|list`; VMs are tried in turn, the next one on no answer or a 5xx. They are tried for 4.5 s, since an order that is repeated later could be taken for a new one.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod config;
 mod demo;
 mod explain;
+mod fleet;
 mod operate;
 mod operator_client;
 mod process;
@@ -20,6 +21,7 @@
 mod rollout_play;
 mod rollout_ways;
 mod table;
+mod vm_client;
 
 use argh::FromArgs;
 
@@ -46,6 +48,8 @@
     Drain(operate::DrainCommand),
     Keeper(operate::KeeperCommand),
     Orders(operate::OrdersCommand),
+    Rollout(fleet::RolloutCommand),
+    Zone(fleet::ZoneCommand),
 }
 
 fn main() -> std::process::ExitCode {
@@ -64,6 +68,8 @@
         Command::Drain(command) => operate::drain(&command),
         Command::Keeper(command) => operate::keeper(&command),
         Command::Orders(command) => operate::orders(&command),
+        Command::Rollout(command) => fleet::rollout(&command),
+        Command::Zone(command) => fleet::zone(&command),
     };
     match result {
         Ok(true) => std::process::ExitCode::SUCCESS,
