rollouts: answers that are late against their peers, slices in step, tests

A version of which a part of the answers is slow hid in the mean of all; VMs now count answers that take 2.5 times what is typical of the other versions on the route. Slices of all routes together end in step, so that one upstream that breaks all it runs counts once. The bench plays a crash, a partly slow version, and failures on all routes.

--- a/cli/src/bench_rollouts.rs
+++ b/cli/src/bench_rollouts.rs
@@ -44,6 +44,7 @@
         ("bursts", PlaySetting::Bursts),
         ("cold for 3 s", PlaySetting::Cold),
         ("leader lost", PlaySetting::LeaderLost),
+        ("an upstream crashes", PlaySetting::Crash),
         ("a route fails 14%", PlaySetting::FailingRoute),
         ("all routes fail 14%", PlaySetting::AllFailing),
     ];
@@ -58,6 +59,7 @@
         ("4 times slower", TargetFault::Slower(1.0, 4.0)),
         ("8 times slower", TargetFault::Slower(1.0, 8.0)),
         ("half 4 times slower", TargetFault::Slower(0.5, 4.0)),
+        ("a fifth 4 times slower", TargetFault::Slower(0.2, 4.0)),
     ];
     let times = [
         ("", FaultTime::Always),
@@ -117,6 +119,7 @@
         "4",
         "8",
         "half 4",
+        "a fifth 4",
         "over the bound",
         "late",
     ];
--- a/cli/src/rollout_play.rs
+++ b/cli/src/rollout_play.rs
@@ -1,7 +1,7 @@
 //! One order played on the decision code alone: requests, VMs that count and tell, a leader that judges.
 //!
-//! Seeded, and the same to the byte each time. The play goes on as if nobody were found unsound, so
-//! that several ways to judge look at the same evidence.
+//! Seeded, and the same to the byte each time. The play goes on as if nothing were found until every
+//! way to judge has found it, so that all look at the same evidence.
 
 use wingshed_lib::coordination::rollout_evidence::{
     EvidenceLedger, EvidenceTable, RolloutArm, RouteKey, RouteSums, TrialOutcome,
@@ -33,6 +33,8 @@
 const DRIFT_KEPT: f64 = 0.97;
 const STREAM_EVENTS: f64 = 20.0;
 const BURST: f64 = 3.0;
+/// So long a crashed upstream is tried on.
+const CRASH_MS: u64 = 300;
 const RING: usize = 1024;
 
 /// What is wrong with the target.
@@ -70,6 +72,8 @@
     Cold,
     /// The leader is lost; the next one starts with nothing.
     LeaderLost,
+    /// One of two upstreams of the target that are tried breaks all it runs, and refuses for a while.
+    Crash,
     /// One route fails everywhere.
     FailingRoute,
     /// All routes fail everywhere.
@@ -98,6 +102,11 @@
         self.seconds * 1000 / TICK_MS
     }
 
+    fn mean_requests(&self, tick: u64) -> f64 {
+        let burst = if self.in_burst(tick) { BURST } else { 1.0 };
+        burst * (self.rate * TICK_MS) as f64 / 1000.0
+    }
+
     fn move_tick(&self) -> u64 {
         let all_ms = self.seconds * 1000;
         (all_ms / 2).max(all_ms.saturating_sub(MOVE_MS)) / TICK_MS
@@ -114,6 +123,12 @@
         self.setting == PlaySetting::LeaderLost && lost.contains(&tick)
     }
 
+    fn crashes(&self, tick: u64) -> bool {
+        let from = self.move_tick() / 2;
+        let refuses = from..from + CRASH_MS / TICK_MS;
+        self.setting == PlaySetting::Crash && refuses.contains(&tick)
+    }
+
     fn shows(&self, tick: u64, route: u64) -> bool {
         match self.time {
             FaultTime::Always => true,
@@ -143,7 +158,7 @@
     pub ways: Vec<WayEnd>,
     /// Requests that may go to an unsound target.
     pub bound: f64,
-    /// When the 50th bad answer ended, in milliseconds.
+    /// When the 50th bad answer ended, in milliseconds, if that was before every way had found it.
     pub fiftieth_ms: Option<u64>,
     /// What the leader knew when traffic was moved.
     pub sums_at_move: Vec<RouteSums>,
@@ -198,7 +213,6 @@
     vms: Vec<(EvidenceLedger, TrialLedger)>,
     ring: Vec<Vec<PlayAnswer>>,
     drift: f64,
-    requests: u64,
     exposed: u64,
     bad: u64,
     fiftieth_ms: Option<u64>,
@@ -213,8 +227,8 @@
         };
         let vms = (0..VMS).map(vm).collect();
         let ring = (0..RING).map(|_| Vec::new()).collect();
-        let (drift, requests, exposed, bad) = (0.0, 0, 0, 0);
-        PlayState { case, draws, vms, ring, drift, requests, exposed, bad, fiftieth_ms: None }
+        let (drift, exposed, bad) = (0.0, 0, 0);
+        PlayState { case, draws, vms, ring, drift, exposed, bad, fiftieth_ms: None }
     }
 
     fn send(&mut self, tick: u64) {
@@ -227,7 +241,6 @@
         if !moved {
             trial.note_sent(key, to_target);
         }
-        self.requests += 1;
         self.exposed += u64::from(to_target);
         let (answer, took_ms) = self.answer(tick, vm, route, to_target);
         let late = (took_ms / TICK_MS as f64).ceil().min(RING as f64 - 1.0) as u64;
@@ -242,6 +255,7 @@
         match case.setting {
             PlaySetting::FailingRoute if route == 0 => failing = FAILING_ROUTE,
             PlaySetting::AllFailing => failing = FAILING_ROUTE,
+            PlaySetting::Crash if target && case.crashes(tick) => failing = 0.5,
             _ => {}
         }
         let mut bad = false;
@@ -271,6 +285,22 @@
         (PlayAnswer { vm, route, arm, outcome, bad }, took_ms + first_ms)
     }
 
+    /// Half of what the target runs ends badly.
+    fn crash(&mut self, tick: u64) {
+        let mut broken = Vec::new();
+        for answers in &mut self.ring {
+            for at in (0..answers.len()).rev() {
+                if answers[at].arm == RolloutArm::Target && self.draws.unit() < 0.5 {
+                    broken.push(answers.swap_remove(at));
+                }
+            }
+        }
+        for mut answer in broken {
+            answer.outcome = TrialOutcome::Bad;
+            self.ring[(tick % RING as u64) as usize].push(answer);
+        }
+    }
+
     fn end_answers(&mut self, tick: u64) {
         let answers = std::mem::take(&mut self.ring[(tick % RING as u64) as usize]);
         for answer in &answers {
@@ -286,11 +316,12 @@
     fn step(&mut self, tick: u64) {
         self.drift = DRIFT_KEPT * self.drift
             + DRIFT * (1.0 - DRIFT_KEPT * DRIFT_KEPT).sqrt() * self.draws.normal();
-        let burst = if self.case.in_burst(tick) { BURST } else { 1.0 };
-        let mean = burst * (self.case.rate * TICK_MS) as f64 / 1000.0;
-        for _ in 0..self.draws.arrivals(mean) {
+        for _ in 0..self.draws.arrivals(self.case.mean_requests(tick)) {
             self.send(tick);
         }
+        if self.case.crashes(tick) && !self.case.crashes(tick - 1) {
+            self.crash(tick);
+        }
         self.end_answers(tick);
     }
 }
@@ -330,7 +361,11 @@
                 end.exposed = state.exposed;
             }
         }
+        if known_ticks.iter().all(|known| known.is_some_and(|known| tick >= known)) {
+            break;
+        }
     }
-    let bound = BOUND.share * state.requests as f64 + BOUND.slack;
+    let requests: f64 = (0..case.ticks()).map(|tick| case.mean_requests(tick)).sum();
+    let bound = BOUND.share * requests + BOUND.slack;
     PlayEnd { ways: ends, bound, fiftieth_ms: state.fiftieth_ms, sums_at_move }
 }
--- a/lib/src/coordination/rollout_evidence.rs
+++ b/lib/src/coordination/rollout_evidence.rs
@@ -11,6 +11,16 @@
 
 /// The most routes that one VM tells of, those most tried first.
 pub const ROUTES_TOLD: usize = 16;
+/// An answer that takes so many times as long as is typical of the other versions is late. Where the
+/// logarithms of times spread by 0.5, three answers in a hundred are.
+pub const LATE_TIMES: f64 = 2.5;
+/// What is typical is known after so many answers,
+const LEAST_TYPICAL: u32 = 2;
+/// and is the mean logarithm of about so many of the last ones.
+const TYPICAL_ANSWERS: u32 = 20;
+
+/// Shorter times count as this long, in milliseconds: clocks tell no more.
+const LEAST_MS: f64 = 0.1;
 
 /// A route, by the hash of its name.
 #[derive(
@@ -63,7 +73,7 @@
 impl LogSums {
     fn note(&mut self, value_ms: Option<f64>) {
         let Some(value_ms) = value_ms else { return };
-        let log = value_ms.max(0.1).ln() as f32;
+        let log = to_log(value_ms) as f32;
         self.count += 1;
         self.sum += log;
         self.squares += log * log;
@@ -95,6 +105,10 @@
     pub pace: LogSums,
     /// Likewise.
     pub first: LogSums,
+    /// Those whose pace could be compared with what is typical of the other versions on the route,
+    pub compared: u32,
+    /// and was [`LATE_TIMES`] as long or longer.
+    pub late: u32,
 }
 
 impl ArmSums {
@@ -121,8 +135,15 @@
             bad: self.bad.saturating_sub(before.bad),
             pace: self.pace.since(&before.pace),
             first: self.first.since(&before.first),
+            compared: self.compared.saturating_sub(before.compared),
+            late: self.late.saturating_sub(before.late),
         }
     }
+
+    fn compare(&mut self, is_late: bool) {
+        self.compared += 1;
+        self.late += u32::from(is_late);
+    }
 }
 
 /// How the sends of one route went.
@@ -149,12 +170,63 @@
     }
 }
 
+/// How long the other versions take on a route, as one VM sees it.
+#[derive(Clone, Copy, Debug, Default)]
+struct TypicalPace {
+    count: u32,
+    mean_log: f64,
+}
+
+impl TypicalPace {
+    /// Whether this is late; nothing while too little is known.
+    fn is_late(&self, pace_ms: f64) -> Option<bool> {
+        let late = to_log(pace_ms) >= self.mean_log + LATE_TIMES.ln();
+        (self.count >= LEAST_TYPICAL).then_some(late)
+    }
+
+    fn note(&mut self, pace_ms: f64) {
+        self.count = (self.count + 1).min(TYPICAL_ANSWERS);
+        self.mean_log += (to_log(pace_ms) - self.mean_log) / f64::from(self.count);
+    }
+}
+
+fn to_log(value_ms: f64) -> f64 {
+    value_ms.max(LEAST_MS).ln()
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteNotes {
+    sums: RouteSums,
+    typical: TypicalPace,
+}
+
+impl RouteNotes {
+    fn note(&mut self, arm: RolloutArm, outcome: &TrialOutcome) {
+        let pace_ms = match outcome {
+            TrialOutcome::Well { pace_ms, .. } => *pace_ms,
+            TrialOutcome::Bad => None,
+        };
+        let is_late = pace_ms.and_then(|pace_ms| self.typical.is_late(pace_ms));
+        let sums = match arm {
+            RolloutArm::Base => &mut self.sums.base,
+            RolloutArm::Target => &mut self.sums.target,
+        };
+        sums.note(outcome);
+        if let Some(is_late) = is_late {
+            sums.compare(is_late);
+        }
+        if let (RolloutArm::Base, Some(pace_ms)) = (arm, pace_ms) {
+            self.typical.note(pace_ms);
+        }
+    }
+}
+
 /// What one VM counts of one order.
 #[derive(Clone, Debug)]
 pub struct EvidenceLedger {
     /// The order's number within its service.
     pub number: u64,
-    rows: HashMap<RouteKey, RouteSums>,
+    rows: HashMap<RouteKey, RouteNotes>,
 }
 
 impl EvidenceLedger {
@@ -165,17 +237,14 @@
 
     /// A send ended.
     pub fn note(&mut self, route: RouteKey, arm: RolloutArm, outcome: &TrialOutcome) {
-        let row = self.rows.entry(route).or_default();
-        row.route = route;
-        match arm {
-            RolloutArm::Base => row.base.note(outcome),
-            RolloutArm::Target => row.target.note(outcome),
-        }
+        let notes = self.rows.entry(route).or_default();
+        notes.sums.route = route;
+        notes.note(arm, outcome);
     }
 
     /// What to tell: the routes most tried.
     pub fn rows(&self) -> Vec<RouteSums> {
-        let mut rows: Vec<RouteSums> = self.rows.values().copied().collect();
+        let mut rows: Vec<RouteSums> = self.rows.values().map(|notes| notes.sums).collect();
         rows.sort_by_key(|row| (std::cmp::Reverse(row.target.all()), row.route));
         rows.truncate(ROUTES_TOLD);
         rows
@@ -249,6 +318,8 @@
     bad: u32,
     pace: LogTotals,
     first: LogTotals,
+    compared: u32,
+    late: u32,
 }
 
 impl ArmTotals {
@@ -257,11 +328,14 @@
         self.bad += after.bad.saturating_sub(before.bad);
         self.pace.replace(&before.pace, &after.pace);
         self.first.replace(&before.first, &after.first);
+        self.compared += after.compared.saturating_sub(before.compared);
+        self.late += after.late.saturating_sub(before.late);
     }
 
     fn to_sums(self) -> ArmSums {
         let (pace, first) = (self.pace.to_sums(), self.first.to_sums());
-        ArmSums { well: self.well, bad: self.bad, pace, first }
+        let ArmTotals { well, bad, compared, late, .. } = self;
+        ArmSums { well, bad, pace, first, compared, late }
     }
 }
 
--- a/lib/src/coordination/rollout_odds.rs
+++ b/lib/src/coordination/rollout_odds.rs
@@ -20,7 +20,7 @@
 const FROM_START: f64 = 0.4;
 /// The prior that it turns so with a later slice, for each length of the shortest: together 0.6 over
 /// half a minute.
-const FROM_SLICE: f64 = 0.006;
+const FROM_SLICE: f64 = 0.01;
 
 /// The odds that the target is unsound since some slice, for each degree.
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,100 +45,124 @@
     }
 }
 
-/// Where the line between sound and unsound is drawn.
+/// Where the line between sound and unsound is drawn for faults.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SoundLimits {
-    /// A sound target fails this many times as often as the others at most,
-    pub fail_times: f64,
-    /// and this part of its answers more.
-    pub fail_beside: f64,
-    /// How much more an unsound one fails, of those that are left, by degrees.
-    pub fail_more: DegreeLogs,
+pub struct FaultLimits {
+    /// A sound target has them this many times as often as the others at most,
+    pub times: f64,
+    /// and with this part of its answers more.
+    pub beside: f64,
+    /// How much more often an unsound one has them, of the answers that are left, by degrees.
+    pub more: DegreeLogs,
+}
+
+/// And for times.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowLimits {
     /// A sound target is this many times slower at most.
-    pub slow_times: f64,
+    pub times: f64,
     /// How many times slower an unsound one is, by degrees.
     pub slower: DegreeLogs,
     /// How far the logarithms of both sides' times lie apart from slice to slice by the load of the
     /// few upstreams that are tried.
-    pub slow_apart: f64,
+    pub apart: f64,
+}
+
+/// Failures while both sides answer at the same time: breaks now and then are borne.
+pub const FAILURES_BESIDE: FaultLimits =
+    FaultLimits { times: 1.5, beside: 0.01, more: [0.04, 0.15, 0.45] };
+/// Failures after the other side has ended: what it was before is all there is to compare with, and
+/// what hits everything shows in the target alone.
+pub const FAILURES_AFTER: FaultLimits =
+    FaultLimits { times: 2.0, beside: 0.05, more: [0.15, 0.3, 0.45] };
+/// Late answers while both sides answer. A target whose few upstreams are a third slower by their load
+/// has three times as many; after the others have ended, a burst makes all late, so nothing is said.
+pub const LATE_BESIDE: FaultLimits =
+    FaultLimits { times: 1.5, beside: 0.03, more: [0.08, 0.2, 0.45] };
+/// Times while both sides answer.
+pub const SLOW_BESIDE: SlowLimits = SlowLimits { times: 1.3, slower: [2.0, 3.5, 7.0], apart: 0.2 };
+/// Times after the other side has ended: a burst that makes all three times as slow is borne.
+pub const SLOW_AFTER: SlowLimits = SlowLimits { times: 2.5, slower: [4.0, 6.0, 8.0], apart: 0.3 };
+/// No more faults than this part are taken for sound.
+const MOST_SOUND: f64 = 0.95;
+
+/// How many of the answers of one side failed, or were late.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FaultCount {
+    /// Those that did.
+    pub faulty: f64,
+    /// Those and the others.
+    pub all: f64,
 }
 
-/// While both sides answer at the same time.
-pub const BESIDE: SoundLimits = SoundLimits {
-    fail_times: 1.5,
-    fail_beside: 0.01,
-    fail_more: [0.04, 0.15, 0.45],
-    slow_times: 1.3,
-    slower: [2.0, 3.5, 7.0],
-    slow_apart: 0.2,
-};
-/// After the other side has ended: what it was before is all there is to compare with, and a burst
-/// shows in the target alone.
-pub const AFTER: SoundLimits = SoundLimits {
-    fail_times: 2.0,
-    fail_beside: 0.05,
-    fail_more: [0.15, 0.3, 0.45],
-    slow_times: 2.5,
-    slower: [4.0, 6.0, 8.0],
-    slow_apart: 0.3,
-};
+impl FaultCount {
+    /// By failures.
+    pub fn of_failures(arm: &ArmSums) -> FaultCount {
+        FaultCount { faulty: f64::from(arm.bad), all: f64::from(arm.all()) }
+    }
+
+    /// By answers that are late.
+    pub fn of_late(arm: &ArmSums) -> FaultCount {
+        FaultCount { faulty: f64::from(arm.late), all: f64::from(arm.compared) }
+    }
+
+    fn kept(self, part: f64, beside: FaultCount) -> FaultCount {
+        let (faulty, all) = (part * self.faulty + beside.faulty, part * self.all + beside.all);
+        FaultCount { faulty, all }
+    }
+
+    /// The part that is faulty, where `weight` answers of which `part` is are known beside.
+    fn part(self, part: f64, weight: f64) -> f64 {
+        (self.faulty + weight * part) / (self.all + weight)
+    }
+}
 
 /// What is known of the other versions' failures on a route, or on all together.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct FailureReference {
-    whole: (f64, f64),
-    recent: (f64, f64),
+pub struct FaultReference {
+    whole: FaultCount,
+    recent: FaultCount,
 }
 
 /// What was seen counts so much less with each further slice.
 const RECENT_KEPT: f64 = 0.7;
 /// Before anything is known one failure in so many answers is taken for granted.
-const TAKEN_FOR_GRANTED: f64 = 100.0;
+const TAKEN_FOR_GRANTED: f64 = 50.0;
 /// All routes together weigh as that many answers of a route;
 const SHARED_WEIGHT: f64 = 10.0;
 /// the whole weighs as that many of its recent answers.
 const RECENT_WEIGHT: f64 = 10.0;
 
-impl FailureReference {
+impl FaultReference {
     /// Takes what the other versions answered in a slice.
-    pub fn take(&mut self, base: &ArmSums) {
-        let (bad, all) = (f64::from(base.bad), f64::from(base.all()));
-        self.whole = (self.whole.0 + bad, self.whole.1 + all);
-        self.recent = (RECENT_KEPT * self.recent.0 + bad, RECENT_KEPT * self.recent.1 + all);
+    pub fn take(&mut self, base: FaultCount) {
+        self.whole = self.whole.kept(1.0, base);
+        self.recent = self.recent.kept(RECENT_KEPT, base);
     }
 
-    /// The part of the answers that fail on all routes together.
+    /// The part of the answers that are faulty on all routes together.
     pub fn shared_part(&self) -> f64 {
-        (self.whole.0 + 1.0) / (self.whole.1 + TAKEN_FOR_GRANTED)
+        self.whole.part(1.0 / TAKEN_FOR_GRANTED, TAKEN_FOR_GRANTED)
     }
 
-    /// The part that fails on this route, rather more than less: as a whole, or of late if that is
-    /// more, since what hits both sides alike tells nothing of the target.
+    /// The part that is faulty on this route, rather more than less: as a whole, or of late if that
+    /// is more, since what hits both sides alike tells nothing of the target.
     pub fn part(&self, shared: f64) -> f64 {
-        let (bad, all) = self.whole;
-        let whole = (bad + SHARED_WEIGHT * shared) / (all + SHARED_WEIGHT);
-        let (bad, all) = self.recent;
-        whole.max((bad + RECENT_WEIGHT * whole) / (all + RECENT_WEIGHT))
+        let whole = self.whole.part(shared, SHARED_WEIGHT);
+        whole.max(self.recent.part(whole, RECENT_WEIGHT))
     }
 }
 
-/// The logarithms of the odds by a slice's failures.
-pub fn failure_logs(target: &ArmSums, base_part: f64, limits: &SoundLimits) -> DegreeLogs {
-    let sound = (limits.fail_times * base_part + limits.fail_beside).min(0.95);
-    let (bad, well) = (f64::from(target.bad), f64::from(target.well));
-    limits.fail_more.map(|more| {
+/// The logarithms of the odds by a slice's faults; `base_part` of the others' answers have them.
+pub fn fault_logs(target: FaultCount, base_part: f64, limits: &FaultLimits) -> DegreeLogs {
+    let sound = (limits.times * base_part + limits.beside).min(MOST_SOUND);
+    let (faulty, good) = (target.faulty, target.all - target.faulty);
+    limits.more.map(|more| {
         let unsound = sound + more * (1.0 - sound);
-        bad * (unsound / sound).ln() + well * ((1.0 - unsound) / (1.0 - sound)).ln()
+        faulty * (unsound / sound).ln() + good * ((1.0 - unsound) / (1.0 - sound)).ln()
     })
 }
 
-/// What is known of the other versions' times on a route.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct TimeReference {
-    whole: (f64, f64, f64),
-    recent: (f64, f64),
-}
-
 /// Before anything is known, times are taken to spread that far, as the variance of their logarithms,
 /// and this counts as that many answers.
 const VARIANCE_GRANTED: (f64, f64) = (0.36, 10.0);
@@ -176,6 +200,13 @@
     }
 }
 
+/// What is known of the other versions' times on a route.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TimeReference {
+    whole: (f64, f64, f64),
+    recent: (f64, f64),
+}
+
 impl TimeReference {
     /// Takes the times of the other versions in a slice.
     pub fn take(&mut self, base: &LogSums) {
@@ -197,26 +228,26 @@
 }
 
 /// The logarithms of the odds by a slice's times: of the difference of the means of logarithms,
-/// against what it may differ by.
+/// against what it may differ by. Where the others gave no answer beside, what they did before stands
+/// in if `else_before`.
 pub fn slow_logs(
-    target: &LogSums,
-    base: &LogSums,
+    (target, base): (&LogSums, &LogSums),
     reference: &TimeReference,
     shared_variance: f64,
-    limits: &SoundLimits,
+    limits: &SlowLimits,
+    else_before: bool,
 ) -> DegreeLogs {
     let beside = (base.count > 0).then(|| (f64::from(base.count), base.mean()));
-    let before = || reference.recent().filter(|_| *limits == AFTER);
+    let before = || reference.recent().filter(|_| else_before);
     let Some((base_count, base_mean)) = beside.or_else(before) else { return [0.0; DEGREES] };
     if target.count == 0 {
         return [0.0; DEGREES];
     }
-    let apart = limits.slow_apart * limits.slow_apart;
     let each = 1.0 / f64::from(target.count) + 1.0 / base_count;
     let spread = TimeSpread::default().with(reference).variance(shared_variance);
-    let variance = spread * each + apart;
+    let variance = spread * each + limits.apart * limits.apart;
     let slower = target.mean() - base_mean;
-    let sound = limits.slow_times.ln();
+    let sound = limits.times.ln();
     limits.slower.map(|times| {
         let unsound = times.ln();
         (unsound - sound) * (slower - (sound + unsound) / 2.0) / variance
--- a/lib/src/coordination/rollout_verdict.rs
+++ b/lib/src/coordination/rollout_verdict.rs
@@ -2,7 +2,8 @@
 //!
 //! The evidence of each route is cut into slices in which both sides answered at the same time, and
 //! each slice moves the odds that the target is unsound (`rollout_odds`): by failures, by the pace of
-//! answers, by the time to their first event; of each route alone and of all together. Invariants:
+//! answers, by the time to their first event, by how many are late; of each route alone and of all
+//! together. Invariants:
 //! a kind of request that fails everywhere, and what slows or fails both sides, never counts against the
 //! target; a sound one is found unsound in at most [`FALSE_FINDINGS`] of all orders, however many
 //! routes there are. See `docs/design/rollouts.md`, "Evidence".
@@ -11,8 +12,8 @@
 
 use super::rollout_evidence::{LogSums, RouteKey, RouteSums};
 use super::rollout_odds::{
-    failure_logs, slow_logs, ChangeOdds, DegreeLogs, FailureReference, SoundLimits, TimeReference,
-    TimeSpread, AFTER, BESIDE, DEGREES,
+    fault_logs, slow_logs, ChangeOdds, DegreeLogs, FaultCount, FaultReference, TimeReference,
+    TimeSpread, DEGREES, FAILURES_AFTER, FAILURES_BESIDE, LATE_BESIDE, SLOW_AFTER, SLOW_BESIDE,
 };
 
 /// In at most this part of all orders a sound target is found unsound.
@@ -25,7 +26,7 @@
 const SLICE_ANSWERS: u32 = 8;
 /// No slice ends before the other versions have answered so often on all routes together, or
 /// [`LONGEST_WAIT_MS`] have passed: before that nothing is known of what fails everywhere.
-const FIRST_ANSWERS: u32 = 30;
+const FIRST_ANSWERS: u32 = 40;
 /// See [`FIRST_ANSWERS`]; in milliseconds.
 const LONGEST_WAIT_MS: u64 = 3000;
 /// What counts how many answers each side gave of late keeps this part with each slice.
@@ -69,10 +70,10 @@
 }
 
 /// What the odds are kept for.
-const SIGNS: usize = 3;
-/// How the false findings are divided among the signs, as parts.
-const SIGN_PARTS: [f64; SIGNS] = [0.5, 0.25, 0.25];
-/// By sign: failures, pace, time to the first event.
+const SIGNS: usize = 4;
+/// How the false findings are divided among the signs.
+const SIGN_PARTS: [f64; SIGNS] = [0.4, 0.2, 0.2, 0.2];
+/// By sign: failures, pace, time to the first event, answers that are late.
 type SignLogs = [DegreeLogs; SIGNS];
 
 /// The odds by each sign.
@@ -100,7 +101,8 @@
     /// When its slice began, and the sums at that time.
     since_ms: u64,
     seen: RouteSums,
-    failures: FailureReference,
+    failures: FaultReference,
+    late: FaultReference,
     pace: TimeReference,
     first: TimeReference,
     odds: SignOdds,
@@ -112,23 +114,34 @@
         let age_ms = now_ms.saturating_sub(self.since_ms);
         let answers = slice.base.all().max(slice.target.all());
         let ripe = age_ms >= LONGEST_SLICE_MS || (age_ms >= SLICE_MS && answers >= SLICE_ANSWERS);
-        ripe.then(|| age_ms.min(LONGEST_SLICE_MS) as f64 / SLICE_MS as f64)
+        ripe.then(|| to_lengths(age_ms))
     }
 
     /// Takes what the other versions answered in a slice.
     fn take_base(&mut self, slice: &RouteSums) {
-        self.failures.take(&slice.base);
+        self.failures.take(FaultCount::of_failures(&slice.base));
+        self.late.take(FaultCount::of_late(&slice.base));
         self.pace.take(&slice.base.pace);
         self.first.take(&slice.base.first);
     }
 
-    /// What a slice shows.
-    fn logs(&self, slice: &RouteSums, shared: &SharedReference, limits: &SoundLimits) -> SignLogs {
+    /// What a slice shows, when the others have ended before it (`after`) or answered beside.
+    fn logs(&self, slice: &RouteSums, shared: &SharedReference, after: bool) -> SignLogs {
         let (base, target) = (&slice.base, &slice.target);
+        let failures = if after { &FAILURES_AFTER } else { &FAILURES_BESIDE };
+        let slow = if after { &SLOW_AFTER } else { &SLOW_BESIDE };
+        let late_part = self.late.part(shared.late);
+        let late = match after {
+            true => [0.0; DEGREES],
+            false => fault_logs(FaultCount::of_late(target), late_part, &LATE_BESIDE),
+        };
+        let failing = self.failures.part(shared.failing);
+        let (pace, first) = ((&target.pace, &base.pace), (&target.first, &base.first));
         [
-            failure_logs(target, self.failures.part(shared.failing), limits),
-            slow_logs(&target.pace, &base.pace, &self.pace, shared.pace_variance, limits),
-            slow_logs(&target.first, &base.first, &self.first, shared.first_variance, limits),
+            fault_logs(FaultCount::of_failures(target), failing, failures),
+            slow_logs(pace, &self.pace, shared.pace_variance, slow, after),
+            slow_logs(first, &self.first, shared.first_variance, slow, after),
+            late,
         ]
     }
 }
@@ -136,11 +149,45 @@
 /// What is known of the other versions on all routes together; stands in where a route has little.
 struct SharedReference {
     failing: f64,
+    late: f64,
     pace_variance: f64,
     first_variance: f64,
 }
 
-/// Of all routes together.
+/// The odds of all routes together. Their slices end at different moments; what they show is taken at
+/// once after the shortest time, so that a moment counts once.
+#[derive(Clone, Copy, Debug, Default)]
+struct CommonOdds {
+    odds: SignOdds,
+    added: Option<SignLogs>,
+    since_ms: Option<u64>,
+}
+
+impl CommonOdds {
+    fn add(&mut self, logs: &SignLogs) {
+        let added = self.added.get_or_insert([[0.0; DEGREES]; SIGNS]);
+        added.iter_mut().flatten().zip(logs.iter().flatten()).for_each(|(sum, log)| *sum += log);
+    }
+
+    fn end_slice(&mut self, now_ms: u64) {
+        let age_ms = now_ms.saturating_sub(*self.since_ms.get_or_insert(now_ms));
+        if age_ms < SLICE_MS {
+            return;
+        }
+        if let Some(logs) = self.added.take() {
+            self.odds.take(&logs, to_lengths(age_ms));
+            self.since_ms = Some(now_ms);
+        }
+    }
+}
+
+/// How long a slice is, in lengths of the shortest; a leader that looked at nothing for long has no
+/// longer ones.
+fn to_lengths(age_ms: u64) -> f64 {
+    age_ms.min(LONGEST_SLICE_MS) as f64 / SLICE_MS as f64
+}
+
+/// How many answers each side gave of late, on all routes together.
 #[derive(Clone, Copy, Debug, Default)]
 struct AnswerFlow {
     base: f64,
@@ -153,12 +200,9 @@
         self.target = FLOW_KEPT * self.target + f64::from(target);
     }
 
-    /// Which limits hold: whether the other versions still answer beside the target.
-    fn limits(&self) -> &'static SoundLimits {
-        match self.target > self.base {
-            true => &AFTER,
-            false => &BESIDE,
-        }
+    /// Whether the other versions have ended, by and large.
+    fn is_moved(&self) -> bool {
+        self.target > self.base
     }
 }
 
@@ -166,8 +210,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct VerdictState {
     routes: BTreeMap<RouteKey, RouteTrial>,
-    all: SignOdds,
-    failures: FailureReference,
+    all: CommonOdds,
+    failures: FaultReference,
+    late: FaultReference,
     flow: AnswerFlow,
     flow_seen: (u32, u32),
     flow_ms: u64,
@@ -180,19 +225,14 @@
         self.watch_flow(sums, now_ms);
         let slices = self.end_slices(sums, now_ms);
         let shared = self.shared();
-        let limits = self.flow.limits();
-        let mut all = [[0.0; DEGREES]; SIGNS];
-        let mut longest = 0.0;
+        let after = self.flow.is_moved();
         for (slice, lengths) in &slices {
             let Some(trial) = self.routes.get_mut(&slice.route) else { continue };
-            let logs = trial.logs(slice, &shared, limits);
+            let logs = trial.logs(slice, &shared, after);
             trial.odds.take(&logs, *lengths);
-            all.iter_mut().flatten().zip(logs.iter().flatten()).for_each(|(sum, log)| *sum += log);
-            longest = lengths.max(longest);
-        }
-        if !slices.is_empty() {
-            self.all.take(&all, longest);
+            self.all.add(&logs);
         }
+        self.all.end_slice(now_ms);
         self.finding(sums)
     }
 
@@ -209,7 +249,8 @@
             if let Some(lengths) = trial.ripe(&slice, now_ms).filter(|_| !waits) {
                 (trial.since_ms, trial.seen) = (now_ms, *row);
                 trial.take_base(&slice);
-                self.failures.take(&slice.base);
+                self.failures.take(FaultCount::of_failures(&slice.base));
+                self.late.take(FaultCount::of_late(&slice.base));
                 ended.push((slice, lengths));
             }
         }
@@ -223,6 +264,7 @@
         };
         SharedReference {
             failing: self.failures.shared_part(),
+            late: self.late.shared_part(),
             pace_variance: spread(|trial| &trial.pace),
             first_variance: spread(|trial| &trial.first),
         }
@@ -243,7 +285,7 @@
         // Half for all routes together, half for each alone.
         let needed = (2.0 / FALSE_FINDINGS).ln();
         let needed_alone = needed + (self.routes.len().max(1) as f64).ln();
-        let (sign, odds) = self.all.most();
+        let (sign, odds) = self.all.odds.most();
         if odds >= needed {
             return Some(to_finding(None, sign, odds - needed, sums));
         }
@@ -271,6 +313,15 @@
         );
         return UnsoundFinding { route, sign: UnsoundSign::Failures, figures };
     }
+    if sign == 3 {
+        let target = (sum(|row| row.target.late), sum(|row| row.target.compared));
+        let base = (sum(|row| row.base.late), sum(|row| row.base.compared));
+        let figures = format!(
+            "{} of {} answers late, elsewhere {} of {}; {beyond}",
+            target.0, target.1, base.0, base.1
+        );
+        return UnsoundFinding { route, sign: UnsoundSign::Slow, figures };
+    }
     let (what, side): (_, fn(&RouteSums) -> (LogSums, LogSums)) = match sign {
         1 => ("pace", |row| (row.target.pace, row.base.pace)),
         _ => ("first event", |row| (row.target.first, row.base.first)),
