connections: one that rests is a socket and nothing else

Cause: the HTTP library keeps 8 KB to read and 8 KB and more to write for each open connection, asked over or not.

Change: after a whole answer client and server are taken apart, the socket is kept, and both are made anew for the next request. A caller's connection is given back only when nothing is being served, nothing waits to be written and a request's body was read to its end. A resting connection to an upstream is looked at before it is used: its end or bytes beyond an answer end it. Figures of the heap and of why connections are opened.

--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub mod chat_memory;
 pub mod claim_table;
 pub mod configuration;
+pub mod connect_count;
 pub mod document_change;
 pub mod finding;
 pub mod fleet_record;
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -1,6 +1,5 @@
 //! The listeners of a VM: callers, addresses, readiness.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,28 +7,16 @@
 
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
-use super::vm_guard::OpenGuard;
+use super::vm_connection::serve_connection;
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
-use super::vm_request_record::ConnectionRecord;
-use super::vm_sockets::{listen, set_stream, WatchedStream};
+use super::vm_sockets::{listen, set_stream};
 use crate::coordination::vm_roster::{addresses_ttl_s, RosterRow};
 
-/// A caller's connection may rest this much longer than the book says, in milliseconds, so
-/// that a caller who keeps the bound never meets a closing connection.
-const REST_SLACK_MS: u64 = 1500;
-/// The rest allowed before any book is known, in milliseconds.
-const USUAL_REST_MS: u64 = 15_000;
-/// The largest head before any book is known, and the least that the library takes.
-const USUAL_HEAD_BYTES: usize = 16_384;
-const LEAST_BUFFER_BYTES: usize = 8192;
 /// The most addresses in one answer; callers count no more.
 const MOST_ADDRESSES: usize = 64;
 
@@ -51,7 +38,7 @@
 }
 
 /// Marks the connection as ending with this answer.
-pub fn close_after(mut answer: Response<AnswerBody>) -> Response<AnswerBody> {
+pub fn close_after<B>(mut answer: Response<B>) -> Response<B> {
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
@@ -59,7 +46,7 @@
 /// Serves one listener with one function, for ever.
 pub fn serve_listener<F, R>(node: &Rc<VmNode>, address: SocketAddr, serve: F) -> std::io::Result<()>
 where
-    F: Fn(Rc<VmNode>, Request<Incoming>) -> R + Clone + 'static,
+    F: Fn(Rc<VmNode>, Request<Incoming>) -> R + Clone + Unpin + 'static,
     R: Future<Output = Response<AnswerBody>> + 'static,
 {
     let listener = listen(address)?;
@@ -87,49 +74,6 @@
     Ok(())
 }
 
-async fn serve_connection<F, R>(node: Rc<VmNode>, stream: tokio::net::TcpStream, serve: F)
-where
-    F: Fn(Rc<VmNode>, Request<Incoming>) -> R + Clone + 'static,
-    R: Future<Output = Response<AnswerBody>> + 'static,
-{
-    let limits = node.book.borrow().as_ref().map(|book| book.book.limits);
-    let rest_ms = limits.map_or(USUAL_REST_MS, |limits| limits.idle_ms) + REST_SLACK_MS;
-    let head_bytes = limits.map_or(USUAL_HEAD_BYTES, |limits| limits.head_bytes);
-    let record = ConnectionRecord::default();
-    let service = {
-        let (node, record) = (node.clone(), record.clone());
-        service_fn(move |mut request: Request<Incoming>| {
-            let (node, serve) = (node.clone(), serve.clone());
-            request.extensions_mut().insert(record.clone());
-            async move {
-                let answer = serve(node.clone(), request).await;
-                let stopping = node.stopping_ms.get().is_some();
-                Ok::<_, Infallible>(if stopping { close_after(answer) } else { answer })
-            }
-        })
-    };
-    let _open = OpenGuard::new(&node);
-    let (stream, broken) = WatchedStream::new(stream);
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(rest_ms))
-        .max_buf_size(head_bytes.max(LEAST_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let closing = node.closing.notified();
-    tokio::pin!(closing);
-    tokio::select! {
-        _ = connection.as_mut() => {}
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-        }
-    }
-    if broken.get() {
-        record.tell_broken(node.now_ms());
-    }
-}
-
 /// Answers whether the VM is ready.
 pub async fn serve_ready(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
     if !node.adapter.ready_call(request.method(), request.uri()) {
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -14,13 +14,14 @@
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
 use crate::coordination::engine_room::ServiceRoom;
+use crate::state::connect_count::{ConnectCause, ConnectCount};
 use crate::state::vm_figures::{RequestEnd, VmFigures, BUCKETS_MS};
 
 /// One figure: name, kind, what it tells and in which unit.
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 27] = [
+pub const FIGURES: [FigureEntry; 31] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -31,6 +32,14 @@
     ("wingshed_signs_total", "counter", "Signs against upstreams."),
     ("wingshed_serving", "gauge", "Requests that are being served."),
     ("wingshed_connections", "gauge", "Connections that are open at the listeners."),
+    (
+        "wingshed_connects_total",
+        "counter",
+        "Connections opened to upstreams, by why no other served.",
+    ),
+    ("wingshed_resting", "gauge", "Connections to upstreams that rest."),
+    ("wingshed_heap_used_bytes", "gauge", "Bytes of the heap that are in use."),
+    ("wingshed_heap_held_bytes", "gauge", "Bytes of the heap, those that are free included."),
     ("wingshed_in_flight", "gauge", "Requests in flight at upstreams, from this VM."),
     ("wingshed_ready", "gauge", "1 while callers should be sent here."),
     ("wingshed_version", "gauge", "The version of the configuration in force; 0 for none."),
@@ -78,6 +87,7 @@
         let figures = self.figures.borrow();
         match name {
             "wingshed_requests_total" => write_ends(text, &figures),
+            "wingshed_connects_total" => write_connects(text, self.pool.opened()),
             "wingshed_first_byte_ms" => write_first_bytes(text, &figures),
             "wingshed_repeats_left" => self.write_repeats_left(text),
             "wingshed_hold_ms" => self.write_rooms(text, name, ServiceRoom::hold_ms),
@@ -101,6 +111,9 @@
             "wingshed_signs_total" => figures.signs,
             "wingshed_serving" => u64::from(self.serving.get()),
             "wingshed_connections" => u64::from(self.connections.get()),
+            "wingshed_resting" => self.pool.resting() as u64,
+            "wingshed_heap_used_bytes" => heap_bytes().0,
+            "wingshed_heap_held_bytes" => heap_bytes().1,
             "wingshed_in_flight" => self.in_flight.borrow().values().map(|n| u64::from(*n)).sum(),
             "wingshed_ready" => u64::from(self.is_ready()),
             "wingshed_version" => self.contact.borrow().applied(),
@@ -157,6 +170,21 @@
     }
 }
 
+fn write_connects(text: &mut String, opened: ConnectCount) {
+    for cause in ConnectCause::ALL {
+        let (name, count) = (cause.name(), opened.opened(cause));
+        let _ = writeln!(text, "wingshed_connects_total{{why=\"{name}\"}} {count}");
+    }
+}
+
+/// What the allocator says that is in use, and all that it holds, in bytes. What is free isn't given
+/// back to the system at once, so the peak of the second is what a process takes.
+fn heap_bytes() -> (u64, u64) {
+    // SAFETY: it takes nothing and gives plain numbers.
+    let heap = unsafe { libc::mallinfo2() };
+    (heap.uordblks as u64 + heap.hblkhd as u64, heap.arena as u64 + heap.hblkhd as u64)
+}
+
 fn write_first_bytes(text: &mut String, figures: &VmFigures) {
     for (workspace, histogram) in figures.first_bytes() {
         let label = format!("workspace=\"{workspace}\"");
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -2,7 +2,9 @@
 //!
 //! A connection serves one request at a time. Whoever drops a lease without finishing
 //! it closes the connection at once, which is how an upstream learns that its caller
-//! has left.
+//! has left. A connection that rests is a socket and nothing else: the client and its
+//! buffers, some 17 KB, are made for one request and given back after it; see
+//! `docs/design/small-vms.md`.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,11 +18,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{timeout, Instant};
 
-use super::vm_sockets::set_stream;
+use super::vm_sockets::{is_silent, set_stream};
 use crate::coordination::silence::ConnectPatience;
+use crate::state::connect_count::{ConnectCause, ConnectCount};
 use crate::state::ids::UpstreamKey;
 
 /// How long a resting connection is kept when the upstream doesn't say, in milliseconds.
@@ -40,26 +43,97 @@
 }
 
 struct RestingConnection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
+    stream: TcpStream,
     until_ms: u64,
 }
 
-/// All resting connections of one VM.
+/// What a VM has, and had last, to one upstream.
+#[derive(Default)]
+struct UpstreamConnections {
+    resting: Vec<RestingConnection>,
+    in_use: u32,
+    /// Why the one that ended last did so.
+    ended: Option<ConnectCause>,
+}
+
+impl UpstreamConnections {
+    /// Why a new one is opened now.
+    fn cause(&self) -> ConnectCause {
+        match (self.in_use, self.ended) {
+            (0, Some(ended)) => ended,
+            (0, None) => ConnectCause::First,
+            _ => ConnectCause::Busy,
+        }
+    }
+
+    fn pop(&mut self, now_ms: u64) -> Option<TcpStream> {
+        while let Some(connection) = self.resting.pop() {
+            match self.fault(&connection, now_ms) {
+                None => return Some(connection.stream),
+                ended => self.ended = ended,
+            }
+        }
+        None
+    }
+
+    fn fault(&self, connection: &RestingConnection, now_ms: u64) -> Option<ConnectCause> {
+        if connection.until_ms <= now_ms {
+            return Some(ConnectCause::Rested);
+        }
+        (!is_silent(&connection.stream)).then_some(ConnectCause::Closed)
+    }
+
+    fn sweep(&mut self, now_ms: u64) {
+        let (usable, ended): (Vec<_>, Vec<_>) = std::mem::take(&mut self.resting)
+            .into_iter()
+            .partition(|connection| self.fault(connection, now_ms).is_none());
+        if let Some(last) = ended.last() {
+            self.ended = self.fault(last, now_ms);
+        }
+        self.resting = usable;
+    }
+}
+
+/// All connections of one VM to upstreams.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
-    resting: Rc<RefCell<HashMap<UpstreamKey, Vec<RestingConnection>>>>,
+    upstreams: Rc<RefCell<HashMap<UpstreamKey, UpstreamConnections>>>,
     patience: Rc<Cell<ConnectPatience>>,
+    opened: Rc<RefCell<ConnectCount>>,
 }
 
 /// A connection in use. Dropping it closes the connection.
 pub struct ConnectionLease {
     sender: Option<SendRequest<Full<Bytes>>>,
-    task: AbortHandle,
+    task: JoinHandle<Option<TcpStream>>,
+    in_use: UseGuard,
+}
+
+/// Counts a connection that is in use, or is being opened for it.
+struct UseGuard {
     upstream: UpstreamKey,
     pool: ConnectionPool,
 }
 
+impl UseGuard {
+    fn new(pool: &ConnectionPool, upstream: UpstreamKey) -> UseGuard {
+        pool.upstreams.borrow_mut().entry(upstream).or_default().in_use += 1;
+        UseGuard { upstream, pool: pool.clone() }
+    }
+
+    fn note(&self, act: impl FnOnce(&mut UpstreamConnections)) {
+        if let Some(had) = self.pool.upstreams.borrow_mut().get_mut(&self.upstream) {
+            act(had);
+        }
+    }
+}
+
+impl Drop for UseGuard {
+    fn drop(&mut self) {
+        self.note(|had| had.in_use -= 1);
+    }
+}
+
 impl ConnectionPool {
     /// A resting connection to the upstream, or a new one.
     pub async fn take(
@@ -68,28 +142,14 @@
         address: SocketAddr,
         now_ms: u64,
     ) -> Result<ConnectionLease, ConnectFault> {
-        if let Some(lease) = self.take_resting(upstream, now_ms) {
-            return Ok(lease);
+        match self.pop(upstream, now_ms) {
+            Some(stream) => lease(UseGuard::new(self, upstream), stream).await,
+            None => self.connect(upstream, address).await,
         }
-        self.connect(upstream, address).await
-    }
-
-    fn take_resting(&self, upstream: UpstreamKey, now_ms: u64) -> Option<ConnectionLease> {
-        let mut resting = self.resting.borrow_mut();
-        let connections = resting.get_mut(&upstream)?;
-        while let Some(connection) = connections.pop() {
-            let usable = connection.sender.is_ready() && connection.until_ms > now_ms;
-            if usable {
-                return Some(ConnectionLease {
-                    sender: Some(connection.sender),
-                    task: connection.task,
-                    upstream,
-                    pool: self.clone(),
-                });
-            }
-            connection.task.abort();
-        }
-        None
+    }
+
+    fn pop(&self, upstream: UpstreamKey, now_ms: u64) -> Option<TcpStream> {
+        self.upstreams.borrow_mut().get_mut(&upstream)?.pop(now_ms)
     }
 
     /// A new connection to the upstream. One that isn't up after some times what connecting takes is
@@ -99,6 +159,9 @@
         upstream: UpstreamKey,
         address: SocketAddr,
     ) -> Result<ConnectionLease, ConnectFault> {
+        let cause =
+            self.upstreams.borrow().get(&upstream).map_or(ConnectCause::First, |had| had.cause());
+        let in_use = UseGuard::new(self, upstream);
         let wait = Duration::from_millis(self.patience.get().wait_ms());
         let began = Instant::now();
         let stream = match timeout(wait, TcpStream::connect(address)).await {
@@ -112,33 +175,44 @@
         patience.note(began.elapsed().as_secs_f64() * 1000.0);
         self.patience.set(patience);
         set_stream(&stream);
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(BUFFER_BYTES);
-        let (sender, connection) =
-            builder.handshake(TokioIo::new(stream)).await.map_err(|_| ConnectFault::NoAnswer)?;
-        let task = spawn_local(async move {
-            // What goes wrong on a connection is told to whoever waits for its answer.
-            let _ = connection.await;
-        });
-        let task = task.abort_handle();
-        let pool = self.clone();
-        Ok(ConnectionLease { sender: Some(sender), task, upstream, pool })
+        self.opened.borrow_mut().note(cause);
+        lease(in_use, stream).await
     }
 
     /// Closes what has rested for long enough, and what belongs to upstreams that are gone.
     pub fn sweep(&self, known: impl Fn(UpstreamKey) -> bool, now_ms: u64) {
-        self.resting.borrow_mut().retain(|upstream, connections| {
-            let keep = known(*upstream);
-            connections.retain(|connection| {
-                let usable = keep && connection.until_ms > now_ms && !connection.sender.is_closed();
-                if !usable {
-                    connection.task.abort();
-                }
-                usable
-            });
-            !connections.is_empty()
+        self.upstreams.borrow_mut().retain(|upstream, connections| {
+            connections.sweep(now_ms);
+            if !known(*upstream) {
+                connections.resting.clear();
+            }
+            known(*upstream) || connections.in_use > 0
         });
     }
+
+    /// How many connections rest.
+    pub fn resting(&self) -> usize {
+        self.upstreams.borrow().values().map(|connections| connections.resting.len()).sum()
+    }
+
+    /// How many connections were opened, by cause.
+    pub fn opened(&self) -> ConnectCount {
+        *self.opened.borrow()
+    }
+}
+
+async fn lease(in_use: UseGuard, stream: TcpStream) -> Result<ConnectionLease, ConnectFault> {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(BUFFER_BYTES);
+    let (sender, connection) =
+        builder.handshake(TokioIo::new(stream)).await.map_err(|_| ConnectFault::NoAnswer)?;
+    let task = spawn_local(async move {
+        // What goes wrong on a connection is told to whoever waits for its answer. Bytes beyond
+        // the answer belong to no request.
+        let parts = connection.without_shutdown().await.ok()?;
+        parts.read_buf.is_empty().then(|| parts.io.into_inner())
+    });
+    Ok(ConnectionLease { sender: Some(sender), task, in_use })
 }
 
 impl ConnectionLease {
@@ -149,23 +223,27 @@
 
     /// The whole answer came: the connection may rest for `idle_ms`, or is closed.
     pub async fn finish(mut self, closes: bool, idle_ms: Option<u64>, now_ms: u64) {
-        let Some(mut sender) = self.sender.take() else { return };
-        // The connection's task must see the end of the answer before it can be used again.
-        if closes || sender.ready().await.is_err() {
-            self.task.abort();
-            return;
-        }
+        // Without its sender the connection's task ends once it has seen the end of the answer.
+        drop(self.sender.take());
+        let stream = match closes {
+            true => None,
+            false => (&mut self.task).await.ok().flatten(),
+        };
         let rest_ms = idle_ms.unwrap_or(USUAL_REST_MS).saturating_sub(REST_MARGIN_MS);
-        let connection =
-            RestingConnection { sender, task: self.task.clone(), until_ms: now_ms + rest_ms };
-        self.pool.resting.borrow_mut().entry(self.upstream).or_default().push(connection);
+        self.in_use.note(|had| match stream {
+            Some(stream) => {
+                had.resting.push(RestingConnection { stream, until_ms: now_ms + rest_ms });
+            }
+            None => had.ended = Some(ConnectCause::Closed),
+        });
     }
 }
 
 impl Drop for ConnectionLease {
     fn drop(&mut self) {
+        self.task.abort();
         if self.sender.is_some() {
-            self.task.abort();
+            self.in_use.note(|had| had.ended = Some(ConnectCause::Cut));
         }
     }
 }
--- a/lib/src/transport/vm_sockets.rs
+++ b/lib/src/transport/vm_sockets.rs
@@ -1,15 +1,11 @@
 //! Options of the sockets of a VM.
 
-use std::cell::Cell;
-use std::io;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tracing::debug;
 
@@ -46,68 +42,10 @@
     TcpListener::from_std(socket.into())
 }
 
-/// A stream that remembers whether it broke: the server passes over a reset of a connection that
-/// rests, and with it the sign that an answer may not have come to its caller.
-pub struct WatchedStream {
-    stream: TcpStream,
-    broken: Rc<Cell<bool>>,
-}
-
-impl WatchedStream {
-    /// Watches a stream; the cell tells whether it broke.
-    pub fn new(stream: TcpStream) -> (WatchedStream, Rc<Cell<bool>>) {
-        let broken = Rc::new(Cell::new(false));
-        (WatchedStream { stream, broken: broken.clone() }, broken)
-    }
-
-    fn note<T>(&self, done: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if matches!(done, Poll::Ready(Err(_))) {
-            self.broken.set(true);
-        }
-        done
-    }
-}
-
-impl AsyncRead for WatchedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        into: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let done = Pin::new(&mut self.stream).poll_read(context, into);
-        self.note(done)
-    }
-}
-
-impl AsyncWrite for WatchedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.note(done)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        pieces: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write_vectored(context, pieces);
-        self.note(done)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let done = Pin::new(&mut self.stream).poll_flush(context);
-        self.note(done)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
+/// Whether a stream on which nothing is due is open and silent: its end or bytes that nobody asked
+/// for make it unusable.
+pub fn is_silent(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
 }
