--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -21,7 +21,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{timeout, Instant};
 
-use super::vm_sockets::{is_silent, set_stream};
+use super::vm_sockets::{is_silent, seems_silent, set_stream};
 use crate::coordination::silence::ConnectPatience;
 use crate::state::connect_count::{ConnectCause, ConnectCount};
 use crate::state::ids::UpstreamKey;
@@ -68,7 +68,7 @@
 
     fn pop(&mut self, now_ms: u64) -> Option<TcpStream> {
         while let Some(connection) = self.resting.pop() {
-            match self.fault(&connection, now_ms) {
+            match connection.fault(is_silent, now_ms) {
                 None => return Some(connection.stream),
                 ended => self.ended = ended,
             }
@@ -76,21 +76,26 @@
         None
     }
 
-    fn fault(&self, connection: &RestingConnection, now_ms: u64) -> Option<ConnectCause> {
-        if connection.until_ms <= now_ms {
-            return Some(ConnectCause::Rested);
-        }
-        (!is_silent(&connection.stream)).then_some(ConnectCause::Closed)
+    fn sweep(&mut self, now_ms: u64) {
+        let mut ended = None;
+        self.resting.retain(|connection| match connection.fault(seems_silent, now_ms) {
+            None => true,
+            fault => {
+                ended = fault;
+                false
+            }
+        });
+        self.ended = ended.or(self.ended);
     }
+}
 
-    fn sweep(&mut self, now_ms: u64) {
-        let (usable, ended): (Vec<_>, Vec<_>) = std::mem::take(&mut self.resting)
-            .into_iter()
-            .partition(|connection| self.fault(connection, now_ms).is_none());
-        if let Some(last) = ended.last() {
-            self.ended = self.fault(last, now_ms);
+impl RestingConnection {
+    /// Why it can't be used, if so.
+    fn fault(&self, silent: fn(&TcpStream) -> bool, now_ms: u64) -> Option<ConnectCause> {
+        if self.until_ms <= now_ms {
+            return Some(ConnectCause::Rested);
         }
-        self.resting = usable;
+        (!silent(&self.stream)).then_some(ConnectCause::Closed)
     }
 }
 
--- a/lib/src/transport/vm_sockets.rs
+++ b/lib/src/transport/vm_sockets.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::task::{Context, Waker};
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
@@ -49,3 +50,9 @@
     let peeked = SockRef::from(stream).peek(&mut byte);
     matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
 }
+
+/// The same as far as the event loop has heard, without a call to the system while it is silent.
+pub fn seems_silent(stream: &TcpStream) -> bool {
+    let mut context = Context::from_waker(Waker::noop());
+    stream.poll_read_ready(&mut context).is_pending() || is_silent(stream)
+}
