--- a/lib/src/transport/vm_answer.rs
+++ b/lib/src/transport/vm_answer.rs
@@ -23,7 +23,7 @@
 }
 
 /// Marks the connection as ending with this answer.
-pub fn close_after(mut answer: Response<AnswerBody>) -> Response<AnswerBody> {
+pub fn close_after<B>(mut answer: Response<B>) -> Response<B> {
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
