--- a/lib/tests/test_rollout_evidence.rs
+++ b/lib/tests/test_rollout_evidence.rs
@@ -218,11 +218,14 @@
     None
 }
 
+/// What flows on each route, one after the other, and for how many looks.
+type FlowSpans<'a> = &'a [(&'a [Flow], u64)];
+
 #[test]
 fn what_hits_both_sides_alike_is_no_sign() {
     let fails = Flow { base: (40, 6), target: (3, 1), ..SOUND };
     let slow = Flow { base_ms: 640.0, target_ms: 640.0, ..SOUND };
-    let cases: [(&str, &[(&[Flow], u64)]); 4] = [
+    let cases: [(&str, FlowSpans); 4] = [
         ("sound", &[(&[SOUND], 300)]),
         ("a route that fails everywhere", &[(&[SOUND, fails, fails], 20)]),
         ("a burst", &[(&[SOUND], 50), (&[slow], 20), (&[SOUND], 50), (&[slow], 20)]),
@@ -237,7 +240,7 @@
 fn each_kind_of_unsoundness_is_found_in_time() {
     let fails = Flow { target: (3, 1), ..SOUND };
     let slow = Flow { target_ms: 320.0, ..SOUND };
-    let cases: [(&str, &[(&[Flow], u64)], UnsoundSign, u64); 4] = [
+    let cases: [(&str, FlowSpans, UnsoundSign, u64); 4] = [
         ("fails from the start", &[(&[fails], 100)], UnsoundSign::Failures, 3000),
         ("slow from the start", &[(&[slow], 100)], UnsoundSign::Slow, 4000),
         ("fails late", &[(&[SOUND], 150), (&[fails], 100)], UnsoundSign::Failures, 18_000),
