--- a/lib/src/coordination/rollout_evidence.rs
+++ b/lib/src/coordination/rollout_evidence.rs
@@ -11,6 +11,16 @@
 
 /// The most routes that one VM tells of, those most tried first.
 pub const ROUTES_TOLD: usize = 16;
+/// An answer that takes so many times as long as is typical of the other versions is late. Where the
+/// logarithms of times spread by 0.5, three answers in a hundred are.
+pub const LATE_TIMES: f64 = 2.5;
+/// What is typical is known after so many answers,
+const LEAST_TYPICAL: u32 = 2;
+/// and is the mean logarithm of about so many of the last ones.
+const TYPICAL_ANSWERS: u32 = 20;
+
+/// Shorter times count as this long, in milliseconds: clocks tell no more.
+const LEAST_MS: f64 = 0.1;
 
 /// A route, by the hash of its name.
 #[derive(
@@ -63,16 +73,24 @@
 impl LogSums {
     fn note(&mut self, value_ms: Option<f64>) {
         let Some(value_ms) = value_ms else { return };
-        let log = value_ms.max(0.1).ln() as f32;
+        let log = to_log(value_ms) as f32;
         self.count += 1;
         self.sum += log;
         self.squares += log * log;
     }
 
-    fn add(&mut self, other: &LogSums) {
-        self.count += other.count;
-        self.sum += other.sum;
-        self.squares += other.squares;
+    /// What was added since `before`, which are earlier sums of the same.
+    pub fn since(&self, before: &LogSums) -> LogSums {
+        LogSums {
+            count: self.count.saturating_sub(before.count),
+            sum: self.sum - before.sum,
+            squares: self.squares - before.squares,
+        }
+    }
+
+    /// The mean of the logarithms; 0 without any.
+    pub fn mean(&self) -> f64 {
+        f64::from(self.sum) / f64::from(self.count.max(1))
     }
 }
 
@@ -87,6 +105,10 @@
     pub pace: LogSums,
     /// Likewise.
     pub first: LogSums,
+    /// Those whose pace could be compared with what is typical of the other versions on the route,
+    pub compared: u32,
+    /// and was [`LATE_TIMES`] as long or longer.
+    pub late: u32,
 }
 
 impl ArmSums {
@@ -106,11 +128,21 @@
         }
     }
 
-    fn add(&mut self, other: &ArmSums) {
-        self.well += other.well;
-        self.bad += other.bad;
-        self.pace.add(&other.pace);
-        self.first.add(&other.first);
+    /// What was added since `before`, which are earlier sums of the same.
+    pub fn since(&self, before: &ArmSums) -> ArmSums {
+        ArmSums {
+            well: self.well.saturating_sub(before.well),
+            bad: self.bad.saturating_sub(before.bad),
+            pace: self.pace.since(&before.pace),
+            first: self.first.since(&before.first),
+            compared: self.compared.saturating_sub(before.compared),
+            late: self.late.saturating_sub(before.late),
+        }
+    }
+
+    fn compare(&mut self, is_late: bool) {
+        self.compared += 1;
+        self.late += u32::from(is_late);
     }
 }
 
@@ -130,6 +162,63 @@
     pub fn all(&self) -> u64 {
         u64::from(self.base.all()) + u64::from(self.target.all())
     }
+
+    /// What was added since `before`, which are earlier sums of the same.
+    pub fn since(&self, before: &RouteSums) -> RouteSums {
+        let (base, target) = (self.base.since(&before.base), self.target.since(&before.target));
+        RouteSums { route: self.route, base, target }
+    }
+}
+
+/// How long the other versions take on a route, as one VM sees it.
+#[derive(Clone, Copy, Debug, Default)]
+struct TypicalPace {
+    count: u32,
+    mean_log: f64,
+}
+
+impl TypicalPace {
+    /// Whether this is late; nothing while too little is known.
+    fn is_late(&self, pace_ms: f64) -> Option<bool> {
+        let late = to_log(pace_ms) >= self.mean_log + LATE_TIMES.ln();
+        (self.count >= LEAST_TYPICAL).then_some(late)
+    }
+
+    fn note(&mut self, pace_ms: f64) {
+        self.count = (self.count + 1).min(TYPICAL_ANSWERS);
+        self.mean_log += (to_log(pace_ms) - self.mean_log) / f64::from(self.count);
+    }
+}
+
+fn to_log(value_ms: f64) -> f64 {
+    value_ms.max(LEAST_MS).ln()
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteNotes {
+    sums: RouteSums,
+    typical: TypicalPace,
+}
+
+impl RouteNotes {
+    fn note(&mut self, arm: RolloutArm, outcome: &TrialOutcome) {
+        let pace_ms = match outcome {
+            TrialOutcome::Well { pace_ms, .. } => *pace_ms,
+            TrialOutcome::Bad => None,
+        };
+        let is_late = pace_ms.and_then(|pace_ms| self.typical.is_late(pace_ms));
+        let sums = match arm {
+            RolloutArm::Base => &mut self.sums.base,
+            RolloutArm::Target => &mut self.sums.target,
+        };
+        sums.note(outcome);
+        if let Some(is_late) = is_late {
+            sums.compare(is_late);
+        }
+        if let (RolloutArm::Base, Some(pace_ms)) = (arm, pace_ms) {
+            self.typical.note(pace_ms);
+        }
+    }
 }
 
 /// What one VM counts of one order.
@@ -137,7 +226,7 @@
 pub struct EvidenceLedger {
     /// The order's number within its service.
     pub number: u64,
-    rows: HashMap<RouteKey, RouteSums>,
+    rows: HashMap<RouteKey, RouteNotes>,
 }
 
 impl EvidenceLedger {
@@ -148,17 +237,14 @@
 
     /// A send ended.
     pub fn note(&mut self, route: RouteKey, arm: RolloutArm, outcome: &TrialOutcome) {
-        let row = self.rows.entry(route).or_default();
-        row.route = route;
-        match arm {
-            RolloutArm::Base => row.base.note(outcome),
-            RolloutArm::Target => row.target.note(outcome),
-        }
+        let notes = self.rows.entry(route).or_default();
+        notes.sums.route = route;
+        notes.note(arm, outcome);
     }
 
     /// What to tell: the routes most tried.
     pub fn rows(&self) -> Vec<RouteSums> {
-        let mut rows: Vec<RouteSums> = self.rows.values().copied().collect();
+        let mut rows: Vec<RouteSums> = self.rows.values().map(|notes| notes.sums).collect();
         rows.sort_by_key(|row| (std::cmp::Reverse(row.target.all()), row.route));
         rows.truncate(ROUTES_TOLD);
         rows
@@ -166,35 +252,102 @@
 }
 
 /// What a leader was told of one order by all VMs.
+///
+/// The sums are kept up with each renewal, so that taking one costs its rows and a look at the sums
+/// costs the routes, however many VMs tell.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceTable {
-    told: BTreeMap<(u32, u64), Vec<RouteSums>>,
+    told: HashMap<(u32, u64, RouteKey), RouteSums>,
+    totals: BTreeMap<RouteKey, RouteTotals>,
 }
 
 impl EvidenceTable {
-    /// Takes what a life of a VM tells of all it has counted.
+    /// Takes what a life of a VM tells of all it has counted. A row that counts fewer sends than the
+    /// one before was overtaken and changes nothing; a route that it tells no more, since others
+    /// are tried more, stays as it was told last.
     pub fn take(&mut self, vm: u32, life: u64, rows: Vec<RouteSums>, _now_ms: u64) {
-        let count = |rows: &[RouteSums]| rows.iter().map(RouteSums::all).sum::<u64>();
-        let known = self.told.entry((vm, life)).or_default();
-        if count(&rows) >= count(known) {
-            *known = rows;
+        for row in rows {
+            let known = self.told.entry((vm, life, row.route)).or_default();
+            if row.all() > known.all() {
+                let total = self.totals.entry(row.route).or_default();
+                total.replace(known, &row);
+                *known = row;
+            }
         }
     }
 
     /// The sums over all VMs.
     pub fn sums(&self) -> Vec<RouteSums> {
-        let mut sums: BTreeMap<RouteKey, RouteSums> = BTreeMap::new();
-        for row in self.told.values().flatten() {
-            let sum = sums.entry(row.route).or_default();
-            sum.route = row.route;
-            sum.base.add(&row.base);
-            sum.target.add(&row.target);
-        }
-        sums.into_values().collect()
+        let to_sums = |(route, total): (&RouteKey, &RouteTotals)| RouteSums {
+            route: *route,
+            base: total.base.to_sums(),
+            target: total.target.to_sums(),
+        };
+        self.totals.iter().map(to_sums).collect()
     }
 
     /// Answers of the target that weren't well.
     pub fn bad_answers(&self) -> u32 {
-        self.told.values().flatten().map(|row| row.target.bad).sum()
+        self.totals.values().map(|total| total.target.bad).sum()
+    }
+}
+
+/// Sums over VMs, so fine that replacing a part of them again and again shifts nothing.
+#[derive(Clone, Copy, Debug, Default)]
+struct LogTotals {
+    count: u32,
+    sum: f64,
+    squares: f64,
+}
+
+impl LogTotals {
+    fn replace(&mut self, before: &LogSums, after: &LogSums) {
+        self.count += after.count.saturating_sub(before.count);
+        self.sum += f64::from(after.sum) - f64::from(before.sum);
+        self.squares += f64::from(after.squares) - f64::from(before.squares);
+    }
+
+    fn to_sums(self) -> LogSums {
+        LogSums { count: self.count, sum: self.sum as f32, squares: self.squares as f32 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ArmTotals {
+    well: u32,
+    bad: u32,
+    pace: LogTotals,
+    first: LogTotals,
+    compared: u32,
+    late: u32,
+}
+
+impl ArmTotals {
+    fn replace(&mut self, before: &ArmSums, after: &ArmSums) {
+        self.well += after.well.saturating_sub(before.well);
+        self.bad += after.bad.saturating_sub(before.bad);
+        self.pace.replace(&before.pace, &after.pace);
+        self.first.replace(&before.first, &after.first);
+        self.compared += after.compared.saturating_sub(before.compared);
+        self.late += after.late.saturating_sub(before.late);
+    }
+
+    fn to_sums(self) -> ArmSums {
+        let (pace, first) = (self.pace.to_sums(), self.first.to_sums());
+        let ArmTotals { well, bad, compared, late, .. } = self;
+        ArmSums { well, bad, pace, first, compared, late }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTotals {
+    base: ArmTotals,
+    target: ArmTotals,
+}
+
+impl RouteTotals {
+    fn replace(&mut self, before: &RouteSums, after: &RouteSums) {
+        self.base.replace(&before.base, &after.base);
+        self.target.replace(&before.target, &after.target);
     }
 }
--- /dev/null
+++ b/lib/src/transport/vm_rollouts.rs
@@ -0,0 +1,384 @@
+//! Roll-outs on one VM: the operator's calls, what the leader tells, what a send may go to, and the
+//! leader's steps. All that decides is in `rollout_watch` and `rollout_lead`; here it is asked and
+//! carried out. See `docs/design/rollouts.md`.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::{Request, Response, StatusCode};
+use tracing::info;
+
+use super::vm_answer::{own_answer, refusal};
+use super::vm_keeper::KeeperDriver;
+use super::vm_node::VmNode;
+use super::vm_relay::AnswerBody;
+use crate::coordination::rollout_evidence::{RolloutArm, RouteKey, TrialOutcome};
+use crate::coordination::rollout_lead::{ProposedStep, TargetStanding};
+use crate::coordination::rollout_share::ExposureBound;
+use crate::coordination::rollout_watch::{RolloutLane, RolloutNote, TrialTag, VersionRule};
+use crate::coordination::vm_roster::pressed_renew_ms;
+use crate::protocol::vm_wire::{encode, FleetOrder, OrderEnd, RolloutWish, VmDatagram, VmId};
+use crate::protocol::wire_adapter::RolloutCall;
+use crate::state::fleet_record::FleetCommand;
+use crate::state::rollout_order::{
+    RolloutCommand, RolloutOrder, RolloutPhase, RolloutRow, RolloutTable, VersionKey,
+};
+use crate::state::route_book::RouteRule;
+use crate::state::upstream_list::UpstreamEntry;
+
+/// The largest body of an order, in bytes.
+pub(super) const BODY_BYTES: usize = 4096;
+/// Operators go on to another VM after a second without an answer.
+pub(super) const ANSWER_TIME: Duration = Duration::from_millis(850);
+/// An operator may still repeat an order for so long after it may no longer, in milliseconds: the
+/// time for which the VM that was asked tries.
+const REPEAT_MARGIN_MS: u64 = 850;
+
+/// Serves an operator's order to begin a roll-out.
+pub async fn start_rollout(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived_ms = node.now_ms();
+    let body = match Limited::new(request.into_body(), BODY_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return own_answer(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let call = match node.adapter.read_rollout(&body) {
+        Ok(call) => call,
+        Err(findings) => {
+            info!(target: "control", findings = findings.len(), "refuses a roll-out");
+            return own_answer(StatusCode::BAD_REQUEST, node.adapter.write_findings(&findings));
+        }
+    };
+    let refused = begin_rollout(&node, &call, arrived_ms).await;
+    refused.unwrap_or_else(|| own_answer(StatusCode::OK, "{}"))
+}
+
+/// Has the leader begin a roll-out that was asked for at `arrived_ms`; returns the refusal, if any.
+pub(super) async fn begin_rollout(
+    node: &Rc<VmNode>,
+    call: &RolloutCall,
+    arrived_ms: u64,
+) -> Option<Response<AnswerBody>> {
+    if !node.has_service(&call.service) {
+        if !node.confirm(arrived_ms, ANSWER_TIME).await {
+            return Some(not_sure());
+        }
+        if !node.has_service(&call.service) {
+            info!(target: "control", service = call.service, "refuses a roll-out, no such service");
+            let text = format!("service '{}' is not known", call.service);
+            return Some(own_answer(StatusCode::BAD_REQUEST, text));
+        }
+    }
+    let end = node.order_until(arrived_ms, || FleetOrder::Rollout(node.wish_of(call))).await;
+    let RolloutCall { service, target, duration_ms } = call;
+    info!(target: "control", service, to = target, duration_ms, ?end, "a roll-out is asked for");
+    match end {
+        OrderEnd::Taken => None,
+        OrderEnd::UnderWay => {
+            Some(own_answer(StatusCode::CONFLICT, "another one of it is under way"))
+        }
+        OrderEnd::NotTaken => Some(not_sure()),
+    }
+}
+
+/// Serves an operator's question how far a roll-out has come.
+pub async fn get_rollout(node: Rc<VmNode>, service: String) -> Response<AnswerBody> {
+    if !node.confirm(node.now_ms(), ANSWER_TIME).await {
+        return not_sure();
+    }
+    let desk = node.rollouts.borrow();
+    let Some(row) = desk.watch().table().row(&service) else {
+        return own_answer(StatusCode::NOT_FOUND, "there was none of this service");
+    };
+    let mut answer = own_answer(StatusCode::OK, node.adapter.write_rollout(row));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+/// What operators are told while a VM can't learn what holds.
+pub(super) fn not_sure() -> Response<AnswerBody> {
+    refusal(StatusCode::SERVICE_UNAVAILABLE, "not known what holds", 300)
+}
+
+impl VmNode {
+    fn has_service(&self, service: &str) -> bool {
+        let book = self.book.borrow();
+        book.as_ref().is_some_and(|book| book.book.services.iter().any(|s| s.name == service))
+    }
+
+    fn wish_of(&self, call: &RolloutCall) -> RolloutWish {
+        let desk = self.rollouts.borrow();
+        RolloutWish {
+            service: call.service.clone(),
+            target: call.target.clone(),
+            duration_ms: call.duration_ms,
+            after: desk.watch().table().row(&call.service).map_or(0, |row| row.order.number),
+        }
+    }
+
+    /// The command of a roll-out that is asked for, as the leader. The same one again is taken: while
+    /// it runs, and for as long as an operator may repeat it.
+    pub(super) fn rollout_command(
+        &self,
+        keeper: &KeeperDriver,
+        wish: RolloutWish,
+    ) -> Result<FleetCommand, OrderEnd> {
+        let now_ms = self.now_ms();
+        let repeat_ms = self.settings.borrow().bounds.ack_ms + REPEAT_MARGIN_MS;
+        let row = keeper.record.rollouts.row(&wish.service);
+        if let Some(row) = row {
+            let elapsed_ms = self.rollouts.borrow().elapsed_ms(&wish.service, now_ms);
+            let recent = elapsed_ms.is_some_and(|elapsed_ms| elapsed_ms < repeat_ms);
+            let same = row.order.target == wish.target && row.order.duration_ms == wish.duration_ms;
+            if same && (!row.phase.is_end() || recent) {
+                return Err(OrderEnd::Taken);
+            }
+            if !row.phase.is_end() {
+                let sure = keeper.may_vouch(now_ms);
+                return Err(if sure { OrderEnd::UnderWay } else { OrderEnd::NotTaken });
+            }
+        }
+        let number = row.map_or(0, |row| row.order.number);
+        if wish.after != number {
+            return Err(OrderEnd::NotTaken);
+        }
+        Ok(FleetCommand::Rollout(RolloutCommand::Start(RolloutOrder {
+            service: wish.service,
+            number: number + 1,
+            target: wish.target,
+            duration_ms: wish.duration_ms,
+            vms: keeper.roster.rows().len() as u32,
+        })))
+    }
+
+    /// The command that rolls a running roll-out back, as the leader.
+    pub(super) fn roll_back_command(
+        &self,
+        keeper: &KeeperDriver,
+        service: &str,
+        number: u64,
+    ) -> Result<FleetCommand, OrderEnd> {
+        let row = keeper.record.rollouts.row(service).filter(|row| row.order.number == number);
+        let Some(row) = row else { return Err(OrderEnd::NotTaken) };
+        match row.phase {
+            RolloutPhase::RolledBack => Err(OrderEnd::Taken),
+            RolloutPhase::Complete => Err(OrderEnd::UnderWay),
+            RolloutPhase::Trial | RolloutPhase::Shift => {
+                let elapsed_ms = self.rollouts.borrow().elapsed_ms(service, self.now_ms());
+                let spent_ms = elapsed_ms.unwrap_or(row.spent_ms);
+                let step = row.next_step(RolloutPhase::RolledBack, spent_ms);
+                Ok(FleetCommand::Rollout(RolloutCommand::Step(step)))
+            }
+        }
+    }
+
+    fn exposure_bound(&self) -> ExposureBound {
+        let bounds = self.settings.borrow().bounds;
+        ExposureBound { share: bounds.expose_share, slack: bounds.expose_slack }
+    }
+
+    /// Takes the roll-outs as a leader told them.
+    pub(super) fn take_rollouts(&self, table: RolloutTable) {
+        let bound = self.exposure_bound();
+        let news = self.rollouts.borrow_mut().take(table, bound);
+        for row in news {
+            info!(
+                target: "rollout", service = row.service, to = row.target, number = row.number,
+                phase = ?row.phase, "is known",
+            );
+        }
+    }
+
+    /// The leader answered a renewal that was sent at `sent_ms`: with the roll-outs, or that they are
+    /// those which are known.
+    pub(super) fn take_rollout_grant(&self, table: Option<RolloutTable>, sent_ms: u64) {
+        if let Some(table) = table {
+            self.take_rollouts(table);
+        }
+        self.rollouts.borrow_mut().watch_mut().prove(sent_ms);
+    }
+
+    /// What this VM tells the leader of roll-outs that run.
+    pub(super) fn rollout_notes(&self) -> Vec<RolloutNote> {
+        let desk = self.rollouts.borrow();
+        if !desk.watch().table().any_runs() {
+            return Vec::new();
+        }
+        let upstreams = self.upstreams.borrow();
+        let in_flight = self.in_flight.borrow();
+        desk.watch().notes(|service, target| {
+            let others = upstreams.of_service(service).filter(|(_, row)| row.version != target);
+            others.map(|(key, _)| in_flight.get(&key).copied().unwrap_or(0)).sum()
+        })
+    }
+
+    /// Takes what a VM tells of roll-outs, as the leader of `term`.
+    pub(super) fn take_rollout_notes(
+        &self,
+        term: u64,
+        vm: VmId,
+        life: u64,
+        notes: Vec<RolloutNote>,
+    ) {
+        let now_ms = self.now_ms();
+        self.rollouts.borrow_mut().take_notes(term, vm, life, notes, now_ms);
+    }
+
+    /// A request is sent to an upstream; the tag is for its end, while its service is rolled out.
+    pub(super) fn note_rollout_send(
+        &self,
+        service: &str,
+        rule: &RouteRule,
+        entry: &UpstreamEntry,
+        attempt: &str,
+    ) -> Option<TrialTag> {
+        let mut desk = self.rollouts.borrow_mut();
+        if !desk.watch().table().any_runs() {
+            return None;
+        }
+        let route = RouteKey::of(&rule.host, &rule.prefix);
+        let tag = desk.watch_mut().note_sent(service, route, entry.version)?;
+        if tag.arm == RolloutArm::Target {
+            let counts = desk.watch().counts(service);
+            let row = desk.watch().table().row(service)?;
+            info!(
+                target: "rollout", attempt, service, to = row.order.target,
+                number = row.order.number, phase = ?row.phase, why = tag.reason.text(),
+                life = entry.life, sent_target = counts.target.sent, sent_all = counts.sent(),
+                "goes to the version that is rolled out",
+            );
+        }
+        Some(tag)
+    }
+
+    /// Where a request of this route goes first, `first` saying whether it was sent nowhere before.
+    pub(super) fn rollout_lane(&self, service: &str, rule: &RouteRule, first: bool) -> RolloutLane {
+        let desk = self.rollouts.borrow();
+        if !first || !desk.watch().table().any_runs() {
+            return RolloutLane::Usual;
+        }
+        desk.watch().lane(service, RouteKey::of(&rule.host, &rule.prefix), self.now_ms())
+    }
+
+    /// Whether requests for a service that find no room may go back to its old upstreams.
+    pub(super) fn may_go_back(&self, service: &str) -> bool {
+        self.rollouts.borrow().watch().may_go_back(service)
+    }
+
+    /// Which upstreams of a service get nothing in this lane, on account of their versions.
+    pub(super) fn version_rule(&self, service: &str, lane: RolloutLane) -> VersionRule {
+        let upstreams = self.upstreams.borrow();
+        let (zones, outliers) = (self.zones.borrow(), self.outliers.borrow());
+        let seen_ms = |key| upstreams.first_seen_ms.get(&key).copied().unwrap_or(0);
+        let seen = upstreams.of_service(service).map(|(key, entry)| (entry, seen_ms(key)));
+        let may_be_tried = |entry: &UpstreamEntry| {
+            let key = entry.key();
+            let reached = !outliers.is_gone(key) && !self.is_dark(key);
+            entry.takes_work() && reached && !zones.watch.is_emptied(&entry.zone)
+        };
+        let desk = self.rollouts.borrow();
+        desk.watch().rule(service, lane, seen, may_be_tried, self.now_ms())
+    }
+
+    /// A send has ended, as far as it tells of its version.
+    pub(super) fn note_trial(&self, tag: &TrialTag, outcome: &TrialOutcome) {
+        let now_ms = self.now_ms();
+        let pause_ms = pressed_renew_ms(self.view.borrow().roster.rows.len());
+        let soon = self.rollouts.borrow_mut().note_end(tag, outcome, pause_ms, now_ms);
+        if soon {
+            self.renew();
+        }
+    }
+
+    /// Looks at the evidence and proposes steps, as the leader; other keepers note what runs.
+    pub(super) fn lead_rollouts(&self) {
+        let now_ms = self.now_ms();
+        let proposals = {
+            let keeper = self.keeper.borrow();
+            let Some(keeper) = keeper.as_ref() else { return };
+            let rows = keeper.record.rollouts.rows();
+            let mut desk = self.rollouts.borrow_mut();
+            if !desk.look(rows, now_ms) || !keeper.may_vouch(now_ms) {
+                return;
+            }
+            let vms: BTreeSet<u32> = keeper.roster.rows().iter().map(|row| row.id).collect();
+            let led_ms = keeper.led_ms(now_ms);
+            let standing = |row: &RolloutRow| self.target_standing(keeper, row);
+            desk.next_steps(rows, &vms, standing, led_ms, now_ms)
+        };
+        for proposal in proposals {
+            self.propose_step(proposal);
+        }
+    }
+
+    fn propose_step(&self, proposal: ProposedStep) {
+        let ProposedStep { step, why } = proposal;
+        if !why.is_empty() {
+            info!(
+                target: "rollout", service = step.service, number = step.number,
+                phase = ?step.phase, spent_ms = step.spent_ms, "decides: {why}",
+            );
+        }
+        let command = FleetCommand::Rollout(RolloutCommand::Step(step));
+        // Whether it is taken shows in the log; a step that isn't is proposed again.
+        self.step_keeper(|keeper, now_ms| keeper.order(command, now_ms).1);
+    }
+
+    fn target_standing(&self, keeper: &KeeperDriver, row: &RolloutRow) -> TargetStanding {
+        let (service, target) = (row.order.service.as_str(), row.target());
+        let upstreams = self.upstreams.borrow();
+        let zones = self.zones.borrow();
+        let now_ms = self.now_ms();
+        let silence = self.silence.borrow();
+        let mut standing = TargetStanding {
+            places: self.places(service).unwrap_or(0),
+            hold_ms: self.mean_hold_ms(service),
+            ..TargetStanding::default()
+        };
+        for (key, entry) in upstreams.taking(service) {
+            let able = !entry.cold
+                && !zones.watch.is_emptied(&entry.zone)
+                && !silence.view.is_dark(key, now_ms);
+            match entry.version == target {
+                true => standing.able += usize::from(able),
+                false => standing.others += 1,
+            }
+        }
+        let others = upstreams.of_service(service).map(|(_, entry)| entry.version);
+        let others: BTreeSet<VersionKey> = others.filter(|version| *version != target).collect();
+        standing.other_versions = others.into_iter().collect();
+        let of_service = |key| upstreams.entries.get(key).is_some_and(|row| row.service == service);
+        let loads = keeper.roster.loads();
+        let loads = loads.iter().filter(|load| of_service(&load.upstream));
+        standing.in_flight = loads.map(|load| load.requests).sum();
+        standing
+    }
+
+    fn mean_hold_ms(&self, service: &str) -> f64 {
+        match self.places(service) {
+            Some(_) => self.with_room(service, |room| room.hold_ms()),
+            None => self.plain_holds.borrow().get(service).map_or(0.0, |hold| hold.mean_ms()),
+        }
+    }
+
+    /// Tells all VMs at once that a roll-out began or went a step on, as the leader. One that misses it
+    /// hears of it with its next grant.
+    pub(super) fn tell_rollouts(&self) {
+        let now_ms = self.now_ms();
+        let (term, table) = match &*self.keeper.borrow() {
+            Some(keeper) if keeper.may_vouch(now_ms) => {
+                (keeper.term(), keeper.record.rollouts.clone())
+            }
+            _ => return,
+        };
+        self.take_rollouts(table.clone());
+        let bytes = encode(&VmDatagram::Rollouts { term, table });
+        let others: Vec<VmId> = self.view.borrow().roster.rows.iter().map(|row| row.id).collect();
+        for to in others.into_iter().filter(|id| *id != self.id) {
+            self.send_datagram(to, &bytes);
+        }
+    }
+}
