--- /dev/null
+++ b/soak/src/caller.rs
@@ -0,0 +1,174 @@
+//! Callers: each keeps a connection to its VM until the VM or the network ends it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::http::{connect, CallSender};
+use crate::ledger::{AskEnd, AskKind, AskRow, RunLedger};
+use crate::process::VmPlace;
+use crate::upstream::{plain_body, STREAM_EVENTS};
+
+/// How long a caller waits for a connection.
+const CONNECT_WAIT: Duration = Duration::from_secs(1);
+/// How long a caller waits for a whole answer.
+const ANSWER_WAIT: Duration = Duration::from_millis(4_500);
+/// What a caller tells that it will wait.
+const DEADLINE_MS: &str = "4000";
+/// The pause of a caller between two requests.
+const ASK_PAUSE: std::ops::Range<u64> = 20..120;
+
+/// The routes that callers use.
+const ROUTES: [(&str, AskKind); 6] = [
+    ("once", AskKind::Once),
+    ("safe", AskKind::Safe),
+    ("stream", AskKind::Stream),
+    ("resume", AskKind::Resume),
+    ("moved", AskKind::Once),
+    ("twice", AskKind::Once),
+];
+
+/// What all callers share.
+pub struct CallerShared {
+    /// Where they write.
+    pub ledger: Rc<RunLedger>,
+    /// Keys, the newest last.
+    pub keys: RefCell<Vec<String>>,
+    /// Whether callers go on.
+    pub asking: Cell<bool>,
+}
+
+/// One caller.
+pub struct SoakCaller {
+    shared: Rc<CallerShared>,
+    place: VmPlace,
+    random: StdRng,
+    sender: Option<CallSender>,
+}
+
+impl SoakCaller {
+    /// A caller of the VM at `place`.
+    pub fn new(shared: Rc<CallerShared>, place: VmPlace, seed: u64) -> SoakCaller {
+        SoakCaller { shared, place, random: StdRng::seed_from_u64(seed), sender: None }
+    }
+
+    /// Asks until callers shall stop.
+    pub async fn ask_on(mut self) {
+        while self.shared.asking.get() {
+            let (route, kind) = ROUTES[self.random.gen_range(0..ROUTES.len())];
+            self.ask(route, kind).await;
+            let pause = self.random.gen_range(ASK_PAUSE);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// One attempt, noted.
+    pub async fn ask(&mut self, route: &str, kind: AskKind) -> AskEnd {
+        let attempt = format!("{:016x}", self.random.gen::<u64>());
+        let key = self.draw_key();
+        let sent_ms = self.shared.ledger.now_ms();
+        let end = match tokio::time::timeout(ANSWER_WAIT, self.send(route, &attempt, &key)).await {
+            Ok(end) => end,
+            Err(_) => AskEnd::Late,
+        };
+        if !matches!(end, AskEnd::Whole | AskEnd::Status(_)) {
+            self.sender = None;
+        }
+        let ended_ms = self.shared.ledger.now_ms();
+        let row = AskRow {
+            attempt,
+            vm: self.place.index,
+            kind,
+            route: route.to_string(),
+            key,
+            sent_ms,
+            ended_ms,
+            end: end.clone(),
+        };
+        self.shared.ledger.rows.borrow_mut().asks.push(row);
+        end
+    }
+
+    fn draw_key(&mut self) -> String {
+        let keys = self.shared.keys.borrow();
+        // Now and then the key before the newest, which may be taken away by now.
+        let back = if self.random.gen_bool(0.15) { 2 } else { 1 };
+        keys.get(keys.len().saturating_sub(back)).cloned().unwrap_or_default()
+    }
+
+    async fn send(&mut self, route: &str, attempt: &str, key: &str) -> AskEnd {
+        let mut sender = match self.sender.take().filter(|sender| !sender.is_closed()) {
+            Some(sender) => sender,
+            None => match connect(self.place.front_link(), CONNECT_WAIT).await {
+                Some(sender) => sender,
+                None => return AskEnd::Unreached,
+            },
+        };
+        if sender.ready().await.is_err() {
+            return AskEnd::Unreached;
+        }
+        let request = Request::builder()
+            .method("POST")
+            .uri(format!("/{route}/x"))
+            .header("host", "a.example")
+            .header("x-attempt-id", attempt)
+            .header("x-key", key)
+            .header("x-deadline-ms", DEADLINE_MS)
+            .body(Full::new(Bytes::from_static(b"question")))
+            .expect("a plain head");
+        let Ok(answer) = sender.send_request(request).await else { return AskEnd::Cut };
+        let end = read_answer(answer, route, attempt).await;
+        self.sender = Some(sender);
+        end
+    }
+}
+
+async fn read_answer(answer: Response<Incoming>, route: &str, attempt: &str) -> AskEnd {
+    let status = answer.status().as_u16();
+    let named = answer.headers().get("x-attempt-id").and_then(|id| id.to_str().ok());
+    let named = named.map(str::to_string);
+    let body = match answer.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return AskEnd::Cut,
+    };
+    if status != 200 {
+        return AskEnd::Status(status);
+    }
+    let text = String::from_utf8_lossy(&body);
+    if named.as_deref() != Some(attempt) {
+        return AskEnd::Wrong(format!("the answer names {named:?}"));
+    }
+    let fault = match route {
+        "stream" | "resume" => stream_fault(&text, attempt, route == "resume"),
+        _ => (text != plain_body(attempt)).then(|| format!("a body of {} bytes", text.len())),
+    };
+    fault.map_or(AskEnd::Whole, AskEnd::Wrong)
+}
+
+/// What is wrong with a stream that ended as complete.
+pub fn stream_fault(text: &str, attempt: &str, joins: bool) -> Option<String> {
+    let mut first_run = None;
+    let mut next = 1;
+    for event in text.split_terminator("\n\n") {
+        let Some((id, data)) = event.split_once('\n') else {
+            return Some(format!("an event that can't be read: {event:?}"));
+        };
+        let wanted = format!("data: {attempt} {next} ");
+        let run = data.strip_prefix(&wanted);
+        if id != format!("id: {next}") || run.is_none() {
+            return Some(format!("event {next} expected, {event:?} read"));
+        }
+        if !joins && *first_run.get_or_insert(run) != run {
+            return Some(format!("event {next} is of another run"));
+        }
+        next += 1;
+    }
+    (next != STREAM_EVENTS + 1).then(|| format!("complete after {} events", next - 1))
+}
--- /dev/null
+++ b/soak/src/http.rs
@@ -0,0 +1,45 @@
+//! Calls over connections of one's own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+/// A connection on which requests can be sent one after the other.
+pub type CallSender = SendRequest<Full<Bytes>>;
+
+/// Opens a connection.
+pub async fn connect(address: SocketAddr, most: Duration) -> Option<CallSender> {
+    let stream = tokio::time::timeout(most, TcpStream::connect(address)).await.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    spawn_local(connection);
+    Some(sender)
+}
+
+/// Sends one request on a connection of its own; the status and the body of its answer.
+pub async fn call_once(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    most: Duration,
+) -> Option<(u16, String)> {
+    let whole = async {
+        let mut sender = connect(address, most).await?;
+        let request = Request::builder().method(method).uri(path).header("host", "a.example");
+        let request = request.body(Full::new(Bytes::from(body.to_string()))).ok()?;
+        let answer: Response<Incoming> = sender.send_request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        Some((status, String::from_utf8_lossy(&body).into_owned()))
+    };
+    tokio::time::timeout(most, whole).await.ok().flatten()
+}
--- /dev/null
+++ b/soak/src/judge.rs
@@ -0,0 +1,268 @@
+//! What was promised and did not hold, by the rows of a run.
+//!
+//! Bounds are those of the settings that the soak writes. A VM is bound from the moment at which it
+//! is in touch: [`CONTACT_MS`] after the last disturbance of itself.
+
+use std::collections::HashMap;
+
+use crate::ledger::{
+    AskEnd, AskKind, AskRow, DocumentRow, LedgerRows, OrderRow, OrderWhat, RunRow, SpanRow, Touched,
+};
+use crate::operator::version_of;
+
+/// A disturbed VM is in touch this long after (`contactMs`).
+const CONTACT_MS: u64 = 4_000;
+/// An acknowledged configuration is in force after this (`configApplyMs`).
+const APPLY_MS: u64 = 2_500;
+/// A key that was taken away opens nothing after this (`revokeMs`).
+const REVOKE_MS: u64 = 5_000;
+/// A leaving upstream gets nothing after this (`drainMs`).
+const DRAIN_MS: u64 = 4_000;
+/// An emptied zone gets nothing after this (`evacMs`).
+const EMPTY_MS: u64 = 5_000;
+/// What a disturbed core adds (`outerMs`).
+const OUTER_MS: u64 = 6_000;
+/// A planned stop lasts at most this (`graceS`), and a second more is counted.
+const STOP_MS: u64 = 9_000;
+/// Observers of one clock may note one moment this far apart on a loaded machine.
+const NOTE_MS: u64 = 250;
+/// VMs that keep what is agreed on.
+const CORE_VMS: usize = 3;
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenPromise {
+    /// Its name.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+struct RunJudge<'a> {
+    rows: &'a LedgerRows,
+    asks: HashMap<&'a str, &'a AskRow>,
+    runs: HashMap<&'a str, Vec<&'a RunRow>>,
+    broken: Vec<BrokenPromise>,
+}
+
+/// All promises that were broken.
+pub fn judge(rows: &LedgerRows) -> Vec<BrokenPromise> {
+    let mut runs: HashMap<&str, Vec<&RunRow>> = HashMap::new();
+    for run in &rows.runs {
+        runs.entry(&run.attempt).or_default().push(run);
+    }
+    let asks = rows.asks.iter().map(|ask| (ask.attempt.as_str(), ask)).collect();
+    let mut judge = RunJudge { rows, asks, runs, broken: Vec::new() };
+    for seen in &rows.seen {
+        judge.add("recovery", seen.clone());
+    }
+    judge.answers();
+    judge.planned_stops();
+    judge.leaving();
+    judge.zones();
+    judge.documents_in_force();
+    judge.keys();
+    judge.reads();
+    judge.broken
+}
+
+impl<'a> RunJudge<'a> {
+    fn add(&mut self, promise: &'static str, seen: String) {
+        self.broken.push(BrokenPromise { promise, seen });
+    }
+
+    fn runs_of(&self, ask: &AskRow) -> &[&'a RunRow] {
+        self.runs.get(ask.attempt.as_str()).map_or(&[], Vec::as_slice)
+    }
+
+    fn answers(&mut self) {
+        for ask in &self.rows.asks {
+            let runs = self.runs_of(ask).len();
+            if let AskEnd::Wrong(how) = &ask.end {
+                self.add("whole answers", format!("{how}: {ask:?}"));
+            }
+            let repeats = matches!(ask.kind, AskKind::Safe | AskKind::Resume);
+            if runs > 1 && !repeats {
+                self.add("runs once", format!("{runs} runs: {ask:?}"));
+            }
+            if matches!(ask.end, AskEnd::Status(408 | 421 | 429 | 503)) && runs > 0 && !repeats {
+                self.add("not run", format!("{runs} runs: {ask:?}"));
+            }
+            if ask.end == AskEnd::Whole && runs == 0 {
+                self.add("whole answers", format!("an answer that nobody gave: {ask:?}"));
+            }
+        }
+    }
+
+    /// Whether anything but a planned stop was disturbed in this time.
+    fn unplanned(&self, from_ms: u64, until_ms: u64) -> bool {
+        let unplanned = |span: &&SpanRow| !matches!(span.touched, Touched::PlannedVm(_));
+        self.rows.spans.iter().filter(unplanned).any(|span| meets(span, from_ms, until_ms))
+    }
+
+    fn planned_stops(&mut self) {
+        for ask in &self.rows.asks {
+            let stop = self.rows.spans.iter().find(|span| {
+                span.touched == Touched::PlannedVm(ask.vm)
+                    && (span.from_ms..span.from_ms + STOP_MS).contains(&ask.ended_ms)
+            });
+            let cut = matches!(ask.end, AskEnd::Cut | AskEnd::Late);
+            let sent_on = !self.runs_of(ask).is_empty();
+            if stop.is_some() && cut && sent_on {
+                let from_ms = ask.sent_ms.saturating_sub(CONTACT_MS);
+                if !self.unplanned(from_ms, ask.ended_ms + NOTE_MS) {
+                    self.add("planned stops cut nothing", format!("{ask:?}"));
+                }
+            }
+        }
+    }
+
+    /// Since when the VM has been in touch at `at_ms`; none when it isn't.
+    fn in_touch_since(&self, vm: usize, at_ms: u64) -> Option<u64> {
+        let mut since = 0;
+        for span in &self.rows.spans {
+            let own = matches!(span.touched, Touched::Vm(x) | Touched::PlannedVm(x) if x == vm);
+            if own && span.from_ms <= at_ms {
+                since = since.max(span.until_ms? + CONTACT_MS);
+            }
+        }
+        (since <= at_ms).then_some(since)
+    }
+
+    /// What a core that was disturbed between these moments adds.
+    fn outer(&self, from_ms: u64, until_ms: u64) -> u64 {
+        let core = self.rows.spans.iter().any(|span| {
+            let vm = match span.touched {
+                Touched::Vm(vm) | Touched::PlannedVm(vm) => vm,
+                _ => return false,
+            };
+            vm < CORE_VMS && meets(span, from_ms.saturating_sub(CONTACT_MS), until_ms)
+        });
+        if core {
+            OUTER_MS
+        } else {
+            0
+        }
+    }
+
+    fn leaving(&mut self) {
+        for run in &self.rows.runs {
+            let Some(ask) = self.asks.get(run.attempt.as_str()) else { continue };
+            let Some(mut since) = self.in_touch_since(ask.vm, run.at_ms) else { continue };
+            for span in &self.rows.spans {
+                if span.touched == Touched::List && span.from_ms <= run.at_ms {
+                    since = since.max(span.until_ms.unwrap_or(run.at_ms) + CONTACT_MS);
+                }
+            }
+            let left = self.rows.leaving.iter().find(|row| {
+                let until_ms = row.until_ms.unwrap_or(u64::MAX);
+                row.upstream == run.upstream
+                    && run.at_ms < until_ms
+                    && run.at_ms > row.from_ms.max(since) + DRAIN_MS + NOTE_MS
+            });
+            if let Some(row) = left {
+                let late = run.at_ms - row.from_ms;
+                self.add("leaving upstreams", format!("{late} ms after: {run:?}, VM {}", ask.vm));
+            }
+        }
+    }
+
+    fn zones(&mut self) {
+        for order in &self.rows.orders {
+            let (OrderWhat::EmptyZone(zone), Some(acked_ms)) = (&order.what, order.acked_ms) else {
+                continue;
+            };
+            let until_ms = self.return_sent(zone, order.sent_ms);
+            for run in self.rows.runs.iter().filter(|run| run.zone == *zone) {
+                let Some(ask) = self.asks.get(run.attempt.as_str()) else { continue };
+                let Some(since) = self.in_touch_since(ask.vm, run.at_ms) else { continue };
+                let from_ms = acked_ms.max(since);
+                let bound = EMPTY_MS + self.outer(acked_ms, run.at_ms) + NOTE_MS;
+                if run.at_ms > from_ms + bound && run.at_ms < until_ms {
+                    let late = run.at_ms - acked_ms;
+                    self.add("emptied zones", format!("{late} ms after: {run:?}, VM {}", ask.vm));
+                }
+            }
+        }
+    }
+
+    fn return_sent(&self, zone: &str, after_ms: u64) -> u64 {
+        let returns =
+            self.rows.orders.iter().filter(
+                |order| matches!(&order.what, OrderWhat::ReturnZone(other) if other == zone),
+            );
+        let sent = returns.map(|order| order.sent_ms).filter(|sent| *sent > after_ms);
+        sent.min().unwrap_or(u64::MAX)
+    }
+
+    fn documents(&self) -> impl Iterator<Item = (&'a DocumentRow, &'a OrderRow)> + use<'a> {
+        self.rows.orders.iter().filter_map(|order| match &order.what {
+            OrderWhat::Document(row) if order.refused.is_none() => Some((row, order)),
+            _ => None,
+        })
+    }
+
+    /// The oldest version that may still be gone by for what is sent at `sent_ms`.
+    fn oldest(&self, sent_ms: u64, bound: u64) -> u64 {
+        let held = self.documents().filter(|(_, order)| {
+            order.acked_ms.is_some_and(|acked_ms| acked_ms + bound + NOTE_MS < sent_ms)
+        });
+        held.map(|(row, _)| row.version).max().unwrap_or(0)
+    }
+
+    fn documents_in_force(&mut self) {
+        for ask in self.rows.asks.iter().filter(|ask| ask.route == "moved") {
+            let Some(since) = self.in_touch_since(ask.vm, ask.sent_ms) else { continue };
+            let bound = APPLY_MS + self.outer(since, ask.sent_ms);
+            if ask.sent_ms < since + bound {
+                continue;
+            }
+            let oldest = self.oldest(ask.sent_ms, bound);
+            let may = self.documents().filter(|(row, _)| row.version >= oldest);
+            let may: Vec<&str> = may.map(|(row, _)| row.moved_to.as_str()).collect();
+            let runs = self.runs_of(ask).iter();
+            let other = runs.copied().find(|run| !may.contains(&run.service.as_str()));
+            if let Some(run) = other {
+                self.add("orders in force", format!("{oldest} held, but {run:?} of {ask:?}"));
+            }
+        }
+    }
+
+    fn keys(&mut self) {
+        for ask in &self.rows.asks {
+            let oldest = self.oldest(ask.sent_ms, REVOKE_MS);
+            let mut may = self.documents().filter(|(row, _)| row.version >= oldest);
+            let held = may.any(|(row, _)| row.keys.contains(&ask.key));
+            if !held && !self.runs_of(ask).is_empty() {
+                self.add("keys taken away", format!("{oldest} held, but it ran: {ask:?}"));
+            }
+        }
+    }
+
+    fn reads(&mut self) {
+        for read in &self.rows.reads {
+            let Some(version) = version_of(&read.text) else {
+                self.add("orders kept", format!("can't be read: {}", read.text));
+                continue;
+            };
+            let oldest = self.oldest(read.sent_ms, APPLY_MS);
+            if version < oldest {
+                self.add("orders kept", format!("{version} read at VM {}, {oldest} held", read.vm));
+            }
+            let sent = self.documents().find(|(row, _)| row.version == version);
+            let same = sent.is_some_and(|(row, _)| same_json(&row.text, &read.text));
+            if !same {
+                self.add("orders kept", format!("{version} was never sent like this"));
+            }
+        }
+    }
+}
+
+fn meets(span: &SpanRow, from_ms: u64, until_ms: u64) -> bool {
+    span.from_ms <= until_ms && span.until_ms.is_none_or(|until| until >= from_ms)
+}
+
+fn same_json(one: &str, other: &str) -> bool {
+    let read = |text| serde_json::from_str::<serde_json::Value>(text).ok();
+    read(one) == read(other)
+}
--- /dev/null
+++ b/soak/src/ledger.rs
@@ -0,0 +1,216 @@
+//! What happened in a run, as callers, upstreams and operators saw it, on one clock.
+//!
+//! Rows are only added. The judge reads them when the run is over, so that no check depends on
+//! which of two observers wrote first.
+
+use std::cell::RefCell;
+use std::time::Instant;
+
+/// What a route promises about being run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskKind {
+    /// Runs at most once.
+    Once,
+    /// May run again.
+    Safe,
+    /// A stream that may not be joined from two runs.
+    Stream,
+    /// A stream that another upstream may go on with.
+    Resume,
+}
+
+/// How an attempt ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AskEnd {
+    /// A whole answer that is the one to this request.
+    Whole,
+    /// An answer without success.
+    Status(u16),
+    /// The connection could not be made.
+    Unreached,
+    /// The connection ended before the answer did.
+    Cut,
+    /// Nothing whole came while the caller waited.
+    Late,
+    /// An answer that is not the one to this request; says how.
+    Wrong(String),
+}
+
+/// One attempt of a caller.
+#[derive(Clone, Debug)]
+pub struct AskRow {
+    /// The id of the attempt.
+    pub attempt: String,
+    /// The VM that was asked.
+    pub vm: usize,
+    /// The kind of its route.
+    pub kind: AskKind,
+    /// The first part of its path.
+    pub route: String,
+    /// The key it carried.
+    pub key: String,
+    /// When it was sent.
+    pub sent_ms: u64,
+    /// When it ended.
+    pub ended_ms: u64,
+    /// How it ended.
+    pub end: AskEnd,
+}
+
+/// One run at an upstream.
+#[derive(Clone, Debug)]
+pub struct RunRow {
+    /// The id of the attempt.
+    pub attempt: String,
+    /// The index of the upstream.
+    pub upstream: usize,
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// When the request had arrived.
+    pub at_ms: u64,
+    /// The event after which it goes on.
+    pub after_event: u64,
+    /// The workspace that the system named.
+    pub workspace: String,
+}
+
+/// What an operator asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderWhat {
+    /// A configuration.
+    Document(DocumentRow),
+    /// A configuration that is not valid.
+    Invalid(DocumentRow),
+    /// Nothing more to a zone.
+    EmptyZone(String),
+    /// The zone is taken back.
+    ReturnZone(String),
+}
+
+/// What the judge needs to know of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentRow {
+    /// Its version.
+    pub version: u64,
+    /// The service to which the moved route leads.
+    pub moved_to: String,
+    /// All keys it holds.
+    pub keys: Vec<String>,
+    /// The whole text.
+    pub text: String,
+}
+
+/// An order and what became of it.
+#[derive(Clone, Debug)]
+pub struct OrderRow {
+    /// What was asked for.
+    pub what: OrderWhat,
+    /// When it was sent first.
+    pub sent_ms: u64,
+    /// When it was acknowledged.
+    pub acked_ms: Option<u64>,
+    /// The status of a refusal.
+    pub refused: Option<u16>,
+}
+
+/// A configuration that was read back.
+#[derive(Clone, Debug)]
+pub struct ReadRow {
+    /// The VM that answered.
+    pub vm: usize,
+    /// When the read was sent.
+    pub sent_ms: u64,
+    /// The text of the answer.
+    pub text: String,
+}
+
+/// What a disturbance touches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Touched {
+    /// A VM's process, by a plan: SIGTERM and a new start.
+    PlannedVm(usize),
+    /// A VM's process.
+    Vm(usize),
+    /// The links of callers to a VM.
+    Front(usize),
+    /// An upstream or the link to it.
+    Upstream(usize),
+    /// The list of upstreams.
+    List,
+}
+
+/// A stretch of time in which something was disturbed.
+#[derive(Clone, Debug)]
+pub struct SpanRow {
+    /// What it touches.
+    pub touched: Touched,
+    /// Its start.
+    pub from_ms: u64,
+    /// Its end; none while it lasts.
+    pub until_ms: Option<u64>,
+}
+
+/// A row of the list that turned to leaving.
+#[derive(Clone, Debug)]
+pub struct LeavingRow {
+    /// The index of the upstream.
+    pub upstream: usize,
+    /// When the list showed it.
+    pub from_ms: u64,
+    /// When the upstream stood there as ready again.
+    pub until_ms: Option<u64>,
+}
+
+/// All rows.
+#[derive(Clone, Debug, Default)]
+pub struct LedgerRows {
+    /// Attempts.
+    pub asks: Vec<AskRow>,
+    /// Runs.
+    pub runs: Vec<RunRow>,
+    /// Orders.
+    pub orders: Vec<OrderRow>,
+    /// Configurations read back.
+    pub reads: Vec<ReadRow>,
+    /// Disturbances.
+    pub spans: Vec<SpanRow>,
+    /// Upstreams that left.
+    pub leaving: Vec<LeavingRow>,
+    /// Promises that the run itself saw broken while it waited for something.
+    pub seen: Vec<String>,
+}
+
+/// The rows and the clock of a run.
+pub struct RunLedger {
+    started: Instant,
+    /// All rows.
+    pub rows: RefCell<LedgerRows>,
+}
+
+impl Default for RunLedger {
+    fn default() -> RunLedger {
+        RunLedger { started: Instant::now(), rows: RefCell::default() }
+    }
+}
+
+impl RunLedger {
+    /// Milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Notes the start of a disturbance; the number it returns ends it.
+    pub fn disturb(&self, touched: Touched) -> usize {
+        let row = SpanRow { touched, from_ms: self.now_ms(), until_ms: None };
+        let spans = &mut self.rows.borrow_mut().spans;
+        spans.push(row);
+        spans.len() - 1
+    }
+
+    /// Notes the end of a disturbance.
+    pub fn calm(&self, span: usize) {
+        self.rows.borrow_mut().spans[span].until_ms = Some(self.now_ms());
+    }
+}
--- /dev/null
+++ b/soak/src/link.rs
@@ -0,0 +1,135 @@
+//! A link on loopback that can be delayed, reset, cut one way or silenced.
+//!
+//! Bytes are held and never dropped: below a connection that lives, the network sends them again.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, JoinHandle};
+
+/// How a link stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkMode {
+    /// Bytes pass.
+    Open,
+    /// Bytes pass so many milliseconds later.
+    Delay(u64),
+    /// Connections that stand and new ones are reset.
+    Reset,
+    /// What is sent by whoever connected stays on its way.
+    HoldForward,
+    /// What is sent to whoever connected stays on its way.
+    HoldBack,
+    /// Nothing passes.
+    Silent,
+}
+
+/// How often a held link looks whether it passes again.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+struct LinkState {
+    mode: Cell<LinkMode>,
+    reset: Notify,
+}
+
+/// A link from an address to another.
+pub struct LinkProxy {
+    state: Rc<LinkState>,
+    accepting: JoinHandle<()>,
+}
+
+impl LinkProxy {
+    /// Listens at `from` and connects each connection to `to`.
+    pub async fn start(from: SocketAddr, to: SocketAddr) -> std::io::Result<LinkProxy> {
+        let listener = TcpListener::bind(from).await?;
+        let state = Rc::new(LinkState { mode: Cell::new(LinkMode::Open), reset: Notify::new() });
+        let shared = state.clone();
+        let accepting = spawn_local(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                spawn_local(join(near, to, shared.clone()));
+            }
+        });
+        Ok(LinkProxy { state, accepting })
+    }
+
+    /// Changes how the link stands.
+    pub fn set(&self, mode: LinkMode) {
+        self.state.mode.set(mode);
+        if mode == LinkMode::Reset {
+            self.state.reset.notify_waiters();
+        }
+    }
+}
+
+impl Drop for LinkProxy {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.state.reset.notify_waiters();
+    }
+}
+
+async fn join(near: TcpStream, to: SocketAddr, state: Rc<LinkState>) {
+    if state.mode.get() == LinkMode::Reset {
+        return reset(&near);
+    }
+    let Ok(far) = TcpStream::connect(to).await else { return reset(&near) };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let both = async {
+        tokio::join!(
+            pass(near_read, far_write, &state, true),
+            pass(far_read, near_write, &state, false)
+        )
+    };
+    tokio::select! {
+        _ = both => {}
+        () = state.reset.notified() => {}
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+async fn pass(mut read: OwnedReadHalf, mut write: OwnedWriteHalf, state: &LinkState, on: bool) {
+    let mut piece = [0; 8192];
+    loop {
+        let count = read.read(&mut piece).await;
+        held(state, on).await;
+        match count {
+            Ok(0) => return drop(write.shutdown().await),
+            // A reset is passed on by ending both halves.
+            Err(_) => return state.reset_one(&write),
+            Ok(count) => {
+                if write.write_all(&piece[..count]).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+impl LinkState {
+    fn reset_one(&self, write: &OwnedWriteHalf) {
+        reset(write.as_ref());
+    }
+}
+
+async fn held(state: &LinkState, on: bool) {
+    loop {
+        match (state.mode.get(), on) {
+            (LinkMode::Silent, _) | (LinkMode::HoldForward, true) | (LinkMode::HoldBack, false) => {
+                tokio::time::sleep(LOOK_AGAIN).await
+            }
+            (LinkMode::Delay(ms), _) => return tokio::time::sleep(Duration::from_millis(ms)).await,
+            _ => return,
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/list.rs
@@ -0,0 +1,102 @@
+//! The list of upstreams, as the platform tells it.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{json, Value};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::link::LinkProxy;
+use crate::upstream::UpstreamPlace;
+
+/// Entries of one page.
+const PAGE_ROWS: usize = 4;
+
+/// One entry of the list.
+#[derive(Clone, Debug)]
+pub struct ListRow {
+    /// The upstream's place.
+    pub place: UpstreamPlace,
+    /// The id of its life.
+    pub id: String,
+    /// When that life began, in Unix milliseconds.
+    pub born_ms: u64,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+/// The rows of the list.
+#[derive(Default)]
+pub struct ListRows {
+    /// Entries, by the index of their upstream.
+    pub rows: Vec<Option<ListRow>>,
+    /// Whether entries that can't be read stand among them.
+    pub unreadable: bool,
+}
+
+impl ListRows {
+    fn values(&self) -> Vec<Value> {
+        let mut values: Vec<Value> = Vec::new();
+        if self.unreadable {
+            values.push(json!({"id": 7, "service": null, "address": "nowhere", "state": {}}));
+            values.push(json!("no entry"));
+        }
+        values.extend(self.rows.iter().flatten().map(|row| {
+            json!({
+                "id": row.id, "service": row.place.service, "zone": row.place.zone,
+                "address": row.place.listed.to_string(), "version": "v1", "slots": 32,
+                "born": row.born_ms, "coldLeftMs": 0,
+                "state": if row.leaving { "draining" } else { "ready" },
+            })
+        }));
+        values
+    }
+
+    fn page(&self, token: usize) -> Value {
+        let values = self.values();
+        let until = (token + PAGE_ROWS).min(values.len());
+        let next = (until < values.len()).then(|| format!("p-{until}"));
+        json!({"instances": values.get(token..until).unwrap_or_default(), "nextToken": next})
+    }
+}
+
+/// Serves the list at `inner`, through a link that VMs find at `listed`.
+pub async fn serve_list(
+    listed: SocketAddr,
+    inner: SocketAddr,
+    rows: Rc<RefCell<ListRows>>,
+) -> std::io::Result<LinkProxy> {
+    let listener = TcpListener::bind(inner).await?;
+    let link = LinkProxy::start(listed, inner).await?;
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let rows = rows.clone();
+            let service = service_fn(move |request| page_answer(request, rows.clone()));
+            spawn_local(async move {
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    Ok(link)
+}
+
+async fn page_answer<T>(
+    request: Request<T>,
+    rows: Rc<RefCell<ListRows>>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let query = request.uri().query().unwrap_or_default();
+    let token = query.split('&').find_map(|pair| pair.strip_prefix("pageToken=p-"));
+    let token = token.and_then(|token| token.parse().ok()).unwrap_or(0);
+    let body = rows.borrow().page(token).to_string();
+    let answer = Response::builder().header("content-type", "application/json");
+    Ok(answer.body(Full::new(Bytes::from(body))).expect("a plain head"))
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,129 @@
+//! `wingshed-soak`: plays seeds one after the other and tells what broke.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use tokio::signal::unix::{signal, SignalKind};
+use wingshed_soak::ledger::{AskEnd, LedgerRows};
+use wingshed_soak::run::{play, RunPlan, RunVerdict};
+use wingshed_soak::schedule::{LARGE_SIZE, USUAL_SIZE};
+
+/// breaks real processes by the schedules of seeds and checks what was promised
+#[derive(FromArgs)]
+struct SoakArguments {
+    /// how many seeds
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// the first seed
+    #[argh(option, default = "1")]
+    from: u64,
+    /// more VMs, upstreams and time
+    #[argh(switch)]
+    large: bool,
+    /// the program of a VM; beside this one by default
+    #[argh(option)]
+    program: Option<PathBuf>,
+    /// where logs of failed seeds are kept
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    folder: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: SoakArguments = argh::from_env();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("an event loop");
+    let tasks = tokio::task::LocalSet::new();
+    let ended = tasks.block_on(&runtime, async {
+        let mut interrupt = signal(SignalKind::interrupt()).expect("signals");
+        let mut terminate = signal(SignalKind::terminate()).expect("signals");
+        tokio::select! {
+            failed = play_seeds(&arguments) => Some(failed),
+            _ = interrupt.recv() => None,
+            _ = terminate.recv() => None,
+        }
+    });
+    // Tasks of the run own its processes, which end with them.
+    drop(tasks);
+    match ended {
+        Some(0) => ExitCode::SUCCESS,
+        Some(_) => ExitCode::FAILURE,
+        None => {
+            eprintln!("interrupted");
+            ExitCode::from(130)
+        }
+    }
+}
+
+fn program(arguments: &SoakArguments) -> PathBuf {
+    let beside = || {
+        let own = std::env::current_exe().unwrap_or_default();
+        own.with_file_name("wingshed-node")
+    };
+    arguments.program.clone().unwrap_or_else(beside)
+}
+
+async fn play_seeds(arguments: &SoakArguments) -> u64 {
+    let size = if arguments.large { LARGE_SIZE } else { USUAL_SIZE };
+    let mut failed = 0;
+    for seed in arguments.from..arguments.from + arguments.seeds {
+        let folder = arguments.folder.join(format!("seed-{seed}"));
+        let plan = RunPlan {
+            seed,
+            size,
+            network: format!("127.{}.{}", 100 + std::process::id() % 100, 1 + seed % 250),
+            folder,
+            program: program(arguments),
+        };
+        match play(&plan).await {
+            Ok(verdict) => failed += u64::from(!tell(&plan, &verdict)),
+            Err(error) => {
+                println!("seed {seed}: could not be played: {error}");
+                failed += 1;
+            }
+        }
+    }
+    println!("{} seeds, {failed} failed", arguments.seeds);
+    failed
+}
+
+/// How many requests ended how.
+fn ends(rows: &LedgerRows) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for ask in &rows.asks {
+        *counts.entry(format!("{:?}", ask.end)).or_default() += 1;
+    }
+    let texts: Vec<String> = counts.iter().map(|(end, count)| format!("{end} {count}")).collect();
+    texts.join(", ")
+}
+
+/// Prints what a seed showed; true when nothing was broken.
+fn tell(plan: &RunPlan, verdict: &RunVerdict) -> bool {
+    let rows = &verdict.rows;
+    let whole = rows.asks.iter().filter(|ask| ask.end == AskEnd::Whole);
+    let (asks, runs, whole) = (rows.asks.len(), rows.runs.len(), whole.count());
+    let orders = rows.orders.len();
+    let acked = rows.orders.iter().filter(|order| order.acked_ms.is_some()).count();
+    println!(
+        "seed {}: {} steps, {asks} requests ({whole} whole), {runs} runs, {orders} orders \
+         ({acked} taken), {} broken",
+        plan.seed,
+        verdict.steps.len(),
+        verdict.broken.len()
+    );
+    println!("  ends: {}", ends(rows));
+    if verdict.broken.is_empty() {
+        let _ = std::fs::remove_dir_all(&plan.folder);
+        return true;
+    }
+    for step in &verdict.steps {
+        println!("  {:>6} {:?}", step.at_ms, step.disturbance);
+    }
+    for broken in verdict.broken.iter().take(20) {
+        println!("  BROKEN {}: {}", broken.promise, broken.seen);
+    }
+    println!("  spans: {:?}", rows.spans);
+    println!("  logs: {}", plan.folder.display());
+    false
+}
--- /dev/null
+++ b/soak/src/operator.rs
@@ -0,0 +1,142 @@
+//! Operators: orders that are sent again, to any VM, until they are acknowledged.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::http::call_once;
+use crate::ledger::{DocumentRow, OrderRow, OrderWhat, ReadRow, RunLedger};
+use crate::process::VmPlace;
+
+/// A VM that has not answered by then is left for the next.
+const ANSWER_WAIT: Duration = Duration::from_secs(1);
+/// The pause before the next VM is asked.
+const NEXT_PAUSE: Duration = Duration::from_millis(60);
+/// Orders of zones may be sent again for this long (`ackMs`).
+pub const ZONE_REPEAT_MS: u64 = 5_000;
+/// Configurations are sent again for this long.
+pub const DOCUMENT_REPEAT_MS: u64 = 30_000;
+
+/// Sends orders, and knows the newest configuration.
+pub struct SoakOperator {
+    ledger: Rc<RunLedger>,
+    vms: Vec<VmPlace>,
+    next_vm: Cell<usize>,
+    version: Cell<u64>,
+    keys_taken: Cell<u64>,
+}
+
+impl SoakOperator {
+    /// An operator of these VMs.
+    pub fn new(ledger: Rc<RunLedger>, vms: Vec<VmPlace>) -> SoakOperator {
+        let (next_vm, version, keys_taken) = (Cell::new(0), Cell::new(0), Cell::new(0));
+        SoakOperator { ledger, vms, next_vm, version, keys_taken }
+    }
+
+    /// The next configuration; with `take_key` another key stands in it for the last.
+    pub fn next_document(&self, take_key: bool) -> DocumentRow {
+        self.version.set(self.version.get() + 3);
+        self.keys_taken.set(self.keys_taken.get() + u64::from(take_key));
+        document(self.version.get(), self.keys_taken.get())
+    }
+
+    /// Sends an order until it has a clear answer or may not be repeated any longer.
+    pub async fn order(&self, what: OrderWhat, repeat_ms: u64) -> bool {
+        let sent_ms = self.ledger.now_ms();
+        let row = OrderRow { what: what.clone(), sent_ms, acked_ms: None, refused: None };
+        let at = {
+            let orders = &mut self.ledger.rows.borrow_mut().orders;
+            orders.push(row);
+            orders.len() - 1
+        };
+        let (path, body) = match &what {
+            OrderWhat::Document(row) | OrderWhat::Invalid(row) => {
+                ("/config/put".to_string(), row.text.as_str())
+            }
+            OrderWhat::EmptyZone(zone) => (format!("/evacuations/{zone}/start"), ""),
+            OrderWhat::ReturnZone(zone) => (format!("/evacuations/{zone}/end"), ""),
+        };
+        while self.ledger.now_ms() < sent_ms + repeat_ms {
+            let vm = self.draw_vm();
+            let answer = call_once(vm.control(), "POST", &path, body, ANSWER_WAIT).await;
+            let now = self.ledger.now_ms();
+            match answer {
+                Some((200..=299, _)) => {
+                    self.ledger.rows.borrow_mut().orders[at].acked_ms = Some(now);
+                    return true;
+                }
+                Some((status @ (400 | 409 | 412 | 413 | 422), _)) => {
+                    self.ledger.rows.borrow_mut().orders[at].refused = Some(status);
+                    return false;
+                }
+                _ => tokio::time::sleep(NEXT_PAUSE).await,
+            }
+        }
+        false
+    }
+
+    /// Reads the configuration at a VM, and notes what came.
+    pub async fn read(&self, vm: usize) -> Option<u64> {
+        let sent_ms = self.ledger.now_ms();
+        let control = self.vms[vm].control();
+        let (status, text) = call_once(control, "GET", "/config/get", "", ANSWER_WAIT).await?;
+        if status != 200 {
+            return None;
+        }
+        let version = version_of(&text);
+        self.ledger.rows.borrow_mut().reads.push(ReadRow { vm, sent_ms, text });
+        version
+    }
+
+    fn draw_vm(&self) -> &VmPlace {
+        self.next_vm.set(self.next_vm.get() + 1);
+        &self.vms[self.next_vm.get() % self.vms.len()]
+    }
+}
+
+/// The version that a configuration tells.
+pub fn version_of(text: &str) -> Option<u64> {
+    serde_json::from_str::<serde_json::Value>(text).ok()?["version"].as_u64()
+}
+
+fn document(version: u64, keys_taken: u64) -> DocumentRow {
+    let moved_to = if version % 2 == 0 { "s1" } else { "s2" };
+    let keys = vec!["steady".to_string(), format!("key-{keys_taken}")];
+    let route = |name: &str, kind: &str, service: &str, most: u32, resume: bool| {
+        json!({
+            "name": name, "host": "a.example", "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 4000, "goalMs": 300, "priority": 1, "service": service,
+            "maxAttempts": most, "public": false, "sticky": false, "canResume": resume,
+            "gapTargetMs": 300,
+        })
+    };
+    let service = |name: &str| json!({"name": name, "healthPath": "/health", "maxConns": 200});
+    let text = json!({
+        "version": version,
+        "routes": [
+            route("once", "unsafe", "s1", 1, false), route("twice", "unsafe", "s1", 3, false),
+            route("safe", "safe", "s1", 3, false), route("stream", "streaming", "s1", 2, false),
+            route("resume", "streaming", "s1", 3, true),
+            route("moved", "unsafe", moved_to, 2, false),
+        ],
+        "services": [service("s1"), service("s2")],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": 15000},
+        "tenants": [
+            {"name": "t1", "apiKeys": [keys[0]]}, {"name": "t2", "apiKeys": [keys[1]]},
+        ],
+    });
+    DocumentRow { version, moved_to: moved_to.to_string(), keys, text: text.to_string() }
+}
+
+/// A configuration that is not valid: two routes have one prefix.
+pub fn invalid_document(row: &DocumentRow) -> DocumentRow {
+    let mut value: serde_json::Value = serde_json::from_str(&row.text).expect("our own text");
+    let doubled = value["routes"][0].clone();
+    if let Some(routes) = value["routes"].as_array_mut() {
+        routes.push(doubled);
+    }
+    DocumentRow { text: value.to_string(), ..row.clone() }
+}
--- /dev/null
+++ b/soak/src/process.rs
@@ -0,0 +1,192 @@
+//! VMs as processes: their settings, logs and signals.
+//!
+//! Only processes started here are signalled, by their id while they are not yet waited for. All
+//! are ended when their owner is dropped, and by the system when the soak itself is killed.
+
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
+
+use serde_json::{json, Value};
+
+/// The port of callers, behind the link.
+const FRONT_PORT: u16 = 8001;
+/// The port of the platform's own question.
+const READY_PORT: u16 = 8002;
+/// The port of operators.
+const CONTROL_PORT: u16 = 8003;
+/// The port of the directory.
+const DIRECTORY_PORT: u16 = 8004;
+/// The first port between VMs.
+const PEER_PORT: u16 = 8010;
+/// The port of the near end of callers' link.
+const LINK_PORT: u16 = 8101;
+
+/// Where a VM is found and what it keeps.
+#[derive(Clone, Debug)]
+pub struct VmPlace {
+    /// Its index.
+    pub index: usize,
+    /// Its address.
+    pub ip: String,
+    /// Whether it has a disk.
+    pub disk: bool,
+    /// The folder of its settings, log and disk.
+    pub folder: PathBuf,
+    /// The addresses of the seeds.
+    pub seeds: Vec<SocketAddr>,
+    /// Where the list is.
+    pub list: SocketAddr,
+}
+
+impl VmPlace {
+    fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip.parse().expect("an address"), port)
+    }
+
+    /// Where callers would be without a link.
+    pub fn front(&self) -> SocketAddr {
+        self.at(FRONT_PORT)
+    }
+
+    /// Where callers go.
+    pub fn front_link(&self) -> SocketAddr {
+        self.at(LINK_PORT)
+    }
+
+    /// Where readiness is asked for.
+    pub fn ready(&self) -> SocketAddr {
+        self.at(READY_PORT)
+    }
+
+    /// Where operators go.
+    pub fn control(&self) -> SocketAddr {
+        self.at(CONTROL_PORT)
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.folder.join("settings.json")
+    }
+
+    /// The settings; `change` makes them differ from the last ones.
+    fn settings(&self, first: bool, change: u64) -> Value {
+        let ip = &self.ip;
+        let data = self.folder.join("data");
+        json!({
+            "node": format!("vm-{}", self.index), "ip": ip,
+            "zone": format!("z-{}", self.index % 3),
+            "listen": {
+                "front": format!("{ip}:{FRONT_PORT}"), "ready": format!("{ip}:{READY_PORT}"),
+                "control": format!("{ip}:{CONTROL_PORT}"),
+                "directory": format!("{ip}:{DIRECTORY_PORT}"),
+            },
+            "zones": {"z-0": "r", "z-1": "r", "z-2": "r"},
+            "portRange": [PEER_PORT, PEER_PORT + 10], "seeds": self.seeds, "bootstrap": first,
+            "dataDir": self.disk.then_some(data), "tolerate": {"machines": 1},
+            "bounds": {
+                "revokeMs": 5000, "drainMs": 4000, "configApplyMs": 2500, "graceS": 8,
+                "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 60 + change % 7,
+            },
+            "cloud": {"address": self.list, "ratePerS": 50, "maxLagMs": 300},
+        })
+    }
+
+    /// Writes settings that differ from the last; such as can't be read when `broken`.
+    pub fn write_settings(&self, first: bool, change: u64, broken: bool) -> std::io::Result<()> {
+        let mut text = self.settings(first, change).to_string();
+        if broken {
+            text.truncate(text.len() / 2);
+        }
+        fs::write(self.settings_path(), text)
+    }
+}
+
+/// A VM's process while it runs.
+pub struct VmProcess {
+    child: Child,
+    ended: bool,
+}
+
+impl VmProcess {
+    /// Starts the program of a VM.
+    pub fn start(program: &Path, place: &VmPlace, first: bool) -> std::io::Result<VmProcess> {
+        fs::create_dir_all(place.folder.join("data"))?;
+        place.write_settings(first, 0, false)?;
+        let mut command = Command::new(program);
+        command.env("WINGSHED_BOOT", place.settings_path()).stdin(Stdio::null());
+        command.stderr(append(&place.folder.join("errors"))?).stdout(Stdio::piped());
+        // SAFETY: only system calls that are safe after fork.
+        unsafe {
+            command.pre_exec(|| {
+                // A write beyond the limit of a file's size is then an error, as on a full disk.
+                libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
+                libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+                Ok(())
+            });
+        }
+        let mut child = command.spawn()?;
+        if let Some(output) = child.stdout.take() {
+            keep_log(output, append(&place.folder.join("log"))?);
+        }
+        Ok(VmProcess { child, ended: false })
+    }
+
+    /// Sends a signal, if the process has not ended.
+    pub fn signal(&mut self, signal: i32) {
+        if !self.has_ended() {
+            // SAFETY: the child is ours and has not been waited for.
+            unsafe { libc::kill(self.child.id() as i32, signal) };
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.ended |= matches!(self.child.try_wait(), Ok(Some(_)));
+        self.ended
+    }
+
+    /// How it ended, once it has.
+    pub fn end_text(&mut self) -> String {
+        self.child.try_wait().ok().flatten().map_or(String::new(), |status| status.to_string())
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        if !self.has_ended() {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+            self.ended = true;
+        }
+    }
+
+    /// From now on no file of the process can grow beyond `most` bytes; none lifts the limit.
+    pub fn limit_files(&mut self, most: Option<u64>) {
+        if self.has_ended() {
+            return;
+        }
+        let soft = most.unwrap_or(libc::RLIM_INFINITY);
+        let limit = libc::rlimit { rlim_cur: soft, rlim_max: libc::RLIM_INFINITY };
+        // SAFETY: the child is ours and has not been waited for; the limit outlives the call.
+        unsafe {
+            let resource = libc::RLIMIT_FSIZE;
+            libc::prlimit(self.child.id() as i32, resource, &limit, std::ptr::null_mut());
+        }
+    }
+}
+
+impl Drop for VmProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn append(path: &Path) -> std::io::Result<File> {
+    File::options().create(true).append(true).open(path)
+}
+
+/// A pipe and a thread, since a file of its own would meet the limit of files' size too.
+fn keep_log(mut output: ChildStdout, mut file: File) {
+    std::thread::spawn(move || std::io::copy(&mut output, &mut file));
+}
--- /dev/null
+++ b/soak/src/schedule.rs
@@ -0,0 +1,124 @@
+//! The schedule of a run: which disturbance comes when. The same seed gives the same schedule.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::link::LinkMode;
+
+/// What breaks, or is ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Disturbance {
+    /// SIGTERM to a VM; it is started again once it has ended.
+    StopVm(usize),
+    /// SIGKILL to a VM, and a new start after so many milliseconds.
+    KillVm(usize, u64),
+    /// SIGKILL to all VMs, and a new start.
+    KillAll,
+    /// SIGSTOP to a VM, and SIGCONT after so many milliseconds.
+    FreezeVm(usize, u64),
+    /// SIGHUP to a VM with changed settings; some can't be read.
+    ReloadVm(usize, bool),
+    /// A VM's files can't grow for so many milliseconds.
+    FailDisk(usize, u64),
+    /// An upstream crashes and starts again, under its id or another.
+    RestartUpstream(usize, bool, u64),
+    /// An upstream leaves, ends, and another life comes to its place.
+    LeaveUpstream(usize, u64),
+    /// The link of VMs to an upstream.
+    UpstreamLink(usize, LinkMode, u64),
+    /// The link of callers to a VM.
+    FrontLink(usize, LinkMode, u64),
+    /// The list of upstreams can't be had.
+    ListLink(LinkMode, u64),
+    /// The list holds entries that can't be read.
+    ListEntries(u64),
+    /// A configuration that moves a route.
+    PutDocument,
+    /// A configuration that takes a key away.
+    RevokeKey,
+    /// A configuration that is not valid.
+    PutInvalid,
+    /// A zone is emptied for so many milliseconds.
+    EmptyZone(usize, u64),
+}
+
+/// A disturbance and its time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedStep {
+    /// Milliseconds after the start of the schedule.
+    pub at_ms: u64,
+    /// What happens.
+    pub disturbance: Disturbance,
+}
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunSize {
+    /// VMs, of which the first three have a disk.
+    pub vms: usize,
+    /// Upstreams, in turn of the services and zones.
+    pub upstreams: usize,
+    /// Callers at each VM.
+    pub callers: usize,
+    /// How long disturbances come.
+    pub disturbed_ms: u64,
+}
+
+/// The usual size.
+pub const USUAL_SIZE: RunSize = RunSize { vms: 3, upstreams: 6, callers: 5, disturbed_ms: 16_000 };
+
+/// What `--large` asks for.
+pub const LARGE_SIZE: RunSize = RunSize { vms: 6, upstreams: 12, callers: 6, disturbed_ms: 40_000 };
+
+/// The size of the runs among the tests.
+pub const SHORT_SIZE: RunSize = RunSize { vms: 3, upstreams: 4, callers: 3, disturbed_ms: 6_000 };
+
+/// The schedule of a seed, in order of time.
+pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at_ms = 500;
+    while at_ms < size.disturbed_ms {
+        // A series: some disturbances close together, which overlap; then a pause.
+        for _ in 0..random.gen_range(1..5) {
+            steps.push(PlannedStep { at_ms, disturbance: draw(&mut random, size) });
+            at_ms += random.gen_range(20..400);
+        }
+        at_ms += random.gen_range(300..3_500);
+    }
+    steps
+}
+
+fn draw(random: &mut StdRng, size: RunSize) -> Disturbance {
+    let vm = random.gen_range(0..size.vms);
+    let upstream = random.gen_range(0..size.upstreams);
+    let ms = random.gen_range(100..4_000);
+    match random.gen_range(0..26) {
+        0..=3 => Disturbance::StopVm(vm),
+        4..=6 => Disturbance::KillVm(vm, ms),
+        7 => Disturbance::KillAll,
+        8..=9 => Disturbance::FreezeVm(vm, ms),
+        10 => Disturbance::ReloadVm(vm, random.gen()),
+        11 => Disturbance::FailDisk(vm, ms),
+        12..=13 => Disturbance::RestartUpstream(upstream, random.gen(), ms),
+        14..=15 => Disturbance::LeaveUpstream(upstream, 4_500 + ms),
+        16..=17 => Disturbance::UpstreamLink(upstream, link(random), ms),
+        18 => Disturbance::FrontLink(vm, link(random), ms),
+        19 => Disturbance::ListLink(link(random), ms),
+        20 => Disturbance::ListEntries(ms),
+        21..=22 => Disturbance::PutDocument,
+        23 => Disturbance::RevokeKey,
+        24 => Disturbance::PutInvalid,
+        _ => Disturbance::EmptyZone(random.gen_range(0..3), 7_000 + ms),
+    }
+}
+
+fn link(random: &mut StdRng) -> LinkMode {
+    match random.gen_range(0..5) {
+        0 => LinkMode::Delay(random.gen_range(20..400)),
+        1 => LinkMode::Reset,
+        2 => LinkMode::HoldForward,
+        3 => LinkMode::HoldBack,
+        _ => LinkMode::Silent,
+    }
+}
--- /dev/null
+++ b/soak/src/upstream.rs
@@ -0,0 +1,243 @@
+//! Upstreams of a run: plain answers and streams whose every byte tells whose it is.
+//!
+//! A run is noted before it is worked on, so that an answer which is lost still counts as run.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::{spawn_local, JoinHandle};
+
+use crate::ledger::{RunLedger, RunRow};
+use crate::link::LinkProxy;
+
+/// Requests at which an upstream says that it is full.
+const UPSTREAM_PLACES: u32 = 32;
+/// Events of a stream.
+pub const STREAM_EVENTS: u64 = 24;
+/// The pause before each event.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// The work of a plain request.
+const PLAIN_WORK: Duration = Duration::from_millis(20);
+
+/// What an upstream is, apart from its lives.
+#[derive(Clone, Debug)]
+pub struct UpstreamPlace {
+    /// Its index.
+    pub index: usize,
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where VMs find it: the near end of its link.
+    pub listed: SocketAddr,
+    /// Where it listens: the far end.
+    pub inner: SocketAddr,
+}
+
+struct LifeState {
+    place: UpstreamPlace,
+    id: String,
+    running: Cell<u32>,
+    leaving: Cell<bool>,
+    crash: Notify,
+    ledger: Rc<RunLedger>,
+}
+
+/// One life of an upstream, with the link to it.
+pub struct UpstreamLife {
+    state: Rc<LifeState>,
+    /// The link of VMs to it.
+    pub link: LinkProxy,
+    accepting: JoinHandle<()>,
+}
+
+thread_local! {
+    static RUN_NUMBER: RefCell<u64> = const { RefCell::new(0) };
+}
+
+fn next_run() -> u64 {
+    RUN_NUMBER.with_borrow_mut(|number| {
+        *number += 1;
+        *number
+    })
+}
+
+/// The body of a plain answer.
+pub fn plain_body(attempt: &str) -> String {
+    format!("{attempt};").repeat(48)
+}
+
+impl UpstreamLife {
+    /// Starts a life.
+    pub async fn start(
+        place: UpstreamPlace,
+        id: &str,
+        ledger: Rc<RunLedger>,
+    ) -> std::io::Result<UpstreamLife> {
+        let listener = TcpListener::bind(place.inner).await?;
+        let link = LinkProxy::start(place.listed, place.inner).await?;
+        let state = Rc::new(LifeState {
+            place,
+            id: id.to_string(),
+            running: Cell::new(0),
+            leaving: Cell::new(false),
+            crash: Notify::new(),
+            ledger,
+        });
+        let shared = state.clone();
+        let accepting = spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.set_nodelay(true);
+                spawn_local(serve(TokioIo::new(stream), shared.clone()));
+            }
+        });
+        Ok(UpstreamLife { state, link, accepting })
+    }
+
+    /// From now on health checks are answered 503 and connections are closed after an answer.
+    pub fn leave(&self) {
+        self.state.leaving.set(true);
+    }
+}
+
+impl Drop for UpstreamLife {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.state.crash.notify_waiters();
+    }
+}
+
+async fn serve(io: TokioIo<tokio::net::TcpStream>, state: Rc<LifeState>) {
+    let shared = state.clone();
+    let service = service_fn(move |request| answer(request, shared.clone()));
+    let connection = http1::Builder::new().half_close(false).serve_connection(io, service);
+    tokio::select! {
+        _ = connection => {}
+        () = state.crash.notified() => {}
+    }
+}
+
+/// Counts a request while it is worked on.
+struct RunningGuard(Rc<LifeState>);
+
+impl RunningGuard {
+    fn new(state: &Rc<LifeState>) -> RunningGuard {
+        state.running.set(state.running.get() + 1);
+        RunningGuard(state.clone())
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+type AnswerBody = BoxBody<Bytes, Infallible>;
+
+fn full(text: String) -> AnswerBody {
+    Full::new(Bytes::from(text)).boxed()
+}
+
+fn not_run(status: u16) -> Response<AnswerBody> {
+    let answer = Response::builder().status(status).header("x-not-executed", "1");
+    answer.body(full(String::new())).expect("a plain head")
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    state: Rc<LifeState>,
+) -> Result<Response<AnswerBody>, hyper::Error> {
+    let (head, body) = request.into_parts();
+    let named = |name: &str| -> String {
+        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_string()
+    };
+    if head.uri.path() == "/health" {
+        let status = if state.leaving.get() { 503 } else { 200 };
+        let answer = Response::builder().status(status).header("x-instance-id", &state.id);
+        return Ok(answer.body(full(String::new())).expect("a plain head"));
+    }
+    body.collect().await?;
+    let expected = named("x-expect-instance");
+    if !expected.is_empty() && expected != state.id {
+        return Ok(not_run(421));
+    }
+    if state.running.get() >= UPSTREAM_PLACES {
+        return Ok(not_run(503));
+    }
+    let attempt = named("x-attempt-id");
+    let after_event = named("last-event-id").parse().unwrap_or(0);
+    let guard = RunningGuard::new(&state);
+    state.ledger.rows.borrow_mut().runs.push(RunRow {
+        attempt: attempt.clone(),
+        upstream: state.place.index,
+        service: state.place.service.clone(),
+        zone: state.place.zone.clone(),
+        at_ms: state.ledger.now_ms(),
+        after_event,
+        workspace: named("x-tenant"),
+    });
+    let mut answer = Response::builder()
+        .header("x-attempt-id", &attempt)
+        .header("x-response-stamp", &state.id)
+        .header("x-server-load", format!("{},0,{UPSTREAM_PLACES}", state.running.get()));
+    if state.leaving.get() {
+        answer = answer.header("connection", "close");
+    }
+    let path = head.uri.path();
+    if path.starts_with("/stream/") || path.starts_with("/resume/") {
+        let answer = answer.header("content-type", "text/event-stream");
+        let body = stream_body(attempt, after_event, guard);
+        return Ok(answer.body(body.boxed()).expect("a plain head"));
+    }
+    tokio::time::sleep(PLAIN_WORK).await;
+    drop(guard);
+    Ok(answer.body(full(plain_body(&attempt))).expect("a plain head"))
+}
+
+/// Pieces as they are made.
+struct PieceBody(mpsc::Receiver<Bytes>);
+
+impl Body for PieceBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.0.poll_recv(context).map(|piece| piece.map(|piece| Ok(Frame::data(piece))))
+    }
+}
+
+fn stream_body(attempt: String, after_event: u64, guard: RunningGuard) -> PieceBody {
+    let (sender, receiver) = mpsc::channel(1);
+    let run = next_run();
+    spawn_local(async move {
+        let _guard = guard;
+        for event in after_event + 1..=STREAM_EVENTS {
+            tokio::time::sleep(EVENT_PAUSE).await;
+            let text = format!("id: {event}\ndata: {attempt} {event} {run}\n\n");
+            if sender.send(Bytes::from(text)).await.is_err() {
+                return;
+            }
+        }
+    });
+    PieceBody(receiver)
+}
