--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -24,6 +24,8 @@
     RestartUpstream(usize, bool, u64),
     /// An upstream leaves, ends, and another life comes to its place.
     LeaveUpstream(usize, u64),
+    /// An upstream fails, cuts or mixes up part of its answers.
+    FaultyUpstream(usize, u64),
     /// The link of VMs to an upstream.
     UpstreamLink(usize, LinkMode, u64),
     /// The link of callers to a VM.
@@ -65,23 +67,32 @@
 }
 
 /// The usual size.
-pub const USUAL_SIZE: RunSize = RunSize { vms: 3, upstreams: 6, callers: 5, disturbed_ms: 16_000 };
+pub const USUAL_SIZE: RunSize = RunSize { vms: 3, upstreams: 6, callers: 12, disturbed_ms: 16_000 };
 
 /// What `--large` asks for.
-pub const LARGE_SIZE: RunSize = RunSize { vms: 6, upstreams: 12, callers: 6, disturbed_ms: 40_000 };
+pub const LARGE_SIZE: RunSize =
+    RunSize { vms: 6, upstreams: 12, callers: 12, disturbed_ms: 40_000 };
 
 /// The size of the runs among the tests.
-pub const SHORT_SIZE: RunSize = RunSize { vms: 3, upstreams: 4, callers: 3, disturbed_ms: 6_000 };
+pub const SHORT_SIZE: RunSize = RunSize { vms: 3, upstreams: 4, callers: 6, disturbed_ms: 6_000 };
+
+/// Each so-many-th seed holds planned work only: nothing then excuses a cut.
+const PLANNED_EACH: u64 = 4;
+/// Kinds of planned work, as [`draw`] numbers them.
+const PLANNED_KINDS: std::ops::Range<u32> = 0..12;
+/// All kinds.
+const ALL_KINDS: std::ops::Range<u32> = 0..29;
 
 /// The schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
     let mut random = StdRng::seed_from_u64(seed);
+    let planned = seed % PLANNED_EACH == 0;
     let mut steps = Vec::new();
     let mut at_ms = 500;
     while at_ms < size.disturbed_ms {
         // A series: some disturbances close together, which overlap; then a pause.
         for _ in 0..random.gen_range(1..5) {
-            steps.push(PlannedStep { at_ms, disturbance: draw(&mut random, size) });
+            steps.push(PlannedStep { at_ms, disturbance: draw(&mut random, size, planned) });
             at_ms += random.gen_range(20..400);
         }
         at_ms += random.gen_range(300..3_500);
@@ -89,27 +100,29 @@
     steps
 }
 
-fn draw(random: &mut StdRng, size: RunSize) -> Disturbance {
+fn draw(random: &mut StdRng, size: RunSize, planned: bool) -> Disturbance {
     let vm = random.gen_range(0..size.vms);
     let upstream = random.gen_range(0..size.upstreams);
     let ms = random.gen_range(100..4_000);
-    match random.gen_range(0..26) {
+    let kinds = if planned { PLANNED_KINDS } else { ALL_KINDS };
+    match random.gen_range(kinds) {
         0..=3 => Disturbance::StopVm(vm),
-        4..=6 => Disturbance::KillVm(vm, ms),
-        7 => Disturbance::KillAll,
-        8..=9 => Disturbance::FreezeVm(vm, ms),
-        10 => Disturbance::ReloadVm(vm, random.gen()),
-        11 => Disturbance::FailDisk(vm, ms),
-        12..=13 => Disturbance::RestartUpstream(upstream, random.gen(), ms),
-        14..=15 => Disturbance::LeaveUpstream(upstream, 4_500 + ms),
-        16..=17 => Disturbance::UpstreamLink(upstream, link(random), ms),
-        18 => Disturbance::FrontLink(vm, link(random), ms),
-        19 => Disturbance::ListLink(link(random), ms),
-        20 => Disturbance::ListEntries(ms),
-        21..=22 => Disturbance::PutDocument,
-        23 => Disturbance::RevokeKey,
-        24 => Disturbance::PutInvalid,
-        _ => Disturbance::EmptyZone(random.gen_range(0..3), 7_000 + ms),
+        4 => Disturbance::ReloadVm(vm, random.gen()),
+        5..=6 => Disturbance::LeaveUpstream(upstream, 4_500 + ms),
+        7..=8 => Disturbance::PutDocument,
+        9 => Disturbance::RevokeKey,
+        10 => Disturbance::PutInvalid,
+        11 => Disturbance::EmptyZone(random.gen_range(0..3), 7_000 + ms),
+        12 => Disturbance::ListEntries(2 * ms),
+        13 => Disturbance::KillAll,
+        14..=16 => Disturbance::KillVm(vm, ms),
+        17..=19 => Disturbance::FreezeVm(vm, 2 * ms),
+        20 => Disturbance::FailDisk(vm, ms),
+        21..=22 => Disturbance::RestartUpstream(upstream, random.gen(), ms),
+        23..=24 => Disturbance::FaultyUpstream(upstream, ms),
+        25..=26 => Disturbance::UpstreamLink(upstream, link(random), ms),
+        27 => Disturbance::FrontLink(vm, link(random), ms),
+        _ => Disturbance::ListLink(link(random), ms),
     }
 }
 
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -35,6 +35,7 @@
             restart_upstream(&site, at, same_id, ms).await;
         }
         Disturbance::LeaveUpstream(at, ms) => leave_upstream(&site, at, ms).await,
+        Disturbance::FaultyUpstream(at, ms) => faulty_upstream(&site, at, ms).await,
         Disturbance::UpstreamLink(at, mode, ms) => upstream_link(&site, at, mode, ms).await,
         Disturbance::FrontLink(vm, mode, ms) => {
             let span = site.disturb(Touched::Front(vm));
@@ -164,6 +165,19 @@
     site.ledger.rows.borrow_mut().leaving[row].until_ms = Some(now);
 }
 
+async fn faulty_upstream(site: &SoakSite, at: usize, ms: u64) {
+    let set = |faulty: bool| {
+        if let Some(life) = site.upstreams[at].life.borrow().as_ref() {
+            life.set_faulty(faulty);
+        }
+    };
+    let span = site.disturb(Touched::Upstream(at));
+    set(true);
+    pause(ms).await;
+    set(false);
+    site.ledger.calm(span);
+}
+
 async fn upstream_link(site: &SoakSite, at: usize, mode: LinkMode, ms: u64) {
     let set = |mode: LinkMode| {
         if let Some(life) = site.upstreams[at].life.borrow().as_ref() {
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -14,6 +14,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
+use hyper::http::response::Builder;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -31,6 +32,8 @@
 pub const STREAM_EVENTS: u64 = 24;
 /// The pause before each event.
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// The pause between the pieces of an event.
+const PIECE_PAUSE: Duration = Duration::from_millis(4);
 /// The work of a plain request.
 const PLAIN_WORK: Duration = Duration::from_millis(20);
 
@@ -54,6 +57,7 @@
     id: String,
     running: Cell<u32>,
     leaving: Cell<bool>,
+    faulty: Cell<bool>,
     crash: Notify,
     ledger: Rc<RunLedger>,
 }
@@ -96,6 +100,7 @@
             id: id.to_string(),
             running: Cell::new(0),
             leaving: Cell::new(false),
+            faulty: Cell::new(false),
             crash: Notify::new(),
             ledger,
         });
@@ -113,6 +118,11 @@
     pub fn leave(&self) {
         self.state.leaving.set(true);
     }
+
+    /// Whether three in four plain answers fail, are cut, or are those to another request.
+    pub fn set_faulty(&self, faulty: bool) {
+        self.state.faulty.set(faulty);
+    }
 }
 
 impl Drop for UpstreamLife {
@@ -208,9 +218,31 @@
     }
     tokio::time::sleep(PLAIN_WORK).await;
     drop(guard);
+    if state.faulty.get() {
+        return Ok(faulty_answer(answer, &attempt));
+    }
     Ok(answer.body(full(plain_body(&attempt))).expect("a plain head"))
 }
 
+fn faulty_answer(answer: Builder, attempt: &str) -> Response<AnswerBody> {
+    let body = plain_body(attempt);
+    let answer = match next_run() % 4 {
+        0 => answer.status(500).body(full("failed".to_string())),
+        1 => {
+            let (pieces, receiver) = mpsc::channel(1);
+            let _ = pieces.try_send(Bytes::copy_from_slice(&body.as_bytes()[..body.len() / 2]));
+            answer.header("content-length", body.len()).body(PieceBody(receiver).boxed())
+        }
+        2 => {
+            let other = "00000000000000ff";
+            let answer = Response::builder().header("x-attempt-id", other);
+            answer.header("x-response-stamp", "late").body(full(plain_body(other)))
+        }
+        _ => answer.body(full(body)),
+    };
+    answer.expect("a plain head")
+}
+
 /// Pieces as they are made.
 struct PieceBody(mpsc::Receiver<Bytes>);
 
@@ -233,9 +265,13 @@
         let _guard = guard;
         for event in after_event + 1..=STREAM_EVENTS {
             tokio::time::sleep(EVENT_PAUSE).await;
-            let text = format!("id: {event}\ndata: {attempt} {event} {run}\n\n");
-            if sender.send(Bytes::from(text)).await.is_err() {
-                return;
+            // In two pieces, since an upstream may stop partway through an event.
+            let pieces = [format!("id: {event}\ndata: {attempt} "), format!("{event} {run}\n\n")];
+            for piece in pieces {
+                if sender.send(Bytes::from(piece)).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(PIECE_PAUSE).await;
             }
         }
     });
