--- /dev/null
+++ b/soak/src/cases.rs
@@ -0,0 +1,72 @@
+//! Schedules that broke a promise once, or that a seed draws too seldom.
+//!
+//! They are kept as steps, since another draw of the schedule would change what a seed means.
+
+use crate::schedule::{Disturbance, PlannedStep};
+
+/// A schedule with a name.
+pub struct SoakCase {
+    /// Its name.
+    pub name: &'static str,
+    /// What was, or would be, at fault.
+    pub cause: &'static str,
+    /// Its steps.
+    pub steps: Vec<PlannedStep>,
+}
+
+fn step(at_ms: u64, disturbance: Disturbance) -> PlannedStep {
+    PlannedStep { at_ms, disturbance }
+}
+
+/// All cases.
+pub fn cases() -> Vec<SoakCase> {
+    vec![
+        SoakCase {
+            name: "leaving-beside-unreadable-entries",
+            cause: "a list with one entry that can't be read was not read at all",
+            steps: vec![
+                step(500, Disturbance::ListEntries(14_000)),
+                step(2_000, Disturbance::LeaveUpstream(0, 12_000)),
+            ],
+        },
+        SoakCase {
+            name: "started-beside-unreadable-entries",
+            cause: "a VM that starts beside entries that can't be read has no list",
+            steps: vec![
+                step(500, Disturbance::ListEntries(60_000)),
+                step(1_000, Disturbance::KillAll),
+            ],
+        },
+        SoakCase {
+            name: "key-taken-away-from-a-cut-leader",
+            cause: "a VM that is cut off serves a key that was taken away meanwhile",
+            steps: (0..3)
+                .flat_map(|vm| {
+                    let at_ms = 1_000 + vm as u64 * 9_000;
+                    let silent = crate::link::LinkMode::Silent;
+                    [
+                        step(at_ms, Disturbance::PeerLinks(vm, silent, silent, 7_500)),
+                        step(at_ms + 50, Disturbance::RevokeKey),
+                    ]
+                })
+                .collect(),
+        },
+        SoakCase {
+            name: "all-stopped-at-once",
+            cause: "planned stops of all VMs within a second cut requests",
+            steps: (0..3)
+                .map(|vm| step(2_000 + 300 * vm, Disturbance::StopVm(vm as usize)))
+                .collect(),
+        },
+        SoakCase {
+            name: "frozen-and-told-to-stop",
+            cause: "SIGTERM that comes while a VM stands still is acted on late",
+            steps: vec![
+                step(1_000, Disturbance::FreezeVm(0, 6_000)),
+                step(1_500, Disturbance::StopVm(0)),
+                step(2_500, Disturbance::FreezeVm(1, 3_000)),
+                step(2_600, Disturbance::StopVm(1)),
+            ],
+        },
+    ]
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,12 +4,14 @@
 //! The soak knows nothing of the product but its programs and the platform's wire.
 
 pub mod caller;
+pub mod cases;
 pub mod http;
 pub mod judge;
 pub mod ledger;
 pub mod link;
 pub mod list;
 pub mod operator;
+pub mod peer_link;
 pub mod process;
 pub mod run;
 pub mod schedule;
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -1,6 +1,7 @@
 //! A link on loopback that can be delayed, reset, cut one way or silenced.
 //!
 //! Bytes are held and never dropped: below a connection that lives, the network sends them again.
+//! One that was held for longer than [`GIVEN_UP_MS`] is reset.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -30,6 +31,8 @@
     Silent,
 }
 
+/// A peer that acknowledges nothing for this long is given up by whoever sends to it.
+const GIVEN_UP_MS: u128 = 2_500;
 /// How often a held link looks whether it passes again.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
@@ -58,6 +61,12 @@
         Ok(LinkProxy { state, accepting })
     }
 
+    /// Tells how the link stands, whenever it is called.
+    pub fn watch(&self) -> impl Fn() -> LinkMode {
+        let state = self.state.clone();
+        move || state.mode.get()
+    }
+
     /// Changes how the link stands.
     pub fn set(&self, mode: LinkMode) {
         self.state.mode.set(mode);
@@ -102,7 +111,9 @@
     let mut piece = [0; 8192];
     loop {
         let count = read.read(&mut piece).await;
-        held(state, on).await;
+        if held(state, on).await {
+            return state.reset_one(&write);
+        }
         match count {
             Ok(0) => return drop(write.shutdown().await),
             // A reset is passed on by ending both halves.
@@ -122,14 +133,19 @@
     }
 }
 
-async fn held(state: &LinkState, on: bool) {
+/// Waits while the link holds what goes this way; true when it was held for too long.
+async fn held(state: &LinkState, on: bool) -> bool {
+    let since = std::time::Instant::now();
     loop {
         match (state.mode.get(), on) {
             (LinkMode::Silent, _) | (LinkMode::HoldForward, true) | (LinkMode::HoldBack, false) => {
                 tokio::time::sleep(LOOK_AGAIN).await
             }
-            (LinkMode::Delay(ms), _) => return tokio::time::sleep(Duration::from_millis(ms)).await,
-            _ => return,
+            (LinkMode::Delay(ms), _) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                return false;
+            }
+            _ => return since.elapsed().as_millis() > GIVEN_UP_MS,
         }
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,9 +6,10 @@
 
 use argh::FromArgs;
 use tokio::signal::unix::{signal, SignalKind};
+use wingshed_soak::cases::cases;
 use wingshed_soak::ledger::{AskEnd, LedgerRows};
-use wingshed_soak::run::{play, RunPlan, RunVerdict};
-use wingshed_soak::schedule::{LARGE_SIZE, USUAL_SIZE};
+use wingshed_soak::run::{play_steps, RunPlan, RunVerdict};
+use wingshed_soak::schedule::{schedule, PlannedStep, RunSize, LARGE_SIZE, USUAL_SIZE};
 
 /// breaks real processes by the schedules of seeds and checks what was promised
 #[derive(FromArgs)]
@@ -22,6 +23,9 @@
     /// more VMs, upstreams and time
     #[argh(switch)]
     large: bool,
+    /// the case to play in place of seeds, or "all"
+    #[argh(option)]
+    case: Option<String>,
     /// the program of a VM; beside this one by default
     #[argh(option)]
     program: Option<PathBuf>,
@@ -34,8 +38,7 @@
     let arguments: SoakArguments = argh::from_env();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("an event loop");
-    let tasks = tokio::task::LocalSet::new();
-    let ended = tasks.block_on(&runtime, async {
+    let ended = runtime.block_on(async {
         let mut interrupt = signal(SignalKind::interrupt()).expect("signals");
         let mut terminate = signal(SignalKind::terminate()).expect("signals");
         tokio::select! {
@@ -44,8 +47,7 @@
             _ = terminate.recv() => None,
         }
     });
-    // Tasks of the run own its processes, which end with them.
-    drop(tasks);
+    // Whichever run was under way has been dropped with all that it started.
     match ended {
         Some(0) => ExitCode::SUCCESS,
         Some(_) => ExitCode::FAILURE,
@@ -64,27 +66,38 @@
     arguments.program.clone().unwrap_or_else(beside)
 }
 
+/// What is to be played: its name, its seed and its steps.
+fn planned(arguments: &SoakArguments, size: RunSize) -> Vec<(String, u64, Vec<PlannedStep>)> {
+    let Some(name) = &arguments.case else {
+        let seeds = arguments.from..arguments.from + arguments.seeds;
+        return seeds.map(|seed| (format!("seed-{seed}"), seed, schedule(seed, size))).collect();
+    };
+    let cases = cases().into_iter().filter(|case| name == "all" || name == case.name);
+    let numbered = cases.enumerate();
+    numbered.map(|(at, case)| (case.name.to_string(), at as u64, case.steps)).collect()
+}
+
 async fn play_seeds(arguments: &SoakArguments) -> u64 {
     let size = if arguments.large { LARGE_SIZE } else { USUAL_SIZE };
-    let mut failed = 0;
-    for seed in arguments.from..arguments.from + arguments.seeds {
-        let folder = arguments.folder.join(format!("seed-{seed}"));
+    let (mut played, mut failed) = (0, 0);
+    for (name, seed, steps) in planned(arguments, size) {
         let plan = RunPlan {
             seed,
             size,
             network: format!("127.{}.{}", 100 + std::process::id() % 100, 1 + seed % 250),
-            folder,
+            folder: arguments.folder.join(&name),
             program: program(arguments),
         };
-        match play(&plan).await {
-            Ok(verdict) => failed += u64::from(!tell(&plan, &verdict)),
+        played += 1;
+        match play_steps(&plan, steps).await {
+            Ok(verdict) => failed += u64::from(!tell(&name, &plan, &verdict)),
             Err(error) => {
-                println!("seed {seed}: could not be played: {error}");
+                println!("{name}: could not be played: {error}");
                 failed += 1;
             }
         }
     }
-    println!("{} seeds, {failed} failed", arguments.seeds);
+    println!("{played} runs, {failed} failed");
     failed
 }
 
@@ -99,16 +112,15 @@
 }
 
 /// Prints what a seed showed; true when nothing was broken.
-fn tell(plan: &RunPlan, verdict: &RunVerdict) -> bool {
+fn tell(name: &str, plan: &RunPlan, verdict: &RunVerdict) -> bool {
     let rows = &verdict.rows;
     let whole = rows.asks.iter().filter(|ask| ask.end == AskEnd::Whole);
     let (asks, runs, whole) = (rows.asks.len(), rows.runs.len(), whole.count());
     let orders = rows.orders.len();
     let acked = rows.orders.iter().filter(|order| order.acked_ms.is_some()).count();
     println!(
-        "seed {}: {} steps, {asks} requests ({whole} whole), {runs} runs, {orders} orders \
+        "{name}: {} steps, {asks} requests ({whole} whole), {runs} runs, {orders} orders \
          ({acked} taken), {} broken",
-        plan.seed,
         verdict.steps.len(),
         verdict.broken.len()
     );
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -19,8 +19,10 @@
 const CONTROL_PORT: u16 = 8003;
 /// The port of the directory.
 const DIRECTORY_PORT: u16 = 8004;
-/// The first port between VMs.
+/// The first port between VMs is this one and the VM's index more, see `peer_link`.
 const PEER_PORT: u16 = 8010;
+/// The last port of each VM's range.
+const LAST_PORT: u16 = 8090;
 /// The port of the near end of callers' link.
 const LINK_PORT: u16 = 8101;
 
@@ -66,6 +68,11 @@
         self.at(CONTROL_PORT)
     }
 
+    /// Where other VMs find it: at the port of `of`.
+    pub fn peer(&self, of: &VmPlace) -> SocketAddr {
+        self.at(PEER_PORT + of.index as u16)
+    }
+
     fn settings_path(&self) -> PathBuf {
         self.folder.join("settings.json")
     }
@@ -83,7 +90,7 @@
                 "directory": format!("{ip}:{DIRECTORY_PORT}"),
             },
             "zones": {"z-0": "r", "z-1": "r", "z-2": "r"},
-            "portRange": [PEER_PORT, PEER_PORT + 10], "seeds": self.seeds, "bootstrap": first,
+            "portRange": [PEER_PORT + self.index as u16, LAST_PORT], "seeds": self.seeds, "bootstrap": first,
             "dataDir": self.disk.then_some(data), "tolerate": {"machines": 1},
             "bounds": {
                 "revokeMs": 5000, "drainMs": 4000, "configApplyMs": 2500, "graceS": 8,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::task::{spawn_local, JoinHandle};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
 use crate::caller::{CallerShared, SoakCaller};
 use crate::judge::{judge, BrokenPromise};
@@ -54,12 +54,15 @@
 
 /// Plays a seed's schedule.
 pub async fn play(plan: &RunPlan) -> std::io::Result<RunVerdict> {
-    let steps = schedule(plan.seed, plan.size);
-    play_steps(plan, steps).await
+    play_steps(plan, schedule(plan.seed, plan.size)).await
 }
 
-/// Plays these steps.
+/// Plays these steps. Whatever the run started ends with it, also when it is given up.
 pub async fn play_steps(plan: &RunPlan, steps: Vec<PlannedStep>) -> std::io::Result<RunVerdict> {
+    LocalSet::new().run_until(play_local(plan, steps)).await
+}
+
+async fn play_local(plan: &RunPlan, steps: Vec<PlannedStep>) -> std::io::Result<RunVerdict> {
     fresh_folder(&plan.folder)?;
     let site = SoakSite::start(&plan.network, plan.size, &plan.folder, &plan.program).await?;
     let shared = Rc::new(CallerShared {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -28,6 +28,8 @@
     FaultyUpstream(usize, u64),
     /// The link of VMs to an upstream.
     UpstreamLink(usize, LinkMode, u64),
+    /// The links between a VM and all others: what it is sent, and what it sends.
+    PeerLinks(usize, LinkMode, LinkMode, u64),
     /// The link of callers to a VM.
     FrontLink(usize, LinkMode, u64),
     /// The list of upstreams can't be had.
@@ -81,7 +83,7 @@
 /// Kinds of planned work, as [`draw`] numbers them.
 const PLANNED_KINDS: std::ops::Range<u32> = 0..12;
 /// All kinds.
-const ALL_KINDS: std::ops::Range<u32> = 0..29;
+const ALL_KINDS: std::ops::Range<u32> = 0..33;
 
 /// The schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
@@ -113,7 +115,7 @@
         9 => Disturbance::RevokeKey,
         10 => Disturbance::PutInvalid,
         11 => Disturbance::EmptyZone(random.gen_range(0..3), 7_000 + ms),
-        12 => Disturbance::ListEntries(2 * ms),
+        12 => Disturbance::ListEntries(3 * ms),
         13 => Disturbance::KillAll,
         14..=16 => Disturbance::KillVm(vm, ms),
         17..=19 => Disturbance::FreezeVm(vm, 2 * ms),
@@ -121,11 +123,28 @@
         21..=22 => Disturbance::RestartUpstream(upstream, random.gen(), ms),
         23..=24 => Disturbance::FaultyUpstream(upstream, ms),
         25..=26 => Disturbance::UpstreamLink(upstream, link(random), ms),
-        27 => Disturbance::FrontLink(vm, link(random), ms),
+        27..=30 => {
+            let (comes, goes) = cut(random);
+            Disturbance::PeerLinks(vm, comes, goes, 2 * ms)
+        }
+        31 => Disturbance::FrontLink(vm, link(random), ms),
         _ => Disturbance::ListLink(link(random), ms),
     }
 }
 
+/// How a VM is cut off: both ways, one way, or by slow links.
+fn cut(random: &mut StdRng) -> (LinkMode, LinkMode) {
+    match random.gen_range(0..5) {
+        0..=1 => (LinkMode::Silent, LinkMode::Silent),
+        2 => (LinkMode::Silent, LinkMode::Open),
+        3 => (LinkMode::Open, LinkMode::Silent),
+        _ => {
+            let slow = LinkMode::Delay(random.gen_range(20..300));
+            (slow, slow)
+        }
+    }
+}
+
 fn link(random: &mut StdRng) -> LinkMode {
     match random.gen_range(0..5) {
         0 => LinkMode::Delay(random.gen_range(20..400)),
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -8,9 +8,10 @@
 
 use crate::http::call_once;
 use crate::ledger::{LeavingRow, OrderWhat, RunLedger, Touched};
-use crate::link::LinkProxy;
+use crate::link::{LinkMode, LinkProxy};
 use crate::list::{serve_list, ListRow, ListRows};
 use crate::operator::SoakOperator;
+use crate::peer_link::PeerLink;
 use crate::process::{VmPlace, VmProcess};
 use crate::schedule::RunSize;
 use crate::upstream::{UpstreamLife, UpstreamPlace};
@@ -26,6 +27,8 @@
     pub place: VmPlace,
     /// The link of callers to it.
     pub front: LinkProxy,
+    /// The links of the other VMs to it, by their index.
+    pub peers: Vec<Option<PeerLink>>,
     process: RefCell<Option<VmProcess>>,
     /// Whether its end was asked for.
     ending: Cell<bool>,
@@ -82,6 +85,17 @@
     places
 }
 
+async fn peer_links(places: &[VmPlace], to: &VmPlace) -> std::io::Result<Vec<Option<PeerLink>>> {
+    let mut links = Vec::new();
+    for from in places {
+        links.push(match from.index == to.index {
+            true => None,
+            false => Some(PeerLink::start(from.peer(from), to.peer(from), to.peer(to)).await?),
+        });
+    }
+    Ok(links)
+}
+
 impl SoakSite {
     /// Starts all of it on a network of its own, as `127.20.7`.
     pub async fn start(
@@ -100,6 +114,7 @@
         for place in &places {
             vms.push(SiteVm {
                 front: LinkProxy::start(place.front_link(), place.front()).await?,
+                peers: peer_links(&places, place).await?,
                 place: place.clone(),
                 process: RefCell::new(None),
                 ending: Cell::new(false),
@@ -242,6 +257,18 @@
         Ok(())
     }
 
+    /// Sets the links between a VM and all others: what it is sent, and what it sends.
+    pub fn set_peers(&self, index: usize, comes: LinkMode, goes: LinkMode) {
+        for link in self.vms[index].peers.iter().flatten() {
+            link.proxy.set(comes);
+        }
+        for other in self.vms.iter().filter(|other| other.place.index != index) {
+            if let Some(link) = &other.peers[index] {
+                link.proxy.set(goes);
+            }
+        }
+    }
+
     /// Shows an upstream as leaving; the number ends it.
     pub fn show_leaving(&self, index: usize) -> usize {
         if let Some(row) = self.list.borrow_mut().rows[index].as_mut() {
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -37,6 +37,13 @@
         Disturbance::LeaveUpstream(at, ms) => leave_upstream(&site, at, ms).await,
         Disturbance::FaultyUpstream(at, ms) => faulty_upstream(&site, at, ms).await,
         Disturbance::UpstreamLink(at, mode, ms) => upstream_link(&site, at, mode, ms).await,
+        Disturbance::PeerLinks(vm, comes, goes, ms) => {
+            let span = site.disturb(Touched::Vm(vm));
+            site.set_peers(vm, comes, goes);
+            pause(ms).await;
+            site.set_peers(vm, LinkMode::Open, LinkMode::Open);
+            site.calm_when_ready(vm, span).await;
+        }
         Disturbance::FrontLink(vm, mode, ms) => {
             let span = site.disturb(Touched::Front(vm));
             site.vms[vm].front.set(mode);
