--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -51,6 +51,23 @@
                 })
                 .collect(),
         },
+        SoakCase {
+            name: "emptied-zone-in-calm",
+            cause: "a VM goes on sending to a zone that was emptied",
+            steps: vec![step(1_000, Disturbance::EmptyZone(1, 9_000))],
+        },
+        SoakCase {
+            name: "streams-cut-partway",
+            cause: "what was left of a cut event is joined to the next run's first",
+            steps: (0..24)
+                .map(|at| {
+                    step(
+                        1_000 + 500 * at,
+                        Disturbance::RestartUpstream(at as usize % 3, false, 300),
+                    )
+                })
+                .collect(),
+        },
         SoakCase {
             name: "all-stopped-at-once",
             cause: "planned stops of all VMs within a second cut requests",
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -114,7 +114,7 @@
         7..=8 => Disturbance::PutDocument,
         9 => Disturbance::RevokeKey,
         10 => Disturbance::PutInvalid,
-        11 => Disturbance::EmptyZone(random.gen_range(0..3), 7_000 + ms),
+        11 => Disturbance::EmptyZone(random.gen_range(0..3), 9_000 + 2 * ms),
         12 => Disturbance::ListEntries(3 * ms),
         13 => Disturbance::KillAll,
         14..=16 => Disturbance::KillVm(vm, ms),
--- /dev/null
+++ b/soak/tests/test_judge.rs
@@ -0,0 +1,136 @@
+//! Each promise that is broken by the rows of a run is told, and none that holds.
+
+use wingshed_soak::caller::stream_fault;
+use wingshed_soak::judge::judge;
+use wingshed_soak::ledger::{
+    AskEnd, AskKind, AskRow, DocumentRow, LeavingRow, LedgerRows, OrderRow, OrderWhat, ReadRow,
+    RunRow, SpanRow, Touched,
+};
+
+fn ask(kind: AskKind, sent_ms: u64, end: AskEnd) -> AskRow {
+    let (attempt, key) = ("a".to_string(), "k1".to_string());
+    let route = "moved".to_string();
+    AskRow { attempt, vm: 0, kind, route, key, sent_ms, ended_ms: sent_ms + 50, end }
+}
+
+fn run(at_ms: u64) -> RunRow {
+    RunRow {
+        attempt: "a".to_string(),
+        upstream: 0,
+        service: "s1".to_string(),
+        zone: "z-0".to_string(),
+        at_ms,
+        after_event: 0,
+        workspace: "t1".to_string(),
+    }
+}
+
+fn document(version: u64, moved_to: &str, key: &str, acked_ms: u64) -> OrderRow {
+    let (moved_to, keys) = (moved_to.to_string(), vec![key.to_string()]);
+    let text = format!("{{\"version\":{version}}}");
+    let what = OrderWhat::Document(DocumentRow { version, moved_to, keys, text });
+    OrderRow { what, sent_ms: acked_ms, acked_ms: Some(acked_ms), refused: None }
+}
+
+/// Rows of a request that is sent once and served.
+fn sound(kind: AskKind, sent_ms: u64) -> LedgerRows {
+    LedgerRows {
+        asks: vec![ask(kind, sent_ms, AskEnd::Whole)],
+        runs: vec![run(sent_ms + 5)],
+        orders: vec![document(3, "s1", "k1", 10)],
+        ..LedgerRows::default()
+    }
+}
+
+fn told(rows: &LedgerRows) -> Vec<&'static str> {
+    judge(rows).iter().map(|broken| broken.promise).collect()
+}
+
+#[test]
+fn a_request_that_is_served_breaks_nothing() {
+    assert_eq!(told(&sound(AskKind::Once, 60_000)), Vec::<&str>::new());
+}
+
+#[test]
+fn two_runs_of_what_may_run_once_are_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.runs.push(run(60_020));
+    assert_eq!(told(&rows), ["runs once"]);
+}
+
+#[test]
+fn two_runs_of_what_may_repeat_are_not_told() {
+    let mut rows = sound(AskKind::Safe, 60_000);
+    rows.runs.push(run(60_020));
+    assert_eq!(told(&rows), Vec::<&str>::new());
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.asks[0].end = AskEnd::Status(503);
+    assert_eq!(told(&rows), ["not run"]);
+}
+
+#[test]
+fn a_request_to_an_upstream_that_left_is_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.leaving.push(LeavingRow { upstream: 0, from_ms: 55_000, until_ms: None });
+    assert_eq!(told(&rows), ["leaving upstreams"]);
+}
+
+#[test]
+fn a_vm_that_was_disturbed_a_moment_ago_may_not_know_of_an_upstream_that_left() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.leaving.push(LeavingRow { upstream: 0, from_ms: 55_000, until_ms: None });
+    let touched = Touched::Vm(0);
+    rows.spans.push(SpanRow { touched, from_ms: 50_000, until_ms: Some(58_000) });
+    assert_eq!(told(&rows), Vec::<&str>::new());
+}
+
+#[test]
+fn a_request_to_an_emptied_zone_is_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    let what = OrderWhat::EmptyZone("z-0".to_string());
+    rows.orders.push(OrderRow { what, sent_ms: 50_000, acked_ms: Some(50_010), refused: None });
+    assert_eq!(told(&rows), ["emptied zones"]);
+}
+
+#[test]
+fn a_request_that_goes_by_an_older_configuration_is_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.orders.push(document(6, "s2", "k1", 50_000));
+    assert_eq!(told(&rows), ["orders in force"]);
+}
+
+#[test]
+fn a_request_with_a_key_that_was_taken_away_is_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.orders.push(document(6, "s1", "k2", 50_000));
+    assert_eq!(told(&rows), ["keys taken away"]);
+}
+
+#[test]
+fn an_older_configuration_that_is_read_back_is_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.orders.push(document(6, "s1", "k1", 50_000));
+    let text = "{\"version\":3}".to_string();
+    rows.reads.push(ReadRow { vm: 0, sent_ms: 60_000, text });
+    assert_eq!(told(&rows), ["orders kept"]);
+}
+
+#[test]
+fn a_request_that_a_planned_stop_cut_is_told() {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.asks[0].end = AskEnd::Cut;
+    let touched = Touched::PlannedVm(0);
+    rows.spans.push(SpanRow { touched, from_ms: 58_000, until_ms: Some(64_000) });
+    assert_eq!(told(&rows), ["planned stops cut nothing"]);
+}
+
+#[test]
+fn a_stream_that_lacks_an_event_is_told() {
+    let text = "id: 1\ndata: a 1 7\n\nid: 3\ndata: a 3 7\n\n";
+    let fault = stream_fault(text, "a", true);
+    assert!(fault.is_some_and(|fault| fault.contains("event 2 expected")));
+}
