--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -2,7 +2,7 @@
 //!
 //! They are kept as steps, since another draw of the schedule would change what a seed means.
 
-use crate::schedule::{Disturbance, PlannedStep};
+use crate::schedule::{Disturbance, PlannedStep, VersionFault};
 
 /// A schedule with a name.
 pub struct SoakCase {
@@ -68,6 +68,25 @@
                 })
                 .collect(),
         },
+        SoakCase {
+            name: "roll-outs-in-calm",
+            cause: "an unsound version gets too much, or a sound one is rolled back",
+            steps: vec![
+                step(500, Disturbance::RollOut(0, 10, VersionFault::Fails)),
+                step(22_000, Disturbance::RollOut(0, 10, VersionFault::None)),
+                step(38_000, Disturbance::RollOut(0, 10, VersionFault::Slow)),
+            ],
+        },
+        SoakCase {
+            name: "roll-out-over-kills-of-all",
+            cause: "an order, or its end, is lost with the VMs that know it",
+            steps: vec![
+                step(500, Disturbance::RollOut(0, 12, VersionFault::None)),
+                step(2_800, Disturbance::KillAll),
+                step(10_000, Disturbance::KillAll),
+                step(16_000, Disturbance::KillAll),
+            ],
+        },
         SoakCase {
             name: "all-stopped-at-once",
             cause: "planned stops of all VMs within a second cut requests",
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -6,7 +6,8 @@
 use std::collections::HashMap;
 
 use crate::ledger::{
-    AskEnd, AskKind, AskRow, DocumentRow, LedgerRows, OrderRow, OrderWhat, RunRow, SpanRow, Touched,
+    AskEnd, AskKind, AskRow, DocumentRow, LedgerRows, OrderRow, OrderWhat, RollOutRow, RunRow,
+    SpanRow, Touched,
 };
 use crate::operator::version_of;
 
@@ -24,6 +25,16 @@
 const OUTER_MS: u64 = 6_000;
 /// A planned stop lasts at most this (`graceS`), and a second more is counted.
 const STOP_MS: u64 = 9_000;
+/// What an unsound version may get of the requests of its service (`exposeShare`).
+const EXPOSE_SHARE: f64 = 0.1;
+/// And this many more (`exposeSlack`).
+const EXPOSE_SLACK: f64 = 50.0;
+/// An unsound version gets nothing so long after its 50th bad answer (`rollbackMs`).
+const ROLL_BACK_MS: u64 = 5_000;
+/// Bad answers from which that counts.
+const BAD_ANSWERS: usize = 50;
+/// An order may be taken until it is no longer sent (`ackMs`).
+const REPEAT_MS: u64 = 5_000;
 /// Observers of one clock may note one moment this far apart on a loaded machine.
 const NOTE_MS: u64 = 250;
 /// VMs that keep what is agreed on.
@@ -63,6 +74,7 @@
     judge.documents_in_force();
     judge.keys();
     judge.reads();
+    judge.rollouts();
     judge.broken
 }
 
@@ -256,6 +268,64 @@
             }
         }
     }
+
+    fn rollouts(&mut self) {
+        for row in &self.rows.rollouts {
+            self.roll_out_end(row);
+            if row.unsound {
+                self.exposure(row);
+                self.roll_back(row);
+            }
+        }
+    }
+
+    fn roll_out_end(&mut self, row: &RollOutRow) {
+        let told = || row.told.iter().filter(|told| told.target == row.target);
+        let Some(end) = told().find(|told| told.state != "running") else {
+            if row.acked_ms.is_some() {
+                self.add("roll-outs end", format!("no end was told: {row:?}"));
+            }
+            return;
+        };
+        if let Some(other) = told().find(|t| t.at_ms > end.at_ms && t.state != end.state) {
+            self.add("roll-outs' ends stay", format!("{end:?}, then {other:?}"));
+        }
+    }
+
+    /// Runs of a version by VMs in touch, with the moment at which each was sent.
+    fn exposed(&self, row: &RollOutRow) -> Vec<(&'a RunRow, u64)> {
+        let of = self.rows.runs.iter().filter(|run| run.version == row.target);
+        let asked = of.filter_map(|run| {
+            let ask = self.asks.get(run.attempt.as_str())?;
+            self.in_touch_since(ask.vm, run.at_ms)?;
+            Some((run, ask.sent_ms))
+        });
+        asked.collect()
+    }
+
+    fn exposure(&mut self, row: &RollOutRow) {
+        let until_ms = row.acked_ms.unwrap_or(row.sent_ms + REPEAT_MS) + row.duration_ms;
+        let within = |run: &RunRow| (row.sent_ms..until_ms).contains(&run.at_ms);
+        let all = self.rows.runs.iter().filter(|run| run.service == row.service && within(run));
+        let bound = EXPOSE_SHARE * all.count() as f64 + EXPOSE_SLACK;
+        let exposed = self.exposed(row).iter().filter(|(run, _)| within(run)).count();
+        if exposed as f64 > bound {
+            self.add("exposure", format!("{exposed} runs, {bound:.0} allowed: {row:?}"));
+        }
+    }
+
+    fn roll_back(&mut self, row: &RollOutRow) {
+        let bad = self.rows.runs.iter().filter(|run| run.version == row.target && run.bad);
+        let Some(from) = bad.map(|run| run.at_ms).nth(BAD_ANSWERS - 1) else { return };
+        let late = self.exposed(row).into_iter().find(|(_, sent_ms)| {
+            let bound = ROLL_BACK_MS + self.outer(from, *sent_ms) + NOTE_MS;
+            *sent_ms > from + bound
+        });
+        if let Some((run, sent_ms)) = late {
+            let after = sent_ms - from;
+            self.add("roll-back in time", format!("{after} ms after: {run:?}"));
+        }
+    }
 }
 
 fn meets(span: &SpanRow, from_ms: u64, until_ms: u64) -> bool {
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -70,6 +70,10 @@
     pub zone: String,
     /// When the request had arrived.
     pub at_ms: u64,
+    /// The version of the upstream.
+    pub version: String,
+    /// Whether that version is unsound and this run ended badly.
+    pub bad: bool,
     /// The event after which it goes on.
     pub after_event: u64,
     /// The workspace that the system named.
@@ -163,6 +167,38 @@
     pub until_ms: Option<u64>,
 }
 
+/// What a VM told of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RollOutEnd {
+    /// The VM.
+    pub vm: usize,
+    /// When it had told.
+    pub at_ms: u64,
+    /// The state.
+    pub state: String,
+    /// The version that it is about.
+    pub target: String,
+}
+
+/// A roll-out.
+#[derive(Clone, Debug)]
+pub struct RollOutRow {
+    /// Its service.
+    pub service: String,
+    /// The new version.
+    pub target: String,
+    /// Whether that version fails part of its requests.
+    pub unsound: bool,
+    /// When it was ordered first.
+    pub sent_ms: u64,
+    /// The time it was given.
+    pub duration_ms: u64,
+    /// When it was acknowledged.
+    pub acked_ms: Option<u64>,
+    /// What VMs told of it.
+    pub told: Vec<RollOutEnd>,
+}
+
 /// All rows.
 #[derive(Clone, Debug, Default)]
 pub struct LedgerRows {
@@ -178,6 +214,8 @@
     pub spans: Vec<SpanRow>,
     /// Upstreams that left.
     pub leaving: Vec<LeavingRow>,
+    /// Roll-outs.
+    pub rollouts: Vec<RollOutRow>,
     /// Promises that the run itself saw broken while it waited for something.
     pub seen: Vec<String>,
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod peer_link;
 pub mod process;
+pub mod rollouts;
 pub mod run;
 pub mod schedule;
 pub mod site;
--- a/soak/src/list.rs
+++ b/soak/src/list.rs
@@ -30,6 +30,8 @@
     pub id: String,
     /// When that life began, in Unix milliseconds.
     pub born_ms: u64,
+    /// The version of its software.
+    pub version: String,
     /// Whether it leaves.
     pub leaving: bool,
 }
@@ -53,7 +55,7 @@
         values.extend(self.rows.iter().flatten().map(|row| {
             json!({
                 "id": row.id, "service": row.place.service, "zone": row.place.zone,
-                "address": row.place.listed.to_string(), "version": "v1", "slots": 32,
+                "address": row.place.listed.to_string(), "version": row.version, "slots": 32,
                 "born": row.born_ms, "coldLeftMs": 0,
                 "state": if row.leaving { "draining" } else { "ready" },
             })
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -125,6 +125,12 @@
         verdict.broken.len()
     );
     println!("  ends: {}", ends(rows));
+    for row in &rows.rollouts {
+        let end = row.told.iter().rev().find(|told| told.target == row.target);
+        let end = end.map_or("not told", |told| told.state.as_str());
+        let kind = if row.unsound { "unsound" } else { "sound" };
+        println!("  roll-out of {} to {} ({kind}): {end}", row.service, row.target);
+    }
     if verdict.broken.is_empty() {
         let _ = std::fs::remove_dir_all(&plan.folder);
         return true;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -11,6 +11,7 @@
 use crate::judge::{judge, BrokenPromise};
 use crate::ledger::{AskEnd, AskKind, LedgerRows, OrderWhat};
 use crate::operator::DOCUMENT_REPEAT_MS;
+use crate::rollouts::note_state;
 use crate::schedule::{schedule, PlannedStep, RunSize};
 use crate::site::SoakSite;
 use crate::steps::disturb;
@@ -82,6 +83,12 @@
     for caller in callers {
         let _ = caller.await;
     }
+    let rollouts = site.ledger.rows.borrow().rollouts.len();
+    for row in 0..rollouts {
+        for vm in 0..site.vms.len() {
+            note_state(&site, vm, row).await;
+        }
+    }
     site.note_ends();
     let rows = site.ledger.rows.borrow().clone();
     let broken = judge(&rows);
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -5,6 +5,28 @@
 
 use crate::link::LinkMode;
 
+/// What is wrong with a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionFault {
+    /// Nothing.
+    None,
+    /// Three in ten answers are failures.
+    Fails,
+    /// Half of the answers come late.
+    Slow,
+}
+
+impl VersionFault {
+    /// Whether the run of this number is bad.
+    pub fn is_bad(self, run: u64) -> bool {
+        match self {
+            VersionFault::None => false,
+            VersionFault::Fails => run % 10 < 3,
+            VersionFault::Slow => run % 2 == 0,
+        }
+    }
+}
+
 /// What breaks, or is ordered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Disturbance {
@@ -42,6 +64,8 @@
     RevokeKey,
     /// A configuration that is not valid.
     PutInvalid,
+    /// A service's traffic is to be moved to a new version within so many seconds.
+    RollOut(usize, u64, VersionFault),
     /// A zone is emptied for so many milliseconds.
     EmptyZone(usize, u64),
 }
@@ -81,9 +105,9 @@
 /// Each so-many-th seed holds planned work only: nothing then excuses a cut.
 const PLANNED_EACH: u64 = 4;
 /// Kinds of planned work, as [`draw`] numbers them.
-const PLANNED_KINDS: std::ops::Range<u32> = 0..12;
+const PLANNED_KINDS: std::ops::Range<u32> = 0..14;
 /// All kinds.
-const ALL_KINDS: std::ops::Range<u32> = 0..33;
+const ALL_KINDS: std::ops::Range<u32> = 0..35;
 
 /// The schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
@@ -115,19 +139,24 @@
         9 => Disturbance::RevokeKey,
         10 => Disturbance::PutInvalid,
         11 => Disturbance::EmptyZone(random.gen_range(0..3), 9_000 + 2 * ms),
-        12 => Disturbance::ListEntries(3 * ms),
-        13 => Disturbance::KillAll,
-        14..=16 => Disturbance::KillVm(vm, ms),
-        17..=19 => Disturbance::FreezeVm(vm, 2 * ms),
-        20 => Disturbance::FailDisk(vm, ms),
-        21..=22 => Disturbance::RestartUpstream(upstream, random.gen(), ms),
-        23..=24 => Disturbance::FaultyUpstream(upstream, ms),
-        25..=26 => Disturbance::UpstreamLink(upstream, link(random), ms),
-        27..=30 => {
+        12..=13 => {
+            let faults = [VersionFault::None, VersionFault::Fails, VersionFault::Slow];
+            let fault = faults[random.gen_range(0..3)];
+            Disturbance::RollOut(random.gen_range(0..2), random.gen_range(8..14), fault)
+        }
+        14 => Disturbance::ListEntries(3 * ms),
+        15 => Disturbance::KillAll,
+        16..=18 => Disturbance::KillVm(vm, ms),
+        19..=21 => Disturbance::FreezeVm(vm, 2 * ms),
+        22 => Disturbance::FailDisk(vm, ms),
+        23..=24 => Disturbance::RestartUpstream(upstream, random.gen(), ms),
+        25..=26 => Disturbance::FaultyUpstream(upstream, ms),
+        27..=28 => Disturbance::UpstreamLink(upstream, link(random), ms),
+        29..=32 => {
             let (comes, goes) = cut(random);
             Disturbance::PeerLinks(vm, comes, goes, 2 * ms)
         }
-        31 => Disturbance::FrontLink(vm, link(random), ms),
+        33 => Disturbance::FrontLink(vm, link(random), ms),
         _ => Disturbance::ListLink(link(random), ms),
     }
 }
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -13,7 +13,7 @@
 use crate::operator::SoakOperator;
 use crate::peer_link::PeerLink;
 use crate::process::{VmPlace, VmProcess};
-use crate::schedule::RunSize;
+use crate::schedule::{RunSize, VersionFault};
 use crate::upstream::{UpstreamLife, UpstreamPlace};
 
 /// The pause between two looks at a VM.
@@ -43,6 +43,14 @@
     /// Its life, while it has one.
     pub life: RefCell<Option<UpstreamLife>>,
     lives: Cell<u32>,
+    software: RefCell<(String, VersionFault)>,
+}
+
+/// Which half of a service's places is in use, and whether a roll-out is under way.
+#[derive(Clone, Copy, Default)]
+struct ServiceSide {
+    second: bool,
+    moving: bool,
 }
 
 /// All that a run starts.
@@ -60,6 +68,8 @@
     /// Whoever sends orders.
     pub operator: SoakOperator,
     program: PathBuf,
+    sides: [Cell<ServiceSide>; 2],
+    versions: Cell<u32>,
 }
 
 fn address(network: &str, host: usize, port: u16) -> SocketAddr {
@@ -106,7 +116,7 @@
     ) -> std::io::Result<Rc<SoakSite>> {
         let ledger = Rc::new(RunLedger::default());
         let list = Rc::new(RefCell::new(ListRows::default()));
-        list.borrow_mut().rows.resize(size.upstreams, None);
+        list.borrow_mut().rows.resize(2 * size.upstreams, None);
         let list_link =
             serve_list(address(network, 1, 9000), address(network, 1, 9001), list.clone()).await?;
         let places = vm_places(network, size, folder);
@@ -121,21 +131,35 @@
                 frozen_until_ms: Cell::new(0),
             });
         }
+        // The second half are places of new versions, with no life at first.
+        let usual = size.upstreams;
         let upstream = |index: usize| SiteUpstream {
             place: UpstreamPlace {
                 index,
-                service: format!("s{}", 1 + index / 3 % 2),
-                zone: format!("z-{}", index % 3),
+                service: format!("s{}", 1 + index % usual / 3 % 2),
+                zone: format!("z-{}", index % usual % 3),
                 listed: address(network, index + 100, 9100),
                 inner: address(network, index + 100, 9101),
             },
             life: RefCell::new(None),
             lives: Cell::new(0),
+            software: RefCell::new(("v1".to_string(), VersionFault::None)),
         };
-        let upstreams = (0..size.upstreams).map(upstream).collect();
+        let upstreams = (0..2 * size.upstreams).map(upstream).collect();
         let operator = SoakOperator::new(ledger.clone(), places);
         let program = program.to_path_buf();
-        let site = SoakSite { ledger, vms, upstreams, list, list_link, operator, program };
+        let (sides, versions) = (Default::default(), Cell::new(1));
+        let site = SoakSite {
+            ledger,
+            vms,
+            upstreams,
+            list,
+            list_link,
+            operator,
+            program,
+            sides,
+            versions,
+        };
         for index in 0..size.upstreams {
             site.start_upstream(index, false).await?;
         }
@@ -249,11 +273,14 @@
         }
         let id = format!("i-{index}-{}", upstream.lives.get());
         let place = upstream.place.clone();
-        let life = UpstreamLife::start(place.clone(), &id, self.ledger.clone()).await?;
+        let (version, fault) = upstream.software.borrow().clone();
+        let software = (version.as_str(), fault);
+        let life = UpstreamLife::start(place.clone(), &id, software, self.ledger.clone()).await?;
         *upstream.life.borrow_mut() = Some(life);
         let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let born_ms = born.map_or(0, |since| since.as_millis() as u64);
-        self.list.borrow_mut().rows[index] = Some(ListRow { place, id, born_ms, leaving: false });
+        self.list.borrow_mut().rows[index] =
+            Some(ListRow { place, id, born_ms, version, leaving: false });
         Ok(())
     }
 
@@ -269,14 +296,76 @@
         }
     }
 
-    /// Shows an upstream as leaving; the number ends it.
-    pub fn show_leaving(&self, index: usize) -> usize {
+    /// The places of a service in use and those of its next version; none while it is moved.
+    pub fn next_side(&self, service: usize) -> Option<(Vec<usize>, Vec<usize>)> {
+        let side = self.sides[service].get();
+        if side.moving {
+            return None;
+        }
+        self.sides[service].set(ServiceSide { moving: true, ..side });
+        let name = format!("s{}", service + 1);
+        let usual = self.upstreams.len() / 2;
+        let places = |second: bool| {
+            let of = self.upstreams.iter().map(|upstream| &upstream.place);
+            let of = of.filter(|place| place.service == name && (place.index >= usual) == second);
+            of.map(|place| place.index).collect()
+        };
+        Some((places(side.second), places(!side.second)))
+    }
+
+    /// Whether a place belongs to a half that is in use or being moved to.
+    pub fn in_use(&self, index: usize) -> bool {
+        let place = &self.upstreams[index].place;
+        let side = self.sides[usize::from(place.service != "s1")].get();
+        side.moving || (index >= self.upstreams.len() / 2) == side.second
+    }
+
+    /// The service is no longer moved; its other half is in use if that `completed`.
+    pub fn end_side(&self, service: usize, completed: bool) {
+        let second = self.sides[service].get().second != completed;
+        self.sides[service].set(ServiceSide { second, moving: false });
+    }
+
+    /// A version that was never used.
+    pub fn next_version(&self) -> String {
+        self.versions.set(self.versions.get() + 1);
+        format!("v{}", self.versions.get())
+    }
+
+    /// Starts a life of another version.
+    pub async fn start_version(
+        &self,
+        index: usize,
+        version: &str,
+        fault: VersionFault,
+    ) -> std::io::Result<()> {
+        *self.upstreams[index].software.borrow_mut() = (version.to_string(), fault);
+        self.start_upstream(index, false).await
+    }
+
+    /// An upstream ends, and its entry goes.
+    pub fn end_upstream(&self, index: usize) {
+        self.list.borrow_mut().rows[index] = None;
+        drop(self.upstreams[index].life.take());
+    }
+
+    /// Shows an upstream as leaving.
+    pub fn mark_leaving(&self, index: usize) {
         if let Some(row) = self.list.borrow_mut().rows[index].as_mut() {
             row.leaving = true;
         }
         if let Some(life) = self.upstreams[index].life.borrow().as_ref() {
             life.leave();
         }
+    }
+
+    /// Shows an upstream as leaving; the number ends it.
+    pub fn show_leaving(&self, index: usize) -> usize {
+        self.mark_leaving(index);
+        self.note_leaving(index)
+    }
+
+    fn note_leaving(&self, index: usize) -> usize {
         let from_ms = self.ledger.now_ms();
         let leaving = &mut self.ledger.rows.borrow_mut().leaving;
         leaving.push(LeavingRow { upstream: index, from_ms, until_ms: None });
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -10,6 +10,7 @@
 use crate::ledger::{OrderWhat, Touched};
 use crate::link::LinkMode;
 use crate::operator::{invalid_document, DOCUMENT_REPEAT_MS, ZONE_REPEAT_MS};
+use crate::rollouts::roll_out;
 use crate::schedule::Disturbance;
 use crate::site::SoakSite;
 
@@ -67,6 +68,9 @@
         Disturbance::PutDocument => put_document(&site, &callers, false).await,
         Disturbance::RevokeKey => put_document(&site, &callers, true).await,
         Disturbance::PutInvalid => put_invalid(&site).await,
+        Disturbance::RollOut(service, duration_s, fault) => {
+            roll_out(&site, service, duration_s, fault).await;
+        }
         Disturbance::EmptyZone(zone, ms) => empty_zone(&site, zone, ms).await,
     }
 }
@@ -141,6 +145,9 @@
 }
 
 async fn start_life(site: &SoakSite, at: usize, same_id: bool) {
+    if !site.in_use(at) {
+        return;
+    }
     if let Err(error) = site.start_upstream(at, same_id).await {
         site.ledger.rows.borrow_mut().seen.push(format!("the soak: upstream {at}: {error}"));
     }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -25,6 +25,7 @@
 
 use crate::ledger::{RunLedger, RunRow};
 use crate::link::LinkProxy;
+use crate::schedule::VersionFault;
 
 /// Requests at which an upstream says that it is full.
 const UPSTREAM_PLACES: u32 = 32;
@@ -34,6 +35,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
 /// The pause between the pieces of an event.
 const PIECE_PAUSE: Duration = Duration::from_millis(4);
+/// What an unsound version of the slow kind takes longer.
+const SLOW_WORK: Duration = Duration::from_millis(700);
 /// The work of a plain request.
 const PLAIN_WORK: Duration = Duration::from_millis(20);
 
@@ -58,6 +61,8 @@
     running: Cell<u32>,
     leaving: Cell<bool>,
     faulty: Cell<bool>,
+    version: String,
+    fault: VersionFault,
     crash: Notify,
     ledger: Rc<RunLedger>,
 }
@@ -91,6 +96,7 @@
     pub async fn start(
         place: UpstreamPlace,
         id: &str,
+        (version, fault): (&str, VersionFault),
         ledger: Rc<RunLedger>,
     ) -> std::io::Result<UpstreamLife> {
         let listener = TcpListener::bind(place.inner).await?;
@@ -101,6 +107,8 @@
             running: Cell::new(0),
             leaving: Cell::new(false),
             faulty: Cell::new(false),
+            version: version.to_string(),
+            fault,
             crash: Notify::new(),
             ledger,
         });
@@ -194,12 +202,15 @@
     let attempt = named("x-attempt-id");
     let after_event = named("last-event-id").parse().unwrap_or(0);
     let guard = RunningGuard::new(&state);
+    let bad = state.fault.is_bad(next_run());
     state.ledger.rows.borrow_mut().runs.push(RunRow {
         attempt: attempt.clone(),
         upstream: state.place.index,
         service: state.place.service.clone(),
         zone: state.place.zone.clone(),
         at_ms: state.ledger.now_ms(),
+        version: state.version.clone(),
+        bad,
         after_event,
         workspace: named("x-tenant"),
     });
@@ -210,6 +221,12 @@
     if state.leaving.get() {
         answer = answer.header("connection", "close");
     }
+    if bad && state.fault == VersionFault::Slow {
+        tokio::time::sleep(SLOW_WORK).await;
+    }
+    if bad && state.fault == VersionFault::Fails {
+        return Ok(answer.status(500).body(full("failed".to_string())).expect("a plain head"));
+    }
     let path = head.uri.path();
     if path.starts_with("/stream/") || path.starts_with("/resume/") {
         let answer = answer.header("content-type", "text/event-stream");
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -20,6 +20,8 @@
         service: "s1".to_string(),
         zone: "z-0".to_string(),
         at_ms,
+        version: "v1".to_string(),
+        bad: false,
         after_event: 0,
         workspace: "t1".to_string(),
     }
