--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -10,6 +10,7 @@
     SpanRow, Touched,
 };
 use crate::operator::version_of;
+use crate::rollouts::UNKNOWN;
 
 /// A disturbed VM is in touch this long after (`contactMs`).
 const CONTACT_MS: u64 = 4_000;
@@ -280,6 +281,9 @@
     }
 
     fn roll_out_end(&mut self, row: &RollOutRow) {
+        if let Some(lost) = row.told.iter().find(|told| told.state == UNKNOWN) {
+            self.add("orders kept", format!("a roll-out is lost: {lost:?} of {row:?}"));
+        }
         let told = || row.told.iter().filter(|told| told.target == row.target);
         let Some(end) = told().find(|told| told.state != "running") else {
             if row.acked_ms.is_some() {
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -95,6 +95,7 @@
             "bounds": {
                 "revokeMs": 5000, "drainMs": 4000, "configApplyMs": 2500, "graceS": 8,
                 "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 60 + change % 7,
+                "exposeShare": 0.1, "exposeSlack": 50,
             },
             "cloud": {"address": self.list, "ratePerS": 50, "maxLagMs": 300},
         })
--- a/soak/src/rollouts.rs
+++ b/soak/src/rollouts.rs
@@ -20,11 +20,17 @@
 /// An end that nobody tells so long after the deadline is not waited for.
 const END_WAIT_MS: u64 = 20_000;
 
+/// What stands for the state of a roll-out that a VM says there never was.
+pub const UNKNOWN: &str = "unknown";
+
 /// The state of a service's roll-out, as a VM tells it.
 pub async fn ask_state(site: &SoakSite, vm: usize, service: &str) -> Option<(String, String)> {
     let control = site.vms[vm].place.control();
     let path = format!("/rollouts/{service}/get");
     let (status, text) = call_once(control, "GET", &path, "", ANSWER_WAIT).await?;
+    if status == 404 {
+        return Some((UNKNOWN.to_string(), String::new()));
+    }
     if status != 200 {
         return None;
     }
@@ -40,7 +46,7 @@
         (rows.rollouts[row].service.clone(), rows.rollouts[row].target.clone())
     };
     let (state, told) = ask_state(site, vm, &service).await?;
-    let ended = told == target && state != "running";
+    let ended = told == target && state != "running" && state != UNKNOWN;
     let at_ms = site.ledger.now_ms();
     if ended || site.ledger.rows.borrow().rollouts[row].acked_ms.is_some() {
         let end = RollOutEnd { vm, at_ms, state, target: told };
