--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -20,6 +20,13 @@
 
 /// All cases.
 pub fn cases() -> Vec<SoakCase> {
+    let mut cases = order_cases();
+    cases.extend(process_cases());
+    cases
+}
+
+/// Cases of orders, and of what is to be in force.
+fn order_cases() -> Vec<SoakCase> {
     vec![
         SoakCase {
             name: "leaving-beside-unreadable-entries",
@@ -56,6 +63,12 @@
             cause: "a VM goes on sending to a zone that was emptied",
             steps: vec![step(1_000, Disturbance::EmptyZone(1, 9_000))],
         },
+    ]
+}
+
+/// Cases of processes that end.
+fn process_cases() -> Vec<SoakCase> {
+    vec![
         SoakCase {
             name: "streams-cut-partway",
             cause: "what was left of a cut event is joined to the next run's first",
