--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -1,16 +1,15 @@
 //! Which upstream a request goes to: what this VM knows of each, and whether there is room.
 
-use super::vm_forward::CallerTask;
 use super::vm_node::VmNode;
+use super::vm_task::CallerTask;
 use crate::coordination::engine_room::{RoomNews, RoomRequest, ServiceRoom};
 use crate::coordination::plain_choice::{choose_by_own, choose_plain, plain_choices};
 use crate::coordination::rollout_watch::RolloutLane;
-use crate::coordination::upstream_choice::{
-    choose_engine, ChoiceFault, EngineRules, UpstreamCandidate, UpstreamPick,
-};
+use crate::coordination::upstream_candidate::{ChoiceFault, UpstreamCandidate};
+use crate::coordination::upstream_choice::{choose_engine, EngineRules, UpstreamPick};
 use crate::state::ids::UpstreamKey;
 use crate::state::route_book::{RouteRule, ServiceEntry};
-use crate::state::upstream_list::UpstreamEntry;
+use crate::state::upstream_list::{EntryDoubt, UpstreamEntry};
 
 /// From this part of the bound on an engine's load VMs tell each other of loads more often.
 const PRESSED_PART: f64 = 0.75;
@@ -179,7 +178,9 @@
             full: false,
             tried: tried.contains(&key),
             leaving: entry.leaving,
-            withheld: versions.withholds(entry) || node.is_withheld(entry, service.cold_per_s),
+            withheld: entry.doubt != EntryDoubt::None
+                || versions.withholds(entry)
+                || node.is_withheld(entry, service.cold_per_s),
             seat: entry.seat,
             near: entry.zone == settings.zone,
             first_seen_ms: upstreams.first_seen_ms.get(&key).copied().unwrap_or(0),
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -18,8 +18,9 @@
 use wingshed_lib::coordination::outlier::OutlierTable;
 use wingshed_lib::coordination::plain_choice::choose_plain;
 use wingshed_lib::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
+use wingshed_lib::coordination::upstream_candidate::{ChoiceFault, UpstreamCandidate};
 use wingshed_lib::coordination::upstream_choice::{
-    choose_engine, ChoiceFault, EngineRules, PrefixMemory, UpstreamCandidate, NEW_ENGINE_MS,
+    choose_engine, EngineRules, PrefixMemory, NEW_ENGINE_MS,
 };
 use wingshed_lib::coordination::upstream_seats::{patient_services, SeatTable, WAIT_MS};
 use wingshed_lib::coordination::vm_roster::{RosterRow, ToldLoad, UpstreamLoad, VmRoster};
@@ -31,7 +32,7 @@
 use wingshed_lib::state::prompt_part::PromptPart;
 use wingshed_lib::state::rollout_order::VersionKey;
 use wingshed_lib::state::route_book::{pick_share, RequestKind, ServiceShare};
-use wingshed_lib::state::upstream_list::{UpstreamEntry, UpstreamList};
+use wingshed_lib::state::upstream_list::{EntryDoubt, UpstreamEntry, UpstreamList};
 
 const LATE: u64 = 10 * NEW_ENGINE_MS;
 /// A spread that leaves no engine out.
@@ -336,6 +337,8 @@
         seat: None,
         cold: false,
         version: VersionKey::default(),
+        born: None,
+        doubt: EntryDoubt::None,
     }
 }
 
