--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -90,6 +90,14 @@
                 step(38_000, Disturbance::RollOut(0, 10, VersionFault::Slow)),
             ],
         },
+        SoakCase {
+            name: "roll-outs-unsound-later",
+            cause: "a version that turns unsound during the trial, or after it, gets too much",
+            steps: vec![
+                step(500, Disturbance::RollOut(0, 14, VersionFault::FailsLater)),
+                step(27_000, Disturbance::RollOut(0, 8, VersionFault::FailsLater)),
+            ],
+        },
         SoakCase {
             name: "roll-out-over-kills-of-all",
             cause: "an order, or its end, is lost with the VMs that know it",
--- a/soak/src/rollouts.rs
+++ b/soak/src/rollouts.rs
@@ -121,9 +121,20 @@
         if matches!(answer, Some((200..=299 | 409, _))) {
             let now = site.ledger.now_ms();
             site.ledger.rows.borrow_mut().rollouts[row].acked_ms = Some(now);
+            repeat_order(site, vm + 1, &body).await;
             break;
         }
         tokio::time::sleep(Duration::from_millis(60)).await;
     }
     row
 }
+
+/// Sends an order that was taken once more, to another VM: it is never refused.
+async fn repeat_order(site: &SoakSite, vm: usize, body: &str) {
+    let control = site.vms[vm % site.vms.len()].place.control();
+    let answer = call_once(control, "POST", "/rollouts/start", body, ANSWER_WAIT).await;
+    if let Some((status @ (400..=407 | 410..=428 | 430..=499), text)) = answer {
+        let seen = format!("a repeated roll-out {body} was refused with {status}: {text}");
+        site.ledger.rows.borrow_mut().seen.push(seen);
+    }
+}
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -14,15 +14,21 @@
     Fails,
     /// Half of the answers come late.
     Slow,
+    /// As `Fails`, from [`LATER_MS`] after the start on.
+    FailsLater,
 }
 
+/// When a version that is sound at first turns unsound, after its start.
+pub const LATER_MS: u128 = 7_000;
+
 impl VersionFault {
-    /// Whether the run of this number is bad.
-    pub fn is_bad(self, run: u64) -> bool {
+    /// Whether the run of this number, so long after the upstream's start, is bad.
+    pub fn is_bad(self, run: u64, age_ms: u128) -> bool {
         match self {
             VersionFault::None => false,
             VersionFault::Fails => run % 10 < 3,
             VersionFault::Slow => run % 2 == 0,
+            VersionFault::FailsLater => age_ms > LATER_MS && run % 10 < 3,
         }
     }
 }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
@@ -63,6 +63,7 @@
     faulty: Cell<bool>,
     version: String,
     fault: VersionFault,
+    started: Instant,
     crash: Notify,
     ledger: Rc<RunLedger>,
 }
@@ -109,6 +110,7 @@
             faulty: Cell::new(false),
             version: version.to_string(),
             fault,
+            started: Instant::now(),
             crash: Notify::new(),
             ledger,
         });
@@ -202,7 +204,7 @@
     let attempt = named("x-attempt-id");
     let after_event = named("last-event-id").parse().unwrap_or(0);
     let guard = RunningGuard::new(&state);
-    let bad = state.fault.is_bad(next_run());
+    let bad = state.fault.is_bad(next_run(), state.started.elapsed().as_millis());
     state.ledger.rows.borrow_mut().runs.push(RunRow {
         attempt: attempt.clone(),
         upstream: state.place.index,
@@ -224,7 +226,7 @@
     if bad && state.fault == VersionFault::Slow {
         tokio::time::sleep(SLOW_WORK).await;
     }
-    if bad && state.fault == VersionFault::Fails {
+    if bad && state.fault != VersionFault::Slow {
         return Ok(answer.status(500).body(full("failed".to_string())).expect("a plain head"));
     }
     let path = head.uri.path();
