--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,147 @@
+//! `wingshed-soak`: plays seeds one after the other and tells what broke.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use tokio::signal::unix::{signal, SignalKind};
+use wingshed_soak::cases::cases;
+use wingshed_soak::ledger::{AskEnd, LedgerRows};
+use wingshed_soak::run::{play_steps, RunPlan, RunVerdict};
+use wingshed_soak::schedule::{schedule, PlannedStep, RunSize, LARGE_SIZE, USUAL_SIZE};
+
+/// breaks real processes by the schedules of seeds and checks what was promised
+#[derive(FromArgs)]
+struct SoakArguments {
+    /// how many seeds
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// the first seed
+    #[argh(option, default = "1")]
+    from: u64,
+    /// more VMs, upstreams and time
+    #[argh(switch)]
+    large: bool,
+    /// the case to play in place of seeds, or "all"
+    #[argh(option)]
+    case: Option<String>,
+    /// the program of a VM; beside this one by default
+    #[argh(option)]
+    program: Option<PathBuf>,
+    /// where logs of failed seeds are kept
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    folder: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: SoakArguments = argh::from_env();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("an event loop");
+    let ended = runtime.block_on(async {
+        let mut interrupt = signal(SignalKind::interrupt()).expect("signals");
+        let mut terminate = signal(SignalKind::terminate()).expect("signals");
+        tokio::select! {
+            failed = play_seeds(&arguments) => Some(failed),
+            _ = interrupt.recv() => None,
+            _ = terminate.recv() => None,
+        }
+    });
+    // Whichever run was under way has been dropped with all that it started.
+    match ended {
+        Some(0) => ExitCode::SUCCESS,
+        Some(_) => ExitCode::FAILURE,
+        None => {
+            eprintln!("interrupted");
+            ExitCode::from(130)
+        }
+    }
+}
+
+fn program(arguments: &SoakArguments) -> PathBuf {
+    let beside = || {
+        let own = std::env::current_exe().unwrap_or_default();
+        own.with_file_name("wingshed-node")
+    };
+    arguments.program.clone().unwrap_or_else(beside)
+}
+
+/// What is to be played: its name, its seed and its steps.
+fn planned(arguments: &SoakArguments, size: RunSize) -> Vec<(String, u64, Vec<PlannedStep>)> {
+    let Some(name) = &arguments.case else {
+        let seeds = arguments.from..arguments.from + arguments.seeds;
+        return seeds.map(|seed| (format!("seed-{seed}"), seed, schedule(seed, size))).collect();
+    };
+    let cases = cases().into_iter().filter(|case| name == "all" || name == case.name);
+    let numbered = cases.enumerate();
+    numbered.map(|(at, case)| (case.name.to_string(), at as u64, case.steps)).collect()
+}
+
+async fn play_seeds(arguments: &SoakArguments) -> u64 {
+    let size = if arguments.large { LARGE_SIZE } else { USUAL_SIZE };
+    let (mut played, mut failed) = (0, 0);
+    for (name, seed, steps) in planned(arguments, size) {
+        let plan = RunPlan {
+            seed,
+            size,
+            network: format!("127.{}.{}", 100 + std::process::id() % 100, 1 + seed % 250),
+            folder: arguments.folder.join(&name),
+            program: program(arguments),
+        };
+        played += 1;
+        match play_steps(&plan, steps).await {
+            Ok(verdict) => failed += u64::from(!tell(&name, &plan, &verdict)),
+            Err(error) => {
+                println!("{name}: could not be played: {error}");
+                failed += 1;
+            }
+        }
+    }
+    println!("{played} runs, {failed} failed");
+    failed
+}
+
+/// How many requests ended how.
+fn ends(rows: &LedgerRows) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for ask in &rows.asks {
+        *counts.entry(format!("{:?}", ask.end)).or_default() += 1;
+    }
+    let texts: Vec<String> = counts.iter().map(|(end, count)| format!("{end} {count}")).collect();
+    texts.join(", ")
+}
+
+/// Prints what a seed showed; true when nothing was broken.
+fn tell(name: &str, plan: &RunPlan, verdict: &RunVerdict) -> bool {
+    let rows = &verdict.rows;
+    let whole = rows.asks.iter().filter(|ask| ask.end == AskEnd::Whole);
+    let (asks, runs, whole) = (rows.asks.len(), rows.runs.len(), whole.count());
+    let orders = rows.orders.len();
+    let acked = rows.orders.iter().filter(|order| order.acked_ms.is_some()).count();
+    println!(
+        "{name}: {} steps, {asks} requests ({whole} whole), {runs} runs, {orders} orders \
+         ({acked} taken), {} broken",
+        verdict.steps.len(),
+        verdict.broken.len()
+    );
+    println!("  ends: {}", ends(rows));
+    for row in &rows.rollouts {
+        let end = row.told.iter().rev().find(|told| told.target == row.target);
+        let end = end.map_or("not told", |told| told.state.as_str());
+        let kind = if row.unsound { "unsound" } else { "sound" };
+        println!("  roll-out of {} to {} ({kind}): {end}", row.service, row.target);
+    }
+    if verdict.broken.is_empty() {
+        let _ = std::fs::remove_dir_all(&plan.folder);
+        return true;
+    }
+    for step in &verdict.steps {
+        println!("  {:>6} {:?}", step.at_ms, step.disturbance);
+    }
+    for broken in verdict.broken.iter().take(20) {
+        println!("  BROKEN {}: {}", broken.promise, broken.seen);
+    }
+    println!("  spans: {:?}", rows.spans);
+    println!("  logs: {}", plan.folder.display());
+    false
+}
--- /dev/null
+++ b/soak/src/schedule.rs
@@ -0,0 +1,191 @@
+//! The schedule of a run: which disturbance comes when. The same seed gives the same schedule.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::link::LinkMode;
+
+/// What is wrong with a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionFault {
+    /// Nothing.
+    None,
+    /// Three in ten answers are failures.
+    Fails,
+    /// Half of the answers come late.
+    Slow,
+    /// As `Fails`, from [`LATER_MS`] after the start on.
+    FailsLater,
+}
+
+/// When a version that is sound at first turns unsound, after its start.
+pub const LATER_MS: u128 = 7_000;
+
+impl VersionFault {
+    /// Whether the run of this number, so long after the upstream's start, is bad.
+    pub fn is_bad(self, run: u64, age_ms: u128) -> bool {
+        match self {
+            VersionFault::None => false,
+            VersionFault::Fails => run % 10 < 3,
+            VersionFault::Slow => run % 2 == 0,
+            VersionFault::FailsLater => age_ms > LATER_MS && run % 10 < 3,
+        }
+    }
+}
+
+/// What breaks, or is ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Disturbance {
+    /// SIGTERM to a VM; it is started again once it has ended.
+    StopVm(usize),
+    /// SIGKILL to a VM, and a new start after so many milliseconds.
+    KillVm(usize, u64),
+    /// SIGKILL to all VMs, and a new start.
+    KillAll,
+    /// SIGSTOP to a VM, and SIGCONT after so many milliseconds.
+    FreezeVm(usize, u64),
+    /// SIGHUP to a VM with changed settings; some can't be read.
+    ReloadVm(usize, bool),
+    /// A VM's files can't grow for so many milliseconds.
+    FailDisk(usize, u64),
+    /// An upstream crashes and starts again, under its id or another.
+    RestartUpstream(usize, bool, u64),
+    /// An upstream leaves, ends, and another life comes to its place.
+    LeaveUpstream(usize, u64),
+    /// An upstream fails, cuts or mixes up part of its answers.
+    FaultyUpstream(usize, u64),
+    /// The link of VMs to an upstream.
+    UpstreamLink(usize, LinkMode, u64),
+    /// The links between a VM and all others: what it is sent, and what it sends.
+    PeerLinks(usize, LinkMode, LinkMode, u64),
+    /// The link of callers to a VM.
+    FrontLink(usize, LinkMode, u64),
+    /// The list of upstreams can't be had.
+    ListLink(LinkMode, u64),
+    /// The list holds entries that can't be read.
+    ListEntries(u64),
+    /// A configuration that moves a route.
+    PutDocument,
+    /// A configuration that takes a key away.
+    RevokeKey,
+    /// A configuration that is not valid.
+    PutInvalid,
+    /// A service's traffic is to be moved to a new version within so many seconds.
+    RollOut(usize, u64, VersionFault),
+    /// A zone is emptied for so many milliseconds.
+    EmptyZone(usize, u64),
+}
+
+/// A disturbance and its time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedStep {
+    /// Milliseconds after the start of the schedule.
+    pub at_ms: u64,
+    /// What happens.
+    pub disturbance: Disturbance,
+}
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunSize {
+    /// VMs, of which the first three have a disk.
+    pub vms: usize,
+    /// Upstreams, in turn of the services and zones.
+    pub upstreams: usize,
+    /// Callers at each VM.
+    pub callers: usize,
+    /// How long disturbances come.
+    pub disturbed_ms: u64,
+}
+
+/// The usual size.
+pub const USUAL_SIZE: RunSize = RunSize { vms: 3, upstreams: 6, callers: 12, disturbed_ms: 16_000 };
+
+/// What `--large` asks for.
+pub const LARGE_SIZE: RunSize =
+    RunSize { vms: 6, upstreams: 12, callers: 12, disturbed_ms: 40_000 };
+
+/// The size of the runs among the tests.
+pub const SHORT_SIZE: RunSize = RunSize { vms: 3, upstreams: 4, callers: 6, disturbed_ms: 6_000 };
+
+/// Each so-many-th seed holds planned work only: nothing then excuses a cut.
+const PLANNED_EACH: u64 = 4;
+/// Kinds of planned work, as [`draw`] numbers them.
+const PLANNED_KINDS: std::ops::Range<u32> = 0..14;
+/// All kinds.
+const ALL_KINDS: std::ops::Range<u32> = 0..35;
+
+/// The schedule of a seed, in order of time.
+pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let planned = seed % PLANNED_EACH == 0;
+    let mut steps = Vec::new();
+    let mut at_ms = 500;
+    while at_ms < size.disturbed_ms {
+        // A series: some disturbances close together, which overlap; then a pause.
+        for _ in 0..random.gen_range(1..5) {
+            steps.push(PlannedStep { at_ms, disturbance: draw(&mut random, size, planned) });
+            at_ms += random.gen_range(20..400);
+        }
+        at_ms += random.gen_range(300..3_500);
+    }
+    steps
+}
+
+fn draw(random: &mut StdRng, size: RunSize, planned: bool) -> Disturbance {
+    let vm = random.gen_range(0..size.vms);
+    let upstream = random.gen_range(0..size.upstreams);
+    let ms = random.gen_range(100..4_000);
+    let kinds = if planned { PLANNED_KINDS } else { ALL_KINDS };
+    match random.gen_range(kinds) {
+        0..=3 => Disturbance::StopVm(vm),
+        4 => Disturbance::ReloadVm(vm, random.gen()),
+        5..=6 => Disturbance::LeaveUpstream(upstream, 4_500 + ms),
+        7..=8 => Disturbance::PutDocument,
+        9 => Disturbance::RevokeKey,
+        10 => Disturbance::PutInvalid,
+        11 => Disturbance::EmptyZone(random.gen_range(0..3), 9_000 + 2 * ms),
+        12..=13 => {
+            let faults = [VersionFault::None, VersionFault::Fails, VersionFault::Slow];
+            let fault = faults[random.gen_range(0..3)];
+            Disturbance::RollOut(random.gen_range(0..2), random.gen_range(8..14), fault)
+        }
+        14 => Disturbance::ListEntries(3 * ms),
+        15 => Disturbance::KillAll,
+        16..=18 => Disturbance::KillVm(vm, ms),
+        19..=21 => Disturbance::FreezeVm(vm, 2 * ms),
+        22 => Disturbance::FailDisk(vm, ms),
+        23..=24 => Disturbance::RestartUpstream(upstream, random.gen(), ms),
+        25..=26 => Disturbance::FaultyUpstream(upstream, ms),
+        27..=28 => Disturbance::UpstreamLink(upstream, link(random), ms),
+        29..=32 => {
+            let (comes, goes) = cut(random);
+            Disturbance::PeerLinks(vm, comes, goes, 2 * ms)
+        }
+        33 => Disturbance::FrontLink(vm, link(random), ms),
+        _ => Disturbance::ListLink(link(random), ms),
+    }
+}
+
+/// How a VM is cut off: both ways, one way, or by slow links.
+fn cut(random: &mut StdRng) -> (LinkMode, LinkMode) {
+    match random.gen_range(0..5) {
+        0..=1 => (LinkMode::Silent, LinkMode::Silent),
+        2 => (LinkMode::Silent, LinkMode::Open),
+        3 => (LinkMode::Open, LinkMode::Silent),
+        _ => {
+            let slow = LinkMode::Delay(random.gen_range(20..300));
+            (slow, slow)
+        }
+    }
+}
+
+fn link(random: &mut StdRng) -> LinkMode {
+    match random.gen_range(0..5) {
+        0 => LinkMode::Delay(random.gen_range(20..400)),
+        1 => LinkMode::Reset,
+        2 => LinkMode::HoldForward,
+        3 => LinkMode::HoldBack,
+        _ => LinkMode::Silent,
+    }
+}
