--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -13,6 +13,7 @@
 
 use crate::http::{connect, CallSender};
 use crate::ledger::{AskEnd, AskKind, AskRow, RunLedger};
+use crate::platform::ATTEMPT;
 use crate::process::VmPlace;
 use crate::upstream::{plain_body, STREAM_EVENTS};
 
@@ -118,7 +119,7 @@
             .method("POST")
             .uri(format!("/{route}/x"))
             .header("host", "a.example")
-            .header("x-attempt-id", attempt)
+            .header(ATTEMPT, attempt)
             .header("x-key", key)
             .header("x-deadline-ms", DEADLINE_MS)
             .body(Full::new(Bytes::from_static(b"question")))
@@ -132,7 +133,7 @@
 
 async fn read_answer(answer: Response<Incoming>, route: &str, attempt: &str) -> AskEnd {
     let status = answer.status().as_u16();
-    let named = answer.headers().get("x-attempt-id").and_then(|id| id.to_str().ok());
+    let named = answer.headers().get(ATTEMPT).and_then(|id| id.to_str().ok());
     let named = named.map(str::to_string);
     let body = match answer.into_body().collect().await {
         Ok(body) => body.to_bytes(),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod list;
 pub mod operator;
 pub mod peer_link;
+pub mod platform;
 pub mod process;
 pub mod rollouts;
 pub mod run;
--- a/soak/src/list.rs
+++ b/soak/src/list.rs
@@ -16,6 +16,7 @@
 use tokio::task::spawn_local;
 
 use crate::link::LinkProxy;
+use crate::platform::entry::entry;
 use crate::upstream::UpstreamPlace;
 
 /// Entries of one page.
@@ -52,14 +53,7 @@
             values.push(json!({"id": 7, "service": null, "address": "nowhere", "state": {}}));
             values.push(json!("no entry"));
         }
-        values.extend(self.rows.iter().flatten().map(|row| {
-            json!({
-                "id": row.id, "service": row.place.service, "zone": row.place.zone,
-                "address": row.place.listed.to_string(), "version": row.version, "slots": 32,
-                "born": row.born_ms, "coldLeftMs": 0,
-                "state": if row.leaving { "draining" } else { "ready" },
-            })
-        }));
+        values.extend(self.rows.iter().flatten().map(entry));
         values
     }
 
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde_json::json;
-
 use crate::http::call_once;
 use crate::ledger::{DocumentRow, OrderRow, OrderWhat, ReadRow, RunLedger};
+use crate::platform::document::document;
+use crate::platform::PUT_DOCUMENT;
 use crate::process::VmPlace;
 
 /// A VM that has not answered by then is left for the next.
@@ -53,7 +53,7 @@
         };
         let (path, body) = match &what {
             OrderWhat::Document(row) | OrderWhat::Invalid(row) => {
-                ("/config/put".to_string(), row.text.as_str())
+                (PUT_DOCUMENT.to_string(), row.text.as_str())
             }
             OrderWhat::EmptyZone(zone) => (format!("/evacuations/{zone}/start"), ""),
             OrderWhat::ReturnZone(zone) => (format!("/evacuations/{zone}/end"), ""),
@@ -101,36 +101,6 @@
     serde_json::from_str::<serde_json::Value>(text).ok()?["version"].as_u64()
 }
 
-fn document(version: u64, keys_taken: u64) -> DocumentRow {
-    let moved_to = if version % 2 == 0 { "s1" } else { "s2" };
-    let keys = vec!["steady".to_string(), format!("key-{keys_taken}")];
-    let route = |name: &str, kind: &str, service: &str, most: u32, resume: bool| {
-        json!({
-            "name": name, "host": "a.example", "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": 4000, "goalMs": 300, "priority": 1, "service": service,
-            "maxAttempts": most, "public": false, "sticky": false, "canResume": resume,
-            "gapTargetMs": 300,
-        })
-    };
-    let service = |name: &str| json!({"name": name, "healthPath": "/health", "maxConns": 200});
-    let text = json!({
-        "version": version,
-        "routes": [
-            route("once", "unsafe", "s1", 1, false), route("twice", "unsafe", "s1", 3, false),
-            route("safe", "safe", "s1", 3, false), route("stream", "streaming", "s1", 2, false),
-            route("resume", "streaming", "s1", 3, true),
-            route("moved", "unsafe", moved_to, 2, false),
-        ],
-        "services": [service("s1"), service("s2")],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
-        "tenants": [
-            {"name": "t1", "apiKeys": [keys[0]]}, {"name": "t2", "apiKeys": [keys[1]]},
-        ],
-    });
-    DocumentRow { version, moved_to: moved_to.to_string(), keys, text: text.to_string() }
-}
-
 /// A configuration that is not valid: two routes have one prefix.
 pub fn invalid_document(row: &DocumentRow) -> DocumentRow {
     let mut value: serde_json::Value = serde_json::from_str(&row.text).expect("our own text");
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -9,20 +9,21 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 
-use serde_json::{json, Value};
+use crate::platform::settings::settings;
+use crate::platform::SETTINGS_VARIABLE;
 
 /// The port of callers, behind the link.
-const FRONT_PORT: u16 = 8001;
+pub const FRONT_PORT: u16 = 8001;
 /// The port of the platform's own question.
-const READY_PORT: u16 = 8002;
+pub const READY_PORT: u16 = 8002;
 /// The port of operators.
-const CONTROL_PORT: u16 = 8003;
+pub const CONTROL_PORT: u16 = 8003;
 /// The port of the directory.
-const DIRECTORY_PORT: u16 = 8004;
+pub const DIRECTORY_PORT: u16 = 8004;
 /// The first port between VMs is this one and the VM's index more, see `peer_link`.
-const PEER_PORT: u16 = 8010;
+pub const PEER_PORT: u16 = 8010;
 /// The last port of each VM's range.
-const LAST_PORT: u16 = 8090;
+pub const LAST_PORT: u16 = 8090;
 /// The port of the near end of callers' link.
 const LINK_PORT: u16 = 8101;
 
@@ -77,33 +78,9 @@
         self.folder.join("settings.json")
     }
 
-    /// The settings; `change` makes them differ from the last ones.
-    fn settings(&self, first: bool, change: u64) -> Value {
-        let ip = &self.ip;
-        let data = self.folder.join("data");
-        json!({
-            "node": format!("vm-{}", self.index), "ip": ip,
-            "zone": format!("z-{}", self.index % 3),
-            "listen": {
-                "front": format!("{ip}:{FRONT_PORT}"), "ready": format!("{ip}:{READY_PORT}"),
-                "control": format!("{ip}:{CONTROL_PORT}"),
-                "directory": format!("{ip}:{DIRECTORY_PORT}"),
-            },
-            "zones": {"z-0": "r", "z-1": "r", "z-2": "r"},
-            "portRange": [PEER_PORT + self.index as u16, LAST_PORT], "seeds": self.seeds, "bootstrap": first,
-            "dataDir": self.disk.then_some(data), "tolerate": {"machines": 1},
-            "bounds": {
-                "revokeMs": 5000, "drainMs": 4000, "configApplyMs": 2500, "graceS": 8,
-                "budgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 60 + change % 7,
-                "exposeShare": 0.1, "exposeSlack": 50,
-            },
-            "cloud": {"address": self.list, "ratePerS": 50, "maxLagMs": 300},
-        })
-    }
-
     /// Writes settings that differ from the last; such as can't be read when `broken`.
     pub fn write_settings(&self, first: bool, change: u64, broken: bool) -> std::io::Result<()> {
-        let mut text = self.settings(first, change).to_string();
+        let mut text = settings(self, first, change).to_string();
         if broken {
             text.truncate(text.len() / 2);
         }
@@ -123,7 +100,7 @@
         fs::create_dir_all(place.folder.join("data"))?;
         place.write_settings(first, 0, false)?;
         let mut command = Command::new(program);
-        command.env("WINGSHED_BOOT", place.settings_path()).stdin(Stdio::null());
+        command.env(SETTINGS_VARIABLE, place.settings_path()).stdin(Stdio::null());
         command.stderr(append(&place.folder.join("errors"))?).stdout(Stdio::piped());
         // SAFETY: only system calls that are safe after fork.
         unsafe {
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -25,6 +25,7 @@
 
 use crate::ledger::{RunLedger, RunRow};
 use crate::link::LinkProxy;
+use crate::platform::{ATTEMPT, EXPECTED_LIFE, NOT_RUN, STAMP};
 use crate::schedule::VersionFault;
 
 /// Requests at which an upstream says that it is full.
@@ -175,7 +176,7 @@
 }
 
 fn not_run(status: u16) -> Response<AnswerBody> {
-    let answer = Response::builder().status(status).header("x-not-executed", "1");
+    let answer = Response::builder().status(status).header(NOT_RUN, "1");
     answer.body(full(String::new())).expect("a plain head")
 }
 
@@ -194,14 +195,14 @@
         return Ok(answer.body(full(String::new())).expect("a plain head"));
     }
     body.collect().await?;
-    let expected = named("x-expect-instance");
+    let expected = named(EXPECTED_LIFE);
     if !expected.is_empty() && expected != state.id {
         return Ok(not_run(421));
     }
     if state.running.get() >= UPSTREAM_PLACES {
         return Ok(not_run(503));
     }
-    let attempt = named("x-attempt-id");
+    let attempt = named(ATTEMPT);
     let after_event = named("last-event-id").parse().unwrap_or(0);
     let guard = RunningGuard::new(&state);
     let bad = state.fault.is_bad(next_run(), state.started.elapsed().as_millis());
@@ -217,8 +218,8 @@
         workspace: named("x-tenant"),
     });
     let mut answer = Response::builder()
-        .header("x-attempt-id", &attempt)
-        .header("x-response-stamp", &state.id)
+        .header(ATTEMPT, &attempt)
+        .header(STAMP, &state.id)
         .header("x-server-load", format!("{},0,{UPSTREAM_PLACES}", state.running.get()));
     if state.leaving.get() {
         answer = answer.header("connection", "close");
@@ -254,8 +255,8 @@
         }
         2 => {
             let other = "00000000000000ff";
-            let answer = Response::builder().header("x-attempt-id", other);
-            answer.header("x-response-stamp", "late").body(full(plain_body(other)))
+            let answer = Response::builder().header(ATTEMPT, other);
+            answer.header(STAMP, "late").body(full(plain_body(other)))
         }
         _ => answer.body(full(body)),
     };
