--- a/lib/tests/test_rollout_evidence.rs
+++ b/lib/tests/test_rollout_evidence.rs
@@ -183,6 +183,9 @@
     target_ms: f64,
 }
 
+/// Flows on all routes one after the other, each for a number of looks.
+type FlowList<'a> = &'a [(&'a [Flow], u64)];
+
 const SOUND: Flow = Flow { base: (46, 0), target: (4, 0), base_ms: 80.0, target_ms: 80.0 };
 
 fn add(arm: &mut ArmSums, (well, bad): (u32, u32), pace_ms: f64) {
@@ -197,8 +200,8 @@
     }
 }
 
-/// Looks at flows one after the other, each for a number of looks; when it was found and what.
-fn judged(flows: &[(&[Flow], u64)]) -> Option<(u64, UnsoundFinding)> {
+/// Looks at flows; when it was found and what.
+fn judged(flows: FlowList) -> Option<(u64, UnsoundFinding)> {
     let mut verdict = VerdictState::default();
     let mut rows: Vec<RouteSums> = Vec::new();
     let mut look = 0;
@@ -225,7 +228,7 @@
 fn what_hits_both_sides_alike_is_no_sign() {
     let fails = Flow { base: (40, 6), target: (3, 1), ..SOUND };
     let slow = Flow { base_ms: 640.0, target_ms: 640.0, ..SOUND };
-    let cases: [(&str, &[(&[Flow], u64)]); 4] = [
+    let cases: [(&str, FlowList); 4] = [
         ("sound", &[(&[SOUND], 300)]),
         ("a route that fails everywhere", &[(&[SOUND, fails, fails], 20)]),
         ("a burst", &[(&[SOUND], 50), (&[slow], 20), (&[SOUND], 50), (&[slow], 20)]),
@@ -240,7 +243,7 @@
 fn each_kind_of_unsoundness_is_found_in_time() {
     let fails = Flow { target: (3, 1), ..SOUND };
     let slow = Flow { target_ms: 320.0, ..SOUND };
-    let cases: [(&str, &[(&[Flow], u64)], UnsoundSign, u64); 4] = [
+    let cases: [(&str, FlowList, UnsoundSign, u64); 4] = [
         ("fails from the start", &[(&[fails], 100)], UnsoundSign::Failures, 3000),
         ("slow from the start", &[(&[slow], 100)], UnsoundSign::Slow, 4000),
         ("fails late", &[(&[SOUND], 150), (&[fails], 100)], UnsoundSign::Failures, 18_000),
