--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -29,6 +29,9 @@
     /// the program of a VM; beside this one by default
     #[argh(option)]
     program: Option<PathBuf>,
+    /// keep the logs of sound runs too
+    #[argh(switch)]
+    keep: bool,
     /// where logs of failed seeds are kept
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     folder: PathBuf,
@@ -90,7 +93,13 @@
         };
         played += 1;
         match play_steps(&plan, steps).await {
-            Ok(verdict) => failed += u64::from(!tell(&name, &plan, &verdict)),
+            Ok(verdict) => {
+                let sound = tell(&name, &plan, &verdict);
+                failed += u64::from(!sound);
+                if sound && !arguments.keep {
+                    let _ = std::fs::remove_dir_all(&plan.folder);
+                }
+            }
             Err(error) => {
                 println!("{name}: could not be played: {error}");
                 failed += 1;
@@ -132,7 +141,6 @@
         println!("  roll-out of {} to {} ({kind}): {end}", row.service, row.target);
     }
     if verdict.broken.is_empty() {
-        let _ = std::fs::remove_dir_all(&plan.folder);
         return true;
     }
     for step in &verdict.steps {
