--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -52,12 +52,24 @@
     place: VmPlace,
     random: StdRng,
     sender: Option<CallSender>,
+    steady: bool,
 }
 
 impl SoakCaller {
     /// A caller of the VM at `place`.
     pub fn new(shared: Rc<CallerShared>, place: VmPlace, seed: u64) -> SoakCaller {
-        SoakCaller { shared, place, random: StdRng::seed_from_u64(seed), sender: None }
+        SoakCaller {
+            shared,
+            place,
+            random: StdRng::seed_from_u64(seed),
+            sender: None,
+            steady: false,
+        }
+    }
+
+    /// The same with the key that is never taken away.
+    pub fn steady(self) -> SoakCaller {
+        SoakCaller { steady: true, ..self }
     }
 
     /// Asks until callers shall stop.
@@ -99,6 +111,9 @@
 
     fn draw_key(&mut self) -> String {
         let keys = self.shared.keys.borrow();
+        if self.steady {
+            return keys.first().cloned().unwrap_or_default();
+        }
         // Now and then the key before the newest, which may be taken away by now.
         let back = if self.random.gen_bool(0.15) { 2 } else { 1 };
         keys.get(keys.len().saturating_sub(back)).cloned().unwrap_or_default()
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -181,7 +181,8 @@
         return Some(format!("version {version} is read back, {acked} was acknowledged"));
     }
     let seed = site.ledger.now_ms() ^ ((vm as u64) << 56);
-    let mut caller = SoakCaller::new(shared.clone(), site.vms[vm].place.clone(), seed);
+    let caller = SoakCaller::new(shared.clone(), site.vms[vm].place.clone(), seed);
+    let mut caller = caller.steady();
     for at in 0..PROBES {
         let (route, kind) =
             if at % 2 == 0 { ("safe", AskKind::Safe) } else { ("once", AskKind::Once) };
