--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -15,6 +15,8 @@
 /// A roll-out ends by its deadline; it is waited for this much longer than it was granted, in seconds:
 /// a leader that was lost counts the time from its start, and VMs may not answer for a while.
 const WAIT_MARGIN_S: f64 = 30.0;
+/// Whatever a VM answers, no order is waited for longer than one may be granted, in seconds: a day.
+const LONGEST_WAIT_S: f64 = 86_400.0;
 
 /// move a service's traffic to upstreams of another version, on trial first
 #[derive(FromArgs)]
@@ -208,7 +210,8 @@
 
 /// Asks until the order has ended; says each change of its phase.
 fn wait_end(client: &VmClient, began: RolloutView) -> Result<RolloutView, String> {
-    let until = Instant::now() + Duration::from_secs_f64(began.granted_s + WAIT_MARGIN_S);
+    let wait_s = began.granted_s.clamp(0.0, LONGEST_WAIT_S) + WAIT_MARGIN_S;
+    let until = Instant::now() + Duration::from_secs_f64(wait_s);
     let mut view = began;
     while !view.is_end() {
         eprintln!("wingshed: order {} is in phase {}", view.number, view.phase);
