rollouts: how far one has come is told only on the leader's own proof

Cause: a question waited for the proof of the configuration, which other VMs give too; they tell nothing of orders. Change: such questions, and those for zones, wait for a grant, which brings the orders.

--- a/lib/src/coordination/rollout_watch.rs
+++ b/lib/src/coordination/rollout_watch.rs
@@ -162,6 +162,11 @@
         self.proved_ms = self.proved_ms.max(Some(at_ms));
     }
 
+    /// When what is known was surely all there was; `None` before the first proof.
+    pub fn proved_ms(&self) -> Option<u64> {
+        self.proved_ms
+    }
+
     fn is_fresh(&self, now_ms: u64) -> bool {
         self.proved_ms.is_some_and(|proved_ms| proved_ms + PROOF_MS > now_ms)
     }
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -472,10 +472,21 @@
     /// Waits until the book in force is surely the newest as of `since_ms`; false when it
     /// can't be told in time.
     pub async fn confirm(&self, since_ms: u64, patience: Duration) -> bool {
+        self.wait_for_proof(patience, || self.contact.borrow().confirmed_ms() >= since_ms).await
+    }
+
+    /// The same for orders of zones and roll-outs. Other VMs prove the configuration too, and tell
+    /// nothing of orders: only the leader does.
+    pub async fn confirm_orders(&self, since_ms: u64, patience: Duration) -> bool {
+        let proved = || self.rollouts.borrow().watch().proved_ms() >= Some(since_ms);
+        self.wait_for_proof(patience, proved).await
+    }
+
+    async fn wait_for_proof(&self, patience: Duration, proved: impl Fn() -> bool) -> bool {
         let confirmed = async {
             loop {
                 let changed = self.contact_changed.notified();
-                if self.contact.borrow().confirmed_ms() >= since_ms {
+                if proved() {
                     return;
                 }
                 changed.await;
--- a/lib/src/transport/vm_fleet_calls.rs
+++ b/lib/src/transport/vm_fleet_calls.rs
@@ -56,7 +56,7 @@
 }
 
 async fn get(node: &Rc<VmNode>, service: &str) -> Response<AnswerBody> {
-    match node.confirm(node.now_ms(), ANSWER_TIME).await {
+    match node.confirm_orders(node.now_ms(), ANSWER_TIME).await {
         true => row_answer(node, service),
         false => not_sure(),
     }
@@ -65,7 +65,7 @@
 /// Rolls back the order that was the last one when the operator asked, never a later one.
 async fn abort(node: &Rc<VmNode>, service: String) -> Response<AnswerBody> {
     let arrived_ms = node.now_ms();
-    if !node.confirm(arrived_ms, ANSWER_TIME).await {
+    if !node.confirm_orders(arrived_ms, ANSWER_TIME).await {
         return not_sure();
     }
     let Some(number) = node.last_rollout(&service) else { return row_answer(node, &service) };
@@ -80,7 +80,7 @@
 }
 
 async fn list_rollouts(node: &Rc<VmNode>) -> Response<AnswerBody> {
-    if !node.confirm(node.now_ms(), ANSWER_TIME).await {
+    if !node.confirm_orders(node.now_ms(), ANSWER_TIME).await {
         return not_sure();
     }
     let desk = node.rollouts.borrow();
@@ -93,7 +93,7 @@
 }
 
 async fn list_zones(node: &Rc<VmNode>) -> Response<AnswerBody> {
-    if !node.confirm(node.now_ms(), ANSWER_TIME).await {
+    if !node.confirm_orders(node.now_ms(), ANSWER_TIME).await {
         return not_sure();
     }
     let zones = node.known_zones();
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -86,7 +86,7 @@
 
 /// Serves an operator's question how far a roll-out has come.
 pub async fn get_rollout(node: Rc<VmNode>, service: String) -> Response<AnswerBody> {
-    if !node.confirm(node.now_ms(), ANSWER_TIME).await {
+    if !node.confirm_orders(node.now_ms(), ANSWER_TIME).await {
         return not_sure();
     }
     let desk = node.rollouts.borrow();
