--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -3,9 +3,11 @@
 use argh::FromArgs;
 
 use crate::bench_rollouts::{self, RolloutsOptions};
-use crate::{bench_classes, bench_control, bench_decision, bench_keeper, bench_relay};
+use crate::{
+    bench_classes, bench_control, bench_decision, bench_keeper, bench_relay, bench_rollout_cost,
+};
 
-/// measure: decision, relay, streams, keeper, control, classes, rollouts or memory
+/// measure: decision, relay, streams, keeper, control, classes, rollouts, rollout-cost or memory
 #[derive(FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub struct BenchCommand {
@@ -37,6 +39,7 @@
             let BenchCommand { seeds, rate, seconds, .. } = *command;
             bench_rollouts::rollouts(&RolloutsOptions { seeds, rate, seconds });
         }
+        "rollout-cost" => bench_rollout_cost::cost(),
         other => return Err(format!("there is no measurement `{other}`")),
     }
     Ok(true)
--- /dev/null
+++ b/cli/src/bench_rollout_cost.rs
@@ -0,0 +1,82 @@
+//! What evidence of a roll-out costs: bytes a renewal, and the leader's time for taking and judging it.
+
+use std::time::Instant;
+
+use wingshed_lib::coordination::rollout_evidence::{
+    EvidenceLedger, EvidenceTable, RolloutArm, RouteKey, TrialOutcome,
+};
+use wingshed_lib::coordination::rollout_verdict::VerdictState;
+use wingshed_lib::coordination::rollout_watch::RolloutNote;
+use wingshed_lib::protocol::vm_wire::encode;
+use wingshed_lib::state::rollout_order::VersionKey;
+
+use crate::table::to_text;
+
+const VMS: [u32; 3] = [63, 300, 400];
+const ROUTES: [u32; 2] = [3, 16];
+/// Renewals of each VM: those of 12 seconds.
+const ROUNDS: u64 = 40;
+const RENEW_MS: u64 = 300;
+
+/// Prints bytes and times.
+pub fn cost() {
+    let mut rows = Vec::new();
+    for vms in VMS {
+        for routes in ROUTES {
+            rows.push(cost_of(vms, routes));
+        }
+    }
+    let head = ["VMs", "routes", "bytes a renewal", "take, us", "look, us", "leader, % of a core"];
+    print!("{}", to_text(&head, &rows));
+}
+
+fn cost_of(vms: u32, routes: u32) -> Vec<String> {
+    let mut ledgers: Vec<EvidenceLedger> = (0..vms).map(|_| EvidenceLedger::new(1)).collect();
+    let (mut table, mut verdict) = (EvidenceTable::default(), VerdictState::default());
+    let (mut took_us, mut looked_us, mut bytes) = (0.0, 0.0, 0);
+    for round in 0..ROUNDS {
+        for (vm, ledger) in ledgers.iter_mut().enumerate() {
+            send_some(ledger, routes, round + vm as u64);
+            let rows = ledger.rows();
+            let note = RolloutNote {
+                service: VersionKey(7),
+                number: 1,
+                step: 1,
+                base_in_flight: 3,
+                rows: rows.clone(),
+            };
+            bytes = encode(&note).len();
+            let began = Instant::now();
+            table.take(vm as u32, 1, rows, round * RENEW_MS);
+            took_us += began.elapsed().as_secs_f64() * 1e6;
+        }
+        let began = Instant::now();
+        let found = verdict.judge(&table.sums(), round * RENEW_MS);
+        looked_us += began.elapsed().as_secs_f64() * 1e6;
+        assert!(found.is_none(), "both sides are alike");
+    }
+    let take_us = took_us / (ROUNDS * u64::from(vms)) as f64;
+    let look_us = looked_us / ROUNDS as f64;
+    let renewals_per_s = f64::from(vms) * 1000.0 / RENEW_MS as f64;
+    let looks_per_s = 20.0;
+    let part = (renewals_per_s * take_us + looks_per_s * look_us) / 1e4;
+    vec![
+        vms.to_string(),
+        routes.to_string(),
+        bytes.to_string(),
+        format!("{take_us:.1}"),
+        format!("{look_us:.1}"),
+        format!("{part:.2}"),
+    ]
+}
+
+/// One request to each side of each route.
+fn send_some(ledger: &mut EvidenceLedger, routes: u32, draw: u64) {
+    for route in 0..routes {
+        for arm in [RolloutArm::Base, RolloutArm::Target] {
+            let pace_ms = Some(20.0 + (draw * 7 % 13) as f64);
+            let outcome = TrialOutcome::Well { pace_ms, first_ms: pace_ms };
+            ledger.note(RouteKey(route + 1), arm, &outcome);
+        }
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod bench_decision;
 mod bench_keeper;
 mod bench_relay;
+mod bench_rollout_cost;
 mod bench_rollouts;
 mod check;
 mod config;
