rollouts: a leader that may not have heard all VMs hands nothing out at the start

Cause: what may be sent beside the share was divided among the VMs that the leader heard when it took the order. A leader of 0.1 s has heard one or two: each of 63 VMs would then take the whole part, 787 requests where 50 are allowed. Found by reading; operators repeat an order just after a leader was lost. Result: a test of 63 VMs: within the bound, beyond it by what was heard first.

--- a/lib/src/coordination/rollout_share.rs
+++ b/lib/src/coordination/rollout_share.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::rollout_evidence::RouteKey;
+use super::vm_roster::SETTLE_MS;
 
 /// The part of the bound on the share that is used. The rest is for what VMs' draws deviate by, and
 /// for requests that they count and that reach no upstream: of 6,000 random fleets with restarts and
@@ -24,6 +25,17 @@
 /// The part of the target's upstreams that the trial goes to is never below this many.
 const LEAST_TRIED: usize = 1;
 
+/// Among how many VMs what is handed out at the start is shared, by a leader that has led for `led_ms`
+/// and hears `heard` of them. One that may not have heard all yet hands out nothing: with the first
+/// VM's renewal alone each of 63 VMs would take the whole part, 787 requests where 50 are allowed
+/// (worked out).
+pub fn sharing_vms(heard: usize, led_ms: u64) -> u32 {
+    match led_ms >= SETTLE_MS {
+        true => heard as u32,
+        false => u32::MAX,
+    }
+}
+
 /// What a deployment lets an unsound version have.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExposureBound {
--- a/lib/src/state/rollout_order.rs
+++ b/lib/src/state/rollout_order.rs
@@ -73,7 +73,7 @@
     /// How long it may take, in milliseconds.
     pub duration_ms: u64,
     /// VMs that the leader heard when it took the order; each has its part of what is handed out at
-    /// the start.
+    /// the start. So many that no part is left where it may not have heard all.
     pub vms: u32,
 }
 
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -18,7 +18,7 @@
 use super::vm_relay::AnswerBody;
 use crate::coordination::rollout_evidence::{RolloutArm, RouteKey, TrialOutcome};
 use crate::coordination::rollout_lead::{ProposedStep, TargetStanding};
-use crate::coordination::rollout_share::ExposureBound;
+use crate::coordination::rollout_share::{sharing_vms, ExposureBound};
 use crate::coordination::rollout_watch::{RolloutLane, RolloutNote, TrialTag, VersionRule};
 use crate::coordination::vm_roster::pressed_renew_ms;
 use crate::protocol::vm_wire::{encode, FleetOrder, OrderEnd, RolloutWish, VmDatagram, VmId};
@@ -150,7 +150,7 @@
             number: number + 1,
             target: wish.target,
             duration_ms: wish.duration_ms,
-            vms: keeper.roster.rows().len() as u32,
+            vms: sharing_vms(keeper.roster.rows().len(), keeper.led_ms(now_ms)),
         })))
     }
 
--- a/lib/tests/test_rollouts.rs
+++ b/lib/tests/test_rollouts.rs
@@ -8,7 +8,7 @@
 use wingshed_lib::coordination::rollout_counts::{RolloutCounts, SideCount};
 use wingshed_lib::coordination::rollout_evidence::{RolloutArm, RouteKey, TrialOutcome};
 use wingshed_lib::coordination::rollout_lead::{RolloutLead, TargetStanding};
-use wingshed_lib::coordination::rollout_share::{ExposureBound, TrialLedger};
+use wingshed_lib::coordination::rollout_share::{sharing_vms, ExposureBound, TrialLedger};
 use wingshed_lib::coordination::rollout_watch::{RolloutLane, RolloutNote, RolloutWatch, PROOF_MS};
 use wingshed_lib::state::fleet_record::{FleetCommand, FleetRecord, RecordChange};
 use wingshed_lib::state::rollout_order::{
@@ -242,6 +242,27 @@
     }
 }
 
+#[test]
+fn a_leader_that_may_not_have_heard_all_hands_nothing_out_at_the_start() {
+    let sent = |vms: u32| -> u64 {
+        let ledgers = (0..63).map(|seed| TrialLedger::new(BOUND, Some(vms), seed));
+        let tried = |mut ledger: TrialLedger| {
+            let next = |_| {
+                let tries = ledger.may_try(ROUTE);
+                ledger.note_sent(ROUTE, tries);
+                u64::from(tries)
+            };
+            (0..20).map(next).sum::<u64>()
+        };
+        ledgers.map(tried).sum()
+    };
+
+    assert_eq!(sharing_vms(63, 5000), 63);
+    let most = BOUND.share * (63.0 * 20.0) + BOUND.slack;
+    assert!(sent(sharing_vms(1, 100)) as f64 <= most);
+    assert!(sent(1) as f64 > most, "what it heard first is no count of the fleet");
+}
+
 struct LedFleet {
     lead: RolloutLead,
     table: RolloutTable,
