soak: networks apart from those of the tests

Cause: a soak by hand and the platform's tests draw networks on loopback by their process's number; a whole run of the tests was red at one test, its list's address in use, beside a soak at 127.150.7 to 127.150.9. Change: the soak takes 127.220 to 127.249. Result: no address in common.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use wingshed_soak::cases::cases;
 use wingshed_soak::ledger::{AskEnd, LedgerRows};
-use wingshed_soak::run::{play_steps, RunPlan, RunVerdict};
+use wingshed_soak::run::{play_steps, run_network, RunPlan, RunVerdict};
 use wingshed_soak::schedule::{schedule, PlannedStep, RunSize, LARGE_SIZE, USUAL_SIZE};
 
 /// breaks real processes by the schedules of seeds and checks what was promised
@@ -87,7 +87,7 @@
         let plan = RunPlan {
             seed,
             size,
-            network: format!("127.{}.{}", 100 + std::process::id() % 100, 1 + seed % 250),
+            network: run_network(1 + seed % 250),
             folder: arguments.folder.join(&name),
             program: program(arguments),
         };
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -193,3 +193,9 @@
     }
     None
 }
+
+/// A network on loopback for one run of this process. The tests of the platform use `127.20` to
+/// `127.219`; a soak beside them took the address of one's list.
+pub fn run_network(run: u64) -> String {
+    format!("127.{}.{run}", 220 + std::process::id() % 30)
+}
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use wingshed_soak::run::{play_steps, RunPlan};
+use wingshed_soak::run::{play_steps, run_network, RunPlan};
 use wingshed_soak::schedule::{schedule, SHORT_SIZE, USUAL_SIZE};
 
 /// `cargo test --workspace` builds it beside the tests, for the tests of its own crate.
@@ -31,7 +31,7 @@
     let plan = RunPlan {
         seed,
         size: SHORT_SIZE,
-        network: format!("127.{}.{seed}", 20 + std::process::id() % 80),
+        network: run_network(seed),
         folder: folder.path().join("run"),
         program: program(),
     };
