--- a/lib/tests/test_rollouts.rs
+++ b/lib/tests/test_rollouts.rs
@@ -447,3 +447,37 @@
     assert_eq!(after_end, expected);
     assert_eq!(watch.counts("s1"), RolloutCounts::default(), "the next one was known at its end");
 }
+
+#[test]
+fn of_two_services_rolled_out_at_once_the_unsound_one_alone_is_rolled_back() {
+    let mut both = table(&[]);
+    let second = RolloutOrder { service: "s2".to_string(), ..order(1) };
+    assert!(both.take(RolloutCommand::Start(second)));
+    let (mut lead, mut watch) = (RolloutLead::default(), RolloutWatch::default());
+    lead.observe(&[], 900);
+    watch.take(both.clone(), BOUND, 1);
+    let well = TrialOutcome::Well { pace_ms: Some(20.0), first_ms: None };
+    let standing = TargetStanding { able: 4, others: 4, ..TargetStanding::default() };
+    let mut ended = Vec::new();
+
+    for now_ms in (1000..6000).step_by(300) {
+        for (service, of_target) in [("s1", TrialOutcome::Bad), ("s2", well)] {
+            for (version, outcome, times) in [("v1", well, 10), ("v2", of_target, 3)] {
+                let tag = watch.note_sent(service, ROUTE, VersionKey::of(version)).unwrap();
+                for _ in 0..times {
+                    watch.note_end(&tag, &outcome);
+                }
+            }
+        }
+        lead.observe(both.rows(), now_ms);
+        lead.take(5, 1, 1, watch.notes(|_, _| 0), now_ms);
+        let vms = BTreeSet::from([1]);
+        let steps = lead.next_steps(both.rows(), &vms, |_| standing.clone(), 5000, now_ms);
+        for proposed in steps.into_iter().filter(|proposed| proposed.step.phase.is_end()) {
+            ended.push((proposed.step.service.clone(), proposed.step.phase));
+            assert!(both.take(RolloutCommand::Step(proposed.step)));
+        }
+    }
+
+    assert_eq!(ended, [("s1".to_string(), RolloutPhase::RolledBack)]);
+}
