orders: one piece each for what stood twice

Cause: a reading of what roll-outs, zones and the own interface brought. JSON answers were put together in four places, an order to begin a roll-out was read and refused in two, its longest time stood in three, the time for an operator's answer in three, the age at which a VM isn't heard any more in two. Each choice of an upstream looked up when every upstream of the service was first seen, though nothing asked for it; services without a roll-out paid for those with one; a table of orders was copied before it was known whether the other is later, and by a leader each 300 ms. Change: json_answer, begin_rollout, granted_ms, ANSWER_TIME, ROW_KEEP_MS serve all. A service that never got an order and has one version is told by versions alone. take_later returns what was before; news copies orders for whoever knows others. What VMs told a leader is one part that a new term begins anew. A parameter and a check that nothing used are gone.

--- a/cli/src/bench_rollout_cost.rs
+++ b/cli/src/bench_rollout_cost.rs
@@ -47,7 +47,7 @@
             };
             bytes = encode(&note).len();
             let began = Instant::now();
-            table.take(vm as u32, 1, rows, round * RENEW_MS);
+            table.take(vm as u32, 1, rows);
             took_us += began.elapsed().as_secs_f64() * 1e6;
         }
         let began = Instant::now();
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -6,6 +6,7 @@
 use wingshed_lib::protocol::fleet_calls::{
     RolloutView, RolloutWishBody, ZoneView, ROLLOUTS_PATH, ZONES_PATH,
 };
+use wingshed_lib::protocol::wire_adapter::LONGEST_GRANT_S;
 
 use crate::table::to_text;
 use crate::vm_client::{path_part, VmClient};
@@ -15,8 +16,6 @@
 /// A roll-out ends by its deadline; it is waited for this much longer than it was granted, in seconds:
 /// a leader that was lost counts the time from its start, and VMs may not answer for a while.
 const WAIT_MARGIN_S: f64 = 30.0;
-/// Whatever a VM answers, no order is waited for longer than one may be granted, in seconds: a day.
-const LONGEST_WAIT_S: f64 = 86_400.0;
 
 /// move a service's traffic to upstreams of another version, on trial first
 #[derive(FromArgs)]
@@ -210,7 +209,8 @@
 
 /// Asks until the order has ended; says each change of its phase.
 fn wait_end(client: &VmClient, began: RolloutView) -> Result<RolloutView, String> {
-    let wait_s = began.granted_s.clamp(0.0, LONGEST_WAIT_S) + WAIT_MARGIN_S;
+    // Whatever a VM answers, no order is waited for longer than one may be granted.
+    let wait_s = began.granted_s.clamp(0.0, LONGEST_GRANT_S) + WAIT_MARGIN_S;
     let until = Instant::now() + Duration::from_secs_f64(wait_s);
     let mut view = began;
     while !view.is_end() {
--- a/cli/src/rollout_play.rs
+++ b/cli/src/rollout_play.rs
@@ -342,7 +342,7 @@
             continue;
         }
         for vm in (0..VMS).filter(|vm| (tick + vm) % TELL_TICKS == 0) {
-            table.take(vm as u32, 1, state.vms[vm as usize].0.rows(), now_ms);
+            table.take(vm as u32, 1, state.vms[vm as usize].0.rows());
         }
         let sums = table.sums();
         if tick == case.move_tick() {
--- a/lib/src/coordination/rollout_evidence.rs
+++ b/lib/src/coordination/rollout_evidence.rs
@@ -265,7 +265,7 @@
     /// Takes what a life of a VM tells of all it has counted. A row that counts fewer sends than the
     /// one before was overtaken and changes nothing; a route that it tells no more, since others
     /// are tried more, stays as it was told last.
-    pub fn take(&mut self, vm: u32, life: u64, rows: Vec<RouteSums>, _now_ms: u64) {
+    pub fn take(&mut self, vm: u32, life: u64, rows: Vec<RouteSums>) {
         for row in rows {
             let known = self.told.entry((vm, life, row.route)).or_default();
             if row.all() > known.all() {
--- a/lib/src/coordination/rollout_lead.rs
+++ b/lib/src/coordination/rollout_lead.rs
@@ -10,6 +10,7 @@
 use super::rollout_evidence::EvidenceTable;
 use super::rollout_verdict::{is_enough, VerdictState};
 use super::rollout_watch::RolloutNote;
+use super::vm_roster::ROW_KEEP_MS;
 use crate::state::rollout_order::{RolloutPhase, RolloutRow, RolloutStep, VersionKey};
 
 /// An end is proposed so long before the deadline, in milliseconds: the commit has to come before it,
@@ -31,8 +32,6 @@
 /// Moving takes so many times as long as requests stay at an upstream in the mean: of lengths that
 /// spread by a factor of e few are longer.
 const MOVE_HOLDS: f64 = 4.0;
-/// What was told of requests in flight counts for so long, in milliseconds.
-const CONFIRM_MS: u64 = 1300;
 
 /// What the leader knows of a service's upstreams.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -90,6 +89,12 @@
     /// When the time spent was `spent_ms`.
     at_ms: u64,
     spent_ms: u64,
+    heard: HeardOrder,
+}
+
+/// What the VMs told the leader of this term.
+#[derive(Clone, Debug, Default)]
+struct HeardOrder {
     evidence: EvidenceTable,
     verdict: VerdictState,
     confirms: HashMap<u32, VmConfirm>,
@@ -104,8 +109,8 @@
     /// upstreams of other versions.
     fn all_confirm(&self, step: u64, vms: &BTreeSet<u32>, now_ms: u64) -> bool {
         vms.iter().all(|vm| {
-            self.confirms.get(vm).is_some_and(|confirm| {
-                let fresh = confirm.told_ms + CONFIRM_MS > now_ms;
+            self.heard.confirms.get(vm).is_some_and(|confirm| {
+                let fresh = confirm.told_ms + ROW_KEEP_MS > now_ms;
                 fresh && confirm.step == step && confirm.in_flight == 0
             })
         })
@@ -131,23 +136,15 @@
             rows.iter().find(own).is_some_and(|row| row.order.number == order.number)
         });
         for row in rows {
-            let known = self.orders.get(&row.order.service);
-            if known.is_some_and(|known| known.elapsed_ms(now_ms) >= row.spent_ms) {
-                continue;
-            }
-            match self.orders.get_mut(&row.order.service) {
-                Some(known) => (known.at_ms, known.spent_ms) = (now_ms, row.spent_ms),
-                None => drop(self.orders.insert(
-                    row.order.service.clone(),
-                    LedOrder {
-                        number: row.order.number,
-                        at_ms: now_ms,
-                        spent_ms: row.spent_ms + lag_ms,
-                        evidence: EvidenceTable::default(),
-                        verdict: VerdictState::default(),
-                        confirms: HashMap::new(),
-                    },
-                )),
+            let begun = || LedOrder {
+                number: row.order.number,
+                at_ms: now_ms,
+                spent_ms: row.spent_ms + lag_ms,
+                heard: HeardOrder::default(),
+            };
+            let order = self.orders.entry(row.order.service.clone()).or_insert_with(begun);
+            if order.elapsed_ms(now_ms) < row.spent_ms {
+                (order.at_ms, order.spent_ms) = (now_ms, row.spent_ms);
             }
         }
     }
@@ -161,11 +158,7 @@
     pub fn take(&mut self, term: u64, vm: u32, life: u64, notes: Vec<RolloutNote>, now_ms: u64) {
         if term != self.term {
             self.term = term;
-            for order in self.orders.values_mut() {
-                order.evidence = EvidenceTable::default();
-                order.verdict = VerdictState::default();
-                order.confirms.clear();
-            }
+            self.orders.values_mut().for_each(|order| order.heard = HeardOrder::default());
         }
         for note in notes {
             let named = self.orders.iter_mut();
@@ -175,8 +168,8 @@
             let Some((_, order)) = found else { continue };
             let confirm =
                 VmConfirm { step: note.step, in_flight: note.base_in_flight, told_ms: now_ms };
-            order.confirms.insert(vm, confirm);
-            order.evidence.take(vm, life, note.rows, now_ms);
+            order.heard.confirms.insert(vm, confirm);
+            order.heard.evidence.take(vm, life, note.rows);
         }
     }
 
@@ -210,10 +203,10 @@
 ) -> Option<ProposedStep> {
     let elapsed_ms = order.elapsed_ms(now_ms);
     let left_ms = row.order.duration_ms.saturating_sub(elapsed_ms);
-    let sums = order.evidence.sums();
+    let sums = order.heard.evidence.sums();
     let to =
         |phase, why: String| Some(ProposedStep { step: row.next_step(phase, elapsed_ms), why });
-    if let Some(finding) = order.verdict.judge(&sums, now_ms) {
+    if let Some(finding) = order.heard.verdict.judge(&sums, now_ms) {
         return to(RolloutPhase::RolledBack, format!("it {finding}"));
     }
     let heard = led_ms >= HEAR_MS;
--- a/lib/src/coordination/rollout_watch.rs
+++ b/lib/src/coordination/rollout_watch.rs
@@ -128,10 +128,7 @@
         bound: ExposureBound,
         seed: u64,
     ) -> Vec<RolloutNews> {
-        let before = self.table.clone();
-        if !self.table.take_later(table) {
-            return Vec::new();
-        }
+        let Some(before) = self.table.take_later(table) else { return Vec::new() };
         let mut news = Vec::new();
         for row in self.table.rows() {
             let (service, number) = (&row.order.service, row.order.number);
@@ -195,6 +192,13 @@
         self.running_row(service).is_some_and(|row| row.phase == RolloutPhase::Shift)
     }
 
+    /// Whether versions say nothing of a service: it never got an order, and all its upstreams have the
+    /// same. That is so at nearly every choice, and told without a look at when each was seen.
+    pub fn is_plain(&self, service: &str, mut versions: impl Iterator<Item = VersionKey>) -> bool {
+        let first = versions.next();
+        self.table.row(service).is_none() && versions.all(|version| Some(version) == first)
+    }
+
     /// Who of a service's upstreams may get a request; `may_be_tried` tells which upstreams could take
     /// part in a trial, by their zone and health.
     pub fn rule<'a>(
@@ -206,12 +210,8 @@
         now_ms: u64,
     ) -> VersionRule {
         let versions = SeenVersions::of(upstreams.clone());
-        let row = self.table.row(service);
-        if versions.rows.len() <= 1 && row.is_none() {
-            return VersionRule::default();
-        }
         let mut rule = VersionRule { withheld: versions.unproved(self.proved_ms), only: None };
-        let Some(row) = row else { return rule };
+        let Some(row) = self.table.row(service) else { return rule };
         let target = row.target();
         match (row.phase, lane) {
             (RolloutPhase::Trial, RolloutLane::Trial) => {
--- a/lib/src/coordination/zone_watch.rs
+++ b/lib/src/coordination/zone_watch.rs
@@ -30,10 +30,7 @@
     /// Takes what was told, unless it is older than what is known; returns the zones that are
     /// emptied or taken back by it.
     pub fn take(&mut self, orders: ZoneOrders, now_ms: u64) -> Vec<ZoneChange> {
-        let before = self.orders.clone();
-        if !self.orders.take_later(orders) {
-            return Vec::new();
-        }
+        let Some(before) = self.orders.take_later(orders) else { return Vec::new() };
         let other = |zone: &str, emptied| before.is_emptied(zone) != emptied;
         let rows = self.orders.rows().iter();
         let changes: Vec<ZoneChange> = rows
--- a/lib/src/protocol/fleet_calls.rs
+++ b/lib/src/protocol/fleet_calls.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::http::percent_decode;
-use super::wire_adapter::RolloutCall;
+use super::wire_adapter::{granted_ms, RolloutCall, LONGEST_GRANT_S};
 use crate::coordination::rollout_counts::RolloutCounts;
 use crate::state::finding::{parse_document, Finding, FindingList, ObjectReader};
 use crate::state::rollout_order::{RolloutPhase, RolloutRow};
@@ -16,8 +16,6 @@
 pub const ROLLOUTS_PATH: &str = "/v1/rollouts";
 /// The path under which zones stand.
 pub const ZONES_PATH: &str = "/v1/zones";
-/// The longest that a roll-out may be granted, in seconds: a day, as on the platforms known.
-const LONGEST_S: f64 = 86_400.0;
 
 /// What an operator asks.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -114,13 +112,10 @@
         list.add(&path, "is missing");
         return 0;
     };
-    match value.as_f64().filter(|seconds| *seconds > 0.0 && *seconds <= LONGEST_S) {
-        Some(seconds) => ((seconds * 1000.0) as u64).max(1),
-        None => {
-            list.add(&path, format!("must be a number above 0 and up to {LONGEST_S}"));
-            0
-        }
-    }
+    value.as_f64().and_then(granted_ms).unwrap_or_else(|| {
+        list.add(&path, format!("must be a number above 0 and up to {LONGEST_GRANT_S}"));
+        0
+    })
 }
 
 /// The findings as the body of a refusal.
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -144,6 +144,15 @@
     pub duration_ms: u64,
 }
 
+/// The longest that a roll-out may be granted, in seconds: a day.
+pub const LONGEST_GRANT_S: f64 = 86_400.0;
+
+/// The time that a roll-out is granted, in milliseconds; `None` for one that can't be granted.
+pub fn granted_ms(seconds: f64) -> Option<u64> {
+    let granted = seconds > 0.0 && seconds <= LONGEST_GRANT_S;
+    granted.then(|| ((seconds * 1000.0) as u64).max(1))
+}
+
 /// A platform's wire, in this project's types.
 pub trait WireAdapter {
     /// Reads the head of a caller's request.
--- a/lib/src/state/rollout_order.rs
+++ b/lib/src/state/rollout_order.rs
@@ -203,12 +203,13 @@
         true
     }
 
-    /// Takes a later state of all orders; true when something changed.
-    pub fn take_later(&mut self, other: RolloutTable) -> bool {
-        let later = other.changes > self.changes;
-        if later {
-            *self = other;
-        }
-        later
+    /// The table, for whoever knows of `known` changes; `None` when that is all.
+    pub fn news(&self, known: u64) -> Option<RolloutTable> {
+        (self.changes != known).then(|| self.clone())
+    }
+
+    /// Takes a later state of all orders; returns the one before, when there was something to take.
+    pub fn take_later(&mut self, other: RolloutTable) -> Option<RolloutTable> {
+        (other.changes > self.changes).then(|| std::mem::replace(self, other))
     }
 }
--- a/lib/src/state/zone_order.rs
+++ b/lib/src/state/zone_order.rs
@@ -59,12 +59,13 @@
         true
     }
 
-    /// Takes a later state of all zones; true when something changed.
-    pub fn take_later(&mut self, other: ZoneOrders) -> bool {
-        let later = other.taken() > self.taken();
-        if later {
-            *self = other;
-        }
-        later
+    /// The orders, for whoever knows of `known` of them; `None` when that is all.
+    pub fn news(&self, known: u64) -> Option<ZoneOrders> {
+        (self.taken() != known).then(|| self.clone())
+    }
+
+    /// Takes a later state of all zones; returns the one before, when there was something to take.
+    pub fn take_later(&mut self, other: ZoneOrders) -> Option<ZoneOrders> {
+        (other.taken() > self.taken()).then(|| std::mem::replace(self, other))
     }
 }
--- a/lib/src/transport/vm_answer.rs
+++ b/lib/src/transport/vm_answer.rs
@@ -1,6 +1,6 @@
 //! Answers of a VM's own: what it says itself, without an upstream.
 
-use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 use super::vm_relay::AnswerBody;
@@ -12,6 +12,13 @@
     answer
 }
 
+/// What was asked for, as JSON.
+pub fn json_answer(body: impl Into<bytes::Bytes>) -> Response<AnswerBody> {
+    let mut answer = own_answer(StatusCode::OK, body);
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
 /// A refusal: the request has not run; it may come back after `retry_ms`.
 pub fn refusal(status: StatusCode, text: &str, retry_ms: u64) -> Response<AnswerBody> {
     let mut answer = own_answer(status, text.to_string());
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -20,7 +20,9 @@
     decode, encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
 };
 use crate::state::ids::UpstreamKey;
+use crate::state::rollout_order::RolloutTable;
 use crate::state::upstream_list::ListMark;
+use crate::state::zone_order::ZoneOrders;
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
 const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
@@ -282,11 +284,9 @@
                     holders,
                     holders_heard,
                     failing,
-                    zones: (keeper.record.zones.taken() != note.zone_orders)
-                        .then(|| keeper.record.zones.clone()),
+                    zones: keeper.record.zones.news(note.zone_orders),
                     dark: self.dark_news(note.dark),
-                    rollouts: (keeper.record.rollouts.changes() != note.rollout_changes)
-                        .then(|| keeper.record.rollouts.clone()),
+                    rollouts: keeper.record.rollouts.news(note.rollout_changes),
                 })
             }
             Some(keeper) => {
@@ -360,6 +360,14 @@
         desk.ring.news(heard)
     }
 
+    /// Takes the orders that a leader tells with a grant to a renewal sent at `sent_ms`, those of a kind
+    /// only where they are others than this VM knew of; so what it knows is all there was then.
+    fn take_orders(&self, zones: Option<ZoneOrders>, rollouts: Option<RolloutTable>, sent_ms: u64) {
+        zones.into_iter().for_each(|orders| self.take_zones(orders));
+        rollouts.into_iter().for_each(|table| self.take_rollouts(table));
+        self.rollouts.borrow_mut().watch_mut().prove(sent_ms);
+    }
+
     fn learn_holders(&self, notes: &[HolderNote], now_ms: u64) {
         let mut prefixes = self.prefixes.borrow_mut();
         for note in notes {
@@ -376,10 +384,7 @@
             Some(dark) => self.take_dark(dark),
             None => self.silence.borrow_mut().view.confirm(now_ms),
         }
-        if let Some(orders) = grant.zones {
-            self.take_zones(orders);
-        }
-        self.take_rollout_grant(grant.rollouts, grant.sent_ms);
+        self.take_orders(grant.zones, grant.rollouts, grant.sent_ms);
         {
             let mut view = self.view.borrow_mut();
             if view.leader != Some(from) {
@@ -462,8 +467,9 @@
         view.roster.take(news);
         view.vms = view.roster.rows.len();
         view.told.tell(&keeper.roster.loads(), &loads);
-        self.take_zones(keeper.record.zones.clone());
-        self.take_rollout_grant(Some(keeper.record.rollouts.clone()), now_ms);
+        let zones = keeper.record.zones.news(self.zones.borrow().watch.orders.taken());
+        let known = self.rollouts.borrow().watch().table().changes();
+        self.take_orders(zones, keeper.record.rollouts.news(known), now_ms);
         self.contact.borrow_mut().note_grant(now_ms, keeper.record.document.version);
         self.contact_changed.notify_waiters();
         true
--- a/lib/src/transport/vm_control.rs
+++ b/lib/src/transport/vm_control.rs
@@ -6,14 +6,14 @@
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::oneshot;
 use tracing::info;
 
-use super::vm_answer::{own_answer, refusal};
+use super::vm_answer::{json_answer, own_answer, refusal};
 use super::vm_fleet_calls::serve_fleet_call;
 use super::vm_node::VmNode;
+use super::vm_orders::ANSWER_TIME;
 use super::vm_relay::AnswerBody;
 use super::vm_rollouts::{get_rollout, start_rollout};
 use super::vm_zones::order_zone;
@@ -23,8 +23,6 @@
 
 /// The largest document, in bytes.
 const DOCUMENT_BYTES: usize = 8 << 20;
-/// Operators go on to another VM after a second without an answer.
-const ANSWER_TIME: Duration = Duration::from_millis(850);
 /// How long a put waits before it looks for the leader again.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
@@ -72,9 +70,7 @@
     let Some(book) = node.book.borrow().clone() else {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, "there is none yet", 300);
     };
-    let mut answer = own_answer(StatusCode::OK, book.document.clone());
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    answer
+    json_answer(book.document.clone())
 }
 
 impl VmNode {
--- a/lib/src/transport/vm_fleet_calls.rs
+++ b/lib/src/transport/vm_fleet_calls.rs
@@ -4,17 +4,16 @@
 
 use std::rc::Rc;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 use tracing::info;
 
-use super::vm_answer::own_answer;
+use super::vm_answer::{json_answer, own_answer};
 use super::vm_node::VmNode;
+use super::vm_orders::ANSWER_TIME;
 use super::vm_relay::AnswerBody;
-use super::vm_rollouts::{begin_rollout, not_sure, ANSWER_TIME, BODY_BYTES};
+use super::vm_rollouts::{begin_rollout, not_sure};
 use super::vm_zones::order_zone;
 use crate::protocol::fleet_calls::{
     read_fleet_call, read_start, write_findings, FleetCall, RolloutView, ZoneView,
@@ -39,20 +38,10 @@
 }
 
 async fn start(node: &Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let arrived_ms = node.now_ms();
-    let body = match Limited::new(request.into_body(), BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return own_answer(StatusCode::BAD_REQUEST, error.to_string()),
-    };
-    let call = match read_start(&body) {
-        Ok(call) => call,
-        Err(findings) => {
-            info!(target: "control", findings = findings.len(), "refuses a roll-out");
-            return own_answer(StatusCode::BAD_REQUEST, write_findings(&findings));
-        }
-    };
-    let refused = begin_rollout(node, &call, arrived_ms).await;
-    refused.unwrap_or_else(|| row_answer(node, &call.service))
+    match begin_rollout(node, request, read_start, write_findings).await {
+        Ok(call) => row_answer(node, &call.service),
+        Err(refused) => refused,
+    }
 }
 
 async fn get(node: &Rc<VmNode>, service: &str) -> Response<AnswerBody> {
@@ -89,7 +78,7 @@
     let mut views: Vec<RolloutView> =
         rows.map(|row| RolloutView::new(row, &watch.counts(&row.order.service))).collect();
     views.sort_by(|one, other| one.service.cmp(&other.service));
-    json_answer(&views)
+    value_answer(&views)
 }
 
 async fn list_zones(node: &Rc<VmNode>) -> Response<AnswerBody> {
@@ -104,24 +93,22 @@
         number: orders.last_number(&zone),
         zone,
     };
-    json_answer(&zones.into_iter().map(view).collect::<Vec<_>>())
+    value_answer(&zones.into_iter().map(view).collect::<Vec<_>>())
 }
 
 fn row_answer(node: &Rc<VmNode>, service: &str) -> Response<AnswerBody> {
     let desk = node.rollouts.borrow();
     match desk.watch().table().row(service) {
-        Some(row) => json_answer(&RolloutView::new(row, &desk.watch().counts(service))),
+        Some(row) => value_answer(&RolloutView::new(row, &desk.watch().counts(service))),
         None => own_answer(StatusCode::NOT_FOUND, "there was none of this service"),
     }
 }
 
-fn json_answer(value: &impl Serialize) -> Response<AnswerBody> {
-    let Ok(body) = serde_json::to_vec(value) else {
-        return own_answer(StatusCode::INTERNAL_SERVER_ERROR, "cannot be written");
-    };
-    let mut answer = own_answer(StatusCode::OK, body);
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    answer
+fn value_answer(value: &impl Serialize) -> Response<AnswerBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => json_answer(body),
+        Err(_) => own_answer(StatusCode::INTERNAL_SERVER_ERROR, "cannot be written"),
+    }
 }
 
 impl VmNode {
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
-use super::vm_answer::{own_answer, refusal};
+use super::vm_answer::{json_answer, own_answer, refusal};
 use super::vm_connection::serve_connection;
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
@@ -74,9 +73,7 @@
     }
     let vms = node.view.borrow().roster.rows.len();
     let ttl_s = addresses_ttl_s(vms).min(node.settings.borrow().bounds.addresses_ttl_s);
-    let mut answer = own_answer(StatusCode::OK, node.adapter.write_addresses(&addresses, ttl_s));
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    answer
+    json_answer(node.adapter.write_addresses(&addresses, ttl_s))
 }
 
 impl VmNode {
--- a/lib/src/transport/vm_orders.rs
+++ b/lib/src/transport/vm_orders.rs
@@ -15,7 +15,9 @@
 
 /// An order is tried for this long: operators go on to another VM after a second without an answer,
 /// and from then on this VM must not send it any more, or it could come after a later one.
-const ORDER_MS: u64 = 850;
+pub(super) const ORDER_MS: u64 = 850;
+/// The same as a time, for what an answer to an operator waits for.
+pub(super) const ANSWER_TIME: Duration = Duration::from_millis(ORDER_MS);
 /// How long the leader is waited for before the order is sent again.
 const REPLY_TIME: Duration = Duration::from_millis(400);
 /// How long an order waits before it looks for the leader again.
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -4,17 +4,16 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use tracing::info;
 
-use super::vm_answer::{own_answer, refusal};
+use super::vm_answer::{json_answer, own_answer, refusal};
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
+use super::vm_orders::{ANSWER_TIME, ORDER_MS};
 use super::vm_relay::AnswerBody;
 use crate::coordination::rollout_evidence::{RolloutArm, RouteKey, TrialOutcome};
 use crate::coordination::rollout_lead::{ProposedStep, TargetStanding};
@@ -23,6 +22,7 @@
 use crate::coordination::vm_roster::pressed_renew_ms;
 use crate::protocol::vm_wire::{encode, FleetOrder, OrderEnd, RolloutWish, VmDatagram, VmId};
 use crate::protocol::wire_adapter::RolloutCall;
+use crate::state::finding::Finding;
 use crate::state::fleet_record::FleetCommand;
 use crate::state::rollout_order::{
     RolloutCommand, RolloutOrder, RolloutPhase, RolloutRow, RolloutTable, VersionKey,
@@ -31,56 +31,55 @@
 use crate::state::upstream_list::UpstreamEntry;
 
 /// The largest body of an order, in bytes.
-pub(super) const BODY_BYTES: usize = 4096;
-/// Operators go on to another VM after a second without an answer.
-pub(super) const ANSWER_TIME: Duration = Duration::from_millis(850);
-/// An operator may still repeat an order for so long after it may no longer, in milliseconds: the
-/// time for which the VM that was asked tries.
-const REPEAT_MARGIN_MS: u64 = 850;
+const BODY_BYTES: usize = 4096;
 
 /// Serves an operator's order to begin a roll-out.
 pub async fn start_rollout(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let arrived_ms = node.now_ms();
-    let body = match Limited::new(request.into_body(), BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return own_answer(StatusCode::BAD_REQUEST, error.to_string()),
-    };
-    let call = match node.adapter.read_rollout(&body) {
-        Ok(call) => call,
-        Err(findings) => {
-            info!(target: "control", findings = findings.len(), "refuses a roll-out");
-            return own_answer(StatusCode::BAD_REQUEST, node.adapter.write_findings(&findings));
-        }
-    };
-    let refused = begin_rollout(&node, &call, arrived_ms).await;
-    refused.unwrap_or_else(|| own_answer(StatusCode::OK, "{}"))
+    let adapter = &node.adapter;
+    let read = |body: &[u8]| adapter.read_rollout(body);
+    let write = |findings: &[Finding]| adapter.write_findings(findings);
+    match begin_rollout(&node, request, read, write).await {
+        Ok(_) => own_answer(StatusCode::OK, "{}"),
+        Err(refused) => refused,
+    }
 }
 
-/// Has the leader begin a roll-out that was asked for at `arrived_ms`; returns the refusal, if any.
+/// Reads an order to begin a roll-out and has the leader take it; returns what began, or the refusal.
+/// `read` and `write_findings` know the form in which it was asked.
 pub(super) async fn begin_rollout(
     node: &Rc<VmNode>,
-    call: &RolloutCall,
-    arrived_ms: u64,
-) -> Option<Response<AnswerBody>> {
+    request: Request<Incoming>,
+    read: impl Fn(&[u8]) -> Result<RolloutCall, Vec<Finding>>,
+    write_findings: impl Fn(&[Finding]) -> String,
+) -> Result<RolloutCall, Response<AnswerBody>> {
+    let arrived_ms = node.now_ms();
+    let bad = |text: String| own_answer(StatusCode::BAD_REQUEST, text);
+    let body = Limited::new(request.into_body(), BODY_BYTES).collect().await;
+    let body = body.map_err(|error| bad(error.to_string()))?.to_bytes();
+    let call = read(&body).map_err(|findings| {
+        info!(target: "control", findings = findings.len(), "refuses a roll-out");
+        bad(write_findings(&findings))
+    })?;
     if !node.has_service(&call.service) {
         if !node.confirm(arrived_ms, ANSWER_TIME).await {
-            return Some(not_sure());
+            return Err(not_sure());
         }
         if !node.has_service(&call.service) {
             info!(target: "control", service = call.service, "refuses a roll-out, no such service");
-            let text = format!("service '{}' is not known", call.service);
-            return Some(own_answer(StatusCode::BAD_REQUEST, text));
+            return Err(bad(format!("service '{}' is not known", call.service)));
         }
     }
-    let end = node.order_until(arrived_ms, || FleetOrder::Rollout(node.wish_of(call))).await;
-    let RolloutCall { service, target, duration_ms } = call;
-    info!(target: "control", service, to = target, duration_ms, ?end, "a roll-out is asked for");
+    let end = node.order_until(arrived_ms, || FleetOrder::Rollout(node.wish_of(&call))).await;
+    info!(
+        target: "control", service = call.service, to = call.target,
+        duration_ms = call.duration_ms, ?end, "a roll-out is asked for",
+    );
     match end {
-        OrderEnd::Taken => None,
+        OrderEnd::Taken => Ok(call),
         OrderEnd::UnderWay => {
-            Some(own_answer(StatusCode::CONFLICT, "another one of it is under way"))
+            Err(own_answer(StatusCode::CONFLICT, "another one of it is under way"))
         }
-        OrderEnd::NotTaken => Some(not_sure()),
+        OrderEnd::NotTaken => Err(not_sure()),
     }
 }
 
@@ -93,9 +92,7 @@
     let Some(row) = desk.watch().table().row(&service) else {
         return own_answer(StatusCode::NOT_FOUND, "there was none of this service");
     };
-    let mut answer = own_answer(StatusCode::OK, node.adapter.write_rollout(row));
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    answer
+    json_answer(node.adapter.write_rollout(row))
 }
 
 /// What operators are told while a VM can't learn what holds.
@@ -120,14 +117,14 @@
     }
 
     /// The command of a roll-out that is asked for, as the leader. The same one again is taken: while
-    /// it runs, and for as long as an operator may repeat it.
+    /// it runs, and for as long as an operator may repeat it and the VM that was asked then tries.
     pub(super) fn rollout_command(
         &self,
         keeper: &KeeperDriver,
         wish: RolloutWish,
     ) -> Result<FleetCommand, OrderEnd> {
         let now_ms = self.now_ms();
-        let repeat_ms = self.settings.borrow().bounds.ack_ms + REPEAT_MARGIN_MS;
+        let repeat_ms = self.settings.borrow().bounds.ack_ms + ORDER_MS;
         let row = keeper.record.rollouts.row(&wish.service);
         if let Some(row) = row {
             let elapsed_ms = self.rollouts.borrow().elapsed_ms(&wish.service, now_ms);
@@ -192,15 +189,6 @@
         }
     }
 
-    /// The leader answered a renewal that was sent at `sent_ms`: with the roll-outs, or that they are
-    /// those which are known.
-    pub(super) fn take_rollout_grant(&self, table: Option<RolloutTable>, sent_ms: u64) {
-        if let Some(table) = table {
-            self.take_rollouts(table);
-        }
-        self.rollouts.borrow_mut().watch_mut().prove(sent_ms);
-    }
-
     /// What this VM tells the leader of roll-outs that run.
     pub(super) fn rollout_notes(&self) -> Vec<RolloutNote> {
         let desk = self.rollouts.borrow();
@@ -236,7 +224,7 @@
         attempt: &str,
     ) -> Option<TrialTag> {
         let mut desk = self.rollouts.borrow_mut();
-        if !desk.watch().table().any_runs() {
+        if !desk.watch().is_running(service) {
             return None;
         }
         let route = RouteKey::of(&rule.host, &rule.prefix);
@@ -257,7 +245,7 @@
     /// Where a request of this route goes first, `first` saying whether it was sent nowhere before.
     pub(super) fn rollout_lane(&self, service: &str, rule: &RouteRule, first: bool) -> RolloutLane {
         let desk = self.rollouts.borrow();
-        if !first || !desk.watch().table().any_runs() {
+        if !first || !desk.watch().is_running(service) {
             return RolloutLane::Usual;
         }
         desk.watch().lane(service, RouteKey::of(&rule.host, &rule.prefix), self.now_ms())
@@ -270,7 +258,11 @@
 
     /// Which upstreams of a service get nothing in this lane, on account of their versions.
     pub(super) fn version_rule(&self, service: &str, lane: RolloutLane) -> VersionRule {
-        let upstreams = self.upstreams.borrow();
+        let (upstreams, desk) = (self.upstreams.borrow(), self.rollouts.borrow());
+        let versions = upstreams.of_service(service).map(|(_, entry)| entry.version);
+        if desk.watch().is_plain(service, versions) {
+            return VersionRule::default();
+        }
         let (zones, outliers) = (self.zones.borrow(), self.outliers.borrow());
         let seen_ms = |key| upstreams.first_seen_ms.get(&key).copied().unwrap_or(0);
         let seen = upstreams.of_service(service).map(|(key, entry)| (entry, seen_ms(key)));
@@ -279,7 +271,6 @@
             let reached = !outliers.is_gone(key) && !self.is_dark(key);
             entry.takes_work() && reached && !zones.watch.is_emptied(&entry.zone)
         };
-        let desk = self.rollouts.borrow();
         desk.watch().rule(service, lane, seen, may_be_tried, self.now_ms())
     }
 
--- a/lib/tests/test_rollout_evidence.rs
+++ b/lib/tests/test_rollout_evidence.rs
@@ -57,19 +57,19 @@
             }
             Happening::Tells { lost: true, .. } => {}
             Happening::Tells { late: true, .. } => delayed.push((vm, *life, ledger.rows())),
-            Happening::Tells { .. } => table.take(vm, *life, ledger.rows(), 0),
+            Happening::Tells { .. } => table.take(vm, *life, ledger.rows()),
             Happening::Restarts => {
                 // What it told last before it ends is heard.
-                table.take(vm, *life, ledger.rows(), 0);
+                table.take(vm, *life, ledger.rows());
                 (*life, *ledger) = (*life + 1, EvidenceLedger::new(1));
             }
         }
     }
     for (vm, (life, ledger)) in vms.iter().enumerate() {
-        table.take(vm as u32, *life, ledger.rows(), 0);
+        table.take(vm as u32, *life, ledger.rows());
     }
     for (vm, life, rows) in delayed.into_iter().rev() {
-        table.take(vm, life, rows, 0);
+        table.take(vm, life, rows);
     }
     (table, all, bad_answers)
 }
@@ -102,7 +102,7 @@
         for (vm, pace_ms) in &paces {
             let ledger = &mut ledgers[*vm as usize];
             ledger.note(ROUTE, RolloutArm::Target, &well(*pace_ms));
-            table.take(*vm, 1, ledger.rows(), 0);
+            table.take(*vm, 1, ledger.rows());
         }
 
         let sums = table.sums()[0].target.pace;
@@ -152,9 +152,9 @@
         target: ArmSums { bad, ..ArmSums::default() },
         ..RouteSums::default()
     };
-    table.take(1, 1, vec![row(1, 3), row(2, 4)], 0);
+    table.take(1, 1, vec![row(1, 3), row(2, 4)]);
 
-    table.take(1, 1, vec![row(2, 5)], 300);
+    table.take(1, 1, vec![row(2, 5)]);
 
     assert_eq!(table.bad_answers(), 8);
 }
