crashes: tell which request an upstream ended under

Cause: after a request had ended servers one after the other, logs told that connections broke, and neither whether the upstream had ended nor which requests were the same one coming again. Change: a VM whose send breaks looks whether anybody listens there still, and logs the request's mark (a hash of method, host, path, workspace and body); a figure counts.

--- a/lib/src/state/ids.rs
+++ b/lib/src/state/ids.rs
@@ -1,7 +1,7 @@
 //! Small `Copy` keys. Names appear at the edges only; tables use these.
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 macro_rules! small_key {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
@@ -55,6 +55,33 @@
     u64
 );
 
+small_key!(
+    /// A request by its content, whichever VM gets it and however often; see [`RequestMark::of`].
+    RequestMark,
+    u64
+);
+
+impl RequestMark {
+    /// The mark of what a caller asks for: what stays the same when it comes again under a new name for
+    /// the attempt. `workspace` stands for the caller where its key has one, so that a caller who
+    /// changes keys is known again.
+    pub fn of(
+        method: &str,
+        host: &str,
+        path: &str,
+        workspace: Option<&str>,
+        body: &[u8],
+    ) -> RequestMark {
+        let mut hash = Xxh3::new();
+        for part in [method, host, path, workspace.unwrap_or_default()] {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part.as_bytes());
+        }
+        hash.update(body);
+        RequestMark(hash.digest())
+    }
+}
+
 impl UpstreamKey {
     /// The key of the upstream with this name.
     pub fn of(name: &str) -> UpstreamKey {
--- a/lib/src/state/vm_figures.rs
+++ b/lib/src/state/vm_figures.rs
@@ -91,6 +91,8 @@
     pub left: u64,
     /// Signs against upstreams.
     pub signs: u64,
+    /// Requests under which their upstream ended.
+    pub ended_under: u64,
 }
 
 impl VmFigures {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -30,6 +30,7 @@
 pub mod vm_connection;
 pub mod vm_contact;
 pub mod vm_control;
+mod vm_crash;
 pub mod vm_disk;
 mod vm_fleet_calls;
 pub mod vm_forward;
--- /dev/null
+++ b/lib/src/transport/vm_crash.rs
@@ -0,0 +1,82 @@
+//! Whether an upstream has ended under a request, or only their connection broke.
+//!
+//! Invariant: an upstream counts as ended only where its address answers that nobody listens; a reset,
+//! an answer that is cut, or silence on the way says nothing of that. See
+//! `docs/design/quarantine.md`.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tracing::info;
+
+use super::vm_node::VmNode;
+use super::vm_pool::ConnectFault;
+use super::vm_send::SendPlace;
+use super::vm_task::CallerTask;
+use crate::state::ids::{RequestMark, UpstreamKey};
+
+/// A process that ends closes its connections and its listener one after the other, so that one which
+/// is reached once is looked at again after this long; it is back after seconds at the earliest.
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
+
+/// A send whose connection broke.
+struct BrokenSend {
+    upstream: UpstreamKey,
+    address: SocketAddr,
+    mark: RequestMark,
+    life: String,
+    attempt: String,
+}
+
+impl CallerTask {
+    /// The request by its content; `workspace` is whose key the caller gave.
+    pub(super) fn mark(&self, workspace: Option<&str>) -> RequestMark {
+        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let (method, host) = (self.head.method.as_str(), self.caller.host.as_str());
+        *self.mark.get_or_init(|| RequestMark::of(method, host, path, workspace, &self.body))
+    }
+
+    /// The connection of a send broke: looks whether the upstream has ended, beside the request.
+    pub(super) fn look_after_break(&self, place: &SendPlace) {
+        let broken = BrokenSend {
+            upstream: place.upstream,
+            address: place.address,
+            mark: self.mark(place.send.workspace.as_deref()),
+            life: place.send.life.clone(),
+            attempt: self.caller.attempt.clone(),
+        };
+        spawn_local(self.node.clone().look_after(broken));
+    }
+}
+
+impl VmNode {
+    async fn look_after(self: Rc<Self>, broken: BrokenSend) {
+        let BrokenSend { upstream, address, mark, life, attempt } = broken;
+        if !self.has_ended(upstream, address).await {
+            return;
+        }
+        self.outliers.borrow_mut().note_gone(upstream);
+        self.figures.borrow_mut().ended_under += 1;
+        info!(target: "upstream", life, attempt, request = %mark, "has ended under it");
+    }
+
+    async fn has_ended(&self, upstream: UpstreamKey, address: SocketAddr) -> bool {
+        if self.outliers.borrow().is_gone(upstream) {
+            return true;
+        }
+        if let Some(fault) = self.connect_only(upstream, address).await {
+            return fault == ConnectFault::NobodyListens;
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
+        let again = self.pool.take(upstream, address, self.now_ms()).await;
+        match again {
+            Ok(lease) => {
+                lease.finish(false, None, self.now_ms()).await;
+                false
+            }
+            Err(fault) => fault == ConnectFault::NobodyListens,
+        }
+    }
+}
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -4,6 +4,7 @@
 //! request goes by an older version than the one in force; a request in flight is
 //! counted by a guard, and dropping a send closes its connection.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -87,6 +88,7 @@
         draw,
         record,
         connection,
+        mark: OnceCell::new(),
         _serving: serving,
     };
     let answer = match task.must_end() {
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -175,6 +175,7 @@
                     }
                     place.trial.end_unsaid();
                     self.note_failure(place.upstream, "broken");
+                    self.look_after_break(place);
                     return SendResult::Bad(SendOutcome::Broken);
                 }
                 Waited::Dark => {
@@ -261,6 +262,7 @@
             Ok(Err(_)) => {
                 place.trial.end_unsaid();
                 self.note_failure(place.upstream, "cut answer");
+                self.look_after_break(place);
                 SendResult::Bad(SendOutcome::Broken)
             }
             Err(_) => {
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -99,21 +99,27 @@
 
     fn try_upstream(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr) {
         if self.silence.borrow_mut().view.begin_try(upstream, self.now_ms()) {
-            spawn_local(self.clone().connect_only(upstream, address));
+            let node = self.clone();
+            spawn_local(async move { node.connect_only(upstream, address).await });
         }
     }
 
-    /// Connects, and keeps the connection; true when it came up.
-    async fn connect_only(self: Rc<Self>, upstream: UpstreamKey, address: SocketAddr) -> bool {
-        let reached = self.pool.connect(upstream, address).await;
-        self.note_connect(upstream, reached.as_ref().err().copied());
-        match reached {
+    /// Connects, and keeps the connection; why there is none otherwise.
+    pub(super) async fn connect_only(
+        &self,
+        upstream: UpstreamKey,
+        address: SocketAddr,
+    ) -> Option<ConnectFault> {
+        match self.pool.connect(upstream, address).await {
             Ok(lease) => {
+                self.note_connect(upstream, None);
                 lease.finish(false, None, self.now_ms()).await;
-                true
+                None
+            }
+            Err(fault) => {
+                self.note_connect(upstream, Some(fault));
+                Some(fault)
             }
-            // What answers that nobody listens is a machine that can be reached.
-            Err(fault) => fault == ConnectFault::NobodyListens,
         }
     }
 
@@ -147,7 +153,8 @@
     }
 
     async fn try_as_leader(self: Rc<Self>, upstream: UpstreamKey, address: SocketAddr) {
-        let reached = self.clone().connect_only(upstream, address).await;
+        // What answers that nobody listens is a machine that can be reached.
+        let reached = self.connect_only(upstream, address).await != Some(ConnectFault::NoAnswer);
         let now_ms = self.now_ms();
         self.silence.borrow_mut().table.tried(upstream, self.id, reached, now_ms);
     }
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -121,6 +121,7 @@
                 RunEnd::Broken => {
                     place.trial.end_unsaid();
                     self.note_failure(place.upstream, "cut stream");
+                    self.look_after_break(&place);
                     let Some(splice) = splice.as_mut() else { break };
                     splice.begin_run();
                     let after = splice.last_id().map(str::to_string);
--- a/lib/src/transport/vm_task.rs
+++ b/lib/src/transport/vm_task.rs
@@ -4,12 +4,14 @@
 use hyper::http::request;
 use tokio::time::Instant;
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 use super::vm_guard::ServingGuard;
 use super::vm_node::VmNode;
 use super::vm_request_record::{ConnectionRecord, RequestRecord};
 use crate::protocol::wire_adapter::CallerRequest;
+use crate::state::ids::RequestMark;
 
 /// A request with less than this left isn't sent any more, in milliseconds.
 pub(super) const LEAST_LEFT_MS: u64 = 10;
@@ -25,6 +27,8 @@
     pub(super) draw: u64,
     pub(super) record: Rc<RequestRecord>,
     pub(super) connection: ConnectionRecord,
+    /// The request by its content, once anybody asked; see [`CallerTask::mark`].
+    pub(super) mark: OnceCell<RequestMark>,
     pub(super) _serving: ServingGuard,
 }
 
