quarantine: requests that end upstreams are known again and refused by all VMs

Cause: what a request did to an upstream was charged to the upstream alone. The same request came again as another attempt at another VM, which knew nothing of it; upstreams ended one after the other for as long as it came.

Change: a VM whose send broke, and whose upstream listens no more, tells the leader the request's mark and the upstream; the leader counts upstreams by request, records two as watched and three as held, and tells all VMs; each send is decided against that. A run that ends well clears it. Holds last 10 minutes, then eight times as long.

--- /dev/null
+++ b/lib/src/coordination/crash_table.rs
@@ -0,0 +1,228 @@
+//! Which requests end the upstreams that run them, as the leader counts over all VMs.
+//!
+//! An upstream that ends takes everything with it that it ran, and one request of those may be the
+//! cause. It gives itself away by coming again: another upstream ends under it, and another. So upstreams
+//! are counted by request; a request that runs well is cleared. Invariants: what is to be recorded is
+//! proposed until it is; what a new leader doesn't know VMs tell again. See
+//! `docs/design/quarantine.md`.
+
+use std::collections::BTreeMap;
+
+use super::crash_outbox::CrashReport;
+use crate::state::ids::{RequestMark, UpstreamKey};
+use crate::state::quarantine::{QuarantineCommand, QuarantineRow, QuarantineTable, MOST_ROWS};
+
+/// So many upstreams that ended under a request hold it. With 2, a request that was caught twice beside
+/// another one, and came again, would be held; each further one costs all that runs on one more upstream.
+pub const MOST_ENDED: usize = 3;
+/// From so many on a request is watched: all VMs know it, and tell when it runs well.
+const WATCHED_ENDED: usize = 2;
+/// How long a request is held first, in milliseconds. One that nothing has changed for ends another
+/// upstream when it is let go; one that was held wrongly is refused for as long.
+pub const FIRST_HELD_MS: u64 = 600_000;
+/// So much longer each further time: at most three upstreams more end in 12 hours, a fourth after 4 days.
+const HELD_FACTOR: u64 = 8;
+/// The most times that this counts, so that the time has an end (28 days).
+const MOST_FACTORS: u32 = 4;
+/// A count, or a watched request, is forgotten after this long without news, in milliseconds.
+pub const COUNT_KEEP_MS: u64 = 600_000;
+/// Requests that are counted, some 100 bytes each. An upstream that ends brings as many as it ran.
+const MOST_COUNTED: usize = 4096;
+/// What was proposed and isn't recorded is proposed again after this long, in milliseconds.
+const PROPOSE_AGAIN_MS: u64 = 500;
+/// Commands that are proposed at once, some 60 bytes each.
+const MOST_PROPOSED: usize = 16;
+
+#[derive(Clone, Debug, Default)]
+struct CrashCount {
+    ended: Vec<UpstreamKey>,
+    last_ms: u64,
+    well: bool,
+}
+
+/// What a leader counts.
+#[derive(Clone, Debug, Default)]
+pub struct CrashTable {
+    term: u64,
+    counts: BTreeMap<RequestMark, CrashCount>,
+    /// Since when this leader knows of a row in this state, by how often it was held.
+    rows_since_ms: BTreeMap<(RequestMark, bool, u32), u64>,
+    /// What was proposed last for a request, and when: the next one of another kind doesn't wait.
+    proposed: BTreeMap<RequestMark, (QuarantineCommand, u64)>,
+}
+
+/// How long a request is held that is held for the `times`th time, in milliseconds.
+pub fn held_ms(times: u32) -> u64 {
+    FIRST_HELD_MS * HELD_FACTOR.pow(times.saturating_sub(1).min(MOST_FACTORS))
+}
+
+impl CrashTable {
+    /// Takes what a VM told the leader of `term`; `recorded` is what is recorded.
+    pub fn take(
+        &mut self,
+        term: u64,
+        report: &CrashReport,
+        recorded: &QuarantineTable,
+        now_ms: u64,
+    ) {
+        if term != self.term {
+            *self = CrashTable { term, ..CrashTable::default() };
+        }
+        for note in &report.ended {
+            self.note_ended(note.mark, note.upstream, recorded, now_ms);
+        }
+        for mark in &report.well {
+            let watched = recorded.row(*mark).is_some_and(|row| !row.held);
+            if let (true, Some(count)) = (watched, self.count(*mark, recorded, now_ms)) {
+                count.well = true;
+            }
+        }
+    }
+
+    fn note_ended(
+        &mut self,
+        mark: RequestMark,
+        upstream: UpstreamKey,
+        recorded: &QuarantineTable,
+        now_ms: u64,
+    ) {
+        if recorded.is_held(mark) {
+            // Sent before it was held.
+            return;
+        }
+        let Some(count) = self.count(mark, recorded, now_ms) else { return };
+        if std::mem::take(&mut count.well) {
+            count.ended.clear();
+        }
+        if !count.ended.contains(&upstream) {
+            count.ended.push(upstream);
+            count.last_ms = now_ms;
+        }
+    }
+
+    /// What is counted of a request, from what is recorded on; `None` when too many are counted.
+    fn count(
+        &mut self,
+        mark: RequestMark,
+        recorded: &QuarantineTable,
+        now_ms: u64,
+    ) -> Option<&mut CrashCount> {
+        if !self.counts.contains_key(&mark) && self.counts.len() >= MOST_COUNTED {
+            self.counts.retain(|_, count| count.last_ms + COUNT_KEEP_MS > now_ms);
+            let oldest = self.counts.iter().min_by_key(|(_, count)| count.last_ms);
+            let oldest = oldest.map(|(mark, _)| *mark);
+            if self.counts.len() >= MOST_COUNTED {
+                self.counts.remove(&oldest?);
+            }
+        }
+        Some(self.counts.entry(mark).or_insert_with(|| CrashCount {
+            ended: recorded.row(mark).map(|row| row.ended.clone()).unwrap_or_default(),
+            last_ms: now_ms,
+            well: false,
+        }))
+    }
+
+    /// What is to be recorded now, as the leader of `term`.
+    pub fn wanted(
+        &mut self,
+        term: u64,
+        recorded: &QuarantineTable,
+        now_ms: u64,
+    ) -> Vec<QuarantineCommand> {
+        if term != self.term {
+            *self = CrashTable { term, ..CrashTable::default() };
+        }
+        self.counts.retain(|_, count| count.last_ms + COUNT_KEEP_MS > now_ms);
+        let mut wanted: Vec<QuarantineCommand> = self
+            .counts
+            .iter()
+            .filter_map(|(mark, count)| count.wants(*mark, recorded.row(*mark)))
+            .filter(|command| has_room(command, recorded))
+            .collect();
+        self.counts.retain(|mark, count| !count.well || recorded.row(*mark).is_some());
+        wanted.extend(self.lapsed(recorded, now_ms));
+        self.proposed.retain(|_, (_, at_ms)| *at_ms + PROPOSE_AGAIN_MS > now_ms);
+        let is_under_way = |command: &QuarantineCommand| {
+            self.proposed.get(&marked(command)).is_some_and(|(last, _)| last == command)
+        };
+        wanted.retain(|command| !is_under_way(command));
+        wanted.truncate(MOST_PROPOSED);
+        for command in &wanted {
+            self.proposed.insert(marked(command), (command.clone(), now_ms));
+        }
+        wanted
+    }
+
+    /// Rows that have stood for long enough, by this leader's own clock: a new one begins anew, so that
+    /// a hold gets longer by a change of leaders and never shorter.
+    fn lapsed(&mut self, recorded: &QuarantineTable, now_ms: u64) -> Vec<QuarantineCommand> {
+        let state = |row: &QuarantineRow| (row.mark, row.held, row.times);
+        let rows = recorded.rows();
+        self.rows_since_ms.retain(|known, _| rows.iter().any(|row| state(row) == *known));
+        let mut lapsed = Vec::new();
+        for row in rows {
+            let since_ms = *self.rows_since_ms.entry(state(row)).or_insert(now_ms);
+            let keep_ms = match row.held {
+                true => held_ms(row.times),
+                // One that was held is remembered for as long again.
+                false => COUNT_KEEP_MS.max(held_ms(row.times) * u64::from(row.times.min(1))),
+            };
+            if now_ms < since_ms + keep_ms {
+                continue;
+            }
+            self.counts.remove(&row.mark);
+            lapsed.push(match row.held {
+                true => QuarantineCommand::Set(row.let_go()),
+                false => QuarantineCommand::Clear(row.mark),
+            });
+        }
+        lapsed
+    }
+}
+
+impl CrashCount {
+    fn wants(
+        &self,
+        mark: RequestMark,
+        recorded: Option<&QuarantineRow>,
+    ) -> Option<QuarantineCommand> {
+        if recorded.is_some_and(|row| row.held) {
+            return None;
+        }
+        if self.well {
+            return recorded.map(|_| QuarantineCommand::Clear(mark));
+        }
+        let times = recorded.map_or(0, |row| row.times);
+        let row = |held, times| {
+            let ended = self.ended.iter().take(MOST_ENDED).copied().collect();
+            QuarantineCommand::Set(QuarantineRow { mark, ended, held, times })
+        };
+        match self.ended.len() {
+            MOST_ENDED.. => Some(row(true, times + 1)),
+            WATCHED_ENDED.. if recorded.is_none() => Some(row(false, times)),
+            _ => None,
+        }
+    }
+}
+
+impl QuarantineRow {
+    /// The row once it has been held for long enough: one more upstream holds it again.
+    fn let_go(&self) -> QuarantineRow {
+        let ended = self.ended.iter().take(WATCHED_ENDED).copied().collect();
+        QuarantineRow { ended, held: false, ..self.clone() }
+    }
+}
+
+/// Whether a row may be added without pushing out another that would be wanted again.
+fn has_room(command: &QuarantineCommand, recorded: &QuarantineTable) -> bool {
+    let QuarantineCommand::Set(row) = command else { return true };
+    let free = recorded.rows().len() < MOST_ROWS;
+    recorded.row(row.mark).is_some() || free || (row.held && recorded.held() < MOST_ROWS)
+}
+
+fn marked(command: &QuarantineCommand) -> RequestMark {
+    match command {
+        QuarantineCommand::Set(row) => row.mark,
+        QuarantineCommand::Clear(mark) => *mark,
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/quarantine_desk.rs
@@ -0,0 +1,106 @@
+//! What one VM holds of requests that end upstreams: what it refuses, what it has to tell, and what it
+//! counts while it leads. See `docs/design/quarantine.md`.
+//!
+//! It knows no sockets: it is told events with the present time, and gives back what to tell or propose.
+
+use super::crash_outbox::{CrashOutbox, CrashReport};
+use super::crash_table::CrashTable;
+use crate::state::ids::{RequestMark, UpstreamKey};
+use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
+
+/// See the module.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantineDesk {
+    told: QuarantineTable,
+    outbox: CrashOutbox,
+    table: CrashTable,
+    /// When the leader was last, or will next be, told before the usual time.
+    renewal_ms: u64,
+}
+
+impl QuarantineDesk {
+    /// Whether any request is known, so that a request's mark is of use.
+    pub fn knows_any(&self) -> bool {
+        !self.told.rows().is_empty()
+    }
+
+    /// Whether a request is sent nowhere.
+    pub fn is_held(&self, mark: RequestMark) -> bool {
+        self.told.is_held(mark)
+    }
+
+    /// How many requests are sent nowhere.
+    pub fn held(&self) -> usize {
+        self.told.held()
+    }
+
+    /// How many changes this VM knows of.
+    pub fn changes(&self) -> u64 {
+        self.told.changes()
+    }
+
+    /// An upstream ended under a request; returns after how many milliseconds to tell the leader, so
+    /// that it hears once in `pause_ms` at most; `None` when that is planned already.
+    pub fn note_ended(
+        &mut self,
+        mark: RequestMark,
+        upstream: UpstreamKey,
+        pause_ms: u64,
+        now_ms: u64,
+    ) -> Option<u64> {
+        self.outbox.note_ended(mark, upstream, now_ms);
+        if self.renewal_ms > now_ms {
+            return None;
+        }
+        self.renewal_ms = now_ms.max(self.renewal_ms + pause_ms);
+        Some(self.renewal_ms - now_ms)
+    }
+
+    /// A request ran to its end and its upstream lives; told where it is watched.
+    pub fn note_well(&mut self, mark: RequestMark) {
+        if self.told.row(mark).is_some_and(|row| !row.held) {
+            self.outbox.note_well(mark);
+        }
+    }
+
+    /// What the next renewal tells.
+    pub fn take_report(&mut self, now_ms: u64) -> CrashReport {
+        self.outbox.take(now_ms)
+    }
+
+    /// The leader of `term` answered a renewal that told crashes up to this number.
+    pub fn confirm(&mut self, term: u64, heard: u64) {
+        self.outbox.confirm(term, heard);
+    }
+
+    /// Takes what a leader tells; the requests that are held by it and weren't before.
+    pub fn take(&mut self, table: QuarantineTable) -> Vec<RequestMark> {
+        let before = self.told.clone();
+        if !self.told.take_later(table) {
+            return Vec::new();
+        }
+        let held = self.told.rows().iter().filter(|row| row.held).map(|row| row.mark);
+        held.filter(|mark| !before.is_held(*mark)).collect()
+    }
+
+    /// Takes what a VM tells, as the leader of `term`.
+    pub fn hear(
+        &mut self,
+        term: u64,
+        report: &CrashReport,
+        recorded: &QuarantineTable,
+        now_ms: u64,
+    ) {
+        self.table.take(term, report, recorded, now_ms);
+    }
+
+    /// What is to be recorded now, as the leader of `term`.
+    pub fn wanted(
+        &mut self,
+        term: u64,
+        recorded: &QuarantineTable,
+        now_ms: u64,
+    ) -> Vec<QuarantineCommand> {
+        self.table.wanted(term, recorded, now_ms)
+    }
+}
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::crash_outbox::CrashReport;
 use crate::coordination::fleet_health::HealthReport;
 use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::raft_message::RaftMessage;
@@ -15,6 +16,7 @@
 use crate::state::document_change::DocumentChange;
 use crate::state::ids::{Incarnation, UpstreamKey};
 use crate::state::packed_text::PackedText;
+use crate::state::quarantine::QuarantineTable;
 use crate::state::rollout_order::RolloutTable;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
 use crate::state::zero_runs::{pack_zeros, unpack_zeros};
@@ -227,6 +229,13 @@
         /// All of them.
         table: RolloutTable,
     },
+    /// The leader tells which requests are sent nowhere, or watched.
+    Quarantine {
+        /// Its term.
+        term: u64,
+        /// All of them.
+        table: QuarantineTable,
+    },
     /// To any VM: what do you know that I don't?
     AskNews(NewsAsk),
     /// Its answer, at once or when it knows more.
@@ -295,6 +304,10 @@
     pub life: u64,
     /// What it has to tell of roll-outs that run.
     pub rollouts: Vec<RolloutNote>,
+    /// How many changes it knows of requests that end upstreams.
+    pub quarantine_changes: u64,
+    /// Upstreams that ended under requests.
+    pub crashes: CrashReport,
 }
 
 /// What the leader answers, while it surely leads.
@@ -330,6 +343,10 @@
     pub dark: Option<Vec<UpstreamKey>>,
     /// The last roll-outs, unless the asker knows of as many changes.
     pub rollouts: Option<RolloutTable>,
+    /// Requests that end upstreams, unless the asker knows of as many changes.
+    pub quarantine: Option<QuarantineTable>,
+    /// The number of the last crash that the renewal told.
+    pub crashes_heard: u64,
 }
 
 /// Encodes a message or datagram.
--- a/lib/src/state/fleet_record.rs
+++ b/lib/src/state/fleet_record.rs
@@ -1,5 +1,6 @@
 //! The keepers' state machine: the newest document, byte for byte as it was sent, the last
-//! order of each availability zone, the last roll-out of each service, and who holds which seat.
+//! order of each availability zone, the last roll-out of each service, requests that end upstreams,
+//! and who holds which seat.
 //!
 //! The highest version holds. A document whose version is not above the held one
 //! changes nothing, so that a change which comes twice, or late, does no harm. Orders of zones
@@ -12,6 +13,7 @@
 
 use super::ids::UpstreamKey;
 use super::packed_text::PackedText;
+use super::quarantine::{QuarantineCommand, QuarantineTable};
 use super::rollout_order::{RolloutCommand, RolloutTable};
 use super::zone_order::{ZoneOrder, ZoneOrders};
 
@@ -48,6 +50,8 @@
     Zone(ZoneOrder),
     /// Begin a roll-out, or take it a step on.
     Rollout(RolloutCommand),
+    /// What is known against a request.
+    Quarantine(QuarantineCommand),
 }
 
 /// What a command changed.
@@ -57,6 +61,8 @@
     Document,
     /// A roll-out began or went a step on.
     Rollout,
+    /// What is known against a request is something else.
+    Quarantine,
     /// Something else, or nothing that wasn't so before.
     Other,
     /// The command changed nothing, since another one was taken first.
@@ -83,6 +89,9 @@
     /// The last roll-out of each service.
     #[serde(default)]
     pub rollouts: RolloutTable,
+    /// Requests that end the upstreams that run them.
+    #[serde(default)]
+    pub quarantine: QuarantineTable,
 }
 
 impl FleetRecord {
@@ -106,6 +115,10 @@
                 true => RecordChange::Rollout,
                 false => RecordChange::Overtaken,
             }),
+            FleetCommand::Quarantine(command) => Ok(match self.quarantine.take(command) {
+                true => RecordChange::Quarantine,
+                false => RecordChange::Other,
+            }),
         }
     }
 
@@ -122,6 +135,7 @@
         self.seats = record.seats;
         self.zones.take_later(record.zones);
         self.rollouts.take_later(record.rollouts);
+        self.quarantine.take_later(record.quarantine);
         Ok(self.take_document(record.document))
     }
 
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -14,6 +14,7 @@
 pub mod log_store;
 pub mod packed_text;
 pub mod prompt_part;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod rollout_order;
 pub mod roster;
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -47,6 +47,7 @@
 mod vm_orders;
 pub mod vm_pool;
 pub mod vm_pulse;
+mod vm_quarantine;
 pub mod vm_relay;
 mod vm_request_record;
 mod vm_rollouts;
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -134,6 +134,10 @@
             let view = &mut self.silence.borrow_mut().view;
             (view.take_doubts(), view.mark())
         };
+        let (quarantine_changes, crashes) = {
+            let mut desk = self.quarantine.borrow_mut();
+            (desk.changes(), desk.take_report(now_ms))
+        };
         let note = RenewalNote {
             sent_ms: now_ms,
             row,
@@ -150,6 +154,8 @@
             rollout_changes: self.rollouts.borrow().watch().table().changes(),
             life: self.rollouts.borrow().life(),
             rollouts: self.rollout_notes(),
+            quarantine_changes,
+            crashes,
         };
         view.own_told.insert(now_ms, note.loads.clone());
         view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
@@ -231,6 +237,11 @@
                     self.take_rollouts(table);
                 }
             }
+            VmDatagram::Quarantine { term, table } => {
+                if term >= self.view.borrow().term {
+                    self.take_quarantine(table);
+                }
+            }
             VmDatagram::AskNews(ask) => self.answer_ask(from, ask),
             VmDatagram::PeerNews(note) => self.take_peer_news(from, note),
             VmDatagram::Elsewhere { leader, keepers, vms } => {
@@ -267,6 +278,8 @@
                 let failing = self.take_health_reports(keeper.term(), &note.health_reports, now_ms);
                 self.take_doubts(keeper.term(), from, &note.doubts);
                 self.take_rollout_notes(keeper.term(), from, note.life, note.rollouts);
+                let recorded = &keeper.record.quarantine;
+                self.take_crashes(keeper.term(), &note.crashes, recorded, now_ms);
                 VmDatagram::Grant(GrantNote {
                     sent_ms: note.sent_ms,
                     term: keeper.term(),
@@ -287,6 +300,8 @@
                     zones: keeper.record.zones.news(note.zone_orders),
                     dark: self.dark_news(note.dark),
                     rollouts: keeper.record.rollouts.news(note.rollout_changes),
+                    quarantine: keeper.record.quarantine.news(note.quarantine_changes),
+                    crashes_heard: note.crashes.last(),
                 })
             }
             Some(keeper) => {
@@ -385,6 +400,8 @@
             None => self.silence.borrow_mut().view.confirm(now_ms),
         }
         self.take_orders(grant.zones, grant.rollouts, grant.sent_ms);
+        grant.quarantine.into_iter().for_each(|table| self.take_quarantine(table));
+        self.quarantine.borrow_mut().confirm(grant.term, grant.crashes_heard);
         {
             let mut view = self.view.borrow_mut();
             if view.leader != Some(from) {
@@ -456,6 +473,7 @@
         self.take_doubts(keeper.term(), self.id, &doubts);
         let (life, notes) = (self.rollouts.borrow().life(), self.rollout_notes());
         self.take_rollout_notes(keeper.term(), self.id, life, notes);
+        self.hear_own_crashes(keeper.term(), &keeper.record.quarantine, now_ms);
         let mut view = self.view.borrow_mut();
         view.failing = failing;
         view.leader = Some(self.id);
--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -18,8 +18,10 @@
 use crate::state::ids::{RequestMark, UpstreamKey};
 
 /// A process that ends closes its connections and its listener one after the other, so that one which
-/// is reached once is looked at again after this long; it is back after seconds at the earliest.
-const LOOK_AGAIN: Duration = Duration::from_millis(300);
+/// is reached is looked at again after these times; it is back after seconds at the earliest. Looks at
+/// one that lives cost nothing: the connection that came up first rests between them.
+const LOOK_AGAIN: [Duration; 3] =
+    [Duration::from_millis(10), Duration::from_millis(40), Duration::from_millis(250)];
 
 /// A send whose connection broke.
 struct BrokenSend {
@@ -38,6 +40,22 @@
         *self.mark.get_or_init(|| RequestMark::of(method, host, path, workspace, &self.body))
     }
 
+    /// Whether upstreams ended under this request so often that it is sent nowhere. Asked before each
+    /// send, by its content: it comes as a new attempt, at any VM.
+    pub(super) fn is_held(&self, workspace: Option<&str>) -> bool {
+        let desk = self.node.quarantine.borrow();
+        desk.knows_any() && desk.is_held(self.mark(workspace))
+    }
+
+    /// An answer came whole, and its end was told by its framing: one that ends with its connection
+    /// may have ended with its upstream.
+    pub(super) fn note_ran(&self, place: &SendPlace, framed: bool) {
+        let mut desk = self.node.quarantine.borrow_mut();
+        if framed && desk.knows_any() {
+            desk.note_well(self.mark(place.send.workspace.as_deref()));
+        }
+    }
+
     /// The connection of a send broke: looks whether the upstream has ended, beside the request.
     pub(super) fn look_after_break(&self, place: &SendPlace) {
         let broken = BrokenSend {
@@ -59,6 +77,7 @@
         }
         self.outliers.borrow_mut().note_gone(upstream);
         self.figures.borrow_mut().ended_under += 1;
+        self.tell_ended(mark, upstream).await;
         info!(target: "upstream", life, attempt, request = %mark, "has ended under it");
     }
 
@@ -69,14 +88,13 @@
         if let Some(fault) = self.connect_only(upstream, address).await {
             return fault == ConnectFault::NobodyListens;
         }
-        tokio::time::sleep(LOOK_AGAIN).await;
-        let again = self.pool.take(upstream, address, self.now_ms()).await;
-        match again {
-            Ok(lease) => {
-                lease.finish(false, None, self.now_ms()).await;
-                false
+        for pause in LOOK_AGAIN {
+            tokio::time::sleep(pause).await;
+            match self.pool.take(upstream, address, self.now_ms()).await {
+                Ok(lease) => lease.finish(false, None, self.now_ms()).await,
+                Err(fault) => return fault == ConnectFault::NobodyListens,
             }
-            Err(fault) => fault == ConnectFault::NobodyListens,
         }
+        false
     }
 }
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -24,6 +24,7 @@
 use super::vm_send::SendResult;
 use super::vm_task::{CallerTask, Denial, LEAST_LEFT_MS};
 use crate::coordination::attempt_plan::{AttemptCount, NextStep, RunKnowledge, SendOutcome};
+use crate::coordination::crash_table::FIRST_HELD_MS;
 use crate::coordination::engine_room::RoomRequest;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::upstream_candidate::ChoiceFault;
@@ -119,6 +120,7 @@
         Denial::OldContact => refusal(unavailable, "the configuration may be old", RETRY_MS),
         Denial::NoRoute => own_answer(StatusCode::NOT_FOUND, "no such route"),
         Denial::NoKey => own_answer(StatusCode::UNAUTHORIZED, "no such key"),
+        Denial::Held => refusal(unavailable, "upstreams ended under this request", FIRST_HELD_MS),
     }
 }
 
@@ -258,7 +260,11 @@
                     return Err(Denial::OldContact);
                 }
                 drop(contact);
-                Ok((book, route, workspace))
+                let name = workspace.and_then(|at| book.book.workspace(at));
+                match self.is_held(name.map(|workspace| workspace.name.as_str())) {
+                    true => Err(Denial::Held),
+                    false => Ok((book, route, workspace)),
+                }
             }
         }
     }
@@ -300,7 +306,7 @@
 
     fn deny(&self, denial: &Denial) -> Response<AnswerBody> {
         self.note_end(match denial {
-            Denial::NoBook | Denial::OldContact => RequestEnd::Refused,
+            Denial::NoBook | Denial::OldContact | Denial::Held => RequestEnd::Refused,
             Denial::NoRoute | Denial::NoKey => RequestEnd::Denied,
         });
         deny(denial)
--- a/lib/src/transport/vm_keeper.rs
+++ b/lib/src/transport/vm_keeper.rs
@@ -41,6 +41,8 @@
     pub changed: bool,
     /// A roll-out began or went a step on.
     pub rollouts_changed: bool,
+    /// What is known against a request is something else.
+    pub quarantine_changed: bool,
 }
 
 struct PutWaiter {
@@ -354,6 +356,7 @@
             let change = self.apply(&entry);
             outcome.changed |= change == RecordChange::Document;
             outcome.rollouts_changed |= change == RecordChange::Rollout;
+            outcome.quarantine_changed |= change == RecordChange::Quarantine;
         }
         self.note_role(now_ms);
     }
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -22,7 +22,7 @@
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 39] = [
+pub const FIGURES: [FigureEntry; 40] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -32,6 +32,11 @@
     ("wingshed_left_total", "counter", "Callers that left before the whole answer."),
     ("wingshed_signs_total", "counter", "Signs against upstreams."),
     ("wingshed_ended_under_total", "counter", "Requests under which their upstream ended."),
+    (
+        "wingshed_requests_held",
+        "gauge",
+        "Requests that are refused, as upstreams ended under them.",
+    ),
     ("wingshed_serving", "gauge", "Requests that are being served."),
     ("wingshed_connections", "gauge", "Connections that are open at the listeners."),
     (
@@ -120,6 +125,7 @@
             "wingshed_left_total" => figures.left,
             "wingshed_signs_total" => figures.signs,
             "wingshed_ended_under_total" => figures.ended_under,
+            "wingshed_requests_held" => self.quarantine.borrow().held() as u64,
             "wingshed_serving" => u64::from(self.serving.get()),
             "wingshed_connections" => u64::from(self.connections.get()),
             "wingshed_resting" => self.pool.resting() as u64,
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -31,6 +31,7 @@
 use crate::coordination::leader_contact::LeaderContact;
 use crate::coordination::outlier::OutlierTable;
 use crate::coordination::plain_choice::PlainHold;
+use crate::coordination::quarantine_desk::QuarantineDesk;
 use crate::coordination::raft_message::HEARTBEAT_MS;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::rollout_desk::RolloutDesk;
@@ -165,6 +166,8 @@
     pub orders: RefCell<OrderDesk>,
     /// Roll-outs.
     pub rollouts: RefCell<RolloutDesk>,
+    /// Requests that end upstreams.
+    pub quarantine: RefCell<QuarantineDesk>,
     /// Upstreams that are silent.
     pub silence: RefCell<SilenceDesk>,
     /// Told when others are silent than before.
@@ -239,6 +242,7 @@
             zones: RefCell::default(),
             orders: RefCell::default(),
             rollouts: RefCell::new(RolloutDesk::new(seed)),
+            quarantine: RefCell::default(),
             silence: RefCell::default(),
             silence_changed: Notify::new(),
             budgets: RefCell::default(),
@@ -356,6 +360,9 @@
         if outcome.rollouts_changed {
             self.tell_rollouts();
         }
+        if outcome.quarantine_changed {
+            self.tell_quarantine();
+        }
         if !outcome.changed {
             return;
         }
@@ -555,6 +562,7 @@
             self.step_keeper(KeeperDriver::tick);
             self.tell_leadership(self.now_ms());
             self.lead_rollouts();
+            self.lead_quarantine();
         }
     }
 }
--- /dev/null
+++ b/lib/src/transport/vm_quarantine.rs
@@ -0,0 +1,105 @@
+//! Requests that end upstreams: from what a VM saw to the leader, and from the log into what every VM
+//! refuses. See `docs/design/quarantine.md`.
+
+use std::time::Duration;
+
+use tracing::info;
+
+use super::vm_node::VmNode;
+use crate::coordination::crash_outbox::CrashReport;
+use crate::coordination::vm_roster::pressed_renew_ms;
+use crate::protocol::vm_wire::{encode, VmDatagram, VmId};
+use crate::state::fleet_record::FleetCommand;
+use crate::state::ids::{RequestMark, UpstreamKey};
+use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
+
+impl VmNode {
+    /// An upstream ended under a request: the leader hears it at once, as fast as it can take renewals.
+    pub(super) async fn tell_ended(&self, mark: RequestMark, upstream: UpstreamKey) {
+        let now_ms = self.now_ms();
+        let pause_ms = pressed_renew_ms(self.view.borrow().roster.rows.len());
+        let wait_ms = self.quarantine.borrow_mut().note_ended(mark, upstream, pause_ms, now_ms);
+        if let Some(wait_ms) = wait_ms {
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            self.renew();
+        }
+    }
+
+    /// Takes what a VM tells of upstreams that ended, as the leader of `term`.
+    pub(super) fn take_crashes(
+        &self,
+        term: u64,
+        report: &CrashReport,
+        recorded: &QuarantineTable,
+        now_ms: u64,
+    ) {
+        self.quarantine.borrow_mut().hear(term, report, recorded, now_ms);
+    }
+
+    /// The same for what this VM saw itself while it leads; and takes what is recorded.
+    pub(super) fn hear_own_crashes(&self, term: u64, recorded: &QuarantineTable, now_ms: u64) {
+        let news = {
+            let mut desk = self.quarantine.borrow_mut();
+            let own = desk.take_report(now_ms);
+            desk.hear(term, &own, recorded, now_ms);
+            desk.confirm(term, own.last());
+            recorded.news(desk.changes())
+        };
+        news.into_iter().for_each(|table| self.take_quarantine(table));
+    }
+
+    /// Proposes what is to be recorded, as the leader.
+    pub(super) fn lead_quarantine(&self) {
+        let now_ms = self.now_ms();
+        let wanted = match &*self.keeper.borrow() {
+            Some(keeper) if keeper.may_vouch(now_ms) => {
+                let recorded = &keeper.record.quarantine;
+                self.quarantine.borrow_mut().wanted(keeper.term(), recorded, now_ms)
+            }
+            _ => return,
+        };
+        for command in wanted {
+            match &command {
+                QuarantineCommand::Set(row) => info!(
+                    target: "quarantine", request = %row.mark, held = row.held, times = row.times,
+                    ended = row.ended.len(), "decides",
+                ),
+                QuarantineCommand::Clear(mark) => {
+                    info!(target: "quarantine", request = %mark, "is cleared");
+                }
+            }
+            let command = FleetCommand::Quarantine(command);
+            // Whether it is taken shows in the log; what isn't is proposed again.
+            self.step_keeper(|keeper, now_ms| keeper.order(command, now_ms).1);
+        }
+    }
+
+    /// Takes the requests that are held, as a leader told them.
+    pub(super) fn take_quarantine(&self, table: QuarantineTable) {
+        for mark in self.quarantine.borrow_mut().take(table) {
+            info!(target: "quarantine", request = %mark, "is refused from now on");
+        }
+    }
+
+    /// Tells all VMs at once what is held, as the leader: each request that is sent meanwhile ends one
+    /// more upstream. A VM that misses it hears of it with its next grant.
+    pub(super) fn tell_quarantine(&self) {
+        let now_ms = self.now_ms();
+        let (term, table) = match &*self.keeper.borrow() {
+            Some(keeper) if keeper.may_vouch(now_ms) => {
+                (keeper.term(), keeper.record.quarantine.clone())
+            }
+            _ => return,
+        };
+        self.take_quarantine(table.clone());
+        self.send_others(&encode(&VmDatagram::Quarantine { term, table }));
+    }
+
+    /// Sends a datagram to all VMs that this one knows.
+    pub(super) fn send_others(&self, bytes: &[u8]) {
+        let others: Vec<VmId> = self.view.borrow().roster.rows.iter().map(|row| row.id).collect();
+        for to in others.into_iter().filter(|id| *id != self.id) {
+            self.send_datagram(to, bytes);
+        }
+    }
+}
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -367,9 +367,6 @@
         };
         self.take_rollouts(table.clone());
         let bytes = encode(&VmDatagram::Rollouts { term, table });
-        let others: Vec<VmId> = self.view.borrow().roster.rows.iter().map(|row| row.id).collect();
-        for to in others.into_iter().filter(|id| *id != self.id) {
-            self.send_datagram(to, &bytes);
-        }
+        self.send_others(&bytes);
     }
 }
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 use hyper::{Request, Response};
 use tokio::time::{timeout_at, Instant};
@@ -69,6 +70,8 @@
 
 pub(super) struct ComingBody {
     pub(super) told: UpstreamAnswer,
+    /// Whether its end is told by its framing, not by the end of the connection.
+    pub(super) framed: bool,
     pub(super) body: Incoming,
     pub(super) lease: ConnectionLease,
     pub(super) guard: FlightGuard,
@@ -250,11 +253,14 @@
         let rule = &place.book.book.routes[place.route];
         let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
         if rule.kind.is_stream() || !short {
-            let body = GoodBody::Coming(Box::new(ComingBody { told, body, lease, guard }));
+            let framed = head.headers.contains_key(CONTENT_LENGTH)
+                || head.headers.contains_key(TRANSFER_ENCODING);
+            let body = GoodBody::Coming(Box::new(ComingBody { told, framed, body, lease, guard }));
             return SendResult::Answer(Box::new(GoodAnswer { head, body }));
         }
         match timeout_at(deadline, body.collect()).await {
             Ok(Ok(body)) => {
+                self.note_ran(place, true);
                 lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
                 let body = GoodBody::Whole(body.to_bytes());
                 SendResult::Answer(Box::new(GoodAnswer { head, body }))
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -178,10 +178,7 @@
             return;
         }
         let bytes = encode(&VmDatagram::Dark { term, upstreams: dark });
-        let others: Vec<VmId> = self.view.borrow().roster.rows.iter().map(|row| row.id).collect();
-        for to in others.into_iter().filter(|id| *id != self.id) {
-            self.send_datagram(to, &bytes);
-        }
+        self.send_others(&bytes);
     }
 
     /// What a leader answers to a VM that was told the dark upstreams `known`.
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -181,7 +181,7 @@
         pieces: &Sender<Result<Bytes, CutShort>>,
         mut splice: Option<&mut EventSplice>,
     ) -> RunEnd {
-        let ComingBody { told, mut body, lease, guard } = coming;
+        let ComingBody { told, framed, mut body, lease, guard } = coming;
         let _guard = guard;
         let at = (place.upstream, place.address);
         let may_leave = splice.is_some();
@@ -220,6 +220,7 @@
             }
         }
         place.trial.end_well();
+        self.note_ran(place, framed);
         self.node.outliers.borrow_mut().note_success(place.upstream);
         self.note_outcome(place.upstream, true);
         lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
--- a/lib/src/transport/vm_task.rs
+++ b/lib/src/transport/vm_task.rs
@@ -38,4 +38,6 @@
     OldContact,
     NoRoute,
     NoKey,
+    /// Upstreams ended under it.
+    Held,
 }
--- /dev/null
+++ b/lib/tests/test_quarantine.rs
@@ -0,0 +1,258 @@
+//! Which requests are refused since upstreams ended under them, without a network; the story that it is
+//! for stands at the head of `platform/tests/test_quarantine.rs`.
+
+use wingshed_lib::coordination::crash_outbox::{
+    CrashNote, CrashOutbox, CrashReport, CRASH_KEEP_MS, MOST_TOLD,
+};
+use wingshed_lib::coordination::crash_table::{
+    held_ms, CrashTable, COUNT_KEEP_MS, FIRST_HELD_MS, MOST_ENDED,
+};
+use wingshed_lib::state::fleet_record::{FleetCommand, FleetRecord};
+use wingshed_lib::state::ids::{RequestMark, UpstreamKey};
+use wingshed_lib::state::quarantine::{
+    QuarantineCommand, QuarantineRow, QuarantineTable, MOST_ROWS,
+};
+
+const POISON: RequestMark = RequestMark(7);
+const START_MS: u64 = 1_000_000;
+
+/// A leader and what is recorded; commands are taken as soon as they are proposed.
+#[derive(Default)]
+struct Leader {
+    term: u64,
+    table: CrashTable,
+    recorded: QuarantineTable,
+    commands: usize,
+}
+
+impl Leader {
+    fn of_term(term: u64, recorded: QuarantineTable) -> Leader {
+        Leader { term, recorded, ..Leader::default() }
+    }
+
+    fn hear(&mut self, report: &CrashReport, now_ms: u64) {
+        self.table.take(self.term, report, &self.recorded, now_ms);
+        self.look(now_ms);
+        // The next look sees what was recorded by this one.
+        self.look(now_ms);
+    }
+
+    fn look(&mut self, now_ms: u64) {
+        for command in self.table.wanted(self.term, &self.recorded, now_ms) {
+            self.recorded.take(command);
+            self.commands += 1;
+        }
+    }
+
+    fn ended(&mut self, mark: RequestMark, upstreams: &[u64], now_ms: u64) {
+        self.hear(&ended(mark, upstreams), now_ms);
+    }
+}
+
+fn ended(mark: RequestMark, upstreams: &[u64]) -> CrashReport {
+    let note = |(at, upstream): (usize, &u64)| CrashNote {
+        number: at as u64 + 1,
+        mark,
+        upstream: UpstreamKey(*upstream),
+    };
+    CrashReport { ended: upstreams.iter().enumerate().map(note).collect(), well: Vec::new() }
+}
+
+fn well(mark: RequestMark) -> CrashReport {
+    CrashReport { ended: Vec::new(), well: vec![mark] }
+}
+
+#[test]
+fn the_third_upstream_that_ends_under_a_request_holds_it() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+
+    leader.ended(POISON, &[1], START_MS);
+    assert!(leader.recorded.row(POISON).is_none(), "one tells nothing");
+    leader.ended(POISON, &[2], START_MS + 10);
+    assert!(leader.recorded.row(POISON).is_some_and(|row| !row.held), "two: it is watched");
+    leader.ended(POISON, &[2, 2, 1], START_MS + 20);
+    assert!(!leader.recorded.is_held(POISON), "an upstream counts once, whoever tells of it");
+    leader.ended(POISON, &[3], START_MS + 30);
+
+    assert!(leader.recorded.is_held(POISON));
+    assert_eq!(leader.commands, 2, "each state is recorded once");
+}
+
+#[test]
+fn what_is_known_at_once_is_held_at_once() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+
+    leader.ended(POISON, &[1, 2, 3, 4], START_MS);
+
+    assert!(leader.recorded.is_held(POISON));
+}
+
+#[test]
+fn a_command_that_is_lost_is_proposed_again_and_a_later_one_does_not_wait_for_it() {
+    let mut table = CrashTable::default();
+    let recorded = QuarantineTable::default();
+    table.take(1, &ended(POISON, &[1, 2]), &recorded, START_MS);
+    assert_eq!(table.wanted(1, &recorded, START_MS).len(), 1, "watch it");
+    assert_eq!(table.wanted(1, &recorded, START_MS + 25).len(), 0, "is under way");
+
+    table.take(1, &ended(POISON, &[3]), &recorded, START_MS + 50);
+    let holds = table.wanted(1, &recorded, START_MS + 50);
+    assert!(matches!(&holds[..], [QuarantineCommand::Set(row)] if row.held), "{holds:?}");
+
+    assert_eq!(table.wanted(1, &recorded, START_MS + 2000), holds, "again, until it is recorded");
+}
+
+#[test]
+fn a_request_that_runs_well_is_cleared() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    let bystander = RequestMark(8);
+    for round in 0..20 {
+        let (at_ms, first) = (START_MS + round * 10_000, round * 2 + 1);
+        leader.ended(bystander, &[first, first + 1], at_ms);
+        leader.hear(&well(bystander), at_ms + 5000);
+        assert!(leader.recorded.row(bystander).is_none(), "round {round}");
+    }
+
+    leader.ended(bystander, &[100, 101, 102], START_MS + 300_000);
+
+    assert!(leader.recorded.is_held(bystander), "what came before doesn't excuse it");
+}
+
+#[test]
+fn a_new_leader_hears_again_what_the_last_one_counted() {
+    let mut outboxes = [CrashOutbox::default(), CrashOutbox::default()];
+    let mut first = Leader::of_term(1, QuarantineTable::default());
+    for (at, outbox) in outboxes.iter_mut().enumerate() {
+        outbox.note_ended(POISON, UpstreamKey(at as u64), START_MS);
+        let report = outbox.take(START_MS);
+        first.hear(&report, START_MS);
+        outbox.confirm(1, 0);
+        outbox.confirm(1, report.last());
+        assert_eq!(outbox.take(START_MS), CrashReport::default(), "it was heard");
+    }
+
+    let mut second = Leader::of_term(2, QuarantineTable::default());
+    for outbox in &mut outboxes {
+        outbox.confirm(2, 0);
+        second.hear(&outbox.take(START_MS + 500), START_MS + 500);
+    }
+    second.ended(POISON, &[9], START_MS + 600);
+
+    assert!(second.recorded.is_held(POISON));
+}
+
+#[test]
+fn crashes_are_told_until_they_are_heard_some_at_a_time_and_for_a_bounded_while() {
+    let mut outbox = CrashOutbox::default();
+    for at in 0..MOST_TOLD as u64 + 5 {
+        outbox.note_ended(RequestMark(at), UpstreamKey(1), START_MS);
+    }
+    outbox.confirm(1, 0);
+
+    let first = outbox.take(START_MS);
+    assert_eq!(first.ended.len(), MOST_TOLD);
+    assert_eq!(outbox.take(START_MS), first, "the answer was lost");
+    outbox.confirm(1, first.last());
+    assert_eq!(outbox.take(START_MS).ended.len(), 5, "the rest");
+
+    assert!(outbox.take(START_MS + CRASH_KEEP_MS).ended.is_empty(), "too old");
+}
+
+#[test]
+fn a_hold_ends_and_one_more_upstream_begins_a_longer_one() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    leader.ended(POISON, &[1, 2, 3], START_MS);
+    leader.look(START_MS + FIRST_HELD_MS - 1);
+    assert!(leader.recorded.is_held(POISON));
+
+    let let_go_ms = START_MS + FIRST_HELD_MS;
+    leader.look(let_go_ms);
+    assert!(!leader.recorded.is_held(POISON));
+    leader.ended(POISON, &[4], let_go_ms + 100);
+
+    assert!(leader.recorded.is_held(POISON), "the first upstream after it");
+    leader.look(let_go_ms + 100 + FIRST_HELD_MS);
+    assert!(leader.recorded.is_held(POISON), "for longer");
+    assert!(held_ms(1) + held_ms(2) + held_ms(3) > 12 * 3_600_000, "three more in half a day");
+    assert!(CRASH_KEEP_MS < held_ms(1), "what VMs tell again is older than any hold's end");
+}
+
+#[test]
+fn a_hold_is_never_shorter_by_a_change_of_leaders() {
+    let mut first = Leader::of_term(1, QuarantineTable::default());
+    first.ended(POISON, &[1, 2, 3], START_MS);
+
+    let mut second = Leader::of_term(2, first.recorded);
+    second.look(START_MS + 5000);
+    second.look(START_MS + FIRST_HELD_MS);
+    assert!(second.recorded.is_held(POISON));
+
+    second.look(START_MS + 5000 + FIRST_HELD_MS);
+    assert!(!second.recorded.is_held(POISON));
+}
+
+#[test]
+fn what_is_watched_is_forgotten_when_nothing_more_is_heard_of_it() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    leader.ended(POISON, &[1, 2], START_MS);
+
+    leader.look(START_MS + COUNT_KEEP_MS);
+
+    assert_eq!(leader.recorded.rows(), []);
+}
+
+#[test]
+fn many_requests_that_are_watched_neither_push_each_other_out_nor_fill_the_log() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    let many = 4 * MOST_ROWS as u64;
+    for mark in 0..many {
+        leader.ended(RequestMark(mark), &[1, 2], START_MS);
+    }
+    for step in 0..400 {
+        leader.look(START_MS + step * 25);
+    }
+    assert_eq!((leader.recorded.rows().len(), leader.commands), (MOST_ROWS, MOST_ROWS));
+
+    leader.ended(RequestMark(many), &[1, 2, 3], START_MS + 10_000);
+
+    assert!(leader.recorded.is_held(RequestMark(many)), "one that must be held finds a place");
+    assert_eq!(leader.recorded.rows().len(), MOST_ROWS);
+}
+
+#[test]
+fn what_is_held_outlives_its_leader_in_the_log_and_in_an_image() {
+    let ended = (1..=MOST_ENDED as u64).map(UpstreamKey).collect();
+    let row = QuarantineRow { mark: POISON, ended, held: true, times: 1 };
+    let command = FleetCommand::Quarantine(QuarantineCommand::Set(row)).encode();
+    let mut record = FleetRecord::default();
+    record.apply(&command).unwrap();
+    let changes = record.quarantine.changes();
+    record.apply(&command).unwrap();
+    assert_eq!(record.quarantine.changes(), changes, "one that comes twice changes nothing");
+
+    let mut restored = FleetRecord::default();
+    restored.restore(&record.image()).unwrap();
+
+    assert!(restored.quarantine.is_held(POISON));
+    assert_eq!(restored.quarantine.news(changes), None);
+}
+
+#[test]
+fn a_request_is_known_by_its_content_and_its_caller_alone() {
+    let of = |method, path, workspace, body: &str| {
+        RequestMark::of(method, "a.example", path, workspace, body.as_bytes())
+    };
+    let mark = of("POST", "/x/1", Some("w"), "body");
+
+    assert_eq!(of("POST", "/x/1", Some("w"), "body"), mark);
+    for (what, other) in [
+        ("method", of("PUT", "/x/1", Some("w"), "body")),
+        ("path", of("POST", "/x/2", Some("w"), "body")),
+        ("caller", of("POST", "/x/1", Some("v"), "body")),
+        ("no caller", of("POST", "/x/1", None, "body")),
+        ("body", of("POST", "/x/1", Some("w"), "bodies")),
+        ("parts that run together", of("POST", "/x/1w", Some(""), "body")),
+    ] {
+        assert_ne!(other, mark, "{what}");
+    }
+}
