clock: the time in which a VM is suspended is counted

Cause: all ages (contact with the leader, leases of leaders, the list, orders) and deadlines went by CLOCK_MONOTONIC, which stands still while a VM is suspended: after its wake it took its last proof for fresh, and would have served keys taken away meanwhile and vouched for a configuration as a leader that it was no more. Deadlines handed on to upstreams were as long as before.

A test holds which files may read another clock.

No run here could suspend a VM: found by reading, not reproduced.

--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -45,7 +45,7 @@
 
 /// Serves one request of a caller.
 pub async fn serve_caller(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let arrived = Instant::now();
+    let (arrived, arrived_ms) = (Instant::now(), node.now_ms());
     let serving = ServingGuard::new(&node);
     let (mut head, body) = request.into_parts();
     let connection = head.extensions.remove::<ConnectionRecord>().unwrap_or_default();
@@ -85,7 +85,7 @@
         head,
         body,
         caller,
-        arrived,
+        arrived_ms,
         draw,
         record,
         connection,
@@ -162,7 +162,7 @@
                 Err(denial) => return self.deny(&denial),
             };
             let rule = &book.book.routes[route];
-            let deadline = self.deadline(rule);
+            let deadline_ms = self.deadline_ms(rule);
             let Some(service) = pick_share(&rule.shares, draw) else {
                 return self.refuse(&count, "no service");
             };
@@ -185,7 +185,7 @@
                     self.node.with_room(&service.name, |known| known.note_asked(room, now_ms));
                 }
             }
-            let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+            let left = deadline_ms.saturating_sub(self.node.now_ms());
             if left < LEAST_LEFT_MS {
                 return self.time_out(&count);
             }
@@ -210,7 +210,7 @@
                 self.node.figures.borrow_mut().repeats += 1;
             }
             self.record.note(RunKnowledge::Unknown);
-            let outcome = match self.send(&place, deadline).await {
+            let outcome = match self.send(&place, deadline_ms).await {
                 SendResult::Answer(answer) => {
                     self.record.note(RunKnowledge::Ran);
                     let failed = answer.head.status.is_server_error();
@@ -222,7 +222,7 @@
                             == NextStep::Repeat
                     };
                     if !repeat || !self.may_spend_repeat(&service.name) {
-                        return self.pass_on(place, *answer, deadline, &mut count).await;
+                        return self.pass_on(place, *answer, deadline_ms, &mut count).await;
                     }
                     SendOutcome::Failed
                 }
@@ -269,9 +269,9 @@
         }
     }
 
-    fn deadline(&self, rule: &RouteRule) -> Instant {
+    fn deadline_ms(&self, rule: &RouteRule) -> u64 {
         let wait_ms = self.caller.wait_ms.unwrap_or(rule.timeout_ms).min(rule.timeout_ms);
-        self.arrived + Duration::from_millis(wait_ms)
+        self.arrived_ms + wait_ms
     }
 
     fn note_first(&self, service: &str) {
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -10,7 +10,6 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 use hyper::{Request, Response};
-use tokio::time::{timeout_at, Instant};
 use tracing::info;
 
 use super::vm_guard::{FlightGuard, HeldPlace};
@@ -137,7 +136,7 @@
     }
 
     /// Sends once and reads the head of the answer.
-    pub(super) async fn send(&self, place: &SendPlace, deadline: Instant) -> SendResult {
+    pub(super) async fn send(&self, place: &SendPlace, deadline_ms: u64) -> SendResult {
         let service = &place.book.book.services[place.service];
         let held = HeldPlace {
             service: service.name.clone(),
@@ -168,9 +167,9 @@
             let request = self.upstream_request(place);
             let sent = lease.sender().try_send_request(request);
             let at = (place.upstream, place.address);
-            match self.node.wait_for(at, sent, deadline, may_repeat).await {
+            match self.node.wait_for(at, sent, deadline_ms, may_repeat).await {
                 Waited::Done(Ok(answer)) => {
-                    return self.check_answer(place, answer, lease, guard, deadline).await
+                    return self.check_answer(place, answer, lease, guard, deadline_ms).await
                 }
                 Waited::Done(Err(mut error)) => {
                     if error.take_message().is_some() {
@@ -217,7 +216,7 @@
         answer: Response<Incoming>,
         lease: ConnectionLease,
         guard: FlightGuard,
-        deadline: Instant,
+        deadline_ms: u64,
     ) -> SendResult {
         let (head, body) = answer.into_parts();
         let told = self.node.adapter.read_answer(&head);
@@ -258,20 +257,21 @@
             let body = GoodBody::Coming(Box::new(ComingBody { told, framed, body, lease, guard }));
             return SendResult::Answer(Box::new(GoodAnswer { head, body }));
         }
-        match timeout_at(deadline, body.collect()).await {
-            Ok(Ok(body)) => {
+        let at = (place.upstream, place.address);
+        match self.node.wait_for(at, body.collect(), deadline_ms, false).await {
+            Waited::Done(Ok(body)) => {
                 self.note_ran(place, true);
                 lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
                 let body = GoodBody::Whole(body.to_bytes());
                 SendResult::Answer(Box::new(GoodAnswer { head, body }))
             }
-            Ok(Err(_)) => {
+            Waited::Done(Err(_)) => {
                 place.trial.end_unsaid();
                 self.note_failure(place.upstream, "cut answer");
                 self.look_after_break(place);
                 SendResult::Bad(SendOutcome::Broken)
             }
-            Err(_) => {
+            Waited::TimedOut | Waited::Dark => {
                 place.trial.end_bad();
                 SendResult::Bad(SendOutcome::TimedOut)
             }
@@ -282,7 +282,7 @@
     /// its way.
     pub(super) fn note_first_byte(&self, place: &SendPlace, what: &'static str) {
         let rule = &place.book.book.routes[place.route];
-        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        let took_ms = self.node.now_ms().saturating_sub(self.arrived_ms);
         let late = rule.goal_ms > 0 && took_ms > rule.goal_ms;
         {
             let mut figures = self.node.figures.borrow_mut();
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use tracing::info;
 
 use super::vm_node::VmNode;
@@ -45,20 +45,22 @@
         self: &Rc<Self>,
         (upstream, address): (UpstreamKey, SocketAddr),
         owed: impl Future<Output = T>,
-        deadline: Instant,
+        deadline_ms: u64,
         may_leave: bool,
     ) -> Waited<T> {
         tokio::pin!(owed);
         let mut try_at = Instant::now() + TRY_AFTER;
         loop {
             let changed = self.silence_changed.notified();
+            // Anew each time, since the timer stands still while the VM is suspended.
+            let left_ms = deadline_ms.saturating_sub(self.now_ms());
             if may_leave && self.is_dark(upstream) {
                 return Waited::Dark;
             }
             tokio::select! {
                 biased;
                 done = owed.as_mut() => return Waited::Done(done),
-                () = sleep_until(deadline) => return Waited::TimedOut,
+                () = sleep(Duration::from_millis(left_ms)) => return Waited::TimedOut,
                 () = sleep_until(try_at) => {
                     try_at += TRY_AFTER;
                     self.try_upstream(upstream, address);
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -6,7 +6,6 @@
 use hyper::Response;
 use tokio::sync::mpsc::Sender;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
 use tracing::info;
 
 use super::vm_relay::{AnswerBody, CutShort};
@@ -33,7 +32,7 @@
         self,
         place: SendPlace,
         answer: GoodAnswer,
-        deadline: Instant,
+        deadline_ms: u64,
         count: &mut AttemptCount,
     ) -> Response<AnswerBody> {
         let rule = &place.book.book.routes[place.route];
@@ -85,7 +84,7 @@
         }
         count.note(SendOutcome::Failed);
         let count = *count;
-        spawn_local(self.relay(place, coming, deadline, pieces, resumable, count));
+        spawn_local(self.relay(place, coming, deadline_ms, pieces, resumable, count));
         response
     }
 
@@ -94,7 +93,7 @@
         self,
         place: SendPlace,
         coming: Box<ComingBody>,
-        deadline: Instant,
+        deadline_ms: u64,
         pieces: Sender<Result<Bytes, CutShort>>,
         resumable: bool,
         mut count: AttemptCount,
@@ -104,7 +103,7 @@
         let mut tried = vec![place.upstream];
         let mut next = Some((place, coming));
         while let Some((place, coming)) = next.take() {
-            match self.relay_run(&place, *coming, deadline, &pieces, splice.as_mut()).await {
+            match self.relay_run(&place, *coming, deadline_ms, &pieces, splice.as_mut()).await {
                 RunEnd::Complete => {
                     self.connection.note_answer(&self.caller.attempt, self.node.now_ms());
                     return;
@@ -125,7 +124,7 @@
                     let Some(splice) = splice.as_mut() else { break };
                     splice.begin_run();
                     let after = splice.last_id().map(str::to_string);
-                    next = self.resume(after, deadline, &mut tried, &mut count).await;
+                    next = self.resume(after, deadline_ms, &mut tried, &mut count).await;
                 }
             }
         }
@@ -137,7 +136,7 @@
     async fn resume(
         &self,
         after: Option<String>,
-        deadline: Instant,
+        deadline_ms: u64,
         tried: &mut Vec<UpstreamKey>,
         count: &mut AttemptCount,
     ) -> Option<(SendPlace, Box<ComingBody>)> {
@@ -146,7 +145,7 @@
             let rule = &book.book.routes[route];
             let service = pick_share(&rule.shares, self.draw)?;
             let entry = &book.book.services[service];
-            let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+            let left = deadline_ms.saturating_sub(self.node.now_ms());
             let spent = count.sent >= rule.most_upstreams || left < LEAST_LEFT_MS;
             if spent || !self.spend_repeat(&entry.name) {
                 return None;
@@ -156,7 +155,7 @@
             tried.push(pick.upstream);
             let at = (route, service);
             let place = self.place(&book, at, workspace, pick, left, after.clone())?;
-            match self.send(&place, deadline).await {
+            match self.send(&place, deadline_ms).await {
                 SendResult::Answer(answer) => {
                     count.note(SendOutcome::Failed);
                     if let (true, GoodBody::Coming(coming)) =
@@ -177,7 +176,7 @@
         &self,
         place: &SendPlace,
         coming: ComingBody,
-        deadline: Instant,
+        deadline_ms: u64,
         pieces: &Sender<Result<Bytes, CutShort>>,
         mut splice: Option<&mut EventSplice>,
     ) -> RunEnd {
@@ -190,7 +189,7 @@
             let frame = tokio::select! {
                 biased;
                 () = pieces.closed() => return RunEnd::CallerLeft,
-                frame = self.node.wait_for(at, body.frame(), deadline, may_leave) => frame,
+                frame = self.node.wait_for(at, body.frame(), deadline_ms, may_leave) => frame,
             };
             let data = match frame {
                 Waited::TimedOut => return RunEnd::TimedOut,
--- a/lib/src/transport/vm_task.rs
+++ b/lib/src/transport/vm_task.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use hyper::http::request;
-use tokio::time::Instant;
 
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -22,7 +21,8 @@
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
     pub(super) caller: CallerRequest,
-    pub(super) arrived: Instant,
+    /// When it came, by the node's clock.
+    pub(super) arrived_ms: u64,
     /// Decides between the services of a split route, for all sends alike.
     pub(super) draw: u64,
     pub(super) record: Rc<RequestRecord>,
--- /dev/null
+++ b/lib/tests/test_clock.rs
@@ -0,0 +1,56 @@
+//! What a VM that was suspended goes by afterwards.
+//!
+//! `CLOCK_MONOTONIC`, and so every `Instant`, stands still while a VM is suspended. A leader that goes by
+//! it believes after its wake that it still leads; a VM that proved its configuration a moment before
+//! serves keys that were taken away meanwhile. No test can suspend its machine, so that this one holds
+//! two things: the node's clock is the one that counts, and nothing that decides reads another.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use wingshed_lib::transport::clock::NodeClock;
+
+/// Files that measure, or wait for, something of their own: a timer that stands still with its VM
+/// comes late and decides nothing.
+const MEASURING: [&str; 9] = [
+    "clock.rs",
+    "router_engines.rs",
+    "router_node.rs",
+    "router_relay.rs",
+    "router_serve.rs",
+    "vm_forward.rs",
+    "vm_pool.rs",
+    "vm_silence.rs",
+    "vm_trial.rs",
+];
+
+#[test]
+fn nothing_that_decides_reads_a_clock_that_stands_still() {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut reading = BTreeSet::new();
+    for layer in ["state", "coordination", "protocol", "transport"] {
+        for entry in fs::read_dir(source.join(layer)).unwrap().flatten() {
+            let text = fs::read_to_string(entry.path()).unwrap();
+            if text.contains("Instant::now") {
+                reading.insert(entry.file_name().into_string().unwrap());
+            }
+        }
+    }
+
+    let known: BTreeSet<String> = MEASURING.iter().map(|name| name.to_string()).collect();
+    assert_eq!(reading, known);
+}
+
+#[test]
+fn the_clock_counts_on_from_its_start() {
+    let clock = NodeClock::default();
+    let (first_ms, age_ms) = (clock.now_ms(), clock.age_ms());
+
+    std::thread::sleep(Duration::from_millis(5));
+
+    assert!(clock.now_ms() >= first_ms + 5);
+    assert!(clock.age_ms() >= age_ms + 5);
+    assert!(first_ms > age_ms, "so that 0 is never a time");
+}
