quarantine: what many ask for isn't held when upstreams are lost together

Cause: three upstreams that end together under one thing that many ask for made that thing a request at fault, refused for 10 minutes by all VMs. Found by reading the soak, whose callers all ask the same.

Change: a request is held only when an upstream ended under a send that was made after all VMs knew it as watched, and when none tells in time that it ran well; at most 16 are held at once. VMs tell of good runs of what is watched at once, as they tell of upstreams that ended.

--- a/lib/src/coordination/crash_outbox.rs
+++ b/lib/src/coordination/crash_outbox.rs
@@ -14,7 +14,7 @@
 pub const CRASH_KEEP_MS: u64 = 300_000;
 /// Crashes that a VM keeps, 40 bytes each. An engine with 64 places that ends is 64 at most.
 const MOST_KEPT: usize = 256;
-/// Crashes told with one renewal, 21 bytes each; the rest waits for the next.
+/// Crashes told with one renewal, 22 bytes each; the rest waits for the next.
 pub const MOST_TOLD: usize = 32;
 
 /// An upstream ended under a request.
@@ -26,6 +26,8 @@
     pub mark: RequestMark,
     /// The upstream.
     pub upstream: UpstreamKey,
+    /// Whether the VM knew the request as watched when it sent it.
+    pub watched: bool,
 }
 
 /// What a VM tells with a renewal.
@@ -56,9 +58,15 @@
 
 impl CrashOutbox {
     /// An upstream ended under a request.
-    pub fn note_ended(&mut self, mark: RequestMark, upstream: UpstreamKey, now_ms: u64) {
+    pub fn note_ended(
+        &mut self,
+        mark: RequestMark,
+        upstream: UpstreamKey,
+        watched: bool,
+        now_ms: u64,
+    ) {
         self.numbered += 1;
-        let note = CrashNote { number: self.numbered, mark, upstream };
+        let note = CrashNote { number: self.numbered, mark, upstream, watched };
         self.notes.push_back((now_ms, note));
         if self.notes.len() > MOST_KEPT {
             self.notes.pop_front();
--- a/lib/src/coordination/crash_table.rs
+++ b/lib/src/coordination/crash_table.rs
@@ -2,13 +2,16 @@
 //!
 //! An upstream that ends takes everything with it that it ran, and one request of those may be the
 //! cause. It gives itself away by coming again: another upstream ends under it, and another. So upstreams
-//! are counted by request; a request that runs well is cleared. Invariants: what is to be recorded is
-//! proposed until it is; what a new leader doesn't know VMs tell again. See
-//! `docs/design/quarantine.md`.
+//! are counted by request; a request that runs well is cleared. Many callers may ask for one thing at
+//! once, and a rack may take several upstreams with it that ran it: so a request is held only when an
+//! upstream ended under a send that was made after all VMs were told to look how the request fares, and
+//! none has told that it ran well. Invariants: what is to be recorded is proposed until it is; what a
+//! new leader doesn't know VMs tell again. See `docs/design/quarantine.md`.
 
 use std::collections::BTreeMap;
 
-use super::crash_outbox::CrashReport;
+use super::crash_outbox::{CrashNote, CrashReport};
+use super::vm_roster::pressed_renew_ms;
 use crate::state::ids::{RequestMark, UpstreamKey};
 use crate::state::quarantine::{QuarantineCommand, QuarantineRow, QuarantineTable, MOST_ROWS};
 
@@ -17,6 +20,11 @@
 pub const MOST_ENDED: usize = 3;
 /// From so many on a request is watched: all VMs know it, and tell when it runs well.
 const WATCHED_ENDED: usize = 2;
+/// What VMs saw run well is waited for before a request is held for the first time: as long as they
+/// need to tell it, and this much more, in milliseconds, twice what a plain request runs.
+const SETTLE_MORE_MS: u64 = 100;
+/// More requests than this at once are not at fault: the upstreams are. The rest is sent on.
+pub const MOST_HELD: usize = 16;
 /// How long a request is held first, in milliseconds. One that nothing has changed for ends another
 /// upstream when it is let go; one that was held wrongly is refused for as long.
 pub const FIRST_HELD_MS: u64 = 600_000;
@@ -37,6 +45,10 @@
 struct CrashCount {
     ended: Vec<UpstreamKey>,
     last_ms: u64,
+    /// Whether one of them was sent it when it was watched.
+    confirmed: bool,
+    /// Since when it is known to be at fault, unless it ran well meanwhile.
+    proven_ms: Option<u64>,
     well: bool,
 }
 
@@ -51,6 +63,11 @@
     proposed: BTreeMap<RequestMark, (QuarantineCommand, u64)>,
 }
 
+/// How long it is waited for what `vms` VMs saw run well, in milliseconds.
+pub fn settle_ms(vms: usize) -> u64 {
+    pressed_renew_ms(vms) + SETTLE_MORE_MS
+}
+
 /// How long a request is held that is held for the `times`th time, in milliseconds.
 pub fn held_ms(times: u32) -> u64 {
     FIRST_HELD_MS * HELD_FACTOR.pow(times.saturating_sub(1).min(MOST_FACTORS))
@@ -69,7 +86,7 @@
             *self = CrashTable { term, ..CrashTable::default() };
         }
         for note in &report.ended {
-            self.note_ended(note.mark, note.upstream, recorded, now_ms);
+            self.note_ended(note, recorded, now_ms);
         }
         for mark in &report.well {
             let watched = recorded.row(*mark).is_some_and(|row| !row.held);
@@ -79,25 +96,23 @@
         }
     }
 
-    fn note_ended(
-        &mut self,
-        mark: RequestMark,
-        upstream: UpstreamKey,
-        recorded: &QuarantineTable,
-        now_ms: u64,
-    ) {
-        if recorded.is_held(mark) {
+    fn note_ended(&mut self, note: &CrashNote, recorded: &QuarantineTable, now_ms: u64) {
+        if recorded.is_held(note.mark) {
             // Sent before it was held.
             return;
         }
-        let Some(count) = self.count(mark, recorded, now_ms) else { return };
-        if std::mem::take(&mut count.well) {
-            count.ended.clear();
+        let Some(count) = self.count(note.mark, recorded, now_ms) else { return };
+        if count.well {
+            *count = CrashCount::default();
         }
-        if !count.ended.contains(&upstream) {
-            count.ended.push(upstream);
+        count.confirmed |= note.watched;
+        if !count.ended.contains(&note.upstream) {
+            count.ended.push(note.upstream);
             count.last_ms = now_ms;
         }
+        if count.confirmed && count.ended.len() >= MOST_ENDED {
+            count.proven_ms.get_or_insert(now_ms);
+        }
     }
 
     /// What is counted of a request, from what is recorded on; `None` when too many are counted.
@@ -118,27 +133,29 @@
         Some(self.counts.entry(mark).or_insert_with(|| CrashCount {
             ended: recorded.row(mark).map(|row| row.ended.clone()).unwrap_or_default(),
             last_ms: now_ms,
-            well: false,
+            ..CrashCount::default()
         }))
     }
 
-    /// What is to be recorded now, as the leader of `term`.
+    /// What is to be recorded now, as the leader of `term` over so many VMs.
     pub fn wanted(
         &mut self,
         term: u64,
         recorded: &QuarantineTable,
+        vms: usize,
         now_ms: u64,
     ) -> Vec<QuarantineCommand> {
         if term != self.term {
             *self = CrashTable { term, ..CrashTable::default() };
         }
         self.counts.retain(|_, count| count.last_ms + COUNT_KEEP_MS > now_ms);
+        let settled_ms = now_ms.saturating_sub(settle_ms(vms));
         let mut wanted: Vec<QuarantineCommand> = self
             .counts
             .iter()
-            .filter_map(|(mark, count)| count.wants(*mark, recorded.row(*mark)))
-            .filter(|command| has_room(command, recorded))
+            .filter_map(|(mark, count)| count.wants(*mark, recorded.row(*mark), settled_ms))
             .collect();
+        self.keep_to_room(&mut wanted, recorded);
         self.counts.retain(|mark, count| !count.well || recorded.row(*mark).is_some());
         wanted.extend(self.lapsed(recorded, now_ms));
         self.proposed.retain(|_, (_, at_ms)| *at_ms + PROPOSE_AGAIN_MS > now_ms);
@@ -153,6 +170,23 @@
         wanted
     }
 
+    /// Drops what would hold too many requests, or push a row out that would be wanted again.
+    fn keep_to_room(&self, wanted: &mut Vec<QuarantineCommand>, recorded: &QuarantineTable) {
+        let under_way = self.proposed.iter().filter(|(mark, (command, _))| {
+            is_hold(command) && !recorded.is_held(**mark) && !wanted.contains(command)
+        });
+        let mut holds = MOST_HELD.saturating_sub(recorded.held() + under_way.count());
+        let mut rows = MOST_ROWS.saturating_sub(recorded.rows().len());
+        wanted.retain(|command| {
+            let QuarantineCommand::Set(row) = command else { return true };
+            let known = recorded.row(row.mark).is_some();
+            let room = if row.held { &mut holds } else { &mut rows };
+            let free = *room > 0;
+            *room = room.saturating_sub(1);
+            free || (known && !row.held)
+        });
+    }
+
     /// Rows that have stood for long enough, by this leader's own clock: a new one begins anew, so that
     /// a hold gets longer by a change of leaders and never shorter.
     fn lapsed(&mut self, recorded: &QuarantineTable, now_ms: u64) -> Vec<QuarantineCommand> {
@@ -185,6 +219,7 @@
         &self,
         mark: RequestMark,
         recorded: Option<&QuarantineRow>,
+        settled_ms: u64,
     ) -> Option<QuarantineCommand> {
         if recorded.is_some_and(|row| row.held) {
             return None;
@@ -197,11 +232,13 @@
             let ended = self.ended.iter().take(MOST_ENDED).copied().collect();
             QuarantineCommand::Set(QuarantineRow { mark, ended, held, times })
         };
-        match self.ended.len() {
-            MOST_ENDED.. => Some(row(true, times + 1)),
-            WATCHED_ENDED.. if recorded.is_none() => Some(row(false, times)),
-            _ => None,
+        // One that was held before has had all the time to run well.
+        let proven = |proven_ms| times > 0 || proven_ms <= settled_ms;
+        if self.proven_ms.is_some_and(proven) {
+            return Some(row(true, times + 1));
         }
+        let watch = recorded.is_none() && self.ended.len() >= WATCHED_ENDED;
+        watch.then(|| row(false, times))
     }
 }
 
@@ -213,11 +250,8 @@
     }
 }
 
-/// Whether a row may be added without pushing out another that would be wanted again.
-fn has_room(command: &QuarantineCommand, recorded: &QuarantineTable) -> bool {
-    let QuarantineCommand::Set(row) = command else { return true };
-    let free = recorded.rows().len() < MOST_ROWS;
-    recorded.row(row.mark).is_some() || free || (row.held && recorded.held() < MOST_ROWS)
+fn is_hold(command: &QuarantineCommand) -> bool {
+    matches!(command, QuarantineCommand::Set(row) if row.held)
 }
 
 fn marked(command: &QuarantineCommand) -> RequestMark {
--- a/lib/src/coordination/quarantine_desk.rs
+++ b/lib/src/coordination/quarantine_desk.rs
@@ -29,6 +29,11 @@
         self.told.is_held(mark)
     }
 
+    /// Whether VMs are to tell how a request fares.
+    pub fn is_watched(&self, mark: RequestMark) -> bool {
+        self.told.row(mark).is_some_and(|row| !row.held)
+    }
+
     /// How many requests are sent nowhere.
     pub fn held(&self) -> usize {
         self.told.held()
@@ -45,22 +50,29 @@
         &mut self,
         mark: RequestMark,
         upstream: UpstreamKey,
+        watched: bool,
         pause_ms: u64,
         now_ms: u64,
     ) -> Option<u64> {
-        self.outbox.note_ended(mark, upstream, now_ms);
-        if self.renewal_ms > now_ms {
+        self.outbox.note_ended(mark, upstream, watched, now_ms);
+        self.plan_renewal(pause_ms, now_ms)
+    }
+
+    /// A request ran to its end and its upstream lives; told where it is watched, as soon.
+    pub fn note_well(&mut self, mark: RequestMark, pause_ms: u64, now_ms: u64) -> Option<u64> {
+        if !self.is_watched(mark) {
             return None;
         }
-        self.renewal_ms = now_ms.max(self.renewal_ms + pause_ms);
-        Some(self.renewal_ms - now_ms)
+        self.outbox.note_well(mark);
+        self.plan_renewal(pause_ms, now_ms)
     }
 
-    /// A request ran to its end and its upstream lives; told where it is watched.
-    pub fn note_well(&mut self, mark: RequestMark) {
-        if self.told.row(mark).is_some_and(|row| !row.held) {
-            self.outbox.note_well(mark);
+    fn plan_renewal(&mut self, pause_ms: u64, now_ms: u64) -> Option<u64> {
+        if self.renewal_ms > now_ms {
+            return None;
         }
+        self.renewal_ms = now_ms.max(self.renewal_ms + pause_ms);
+        Some(self.renewal_ms - now_ms)
     }
 
     /// What the next renewal tells.
@@ -94,13 +106,14 @@
         self.table.take(term, report, recorded, now_ms);
     }
 
-    /// What is to be recorded now, as the leader of `term`.
+    /// What is to be recorded now, as the leader of `term` over so many VMs.
     pub fn wanted(
         &mut self,
         term: u64,
         recorded: &QuarantineTable,
+        vms: usize,
         now_ms: u64,
     ) -> Vec<QuarantineCommand> {
-        self.table.wanted(term, recorded, now_ms)
+        self.table.wanted(term, recorded, vms, now_ms)
     }
 }
--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -28,6 +28,7 @@
     upstream: UpstreamKey,
     address: SocketAddr,
     mark: RequestMark,
+    watched: bool,
     life: String,
     attempt: String,
 }
@@ -47,12 +48,17 @@
         desk.knows_any() && desk.is_held(self.mark(workspace))
     }
 
+    /// Whether VMs are to tell how this request fares.
+    pub(super) fn is_watched(&self, workspace: Option<&str>) -> bool {
+        let desk = self.node.quarantine.borrow();
+        desk.knows_any() && desk.is_watched(self.mark(workspace))
+    }
+
     /// An answer came whole, and its end was told by its framing: one that ends with its connection
     /// may have ended with its upstream.
     pub(super) fn note_ran(&self, place: &SendPlace, framed: bool) {
-        let mut desk = self.node.quarantine.borrow_mut();
-        if framed && desk.knows_any() {
-            desk.note_well(self.mark(place.send.workspace.as_deref()));
+        if framed && self.node.quarantine.borrow().knows_any() {
+            self.node.note_ran_well(self.mark(place.send.workspace.as_deref()));
         }
     }
 
@@ -62,6 +68,7 @@
             upstream: place.upstream,
             address: place.address,
             mark: self.mark(place.send.workspace.as_deref()),
+            watched: place.watched,
             life: place.send.life.clone(),
             attempt: self.caller.attempt.clone(),
         };
@@ -71,13 +78,13 @@
 
 impl VmNode {
     async fn look_after(self: Rc<Self>, broken: BrokenSend) {
-        let BrokenSend { upstream, address, mark, life, attempt } = broken;
+        let BrokenSend { upstream, address, mark, watched, life, attempt } = broken;
         if !self.has_ended(upstream, address).await {
             return;
         }
         self.outliers.borrow_mut().note_gone(upstream);
         self.figures.borrow_mut().ended_under += 1;
-        self.tell_ended(mark, upstream).await;
+        self.note_ended_under(mark, upstream, watched);
         info!(target: "upstream", life, attempt, request = %mark, "has ended under it");
     }
 
--- a/lib/src/transport/vm_quarantine.rs
+++ b/lib/src/transport/vm_quarantine.rs
@@ -1,8 +1,10 @@
 //! Requests that end upstreams: from what a VM saw to the leader, and from the log into what every VM
 //! refuses. See `docs/design/quarantine.md`.
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::spawn_local;
 use tracing::info;
 
 use super::vm_node::VmNode;
@@ -14,15 +16,38 @@
 use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
 
 impl VmNode {
-    /// An upstream ended under a request: the leader hears it at once, as fast as it can take renewals.
-    pub(super) async fn tell_ended(&self, mark: RequestMark, upstream: UpstreamKey) {
-        let now_ms = self.now_ms();
-        let pause_ms = pressed_renew_ms(self.view.borrow().roster.rows.len());
-        let wait_ms = self.quarantine.borrow_mut().note_ended(mark, upstream, pause_ms, now_ms);
-        if let Some(wait_ms) = wait_ms {
+    /// An upstream ended under a request that was watched, or not, when it was sent there. The leader
+    /// hears it at once, as fast as it can take renewals.
+    pub(super) fn note_ended_under(
+        self: &Rc<Self>,
+        mark: RequestMark,
+        upstream: UpstreamKey,
+        watched: bool,
+    ) {
+        let (pause_ms, now_ms) = (self.renewal_pause_ms(), self.now_ms());
+        let mut desk = self.quarantine.borrow_mut();
+        self.renew_after(desk.note_ended(mark, upstream, watched, pause_ms, now_ms));
+    }
+
+    /// A request ran to its end and its upstream lives: likewise, where that is asked for.
+    pub(super) fn note_ran_well(self: &Rc<Self>, mark: RequestMark) {
+        let (pause_ms, now_ms) = (self.renewal_pause_ms(), self.now_ms());
+        let mut desk = self.quarantine.borrow_mut();
+        self.renew_after(desk.note_well(mark, pause_ms, now_ms));
+    }
+
+    fn renewal_pause_ms(&self) -> u64 {
+        pressed_renew_ms(self.view.borrow().roster.rows.len())
+    }
+
+    /// Renews after so many milliseconds, if that is due.
+    fn renew_after(self: &Rc<Self>, wait_ms: Option<u64>) {
+        let Some(wait_ms) = wait_ms else { return };
+        let node = self.clone();
+        spawn_local(async move {
             tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-            self.renew();
-        }
+            node.renew();
+        });
     }
 
     /// Takes what a VM tells of upstreams that ended, as the leader of `term`.
@@ -54,7 +79,8 @@
         let wanted = match &*self.keeper.borrow() {
             Some(keeper) if keeper.may_vouch(now_ms) => {
                 let recorded = &keeper.record.quarantine;
-                self.quarantine.borrow_mut().wanted(keeper.term(), recorded, now_ms)
+                let vms = keeper.roster.rows().len();
+                self.quarantine.borrow_mut().wanted(keeper.term(), recorded, vms, now_ms)
             }
             _ => return,
         };
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -40,6 +40,8 @@
     pub(super) upstream: UpstreamKey,
     pub(super) address: SocketAddr,
     pub(super) send: UpstreamSend,
+    /// Whether VMs were to tell how this request fares when it was sent here.
+    pub(super) watched: bool,
     /// See [`UpstreamPick::against_order`].
     pub(super) against_order: Option<u64>,
     /// See [`UpstreamPick::new_root`].
@@ -122,6 +124,7 @@
             service,
             upstream: pick.upstream,
             address: entry.address,
+            watched: self.is_watched(send.workspace.as_deref()),
             send,
             against_order: pick.against_order,
             new_root: pick.new_root,
