soak: requests that end upstreams

The promise: once three upstreams have ended under a request, VMs in touch send it three times more at most.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -26,6 +26,9 @@
 /// The pause of a caller between two requests.
 const ASK_PAUSE: std::ops::Range<u64> = 20..120;
 
+/// What callers ask, all the same.
+const USUAL_BODY: &str = "question";
+
 /// The routes that callers use.
 const ROUTES: [(&str, AskKind); 6] = [
     ("once", AskKind::Once),
@@ -85,18 +88,27 @@
     /// One attempt, noted.
     pub async fn ask(&mut self, route: &str, kind: AskKind) -> AskEnd {
         let attempt = format!("{:016x}", self.random.gen::<u64>());
+        self.ask_as(&attempt, route, kind, USUAL_BODY).await
+    }
+
+    /// One attempt of this name and with this body, noted.
+    pub async fn ask_as(
+        &mut self,
+        attempt: &str,
+        route: &str,
+        kind: AskKind,
+        body: &str,
+    ) -> AskEnd {
         let key = self.draw_key();
         let sent_ms = self.shared.ledger.now_ms();
-        let end = match tokio::time::timeout(ANSWER_WAIT, self.send(route, &attempt, &key)).await {
-            Ok(end) => end,
-            Err(_) => AskEnd::Late,
-        };
+        let sent = self.send(route, attempt, &key, body);
+        let end = tokio::time::timeout(ANSWER_WAIT, sent).await.unwrap_or(AskEnd::Late);
         if !matches!(end, AskEnd::Whole | AskEnd::Status(_)) {
             self.sender = None;
         }
         let ended_ms = self.shared.ledger.now_ms();
         let row = AskRow {
-            attempt,
+            attempt: attempt.to_string(),
             vm: self.place.index,
             kind,
             route: route.to_string(),
@@ -119,7 +131,7 @@
         keys.get(keys.len().saturating_sub(back)).cloned().unwrap_or_default()
     }
 
-    async fn send(&mut self, route: &str, attempt: &str, key: &str) -> AskEnd {
+    async fn send(&mut self, route: &str, attempt: &str, key: &str, body: &str) -> AskEnd {
         let mut sender = match self.sender.take().filter(|sender| !sender.is_closed()) {
             Some(sender) => sender,
             None => match connect(self.place.front_link(), CONNECT_WAIT).await {
@@ -137,7 +149,7 @@
             .header(ATTEMPT, attempt)
             .header("x-key", key)
             .header("x-deadline-ms", DEADLINE_MS)
-            .body(Full::new(Bytes::from_static(b"question")))
+            .body(Full::new(Bytes::from(body.to_string())))
             .expect("a plain head");
         let Ok(answer) = sender.send_request(request).await else { return AskEnd::Cut };
         let end = read_answer(answer, route, attempt).await;
--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -108,6 +108,20 @@
                 step(16_000, Disturbance::KillAll),
             ],
         },
+        SoakCase {
+            name: "request-that-ends-upstreams",
+            cause: "nothing knows a request again that ended upstreams, and it is sent on",
+            steps: vec![step(500, Disturbance::FatalRequest(1, 16_000))],
+        },
+        SoakCase {
+            name: "request-that-ends-upstreams-over-kills-of-all",
+            cause: "what is known against a request is lost with the VMs that know it",
+            steps: vec![
+                step(500, Disturbance::FatalRequest(1, 6_000)),
+                step(9_000, Disturbance::KillAll),
+                step(18_000, Disturbance::FatalRequest(1, 12_000)),
+            ],
+        },
         SoakCase {
             name: "all-stopped-at-once",
             cause: "planned stops of all VMs within a second cut requests",
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -38,6 +38,8 @@
 const REPEAT_MS: u64 = 5_000;
 /// Observers of one clock may note one moment this far apart on a loaded machine.
 const NOTE_MS: u64 = 250;
+/// Upstreams that may end under one request before it is known for it, and sends beyond that.
+const FATAL_BORNE: usize = 3;
 /// VMs that keep what is agreed on.
 const CORE_VMS: usize = 3;
 
@@ -76,6 +78,7 @@
     judge.keys();
     judge.reads();
     judge.rollouts();
+    judge.fatal_requests();
     judge.broken
 }
 
@@ -280,6 +283,25 @@
         }
     }
 
+    fn fatal_requests(&mut self) {
+        for row in &self.rows.fatal {
+            let Some(third_ms) = row.ended_ms.get(FATAL_BORNE - 1).copied() else { continue };
+            let asks = row.attempts.iter().filter_map(|attempt| self.asks.get(attempt.as_str()));
+            let late = asks.flat_map(|ask| {
+                let runs = self.runs_of(ask).iter().map(|run| run.at_ms);
+                runs.filter(|at_ms| {
+                    let bound = CONTACT_MS + self.outer(third_ms, *at_ms) + NOTE_MS;
+                    *at_ms > third_ms + bound && self.in_touch_since(ask.vm, *at_ms).is_some()
+                })
+            });
+            let late: Vec<u64> = late.map(|at_ms| at_ms - third_ms).collect();
+            if late.len() > FATAL_BORNE {
+                let seen = format!("sent {late:?} ms after the third upstream ended: {row:?}");
+                self.add("requests that end upstreams", seen);
+            }
+        }
+    }
+
     fn roll_out_end(&mut self, row: &RollOutRow) {
         if let Some(lost) = row.told.iter().find(|told| told.state == UNKNOWN) {
             self.add("orders kept", format!("a roll-out is lost: {lost:?} of {row:?}"));
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -199,6 +199,17 @@
     pub told: Vec<RollOutEnd>,
 }
 
+/// A request that ends the upstreams that run it.
+#[derive(Clone, Debug, Default)]
+pub struct FatalRow {
+    /// Its number; one that comes again later has the same.
+    pub number: u64,
+    /// The attempts with which it came.
+    pub attempts: Vec<String>,
+    /// When upstreams ended under it.
+    pub ended_ms: Vec<u64>,
+}
+
 /// All rows.
 #[derive(Clone, Debug, Default)]
 pub struct LedgerRows {
@@ -216,6 +227,8 @@
     pub leaving: Vec<LeavingRow>,
     /// Roll-outs.
     pub rollouts: Vec<RollOutRow>,
+    /// Requests that end upstreams.
+    pub fatal: Vec<FatalRow>,
     /// Promises that the run itself saw broken while it waited for something.
     pub seen: Vec<String>,
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod cases;
+pub mod fatal_request;
 pub mod http;
 pub mod judge;
 pub mod ledger;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -74,6 +74,9 @@
     RollOut(usize, u64, VersionFault),
     /// A zone is emptied for so many milliseconds.
     EmptyZone(usize, u64),
+    /// The request of this number, which ends each upstream that runs it, comes again and again at all
+    /// VMs for so many milliseconds.
+    FatalRequest(u64, u64),
 }
 
 /// A disturbance and its time.
@@ -115,6 +118,9 @@
 /// All kinds.
 const ALL_KINDS: std::ops::Range<u32> = 0..35;
 
+/// Sets the draw of requests that end upstreams apart from the others.
+const FATAL_DRAW: u64 = 0xfa7a1;
+
 /// The schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
     let mut random = StdRng::seed_from_u64(seed);
@@ -129,9 +135,25 @@
         }
         at_ms += random.gen_range(300..3_500);
     }
+    if !planned {
+        add_fatal(&mut steps, seed, size);
+    }
     steps
 }
 
+/// Adds a request that ends upstreams to every second schedule, by a draw of its own: so a seed's other
+/// steps stay what they were.
+fn add_fatal(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(seed ^ FATAL_DRAW);
+    if random.gen() {
+        return;
+    }
+    let at_ms = random.gen_range(500..size.disturbed_ms / 2);
+    let disturbance = Disturbance::FatalRequest(seed, random.gen_range(4_000..12_000));
+    steps.push(PlannedStep { at_ms, disturbance });
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 fn draw(random: &mut StdRng, size: RunSize, planned: bool) -> Disturbance {
     let vm = random.gen_range(0..size.vms);
     let upstream = random.gen_range(0..size.upstreams);
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::caller::CallerShared;
+use crate::fatal_request::send_fatal;
 use crate::ledger::{OrderWhat, Touched};
 use crate::link::LinkMode;
 use crate::operator::{invalid_document, DOCUMENT_REPEAT_MS, ZONE_REPEAT_MS};
@@ -72,6 +73,7 @@
             roll_out(&site, service, duration_s, fault).await;
         }
         Disturbance::EmptyZone(zone, ms) => empty_zone(&site, zone, ms).await,
+        Disturbance::FatalRequest(number, ms) => send_fatal(site, callers, number, ms).await,
     }
 }
 
@@ -144,7 +146,7 @@
     site.ledger.calm(span);
 }
 
-async fn start_life(site: &SoakSite, at: usize, same_id: bool) {
+pub(crate) async fn start_life(site: &SoakSite, at: usize, same_id: bool) {
     if !site.in_use(at) {
         return;
     }
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -66,9 +66,14 @@
     fault: VersionFault,
     started: Instant,
     crash: Notify,
+    /// Whether it has begun to run a request that ends it.
+    fatal: Cell<bool>,
     ledger: Rc<RunLedger>,
 }
 
+/// A request whose body begins with this ends the upstream that runs it.
+pub const FATAL_BODY: &str = "fatal";
+
 /// One life of an upstream, with the link to it.
 pub struct UpstreamLife {
     state: Rc<LifeState>,
@@ -113,6 +118,7 @@
             fault,
             started: Instant::now(),
             crash: Notify::new(),
+            fatal: Cell::new(false),
             ledger,
         });
         let shared = state.clone();
@@ -130,6 +136,11 @@
         self.state.leaving.set(true);
     }
 
+    /// Whether it has begun to run a request that ends it.
+    pub fn is_fatal(&self) -> bool {
+        self.state.fatal.get()
+    }
+
     /// Whether three in four plain answers fail, are cut, or are those to another request.
     pub fn set_faulty(&self, faulty: bool) {
         self.state.faulty.set(faulty);
@@ -194,7 +205,7 @@
         let answer = Response::builder().status(status).header("x-instance-id", &state.id);
         return Ok(answer.body(full(String::new())).expect("a plain head"));
     }
-    body.collect().await?;
+    let body = body.collect().await?.to_bytes();
     let expected = named(EXPECTED_LIFE);
     if !expected.is_empty() && expected != state.id {
         return Ok(not_run(421));
@@ -217,6 +228,11 @@
         after_event,
         workspace: named("x-tenant"),
     });
+    if body.starts_with(FATAL_BODY.as_bytes()) {
+        state.fatal.set(true);
+        // Whoever watches ends this life, and with it this connection.
+        std::future::pending::<()>().await;
+    }
     let mut answer = Response::builder()
         .header(ATTEMPT, &attempt)
         .header(STAMP, &state.id)
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -3,8 +3,8 @@
 use wingshed_soak::caller::stream_fault;
 use wingshed_soak::judge::judge;
 use wingshed_soak::ledger::{
-    AskEnd, AskKind, AskRow, DocumentRow, LeavingRow, LedgerRows, OrderRow, OrderWhat, ReadRow,
-    RunRow, SpanRow, Touched,
+    AskEnd, AskKind, AskRow, DocumentRow, FatalRow, LeavingRow, LedgerRows, OrderRow, OrderWhat,
+    ReadRow, RunRow, SpanRow, Touched,
 };
 
 fn ask(kind: AskKind, sent_ms: u64, end: AskEnd) -> AskRow {
@@ -136,3 +136,33 @@
     let fault = stream_fault(text, "a", true);
     assert!(fault.is_some_and(|fault| fault.contains("event 2 expected")));
 }
+
+/// A request under which upstreams ended at 20, 21 and 22 s, and that was sent on at these times.
+fn fatal(sent_ms: &[u64]) -> LedgerRows {
+    let mut rows = LedgerRows::default();
+    let mut row = FatalRow { ended_ms: vec![20_000, 21_000, 22_000], ..FatalRow::default() };
+    for (at, sent_ms) in sent_ms.iter().enumerate() {
+        let attempt = format!("f{at}");
+        rows.asks
+            .push(AskRow { attempt: attempt.clone(), ..ask(AskKind::Once, *sent_ms, AskEnd::Cut) });
+        rows.runs.push(RunRow { attempt: attempt.clone(), ..run(sent_ms + 5) });
+        row.attempts.push(attempt);
+    }
+    rows.orders = vec![document(3, "s1", "k1", 10)];
+    rows.fatal = vec![row];
+    rows
+}
+
+#[test]
+fn a_request_that_is_sent_on_after_upstreams_ended_under_it_is_told() {
+    let late = [30_000, 31_000, 32_000, 33_000];
+    assert_eq!(told(&fatal(&late)), ["requests that end upstreams"]);
+
+    assert_eq!(told(&fatal(&late[..3])), Vec::<&str>::new(), "three more are borne");
+    let early = [22_100, 22_200, 23_000, 24_000, 25_000, 26_000];
+    assert_eq!(told(&fatal(&early)), Vec::<&str>::new(), "before VMs can all know");
+    let mut disturbed = fatal(&late);
+    let touched = Touched::Vm(0);
+    disturbed.spans = vec![SpanRow { touched, from_ms: 22_000, until_ms: Some(33_500) }];
+    assert_eq!(told(&disturbed), Vec::<&str>::new(), "by a VM that isn't in touch");
+}
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -2,8 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
-use wingshed_soak::run::{play_steps, run_network, RunPlan};
-use wingshed_soak::schedule::{schedule, SHORT_SIZE, USUAL_SIZE};
+use wingshed_soak::run::{play_steps, run_network, RunPlan, RunVerdict};
+use wingshed_soak::schedule::{schedule, Disturbance, PlannedStep, SHORT_SIZE, USUAL_SIZE};
 
 /// `cargo test --workspace` builds it beside the tests, for the tests of its own crate.
 fn program() -> PathBuf {
@@ -27,6 +27,11 @@
 
 /// What broke in a short run of a seed.
 fn broken(seed: u64) -> Vec<String> {
+    broken_by(&played(seed, schedule(seed, SHORT_SIZE)))
+}
+
+/// Plays these steps.
+fn played(seed: u64, steps: Vec<PlannedStep>) -> RunVerdict {
     let folder = folder();
     let plan = RunPlan {
         seed,
@@ -36,9 +41,12 @@
         program: program(),
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let played = runtime.block_on(play_steps(&plan, schedule(seed, SHORT_SIZE)));
-    let verdict = played.unwrap();
+    let verdict = runtime.block_on(play_steps(&plan, steps)).unwrap();
     assert!(!verdict.rows.asks.is_empty(), "nobody asked anything");
+    verdict
+}
+
+fn broken_by(verdict: &RunVerdict) -> Vec<String> {
     verdict.broken.iter().map(|broken| format!("{}: {}", broken.promise, broken.seen)).collect()
 }
 
@@ -56,3 +64,19 @@
 fn a_seed_of_all_kinds_breaks_no_promise() {
     assert_eq!(broken(3), Vec::<String>::new());
 }
+
+#[test]
+fn a_request_that_ends_upstreams_is_refused_also_after_all_vms_were_killed() {
+    let step = |at_ms, disturbance| PlannedStep { at_ms, disturbance };
+    let verdict = played(
+        91,
+        vec![
+            step(500, Disturbance::FatalRequest(1, 4_000)),
+            step(6_000, Disturbance::KillAll),
+            step(11_000, Disturbance::FatalRequest(1, 6_000)),
+        ],
+    );
+
+    assert!(verdict.rows.fatal[0].ended_ms.len() >= 3, "{:?}", verdict.rows.fatal);
+    assert_eq!(broken_by(&verdict), Vec::<String>::new());
+}
