vm: grants in a file of their own, a step a function

vm_contact was 520 lines and answered, asked and took in one; answer_renewal had 60 lines and take_grant 55. No behaviour changed; the VMs' tests pass.

--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -35,6 +35,7 @@
 mod vm_fleet_calls;
 pub mod vm_forward;
 pub mod vm_front;
+mod vm_grant;
 mod vm_guard;
 pub mod vm_keeper;
 pub mod vm_links;
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -1,4 +1,5 @@
-//! Renewals and grants: how a VM stays in contact with the leader, and what it learns.
+//! How a VM stays in contact with the leader: whom it asks, how often, and what it tells. Answers are in
+//! `vm_grant`.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,26 +7,15 @@
 
 use tracing::{debug, info};
 
-use super::vm_keeper::KeeperDriver;
-use super::vm_list_news::told_age_ms;
 use super::vm_node::VmNode;
-use crate::coordination::fleet_health::{names_failing, HealthReport};
-use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::list_turn::UNTOLD_MS;
 use crate::coordination::vm_roster::{
-    pressed_renew_ms, seek_pause_ms, RosterMark, RosterNews, MANY_VMS, PRESSED_KEEP_MS, RENEW_MS,
-    SETTLE_MS,
+    pressed_renew_ms, seek_pause_ms, MANY_VMS, PRESSED_KEEP_MS, RENEW_MS,
 };
-use crate::protocol::vm_wire::{
-    decode, encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
-};
-use crate::state::ids::UpstreamKey;
-use crate::state::rollout_order::RolloutTable;
-use crate::state::upstream_list::ListMark;
-use crate::state::zone_order::ZoneOrders;
+use crate::protocol::vm_wire::{decode, encode, vm_address, RenewalNote, VmDatagram, VmId};
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
-const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
+pub(super) const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
 /// What a renewal told is kept for its answer this long, in milliseconds; later answers tell
 /// nothing of the present any more.
 const TOLD_KEEP_MS: u64 = 2000;
@@ -37,15 +27,6 @@
 /// others: all asking all every 50 ms is more than the keepers of 300 VMs can answer.
 const SOME_ASKED: usize = 3;
 
-/// What a leader tells of the roster: nothing to a VM that knows one, until it has led long
-/// enough to have heard every VM.
-fn roster_news(keeper: &KeeperDriver, have: RosterMark, now_ms: u64) -> RosterNews {
-    match keeper.led_ms(now_ms) >= SETTLE_MS || have.term == 0 {
-        true => keeper.roster.news(keeper.term(), have),
-        false => RosterNews::default(),
-    }
-}
-
 impl VmNode {
     /// Renews, again and again.
     pub async fn keep_contact(self: Rc<Self>) {
@@ -265,234 +246,6 @@
         }
     }
 
-    fn answer_renewal(&self, from: VmId, note: RenewalNote) {
-        let now_ms = self.now_ms();
-        self.hear_of_list(from, note.list, now_ms);
-        let mut keeper = self.keeper.borrow_mut();
-        let answer = match keeper.as_mut() {
-            Some(keeper) if keeper.may_vouch(now_ms) => {
-                keeper.roster.note(note.row, note.keeper, note.loads, now_ms);
-                let upstreams = self.upstreams.borrow();
-                let (holders, holders_heard) =
-                    self.exchange_holders(keeper.term(), &note.holders, note.holders_heard, now_ms);
-                let failing = self.take_health_reports(keeper.term(), &note.health_reports, now_ms);
-                self.take_doubts(keeper.term(), from, &note.doubts);
-                self.take_rollout_notes(keeper.term(), from, note.life, note.rollouts);
-                let recorded = &keeper.record.quarantine;
-                self.take_crashes(keeper.term(), &note.crashes, recorded, now_ms);
-                VmDatagram::Grant(GrantNote {
-                    sent_ms: note.sent_ms,
-                    term: keeper.term(),
-                    version: keeper.record.document.version,
-                    list: upstreams.mark,
-                    list_age_ms: told_age_ms(upstreams.news_ms, now_ms),
-                    keepers: keeper.members().iter().map(|id| id.0).collect(),
-                    roster: roster_news(keeper, note.roster, now_ms),
-                    loads: match note.list == upstreams.mark {
-                        true => {
-                            LoadNews::placed(keeper.roster.placed_loads(upstreams.entries.keys()))
-                        }
-                        false => LoadNews::Keyed(keeper.roster.loads()),
-                    },
-                    holders,
-                    holders_heard,
-                    failing,
-                    zones: keeper.record.zones.news(note.zone_orders),
-                    dark: self.dark_news(note.dark),
-                    rollouts: keeper.record.rollouts.news(note.rollout_changes),
-                    quarantine: keeper.record.quarantine.news(note.quarantine_changes),
-                    crashes_heard: note.crashes.last(),
-                })
-            }
-            Some(keeper) => {
-                let mut seekers = self.seekers.borrow_mut();
-                seekers.insert(from);
-                VmDatagram::Elsewhere {
-                    leader: keeper.leader().map(|id| id.0),
-                    keepers: keeper.members().iter().map(|id| id.0).collect(),
-                    vms: self.view.borrow().vms.max(seekers.len()) as u32,
-                }
-            }
-            None => {
-                let view = self.view.borrow();
-                let fresh = view.heard_ms + LEADER_SILENT_MS > now_ms;
-                VmDatagram::Elsewhere {
-                    leader: view.leader.filter(|_| fresh),
-                    keepers: view.keepers.clone(),
-                    vms: view.vms as u32,
-                }
-            }
-        };
-        drop(keeper);
-        self.send_datagram(from, &encode(&answer));
-    }
-
-    /// A VM holds this state of the list; a leader that holds a lower one takes it over, so that its
-    /// own next one is above it.
-    fn hear_of_list(&self, from: VmId, mark: ListMark, now_ms: u64) {
-        self.upstreams.borrow_mut().hear(mark);
-        let leads = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.may_vouch(now_ms));
-        if leads && mark > self.upstreams.borrow().mark {
-            self.want_list(from, now_ms);
-        }
-    }
-
-    /// Takes how a VM's sends went, as the leader, and gives those that fail everybody.
-    fn take_health_reports(
-        &self,
-        term: u64,
-        notes: &[HealthReport],
-        now_ms: u64,
-    ) -> Vec<UpstreamKey> {
-        for note in notes.iter().filter(|note| note.well > 0) {
-            self.silence.borrow_mut().table.heard(note.upstream, note.well, now_ms);
-        }
-        if !names_failing(self.view.borrow().vms) {
-            return Vec::new();
-        }
-        let upstreams = self.upstreams.borrow();
-        let service = |key| upstreams.entries.get(&key).map_or("", |entry| entry.service.as_str());
-        let fleet = |key| upstreams.taking(service(key)).map(|(key, _)| key);
-        let mut desk = self.health.borrow_mut();
-        for key in desk.table.take(term, notes, fleet, now_ms) {
-            let life = upstreams.entries.get(&key).map_or("", |entry| entry.life.as_str());
-            info!(target: "upstream", life, "fails whoever sends to it");
-        }
-        desk.table.named(now_ms)
-    }
-
-    /// Takes what a VM tells of holders, as the leader, and gives what others told.
-    fn exchange_holders(
-        &self,
-        term: u64,
-        told: &[HolderNote],
-        heard: HolderMark,
-        now_ms: u64,
-    ) -> (Vec<HolderNote>, HolderMark) {
-        let mut desk = self.holders.borrow_mut();
-        let fresh = desk.ring.take(term, told);
-        self.learn_holders(&fresh, now_ms);
-        desk.ring.news(heard)
-    }
-
-    /// Takes the orders that a leader tells with a grant to a renewal sent at `sent_ms`, those of a kind
-    /// only where they are others than this VM knew of; so what it knows is all there was then.
-    fn take_orders(&self, zones: Option<ZoneOrders>, rollouts: Option<RolloutTable>, sent_ms: u64) {
-        zones.into_iter().for_each(|orders| self.take_zones(orders));
-        rollouts.into_iter().for_each(|table| self.take_rollouts(table));
-        self.rollouts.borrow_mut().watch_mut().prove(sent_ms);
-    }
-
-    fn learn_holders(&self, notes: &[HolderNote], now_ms: u64) {
-        let mut prefixes = self.prefixes.borrow_mut();
-        for note in notes {
-            prefixes.note_told(note.part, note.engine, now_ms);
-        }
-    }
-
-    fn take_grant(&self, from: VmId, grant: GrantNote) {
-        let now_ms = self.now_ms();
-        self.learn_holders(&grant.holders, now_ms);
-        self.holders.borrow_mut().heard = grant.holders_heard;
-        self.take_list_age(grant.list, grant.sent_ms, grant.list_age_ms);
-        match grant.dark {
-            Some(dark) => self.take_dark(dark),
-            None => self.silence.borrow_mut().view.confirm(now_ms),
-        }
-        self.take_orders(grant.zones, grant.rollouts, grant.sent_ms);
-        grant.quarantine.into_iter().for_each(|table| self.take_quarantine(table));
-        self.quarantine.borrow_mut().confirm(grant.term, grant.crashes_heard);
-        {
-            let mut view = self.view.borrow_mut();
-            if view.leader != Some(from) {
-                info!(target: "contact", leader = %vm_address(from), term = grant.term, "renewed");
-            }
-            view.leader = Some(from);
-            view.term = view.term.max(grant.term);
-            view.heard_ms = now_ms;
-            view.first_heard_ms.get_or_insert(now_ms);
-            if !grant.keepers.is_empty() {
-                view.keepers = grant.keepers;
-            }
-            view.roster.take(grant.roster);
-            view.vms = view.roster.rows.len();
-            view.failing = grant.failing;
-            let own = view.own_told.get(&grant.sent_ms).cloned().unwrap_or_default();
-            let upstreams = self.upstreams.borrow();
-            match grant.loads {
-                LoadNews::Keyed(loads) => view.told.tell(&loads, &own),
-                placed if grant.list == upstreams.mark => {
-                    match placed.into_sums(upstreams.entries.len()) {
-                        Some(sums) => view.told.tell_placed(upstreams.entries.keys(), &sums, &own),
-                        None => debug!(target: "contact", "loads of another list"),
-                    }
-                }
-                // The list has changed since the renewal was sent; the next answer will fit.
-                LoadNews::Placed(_) | LoadNews::Runs(_) => {}
-            }
-        }
-        self.contact.borrow_mut().note_grant(grant.sent_ms, grant.version);
-        self.contact_changed.notify_waiters();
-        self.tell_if_changed();
-        if self.contact.borrow_mut().wants_document(grant.version, now_ms) {
-            self.ask_document(from);
-        }
-        if grant.list > self.upstreams.borrow().mark {
-            self.want_list(from, now_ms);
-        }
-        self.tell_askers();
-    }
-
-    /// Asks for the newest document at any keeper, since each holds what is committed: after a
-    /// common restart all VMs ask, and 70 large documents are seconds of one leader's link, in
-    /// which it can neither read the list nor be heard. One that lags is asked again elsewhere.
-    pub(super) fn ask_document(&self, leader: VmId) {
-        let view = self.view.borrow();
-        let keepers: Vec<VmId> = view.keepers.iter().copied().filter(|id| *id != self.id).collect();
-        let keeper = keepers.get(self.draw() as usize % keepers.len().max(1));
-        self.links.send(keeper.copied().unwrap_or(leader), &VmMessage::WantDocument);
-    }
-
-    /// A leader is in contact with itself; true when this VM leads.
-    fn grant_to_itself(&self, now_ms: u64) -> bool {
-        let row = self.own_row();
-        let loads = self.own_loads();
-        let mut keeper = self.keeper.borrow_mut();
-        let Some(keeper) = keeper.as_mut().filter(|keeper| keeper.may_vouch(now_ms)) else {
-            return false;
-        };
-        keeper.roster.note(row, Some(keeper.incarnation), loads.clone(), now_ms);
-        {
-            let mut desk = self.holders.borrow_mut();
-            let own = desk.outbox.take();
-            desk.ring.take(keeper.term(), &own);
-        }
-        let own_reports = self.health.borrow_mut().outbox.take();
-        let failing = self.take_health_reports(keeper.term(), &own_reports, now_ms);
-        let doubts = self.silence.borrow_mut().view.take_doubts();
-        self.take_doubts(keeper.term(), self.id, &doubts);
-        let (life, notes) = (self.rollouts.borrow().life(), self.rollout_notes());
-        self.take_rollout_notes(keeper.term(), self.id, life, notes);
-        self.hear_own_crashes(keeper.term(), &keeper.record.quarantine, now_ms);
-        let mut view = self.view.borrow_mut();
-        view.failing = failing;
-        view.leader = Some(self.id);
-        view.term = keeper.term();
-        view.heard_ms = now_ms;
-        view.first_heard_ms.get_or_insert(now_ms);
-        view.keepers = keeper.members().iter().map(|id| id.0).collect();
-        let news = roster_news(keeper, view.roster.mark, now_ms);
-        view.roster.take(news);
-        view.vms = view.roster.rows.len();
-        view.told.tell(&keeper.roster.loads(), &loads);
-        let zones = keeper.record.zones.news(self.zones.borrow().watch.orders.taken());
-        let known = self.rollouts.borrow().watch().table().changes();
-        self.take_orders(zones, keeper.record.rollouts.news(known), now_ms);
-        self.contact.borrow_mut().note_grant(now_ms, keeper.record.document.version);
-        self.contact_changed.notify_waiters();
-        true
-    }
-
     /// Waits until the book in force is surely the newest as of `since_ms`; false when it
     /// can't be told in time.
     pub async fn confirm(&self, since_ms: u64, patience: Duration) -> bool {
