tests: a lost disk loses nothing while all others lose power

Right after a document was acknowledged, a few steps on, one disk of three is lost and the others lose power.

--- a/lib/tests/test_vm_keepers.rs
+++ b/lib/tests/test_vm_keepers.rs
@@ -109,6 +109,22 @@
     play("all", faults);
 }
 
+#[test]
+fn a_lost_disk_loses_nothing_while_all_others_lose_power() {
+    for seed in 0..5 * seeds() {
+        let mut bench = KeeperBench::new(3, KeeperFaults::default(), seed);
+        bench.calm(BACK);
+        // Some step after a document was acknowledged, which not every disk holds yet.
+        bench.run(seed % 7);
+        let acknowledged = bench.acknowledged;
+
+        bench.lose_all_and_wipe(seed as usize % 3);
+        bench.calm(BACK);
+
+        assert!(bench.vouched() >= Some(acknowledged), "seed {seed}: {acknowledged} is lost");
+    }
+}
+
 #[test]
 fn two_that_return_at_once_agree_on_a_leader_at_once() {
     for seed in 0..5 * seeds() {
