--- a/lib/src/coordination/crash_table.rs
+++ b/lib/src/coordination/crash_table.rs
@@ -21,7 +21,7 @@
 /// From so many on a request is watched: all VMs know it, and tell when it runs well.
 const WATCHED_ENDED: usize = 2;
 /// What VMs saw run well is waited for before a request is held for the first time: as long as they
-/// need to tell it, and this much more, in milliseconds, twice what a plain request runs.
+/// need to tell it, and this much more, in milliseconds, for runs that are about to end.
 const SETTLE_MORE_MS: u64 = 100;
 /// More requests than this at once are not at fault: the upstreams are. The rest is sent on.
 pub const MOST_HELD: usize = 16;
@@ -45,7 +45,7 @@
 struct CrashCount {
     ended: Vec<UpstreamKey>,
     last_ms: u64,
-    /// Whether one of them was sent it when it was watched.
+    /// Whether one of them ended under a send that was made when the request was watched.
     confirmed: bool,
     /// Since when it is known to be at fault, unless it ran well meanwhile.
     proven_ms: Option<u64>,
@@ -82,9 +82,7 @@
         recorded: &QuarantineTable,
         now_ms: u64,
     ) {
-        if term != self.term {
-            *self = CrashTable { term, ..CrashTable::default() };
-        }
+        self.begin_term(term);
         for note in &report.ended {
             self.note_ended(note, recorded, now_ms);
         }
@@ -96,6 +94,13 @@
         }
     }
 
+    /// What another leader counted VMs tell again.
+    fn begin_term(&mut self, term: u64) {
+        if term != self.term {
+            *self = CrashTable { term, ..CrashTable::default() };
+        }
+    }
+
     fn note_ended(&mut self, note: &CrashNote, recorded: &QuarantineTable, now_ms: u64) {
         if recorded.is_held(note.mark) {
             // Sent before it was held.
@@ -145,9 +150,7 @@
         vms: usize,
         now_ms: u64,
     ) -> Vec<QuarantineCommand> {
-        if term != self.term {
-            *self = CrashTable { term, ..CrashTable::default() };
-        }
+        self.begin_term(term);
         self.counts.retain(|_, count| count.last_ms + COUNT_KEEP_MS > now_ms);
         let settled_ms = now_ms.saturating_sub(settle_ms(vms));
         let mut wanted: Vec<QuarantineCommand> = self
