--- a/lib/src/coordination/crash_outbox.rs
+++ b/lib/src/coordination/crash_outbox.rs
@@ -14,9 +14,22 @@
 pub const CRASH_KEEP_MS: u64 = 300_000;
 /// Crashes that a VM keeps, 40 bytes each. An engine with 64 places that ends is 64 at most.
 const MOST_KEPT: usize = 256;
-/// Crashes told with one renewal, 22 bytes each; the rest waits for the next.
+/// Crashes told with one renewal, 25 bytes each; the rest waits for the next.
 pub const MOST_TOLD: usize = 32;
 
+/// A crash as a VM saw it; see [`CrashNote`].
+#[derive(Clone, Copy, Debug)]
+pub struct SeenCrash {
+    /// The request.
+    pub mark: RequestMark,
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Whether the VM knew the request as watched when it sent it.
+    pub watched: bool,
+    /// How long it had been there, in milliseconds.
+    pub ran_ms: u64,
+}
+
 /// An upstream ended under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNote {
@@ -28,6 +41,8 @@
     pub upstream: UpstreamKey,
     /// Whether the VM knew the request as watched when it sent it.
     pub watched: bool,
+    /// How long it had been there when the upstream ended, in milliseconds.
+    pub ran_ms: u64,
 }
 
 /// What a VM tells with a renewal.
@@ -58,15 +73,10 @@
 
 impl CrashOutbox {
     /// An upstream ended under a request.
-    pub fn note_ended(
-        &mut self,
-        mark: RequestMark,
-        upstream: UpstreamKey,
-        watched: bool,
-        now_ms: u64,
-    ) {
+    pub fn note_ended(&mut self, seen: SeenCrash, now_ms: u64) {
         self.numbered += 1;
-        let note = CrashNote { number: self.numbered, mark, upstream, watched };
+        let SeenCrash { mark, upstream, watched, ran_ms } = seen;
+        let note = CrashNote { number: self.numbered, mark, upstream, watched, ran_ms };
         self.notes.push_back((now_ms, note));
         if self.notes.len() > MOST_KEPT {
             self.notes.pop_front();
--- a/lib/src/coordination/quarantine_desk.rs
+++ b/lib/src/coordination/quarantine_desk.rs
@@ -3,9 +3,9 @@
 //!
 //! It knows no sockets: it is told events with the present time, and gives back what to tell or propose.
 
-use super::crash_outbox::{CrashOutbox, CrashReport};
+use super::crash_outbox::{CrashOutbox, CrashReport, SeenCrash};
 use super::crash_table::CrashTable;
-use crate::state::ids::{RequestMark, UpstreamKey};
+use crate::state::ids::RequestMark;
 use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
 
 /// See the module.
@@ -46,15 +46,8 @@
 
     /// An upstream ended under a request; returns after how many milliseconds to tell the leader, so
     /// that it hears once in `pause_ms` at most; `None` when that is planned already.
-    pub fn note_ended(
-        &mut self,
-        mark: RequestMark,
-        upstream: UpstreamKey,
-        watched: bool,
-        pause_ms: u64,
-        now_ms: u64,
-    ) -> Option<u64> {
-        self.outbox.note_ended(mark, upstream, watched, now_ms);
+    pub fn note_ended(&mut self, seen: SeenCrash, pause_ms: u64, now_ms: u64) -> Option<u64> {
+        self.outbox.note_ended(seen, now_ms);
         self.plan_renewal(pause_ms, now_ms)
     }
 
--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -15,6 +15,7 @@
 use super::vm_pool::ConnectFault;
 use super::vm_send::SendPlace;
 use super::vm_task::CallerTask;
+use crate::coordination::crash_outbox::SeenCrash;
 use crate::state::ids::{RequestMark, UpstreamKey};
 
 /// A process that ends closes its connections and its listener one after the other, so that one which
@@ -25,10 +26,8 @@
 
 /// A send whose connection broke.
 struct BrokenSend {
-    upstream: UpstreamKey,
+    seen: SeenCrash,
     address: SocketAddr,
-    mark: RequestMark,
-    watched: bool,
     life: String,
     attempt: String,
 }
@@ -64,11 +63,15 @@
 
     /// The connection of a send broke: looks whether the upstream has ended, beside the request.
     pub(super) fn look_after_break(&self, place: &SendPlace) {
-        let broken = BrokenSend {
-            upstream: place.upstream,
-            address: place.address,
+        let seen = SeenCrash {
             mark: self.mark(place.send.workspace.as_deref()),
+            upstream: place.upstream,
             watched: place.watched,
+            ran_ms: self.node.now_ms().saturating_sub(place.sent_ms),
+        };
+        let broken = BrokenSend {
+            seen,
+            address: place.address,
             life: place.send.life.clone(),
             attempt: self.caller.attempt.clone(),
         };
@@ -78,14 +81,17 @@
 
 impl VmNode {
     async fn look_after(self: Rc<Self>, broken: BrokenSend) {
-        let BrokenSend { upstream, address, mark, watched, life, attempt } = broken;
-        if !self.has_ended(upstream, address).await {
+        let BrokenSend { seen, address, life, attempt } = broken;
+        if !self.has_ended(seen.upstream, address).await {
             return;
         }
-        self.outliers.borrow_mut().note_gone(upstream);
+        self.outliers.borrow_mut().note_gone(seen.upstream);
         self.figures.borrow_mut().ended_under += 1;
-        self.note_ended_under(mark, upstream, watched);
-        info!(target: "upstream", life, attempt, request = %mark, "has ended under it");
+        self.note_ended_under(seen);
+        info!(
+            target: "upstream", life, attempt, request = %seen.mark, ran_ms = seen.ran_ms,
+            "has ended under it",
+        );
     }
 
     async fn has_ended(&self, upstream: UpstreamKey, address: SocketAddr) -> bool {
--- a/lib/src/transport/vm_quarantine.rs
+++ b/lib/src/transport/vm_quarantine.rs
@@ -8,25 +8,19 @@
 use tracing::info;
 
 use super::vm_node::VmNode;
-use crate::coordination::crash_outbox::CrashReport;
+use crate::coordination::crash_outbox::{CrashReport, SeenCrash};
 use crate::coordination::vm_roster::pressed_renew_ms;
 use crate::protocol::vm_wire::{encode, VmDatagram, VmId};
 use crate::state::fleet_record::FleetCommand;
-use crate::state::ids::{RequestMark, UpstreamKey};
+use crate::state::ids::RequestMark;
 use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
 
 impl VmNode {
-    /// An upstream ended under a request that was watched, or not, when it was sent there. The leader
-    /// hears it at once, as fast as it can take renewals.
-    pub(super) fn note_ended_under(
-        self: &Rc<Self>,
-        mark: RequestMark,
-        upstream: UpstreamKey,
-        watched: bool,
-    ) {
+    /// An upstream ended under a request. The leader hears it at once, as fast as it can take renewals.
+    pub(super) fn note_ended_under(self: &Rc<Self>, seen: SeenCrash) {
         let (pause_ms, now_ms) = (self.renewal_pause_ms(), self.now_ms());
         let mut desk = self.quarantine.borrow_mut();
-        self.renew_after(desk.note_ended(mark, upstream, watched, pause_ms, now_ms));
+        self.renew_after(desk.note_ended(seen, pause_ms, now_ms));
     }
 
     /// A request ran to its end and its upstream lives: likewise, where that is asked for.
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -42,6 +42,8 @@
     pub(super) send: UpstreamSend,
     /// Whether VMs were to tell how this request fares when it was sent here.
     pub(super) watched: bool,
+    /// When it was placed, by the node's clock.
+    pub(super) sent_ms: u64,
     /// See [`UpstreamPick::against_order`].
     pub(super) against_order: Option<u64>,
     /// See [`UpstreamPick::new_root`].
@@ -125,6 +127,7 @@
             upstream: pick.upstream,
             address: entry.address,
             watched: self.is_watched(send.workspace.as_deref()),
+            sent_ms: self.node.now_ms(),
             send,
             against_order: pick.against_order,
             new_root: pick.new_root,
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -2,7 +2,7 @@
 //! for stands at the head of `platform/tests/test_quarantine.rs`.
 
 use wingshed_lib::coordination::crash_outbox::{
-    CrashNote, CrashOutbox, CrashReport, CRASH_KEEP_MS, MOST_TOLD,
+    CrashNote, CrashOutbox, CrashReport, SeenCrash, CRASH_KEEP_MS, MOST_TOLD,
 };
 use wingshed_lib::coordination::crash_table::{
     held_ms, settle_ms, CrashTable, COUNT_KEEP_MS, FIRST_HELD_MS, MOST_ENDED, MOST_HELD,
@@ -67,10 +67,15 @@
         mark,
         upstream: UpstreamKey(*upstream),
         watched,
+        ran_ms: 100,
     };
     CrashReport { ended: upstreams.iter().enumerate().map(note).collect(), well: Vec::new() }
 }
 
+fn seen(mark: RequestMark, upstream: u64) -> SeenCrash {
+    SeenCrash { mark, upstream: UpstreamKey(upstream), watched: false, ran_ms: 100 }
+}
+
 fn well(mark: RequestMark) -> CrashReport {
     CrashReport { ended: Vec::new(), well: vec![mark] }
 }
@@ -172,7 +177,7 @@
     let mut outboxes = [CrashOutbox::default(), CrashOutbox::default()];
     let mut first = Leader::of_term(1, QuarantineTable::default());
     for (at, outbox) in outboxes.iter_mut().enumerate() {
-        outbox.note_ended(POISON, UpstreamKey(at as u64), false, START_MS);
+        outbox.note_ended(seen(POISON, at as u64), START_MS);
         let report = outbox.take(START_MS);
         first.hear(&report, START_MS);
         outbox.confirm(1, 0);
@@ -195,7 +200,7 @@
 fn crashes_are_told_until_they_are_heard_some_at_a_time_and_for_a_bounded_while() {
     let mut outbox = CrashOutbox::default();
     for at in 0..MOST_TOLD as u64 + 5 {
-        outbox.note_ended(RequestMark(at), UpstreamKey(1), false, START_MS);
+        outbox.note_ended(seen(RequestMark(at), 1), START_MS);
     }
     outbox.confirm(1, 0);
 
@@ -307,3 +312,33 @@
         assert_ne!(other, mark, "{what}");
     }
 }
+
+/// A stream that many ask for runs on each upstream, for longer than these live beside a request that
+/// ends them: it never runs well in time. The soak showed it as refused, 50 ms after the other.
+#[test]
+fn what_always_runs_beside_a_request_at_fault_is_not_held_for_it() {
+    let stream = RequestMark(8);
+    for stream_first in [true, false] {
+        let mut leader = Leader::of_term(1, QuarantineTable::default());
+        for (at, upstream) in (1..=6).enumerate() {
+            let at_ms = START_MS + at as u64 * 500;
+            let mut report = CrashReport::default();
+            for (mark, ran_ms) in [(stream, 900), (POISON, 80)] {
+                let watched = leader.recorded.row(mark).is_some_and(|row| !row.held);
+                if !leader.recorded.is_held(mark) {
+                    let upstream = UpstreamKey(upstream);
+                    report.ended.push(CrashNote { number: 1, mark, upstream, watched, ran_ms });
+                }
+            }
+            if !stream_first {
+                report.ended.reverse();
+            }
+            leader.hear(&report, at_ms);
+            leader.look(at_ms + settle_ms(VMS));
+            leader.look(at_ms + 499);
+        }
+
+        assert!(leader.recorded.is_held(POISON));
+        assert!(!leader.recorded.is_held(stream), "stream first: {stream_first}");
+    }
+}
