quarantine: an upstream that ended is charged to one request

Cause: each request was judged by itself, and one that many ask for as a stream runs on every upstream that another one ends, for longer than these live: it was refused by all VMs for 10 minutes beside the one at fault.

Change: upstreams are charged to requests in the order of how long these had run in the mean when upstreams ended, what is held first; a request is held for those that no other is charged with.

--- a/lib/src/coordination/crash_table.rs
+++ b/lib/src/coordination/crash_table.rs
@@ -5,10 +5,13 @@
 //! are counted by request; a request that runs well is cleared. Many callers may ask for one thing at
 //! once, and a rack may take several upstreams with it that ran it: so a request is held only when an
 //! upstream ended under a send that was made after all VMs were told to look how the request fares, and
-//! none has told that it ran well. Invariants: what is to be recorded is proposed until it is; what a
-//! new leader doesn't know VMs tell again. See `docs/design/quarantine.md`.
+//! none has told that it ran well. Long streams that many ask for run on each upstream that ends, and end
+//! with none of them: so an upstream is charged to one request only, to the one that had run for less time
+//! in the mean when upstreams ended, since what ends them does so soon. Invariants: what is to be recorded
+//! is proposed until it is; what a new leader doesn't know VMs tell again. See
+//! `docs/design/quarantine.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::crash_outbox::{CrashNote, CrashReport};
 use super::vm_roster::pressed_renew_ms;
@@ -44,6 +47,9 @@
 #[derive(Clone, Debug, Default)]
 struct CrashCount {
     ended: Vec<UpstreamKey>,
+    /// How long it had run on those, in milliseconds, summed over the ones that VMs told of.
+    ran_ms: u64,
+    told: u64,
     last_ms: u64,
     /// Whether one of them ended under a send that was made when the request was watched.
     confirmed: bool,
@@ -102,10 +108,6 @@
     }
 
     fn note_ended(&mut self, note: &CrashNote, recorded: &QuarantineTable, now_ms: u64) {
-        if recorded.is_held(note.mark) {
-            // Sent before it was held.
-            return;
-        }
         let Some(count) = self.count(note.mark, recorded, now_ms) else { return };
         if count.well {
             *count = CrashCount::default();
@@ -113,6 +115,8 @@
         count.confirmed |= note.watched;
         if !count.ended.contains(&note.upstream) {
             count.ended.push(note.upstream);
+            count.ran_ms += note.ran_ms;
+            count.told += 1;
             count.last_ms = now_ms;
         }
         if count.confirmed && count.ended.len() >= MOST_ENDED {
@@ -153,10 +157,13 @@
         self.begin_term(term);
         self.counts.retain(|_, count| count.last_ms + COUNT_KEEP_MS > now_ms);
         let settled_ms = now_ms.saturating_sub(settle_ms(vms));
+        let at_fault = self.at_fault(recorded, settled_ms);
         let mut wanted: Vec<QuarantineCommand> = self
             .counts
             .iter()
-            .filter_map(|(mark, count)| count.wants(*mark, recorded.row(*mark), settled_ms))
+            .filter_map(|(mark, count)| {
+                count.wants(*mark, recorded.row(*mark), at_fault.contains(mark))
+            })
             .collect();
         self.keep_to_room(&mut wanted, recorded);
         self.counts.retain(|mark, count| !count.well || recorded.row(*mark).is_some());
@@ -173,6 +180,32 @@
         wanted
     }
 
+    /// The requests that enough upstreams are charged to, and that are not held yet.
+    fn at_fault(&self, recorded: &QuarantineTable, settled_ms: u64) -> BTreeSet<RequestMark> {
+        let held = recorded.rows().iter().filter(|row| row.held);
+        let counted = |row: &QuarantineRow| self.counts.get(&row.mark).map(|count| &count.ended);
+        let mut charged: BTreeSet<UpstreamKey> = held
+            .flat_map(|row| row.ended.iter().chain(counted(row).into_iter().flatten()).copied())
+            .collect();
+        let suspect = |(mark, count): &(&RequestMark, &CrashCount)| match recorded.row(**mark) {
+            Some(row) if row.held => false,
+            // One that was held before has had all the time to run well.
+            Some(row) if row.times > 0 => count.proven_ms.is_some(),
+            _ => count.proven_ms.is_some_and(|proven_ms| proven_ms <= settled_ms),
+        };
+        let mut suspects: Vec<_> = self.counts.iter().filter(suspect).collect();
+        suspects.sort_by_key(|(_, count)| count.ran_ms / count.told.max(1));
+        let mut at_fault = BTreeSet::new();
+        for (mark, count) in suspects {
+            let own = count.ended.iter().filter(|upstream| !charged.contains(upstream)).count();
+            if own >= MOST_ENDED && !count.well {
+                charged.extend(&count.ended);
+                at_fault.insert(*mark);
+            }
+        }
+        at_fault
+    }
+
     /// Drops what would hold too many requests, or push a row out that would be wanted again.
     fn keep_to_room(&self, wanted: &mut Vec<QuarantineCommand>, recorded: &QuarantineTable) {
         let under_way = self.proposed.iter().filter(|(mark, (command, _))| {
@@ -222,7 +255,7 @@
         &self,
         mark: RequestMark,
         recorded: Option<&QuarantineRow>,
-        settled_ms: u64,
+        at_fault: bool,
     ) -> Option<QuarantineCommand> {
         if recorded.is_some_and(|row| row.held) {
             return None;
@@ -235,9 +268,7 @@
             let ended = self.ended.iter().take(MOST_ENDED).copied().collect();
             QuarantineCommand::Set(QuarantineRow { mark, ended, held, times })
         };
-        // One that was held before has had all the time to run well.
-        let proven = |proven_ms| times > 0 || proven_ms <= settled_ms;
-        if self.proven_ms.is_some_and(proven) {
+        if at_fault {
             return Some(row(true, times + 1));
         }
         let watch = recorded.is_none() && self.ended.len() >= WATCHED_ENDED;
