notices: what upstreams say of themselves is read, logged and counted

Cause: logs and figures couldn't tell whether an upstream that turned a VM away had asked for rest before, so that three explanations of the incident looked alike. Change: the adapter reads Retry-After beside 503 (seconds, fractions, a date from the answer's own) and Server-Leaving; a table keeps both by incarnation; a line and three figures tell them. Nothing is decided by it.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -58,6 +58,7 @@
 pub mod trace;
 pub mod upstream_candidate;
 pub mod upstream_choice;
+pub mod upstream_notice;
 pub mod upstream_seats;
 pub mod vm_roster;
 pub mod workspace_limit;
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod peer_wire;
 pub mod plain;
+pub mod retry_after;
 pub mod seal;
 pub mod sse;
 pub mod vm_list;
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -95,6 +95,10 @@
     pub closes: bool,
     /// How long the connection may rest, in milliseconds.
     pub idle_ms: Option<u64>,
+    /// The upstream turns this VM away and wants nothing from it for so long, in milliseconds.
+    pub rest_ms: Option<u64>,
+    /// The upstream leaves.
+    pub leaving: bool,
 }
 
 /// A page of the list of upstreams.
--- a/lib/src/state/vm_figures.rs
+++ b/lib/src/state/vm_figures.rs
@@ -93,6 +93,8 @@
     pub signs: u64,
     /// Requests under which their upstream ended.
     pub ended_under: u64,
+    /// Answers by which upstreams asked for rest.
+    pub rests_asked: u64,
 }
 
 impl VmFigures {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -44,6 +44,7 @@
 pub mod vm_list_news;
 pub mod vm_metrics;
 pub mod vm_node;
+mod vm_notice;
 pub mod vm_order_desk;
 mod vm_orders;
 pub mod vm_pool;
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -22,7 +22,7 @@
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 40] = [
+pub const FIGURES: [FigureEntry; 43] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -37,6 +37,9 @@
         "gauge",
         "Requests that are refused, as upstreams ended under them.",
     ),
+    ("wingshed_rests_asked_total", "counter", "Answers by which upstreams asked for rest."),
+    ("wingshed_upstreams_at_rest", "gauge", "Upstreams that want nothing from this VM now."),
+    ("wingshed_upstreams_leaving", "gauge", "Upstreams that said in answers that they leave."),
     ("wingshed_serving", "gauge", "Requests that are being served."),
     ("wingshed_connections", "gauge", "Connections that are open at the listeners."),
     (
@@ -126,6 +129,9 @@
             "wingshed_signs_total" => figures.signs,
             "wingshed_ended_under_total" => figures.ended_under,
             "wingshed_requests_held" => self.quarantine.borrow().held() as u64,
+            "wingshed_rests_asked_total" => figures.rests_asked,
+            "wingshed_upstreams_at_rest" => self.pool.notices().borrow().resting(now_ms) as u64,
+            "wingshed_upstreams_leaving" => self.pool.notices().borrow().leaving() as u64,
             "wingshed_serving" => u64::from(self.serving.get()),
             "wingshed_connections" => u64::from(self.connections.get()),
             "wingshed_resting" => self.pool.resting() as u64,
--- /dev/null
+++ b/lib/src/transport/vm_notice.rs
@@ -0,0 +1,46 @@
+//! Hears what an upstream says of itself in an answer.
+//!
+//! Invariant: only an answer to the request that was sent, by the incarnation that it was sent to, says
+//! something of that incarnation. See `docs/design/upstream-notices.md`.
+
+use hyper::http::response;
+use tracing::info;
+
+use super::vm_send::SendPlace;
+use super::vm_task::CallerTask;
+use crate::protocol::wire_adapter::UpstreamAnswer;
+
+impl CallerTask {
+    /// Takes the notices of an answer's head.
+    pub(super) fn hear_notices(&self, place: &SendPlace, told: &UpstreamAnswer) {
+        let others = told.attempt.as_ref().is_some_and(|attempt| *attempt != self.caller.attempt);
+        if told.other_life || others {
+            return;
+        }
+        let now_ms = self.node.now_ms();
+        let mut notices = self.node.pool.notices().borrow_mut();
+        if let Some(rest_ms) = told.rest_ms {
+            notices.note_rest(place.upstream, rest_ms, now_ms);
+            self.node.figures.borrow_mut().rests_asked += 1;
+        }
+        if told.leaving && notices.note_leaving(place.upstream) {
+            info!(target: "upstream", life = place.send.life, "says that it leaves");
+        }
+    }
+
+    /// Logs that an upstream turned the request away, and whether it had asked for rest before.
+    pub(super) fn log_turned_away(
+        &self,
+        place: &SendPlace,
+        told: &UpstreamAnswer,
+        head: &response::Parts,
+        kept: bool,
+    ) {
+        let rests_ms = self.node.pool.notices().borrow().rest_ms(place.upstream, place.sent_ms);
+        info!(
+            target: "upstream", life = place.send.life, attempt = self.caller.attempt,
+            status = head.status.as_u16(), asks_ms = told.rest_ms, rests_ms,
+            kept, "did not run it",
+        );
+    }
+}
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -23,6 +23,7 @@
 
 use super::vm_sockets::{is_silent, seems_silent, set_stream};
 use crate::coordination::silence::ConnectPatience;
+use crate::coordination::upstream_notice::NoticeTable;
 use crate::state::connect_count::{ConnectCause, ConnectCount};
 use crate::state::ids::UpstreamKey;
 
@@ -105,6 +106,7 @@
     upstreams: Rc<RefCell<HashMap<UpstreamKey, UpstreamConnections>>>,
     patience: Rc<Cell<ConnectPatience>>,
     opened: Rc<RefCell<ConnectCount>>,
+    notices: Rc<RefCell<NoticeTable>>,
 }
 
 /// A connection in use. Dropping it closes the connection.
@@ -112,6 +114,7 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     task: JoinHandle<Option<TcpStream>>,
     in_use: UseGuard,
+    kept: bool,
 }
 
 /// Counts a connection that is in use, or is being opened for it.
@@ -148,7 +151,7 @@
         now_ms: u64,
     ) -> Result<ConnectionLease, ConnectFault> {
         match self.pop(upstream, now_ms) {
-            Some(stream) => lease(UseGuard::new(self, upstream), stream).await,
+            Some(stream) => lease(UseGuard::new(self, upstream), stream, true).await,
             None => self.connect(upstream, address).await,
         }
     }
@@ -181,7 +184,7 @@
         self.patience.set(patience);
         set_stream(&stream);
         self.opened.borrow_mut().note(cause);
-        lease(in_use, stream).await
+        lease(in_use, stream, false).await
     }
 
     /// Closes what has rested for long enough, and what belongs to upstreams that are gone.
@@ -195,6 +198,11 @@
         });
     }
 
+    /// What upstreams have said of themselves.
+    pub fn notices(&self) -> &RefCell<NoticeTable> {
+        &self.notices
+    }
+
     /// How many connections rest.
     pub fn resting(&self) -> usize {
         self.upstreams.borrow().values().map(|connections| connections.resting.len()).sum()
@@ -206,7 +214,11 @@
     }
 }
 
-async fn lease(in_use: UseGuard, stream: TcpStream) -> Result<ConnectionLease, ConnectFault> {
+async fn lease(
+    in_use: UseGuard,
+    stream: TcpStream,
+    kept: bool,
+) -> Result<ConnectionLease, ConnectFault> {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(BUFFER_BYTES);
     let (sender, connection) =
@@ -217,7 +229,7 @@
         let parts = connection.without_shutdown().await.ok()?;
         parts.read_buf.is_empty().then(|| parts.io.into_inner())
     });
-    Ok(ConnectionLease { sender: Some(sender), task, in_use })
+    Ok(ConnectionLease { sender: Some(sender), task, in_use, kept })
 }
 
 impl ConnectionLease {
@@ -226,6 +238,11 @@
         self.sender.as_mut().expect("a lease holds its connection until it is finished")
     }
 
+    /// Whether it served requests before.
+    pub fn is_kept(&self) -> bool {
+        self.kept
+    }
+
     /// The whole answer came: the connection may rest for `idle_ms`, or is closed.
     pub async fn finish(mut self, closes: bool, idle_ms: Option<u64>, now_ms: u64) {
         // Without its sender the connection's task ends once it has seen the end of the answer.
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -226,6 +226,7 @@
     ) -> SendResult {
         let (head, body) = answer.into_parts();
         let told = self.node.adapter.read_answer(&head);
+        self.hear_notices(place, &told);
         if told.not_run {
             place.trial.end_unsaid();
             if told.other_life {
@@ -235,10 +236,7 @@
                     "another life listens there",
                 );
             } else {
-                info!(
-                    target: "upstream", life = place.send.life, attempt = self.caller.attempt,
-                    status = head.status.as_u16(), "did not run it",
-                );
+                self.log_turned_away(place, &told, &head, lease.is_kept());
             }
             let read = Limited::new(body, HELD_BYTES as usize).collect().await;
             if read.is_ok() {
