notices: who says that it leaves gets no new request

Callers were sent to upstreams that had said, in the answers before, that they end; what came last was cut. Cause: leaving was known from the list alone, which lags; answers weren't read for it. Change: the notice makes its incarnation leave at this VM for good, over connections and lists; the pool lets tries through and no request. Streams that run there go on, and what it keeps may be fetched.

--- a/lib/src/coordination/upstream_notice.rs
+++ b/lib/src/coordination/upstream_notice.rs
@@ -22,6 +22,15 @@
 /// that lags, or is read in part, may name it again.
 const KEEP_MS: u64 = 60 * 60 * 1000;
 
+/// What an upstream is approached for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ApproachPurpose {
+    /// To send a request.
+    Request,
+    /// To see whether it can be reached, and nothing more.
+    Trial,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct NoticeRow {
     /// 0 when it has served since, or never asked for rest.
@@ -62,9 +71,15 @@
         }
     }
 
-    /// Whether an upstream may be approached now, for whatever.
-    pub fn may_approach(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
-        self.rest_ms(upstream, now_ms) == 0
+    /// Whether an upstream may be approached now. Who leaves still serves what it has, so that it may be tried.
+    pub fn may_approach(
+        &self,
+        upstream: UpstreamKey,
+        purpose: ApproachPurpose,
+        now_ms: u64,
+    ) -> bool {
+        let leaves = purpose == ApproachPurpose::Request && self.is_leaving(upstream);
+        self.rest_ms(upstream, now_ms) == 0 && !leaves
     }
 
     /// Whether the first request after an upstream's rest is under way; others do better elsewhere.
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -186,7 +186,7 @@
                 || notices.is_tried(key, now_ms),
             full: false,
             tried: tried.contains(&key),
-            leaving: entry.leaving,
+            leaving: entry.leaving || notices.is_leaving(key),
             withheld: entry.doubt != EntryDoubt::None
                 || versions.withholds(entry)
                 || node.is_withheld(entry, service.cold_per_s),
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -17,6 +17,7 @@
 use super::vm_node::VmNode;
 use crate::coordination::line_budget::LINES_A_PLACE;
 use crate::coordination::list_turn::{list_deed, ListCost, ListDeed, ListStanding};
+use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::coordination::upstream_seats::{patient_services, SeatTable};
 use crate::protocol::wire_adapter::UpstreamPage;
 use crate::state::finding::Finding;
@@ -362,7 +363,8 @@
     async fn call_list(&self, call: &str) -> Result<Bytes, ListFault> {
         let other = |text: String| ListFault::Other(text);
         let address = self.settings.borrow().list.address;
-        let lease = self.pool.take(self.list_key(), address, self.now_ms()).await;
+        let lease =
+            self.pool.take(self.list_key(), address, ApproachPurpose::Request, self.now_ms()).await;
         let mut lease = lease.map_err(|fault| other(format!("cannot connect: {fault:?}")))?;
         let request = Request::get(call)
             .header(HOST, address.to_string())
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -27,7 +27,7 @@
 
 use super::vm_sockets::{is_silent, seems_silent, set_stream};
 use crate::coordination::silence::ConnectPatience;
-use crate::coordination::upstream_notice::NoticeTable;
+use crate::coordination::upstream_notice::{ApproachPurpose, NoticeTable};
 use crate::state::connect_count::{ConnectCause, ConnectCount};
 use crate::state::ids::UpstreamKey;
 
@@ -45,7 +45,7 @@
     NobodyListens,
     /// Nothing came, or nothing usable.
     NoAnswer,
-    /// The upstream wants nothing from this VM now. It was left alone, and nothing is known of it.
+    /// The upstream wants nothing of this kind from this VM now. It was left alone, and nothing is known of it.
     Unwanted,
 }
 
@@ -154,17 +154,25 @@
         &self,
         upstream: UpstreamKey,
         address: SocketAddr,
+        purpose: ApproachPurpose,
         now_ms: u64,
     ) -> Result<ConnectionLease, ConnectFault> {
-        self.check_wanted(upstream, now_ms)?;
+        self.check_wanted(upstream, purpose, now_ms)?;
         match self.pop(upstream, now_ms) {
-            Some(stream) => self.lease(UseGuard::new(self, upstream), stream, true, now_ms).await,
-            None => self.connect(upstream, address, now_ms).await,
+            Some(stream) => {
+                self.lease(UseGuard::new(self, upstream), stream, true, purpose, now_ms).await
+            }
+            None => self.connect(upstream, address, purpose, now_ms).await,
         }
     }
 
-    fn check_wanted(&self, upstream: UpstreamKey, now_ms: u64) -> Result<(), ConnectFault> {
-        match self.notices.borrow().may_approach(upstream, now_ms) {
+    fn check_wanted(
+        &self,
+        upstream: UpstreamKey,
+        purpose: ApproachPurpose,
+        now_ms: u64,
+    ) -> Result<(), ConnectFault> {
+        match self.notices.borrow().may_approach(upstream, purpose, now_ms) {
             true => Ok(()),
             false => Err(ConnectFault::Unwanted),
         }
@@ -175,11 +183,12 @@
         in_use: UseGuard,
         stream: TcpStream,
         kept: bool,
+        purpose: ApproachPurpose,
         now_ms: u64,
     ) -> Result<ConnectionLease, ConnectFault> {
         let upstream = in_use.upstream;
         let lease = lease(in_use, stream, kept).await?;
-        self.check_wanted(upstream, now_ms)?;
+        self.check_wanted(upstream, purpose, now_ms)?;
         Ok(lease)
     }
 
@@ -193,9 +202,10 @@
         &self,
         upstream: UpstreamKey,
         address: SocketAddr,
+        purpose: ApproachPurpose,
         now_ms: u64,
     ) -> Result<ConnectionLease, ConnectFault> {
-        self.check_wanted(upstream, now_ms)?;
+        self.check_wanted(upstream, purpose, now_ms)?;
         let cause =
             self.upstreams.borrow().get(&upstream).map_or(ConnectCause::First, |had| had.cause());
         let in_use = UseGuard::new(self, upstream);
@@ -213,7 +223,7 @@
         self.patience.set(patience);
         set_stream(&stream);
         self.opened.borrow_mut().note(cause);
-        self.lease(in_use, stream, false, now_ms).await
+        self.lease(in_use, stream, false, purpose, now_ms).await
     }
 
     /// Closes what has rested for long enough, and what belongs to upstreams that are gone.
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -20,6 +20,7 @@
 use super::vm_trial::TrialGuard;
 use crate::coordination::attempt_plan::SendOutcome;
 use crate::coordination::upstream_choice::UpstreamPick;
+use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::protocol::wire_adapter::{UpstreamAnswer, UpstreamSend};
 use crate::state::ids::UpstreamKey;
 use crate::state::prompt_part::shared_parts;
@@ -154,12 +155,13 @@
         };
         let guard = FlightGuard::new(&self.node, place.upstream, held);
         let may_repeat = place.book.book.routes[place.route].kind.may_repeat();
+        let (pool, purpose) = (&self.node.pool, ApproachPurpose::Request);
         let mut fresh = false;
         for _ in 0..STALE_CONNECTIONS {
             let now_ms = self.node.now_ms();
             let lease = match fresh {
-                true => self.node.pool.connect(place.upstream, place.address, now_ms).await,
-                false => self.node.pool.take(place.upstream, place.address, now_ms).await,
+                true => pool.connect(place.upstream, place.address, purpose, now_ms).await,
+                false => pool.take(place.upstream, place.address, purpose, now_ms).await,
             };
             let mut lease = match lease {
                 Ok(lease) => lease,
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -15,6 +15,7 @@
 use super::vm_node::VmNode;
 use super::vm_pool::ConnectFault;
 use crate::coordination::silence::DarkMark;
+use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::coordination::vm_roster::pressed_renew_ms;
 use crate::protocol::vm_wire::{encode, VmDatagram, VmId};
 use crate::state::ids::UpstreamKey;
@@ -112,7 +113,7 @@
         upstream: UpstreamKey,
         address: SocketAddr,
     ) -> Option<ConnectFault> {
-        match self.pool.connect(upstream, address, self.now_ms()).await {
+        match self.pool.connect(upstream, address, ApproachPurpose::Trial, self.now_ms()).await {
             Ok(lease) => {
                 self.note_connect(upstream, None);
                 lease.finish(false, None, self.now_ms()).await;
--- a/lib/tests/test_notices.rs
+++ b/lib/tests/test_notices.rs
@@ -13,6 +13,7 @@
     earliest_return, ChoiceFault, UpstreamCandidate,
 };
 use wingshed_lib::coordination::upstream_choice::{choose_engine, PrefixMemory};
+use wingshed_lib::coordination::upstream_notice::ApproachPurpose::{Request, Trial};
 use wingshed_lib::coordination::upstream_notice::{NoticeTable, LONGEST_REST_MS, RETURN_TRIAL_MS};
 use wingshed_lib::state::ids::UpstreamKey;
 use wingshed_lib::state::prompt_part::PromptPart;
@@ -40,7 +41,10 @@
     let left = [999, 1500, 3999, 4000].map(|now_ms| notices.rest_ms(KEY, now_ms));
 
     assert_eq!(left, [3001, 2500, 1, 0]);
-    assert!(!notices.may_approach(KEY, 3999) && notices.may_approach(KEY, 4000));
+    for purpose in [Request, Trial] {
+        assert!(!notices.may_approach(KEY, purpose, 3999));
+        assert!(notices.may_approach(KEY, purpose, 4000));
+    }
     assert_eq!(notices.rest_ms(UpstreamKey(8), 1500), 0, "another incarnation");
 }
 
@@ -193,22 +197,40 @@
     run_local(async {
         let (listener, address) = listening().await;
         let pool = ConnectionPool::default();
-        let Ok(kept) = pool.connect(KEY, address, 0).await else { panic!("nobody rests yet") };
+        let Ok(kept) = pool.connect(KEY, address, Request, 0).await else {
+            panic!("nobody rests yet")
+        };
         let accepted = listener.accept().await.unwrap();
         kept.finish(false, None, 0).await;
         pool.notices().borrow_mut().note_rest(KEY, 1000, 0);
 
-        let refused =
-            [pool.take(KEY, address, 10).await.err(), pool.connect(KEY, address, 10).await.err()];
+        let refused = [
+            pool.take(KEY, address, Request, 10).await.err(),
+            pool.connect(KEY, address, Request, 10).await.err(),
+        ];
         let more = tokio::time::timeout(Duration::from_millis(50), listener.accept()).await;
 
         assert_eq!(refused, [Some(ConnectFault::Unwanted); 2]);
         assert!(more.is_err(), "nothing comes");
-        assert!(pool.take(KEY, address, 1000).await.is_ok(), "the rest is over");
+        assert!(pool.take(KEY, address, Request, 1000).await.is_ok(), "the rest is over");
         drop(accepted);
     });
 }
 
+#[test]
+fn who_leaves_is_sent_nothing_and_may_be_tried() {
+    run_local(async {
+        let (_listener, address) = listening().await;
+        let pool = ConnectionPool::default();
+        pool.notices().borrow_mut().note_leaving(KEY, 0);
+
+        let sent = pool.connect(KEY, address, Request, 10).await.err();
+        let tried = pool.connect(KEY, address, Trial, 10).await.err();
+
+        assert_eq!((sent, tried), (Some(ConnectFault::Unwanted), None));
+    });
+}
+
 #[test]
 fn a_connection_that_comes_up_after_rest_was_asked_for_carries_nothing() {
     run_local(async {
@@ -217,7 +239,7 @@
         let asks = async { pool.notices().borrow_mut().note_rest(KEY, 1000, 5) };
 
         // The connection isn't up when it is first polled.
-        let (connected, ()) = tokio::join!(pool.connect(KEY, address, 0), asks);
+        let (connected, ()) = tokio::join!(pool.connect(KEY, address, Request, 0), asks);
 
         assert_eq!(connected.err(), Some(ConnectFault::Unwanted));
     });
