soak: upstreams that ask for rest, or leave without the list

Cause: no upstream of the soak said anything of itself in an answer, so that no seed could find that nobody heeds it. Change: upstreams tire, alone or all at once, and leave unlisted, drawn apart from a seed's other steps; two promises are judged from what arrived; two cases.

--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -122,6 +122,27 @@
                 step(18_000, Disturbance::FatalRequest(1, 12_000)),
             ],
         },
+        SoakCase {
+            name: "rest-over-stops-and-stand-stills",
+            cause: "an upstream that asks for rest is sent requests on",
+            steps: (0..6)
+                .map(|at| {
+                    step(500 + 3_000 * at, Disturbance::TireUpstreams(at as usize, 3, 2_800, 2_000))
+                })
+                .chain([
+                    step(4_000, Disturbance::StopVm(0)),
+                    step(9_000, Disturbance::FreezeVm(1, 1_500)),
+                    step(12_000, Disturbance::KillVm(2, 300)),
+                ])
+                .collect(),
+        },
+        SoakCase {
+            name: "leaving-that-no-list-shows",
+            cause: "an upstream that says in answers that it leaves is sent requests on",
+            steps: (0..4)
+                .map(|at| step(500 + 1_500 * at, Disturbance::LeaveUnlisted(at as usize, 9_000)))
+                .collect(),
+        },
         SoakCase {
             name: "all-stopped-at-once",
             cause: "planned stops of all VMs within a second cut requests",
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -6,8 +6,8 @@
 use std::collections::HashMap;
 
 use crate::ledger::{
-    AskEnd, AskKind, AskRow, DocumentRow, LedgerRows, OrderRow, OrderWhat, RollOutRow, RunRow,
-    SpanRow, Touched,
+    ArrivalRow, AskEnd, AskKind, AskRow, DocumentRow, LedgerRows, OrderRow, OrderWhat, RollOutRow,
+    RunRow, SpanRow, Touched,
 };
 use crate::operator::version_of;
 use crate::rollouts::UNKNOWN;
@@ -40,6 +40,10 @@
 const NOTE_MS: u64 = 250;
 /// Upstreams that may end under one request before it is known for it, and sends beyond that.
 const FATAL_BORNE: usize = 3;
+/// Requests that one VM may send to an upstream within a rest that it asked that VM for, from
+/// [`REST_GRACE_MS`] after it did.
+const REST_BORNE: usize = 2;
+const REST_GRACE_MS: u64 = 500;
 /// VMs that keep what is agreed on.
 const CORE_VMS: usize = 3;
 
@@ -73,6 +77,8 @@
     judge.answers();
     judge.planned_stops();
     judge.leaving();
+    judge.told_leaving();
+    judge.rests();
     judge.zones();
     judge.documents_in_force();
     judge.keys();
@@ -183,6 +189,60 @@
         }
     }
 
+    /// Whether a VM started anew, stood still or was cut off in this time, or the link to an upstream was
+    /// harmed, on which either may be late.
+    fn excused(&self, vm: usize, upstream: usize, from_ms: u64, until_ms: u64) -> bool {
+        let touched = |span: &&SpanRow| match span.touched {
+            Touched::Vm(other) | Touched::PlannedVm(other) => other == vm,
+            Touched::Upstream(other) => other == upstream,
+            Touched::Front(_) | Touched::List => false,
+        };
+        self.rows.spans.iter().filter(touched).any(|span| meets(span, from_ms, until_ms))
+    }
+
+    /// What a VM sent to an upstream whose answer, passed on before, said that it leaves.
+    fn told_leaving(&mut self) {
+        let mut first_told: HashMap<(usize, u64), u64> = HashMap::new();
+        for run in self.rows.runs.iter().filter(|run| run.leaving) {
+            let Some(ask) = self.asks.get(run.attempt.as_str()) else { continue };
+            // Of several answers one may not have been passed on.
+            if ask.end == AskEnd::Whole && self.runs_of(ask).len() == 1 {
+                let told = first_told.entry((ask.vm, run.life)).or_insert(ask.ended_ms);
+                *told = ask.ended_ms.min(*told);
+            }
+        }
+        for run in &self.rows.runs {
+            let Some(ask) = self.asks.get(run.attempt.as_str()) else { continue };
+            let Some(told_ms) = first_told.get(&(ask.vm, run.life)).copied() else { continue };
+            let late = ask.sent_ms > told_ms + DRAIN_MS + NOTE_MS;
+            if late && !self.excused(ask.vm, run.upstream, told_ms, run.at_ms) {
+                let after = ask.sent_ms - told_ms;
+                self.add("told leaving", format!("{after} ms after: {run:?}, VM {}", ask.vm));
+            }
+        }
+    }
+
+    /// What a VM sent to an upstream within a rest that this had asked it for.
+    fn rests(&mut self) {
+        let mut sent: HashMap<(usize, u64), Vec<&ArrivalRow>> = HashMap::new();
+        for row in &self.rows.arrivals {
+            let Some(ask) = self.asks.get(row.attempt.as_str()) else { continue };
+            sent.entry((ask.vm, row.life)).or_default().push(row);
+        }
+        for ((vm, _), rows) in sent {
+            for asked in rows.iter().filter(|row| row.rest_ms > 0) {
+                let until_ms = asked.at_ms + asked.rest_ms;
+                let within = rows.iter().filter(|row| {
+                    row.at_ms > asked.at_ms + REST_GRACE_MS + NOTE_MS && row.at_ms < until_ms
+                });
+                let within = within.count();
+                if within > REST_BORNE && !self.excused(vm, asked.upstream, asked.at_ms, until_ms) {
+                    self.add("rest", format!("{within} within it, VM {vm}: {asked:?}"));
+                }
+            }
+        }
+    }
+
     fn zones(&mut self) {
         for order in &self.rows.orders {
             let (OrderWhat::EmptyZone(zone), Some(acked_ms)) = (&order.what, order.acked_ms) else {
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -78,6 +78,25 @@
     pub after_event: u64,
     /// The workspace that the system named.
     pub workspace: String,
+    /// The life of the upstream.
+    pub life: u64,
+    /// Whether its answer says that the upstream leaves.
+    pub leaving: bool,
+}
+
+/// One request that reached an upstream, run or not.
+#[derive(Clone, Debug)]
+pub struct ArrivalRow {
+    /// The id of the attempt.
+    pub attempt: String,
+    /// The index of the upstream.
+    pub upstream: usize,
+    /// The life of the upstream.
+    pub life: u64,
+    /// When it had arrived.
+    pub at_ms: u64,
+    /// The rest that the upstream asked for when it turned it away; 0 for none.
+    pub rest_ms: u64,
 }
 
 /// What an operator asked for.
@@ -217,6 +236,8 @@
     pub asks: Vec<AskRow>,
     /// Runs.
     pub runs: Vec<RunRow>,
+    /// Requests at upstreams.
+    pub arrivals: Vec<ArrivalRow>,
     /// Orders.
     pub orders: Vec<OrderRow>,
     /// Configurations read back.
--- a/soak/src/platform/mod.rs
+++ b/soak/src/platform/mod.rs
@@ -14,5 +14,9 @@
 pub const NOT_RUN: &str = "x-not-executed";
 /// The header that each whole answer carries.
 pub const STAMP: &str = "x-response-stamp";
+/// The header by which an upstream says that it leaves.
+pub const LEAVING: &str = "server-leaving";
+/// The header by which one that turns a request away asks for rest.
+pub const REST: &str = "retry-after";
 /// Where configurations are put.
 pub const PUT_DOCUMENT: &str = "/config/put";
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -52,6 +52,12 @@
     RestartUpstream(usize, bool, u64),
     /// An upstream leaves, ends, and another life comes to its place.
     LeaveUpstream(usize, u64),
+    /// An upstream says in its answers that it leaves, which the list never shows; it ends after so many
+    /// milliseconds, and another life comes to its place.
+    LeaveUnlisted(usize, u64),
+    /// Upstreams from this one on, so many of them, turn everything away for so many milliseconds, and each
+    /// time ask for so much rest, in milliseconds.
+    TireUpstreams(usize, usize, u64, u64),
     /// An upstream fails, cuts or mixes up part of its answers.
     FaultyUpstream(usize, u64),
     /// The link of VMs to an upstream.
@@ -121,6 +127,9 @@
 /// Sets the draw of requests that end upstreams apart from the others.
 const FATAL_DRAW: u64 = 0xfa7a1;
 
+/// Sets the draw of what upstreams say of themselves apart from the others.
+const NOTICE_DRAW: u64 = 0x7e57;
+
 /// The schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
     let mut random = StdRng::seed_from_u64(seed);
@@ -138,9 +147,30 @@
     if !planned {
         add_fatal(&mut steps, seed, size);
     }
+    add_notices(&mut steps, seed, size);
     steps
 }
 
+/// Adds upstreams that say something of themselves, likewise by a draw of its own.
+fn add_notices(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(seed ^ NOTICE_DRAW);
+    for _ in 0..random.gen_range(0..4) {
+        let at_ms = random.gen_range(500..size.disturbed_ms);
+        let upstream = random.gen_range(0..size.upstreams);
+        let disturbance = match random.gen_range(0..4) {
+            0 => Disturbance::LeaveUnlisted(upstream, random.gen_range(5_500..9_000)),
+            kind => {
+                // All of them at once, now and then.
+                let count = if kind == 1 { size.upstreams } else { random.gen_range(1..3) };
+                let (ms, rest_ms) = (random.gen_range(300..6_000), random.gen_range(200..4_000));
+                Disturbance::TireUpstreams(upstream, count, ms, rest_ms)
+            }
+        };
+        steps.push(PlannedStep { at_ms, disturbance });
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Adds a request that ends upstreams to every second schedule, by a draw of its own: so a seed's other
 /// steps stay what they were.
 fn add_fatal(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -14,6 +14,7 @@
 use crate::rollouts::roll_out;
 use crate::schedule::Disturbance;
 use crate::site::SoakSite;
+use crate::upstream::UpstreamLife;
 
 /// An address is not given to another life sooner (`reuseAfterS`).
 const REUSE_AFTER_MS: u64 = 2_000;
@@ -37,6 +38,10 @@
             restart_upstream(&site, at, same_id, ms).await;
         }
         Disturbance::LeaveUpstream(at, ms) => leave_upstream(&site, at, ms).await,
+        Disturbance::LeaveUnlisted(at, ms) => leave_unlisted(&site, at, ms).await,
+        Disturbance::TireUpstreams(from, count, ms, rest_ms) => {
+            tire_upstreams(&site, from, count, ms, rest_ms).await;
+        }
         Disturbance::FaultyUpstream(at, ms) => faulty_upstream(&site, at, ms).await,
         Disturbance::UpstreamLink(at, mode, ms) => upstream_link(&site, at, mode, ms).await,
         Disturbance::PeerLinks(vm, comes, goes, ms) => {
@@ -181,6 +186,37 @@
     site.ledger.rows.borrow_mut().leaving[row].until_ms = Some(now);
 }
 
+/// Says nothing to the list, so that VMs know of it by answers alone; the restart that ends it is a
+/// disturbance like any other.
+async fn leave_unlisted(site: &SoakSite, at: usize, ms: u64) {
+    let number = match site.upstreams[at].life.borrow().as_ref() {
+        Some(life) => {
+            life.leave();
+            life.number()
+        }
+        None => return,
+    };
+    pause(ms).await;
+    let same = |life: &UpstreamLife| life.number() == number;
+    if site.upstreams[at].life.borrow().as_ref().is_some_and(same) {
+        restart_upstream(site, at, false, REUSE_AFTER_MS).await;
+    }
+}
+
+async fn tire_upstreams(site: &SoakSite, from: usize, count: usize, ms: u64, rest_ms: u64) {
+    let set = |rest_ms: u64| {
+        for at in 0..count {
+            let upstream = &site.upstreams[(from + at) % site.upstreams.len()];
+            if let Some(life) = upstream.life.borrow().as_ref() {
+                life.set_rest(rest_ms);
+            }
+        }
+    };
+    set(rest_ms);
+    pause(ms).await;
+    set(0);
+}
+
 async fn faulty_upstream(site: &SoakSite, at: usize, ms: u64) {
     let set = |faulty: bool| {
         if let Some(life) = site.upstreams[at].life.borrow().as_ref() {
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -23,9 +23,9 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, JoinHandle};
 
-use crate::ledger::{RunLedger, RunRow};
+use crate::ledger::{ArrivalRow, RunLedger, RunRow};
 use crate::link::LinkProxy;
-use crate::platform::{ATTEMPT, EXPECTED_LIFE, NOT_RUN, STAMP};
+use crate::platform::{ATTEMPT, EXPECTED_LIFE, LEAVING, NOT_RUN, REST, STAMP};
 use crate::schedule::VersionFault;
 
 /// Requests at which an upstream says that it is full.
@@ -59,6 +59,10 @@
 struct LifeState {
     place: UpstreamPlace,
     id: String,
+    /// No other life has it, whatever its id.
+    number: u64,
+    /// The rest that it asks for while it turns everything away, in milliseconds; 0 while it doesn't.
+    rest_ms: Cell<u64>,
     running: Cell<u32>,
     leaving: Cell<bool>,
     faulty: Cell<bool>,
@@ -111,6 +115,8 @@
         let state = Rc::new(LifeState {
             place,
             id: id.to_string(),
+            number: next_run(),
+            rest_ms: Cell::new(0),
             running: Cell::new(0),
             leaving: Cell::new(false),
             faulty: Cell::new(false),
@@ -131,11 +137,22 @@
         Ok(UpstreamLife { state, link, accepting })
     }
 
-    /// From now on health checks are answered 503 and connections are closed after an answer.
+    /// From now on all answers say so, health checks are answered 503, and connections are closed after an
+    /// answer.
     pub fn leave(&self) {
         self.state.leaving.set(true);
     }
 
+    /// Which life it is.
+    pub fn number(&self) -> u64 {
+        self.state.number
+    }
+
+    /// Turns everything away and asks for so much rest, in milliseconds; 0 ends that.
+    pub fn set_rest(&self, rest_ms: u64) {
+        self.state.rest_ms.set(rest_ms);
+    }
+
     /// Whether it has begun to run a request that ends it.
     pub fn is_fatal(&self) -> bool {
         self.state.fatal.get()
@@ -187,10 +204,28 @@
 }
 
 fn not_run(status: u16) -> Response<AnswerBody> {
-    let answer = Response::builder().status(status).header(NOT_RUN, "1");
+    empty(Response::builder().status(status).header(NOT_RUN, "1"))
+}
+
+fn empty(answer: Builder) -> Response<AnswerBody> {
     answer.body(full(String::new())).expect("a plain head")
 }
 
+/// Notes a request that arrived, and turns it away while rest is asked for.
+fn turn_away(state: &LifeState, attempt: &str) -> Option<Response<AnswerBody>> {
+    let rest_ms = state.rest_ms.get();
+    state.ledger.rows.borrow_mut().arrivals.push(ArrivalRow {
+        attempt: attempt.to_string(),
+        upstream: state.place.index,
+        life: state.number,
+        at_ms: state.ledger.now_ms(),
+        rest_ms,
+    });
+    let answer = Response::builder().status(503).header(NOT_RUN, "1").header(ATTEMPT, attempt);
+    let answer = answer.header(REST, format!("{:.3}", rest_ms as f64 / 1000.0));
+    (rest_ms > 0).then(|| empty(answer))
+}
+
 async fn answer(
     request: Request<Incoming>,
     state: Rc<LifeState>,
@@ -210,10 +245,13 @@
     if !expected.is_empty() && expected != state.id {
         return Ok(not_run(421));
     }
+    let attempt = named(ATTEMPT);
+    if let Some(answer) = turn_away(&state, &attempt) {
+        return Ok(answer);
+    }
     if state.running.get() >= UPSTREAM_PLACES {
         return Ok(not_run(503));
     }
-    let attempt = named(ATTEMPT);
     let after_event = named("last-event-id").parse().unwrap_or(0);
     let guard = RunningGuard::new(&state);
     let bad = state.fault.is_bad(next_run(), state.started.elapsed().as_millis());
@@ -227,6 +265,8 @@
         bad,
         after_event,
         workspace: named("x-tenant"),
+        life: state.number,
+        leaving: state.leaving.get(),
     });
     if body.starts_with(FATAL_BODY.as_bytes()) {
         state.fatal.set(true);
@@ -238,7 +278,7 @@
         .header(STAMP, &state.id)
         .header("x-server-load", format!("{},0,{UPSTREAM_PLACES}", state.running.get()));
     if state.leaving.get() {
-        answer = answer.header("connection", "close");
+        answer = answer.header("connection", "close").header(LEAVING, "1");
     }
     if bad && state.fault == VersionFault::Slow {
         tokio::time::sleep(SLOW_WORK).await;
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -3,8 +3,8 @@
 use wingshed_soak::caller::stream_fault;
 use wingshed_soak::judge::judge;
 use wingshed_soak::ledger::{
-    AskEnd, AskKind, AskRow, DocumentRow, FatalRow, LeavingRow, LedgerRows, OrderRow, OrderWhat,
-    ReadRow, RunRow, SpanRow, Touched,
+    ArrivalRow, AskEnd, AskKind, AskRow, DocumentRow, FatalRow, LeavingRow, LedgerRows, OrderRow,
+    OrderWhat, ReadRow, RunRow, SpanRow, Touched,
 };
 
 fn ask(kind: AskKind, sent_ms: u64, end: AskEnd) -> AskRow {
@@ -24,6 +24,8 @@
         bad: false,
         after_event: 0,
         workspace: "t1".to_string(),
+        life: 1,
+        leaving: false,
     }
 }
 
@@ -90,6 +92,61 @@
     assert_eq!(told(&rows), Vec::<&str>::new());
 }
 
+/// An upstream's answer at 60 s says that it leaves, and the VM sends on at this time.
+fn sent_after_told(sent_ms: u64) -> LedgerRows {
+    let mut rows = sound(AskKind::Once, 60_000);
+    rows.runs[0].leaving = true;
+    rows.asks
+        .push(AskRow { attempt: "b".to_string(), ..ask(AskKind::Once, sent_ms, AskEnd::Whole) });
+    rows.runs.push(RunRow { attempt: "b".to_string(), ..run(sent_ms + 5) });
+    rows
+}
+
+#[test]
+fn a_request_to_an_upstream_that_told_the_vm_that_it_leaves_is_told() {
+    assert_eq!(told(&sent_after_told(65_000)), ["told leaving"]);
+    assert_eq!(told(&sent_after_told(63_000)), Vec::<&str>::new());
+    let mut other_life = sent_after_told(65_000);
+    other_life.runs[1].life = 2;
+    assert_eq!(told(&other_life), Vec::<&str>::new());
+    let mut started = sent_after_told(65_000);
+    let touched = Touched::Vm(0);
+    started.spans.push(SpanRow { touched, from_ms: 61_000, until_ms: Some(61_500) });
+    assert_eq!(told(&started), Vec::<&str>::new());
+}
+
+/// An upstream asks for 3 s of rest at 60 s, and so many requests come to it from 61 s on.
+fn sent_within_rest(count: usize) -> LedgerRows {
+    let mut rows = LedgerRows::default();
+    for at in 0..=count {
+        let attempt = format!("r{at}");
+        let sent_ms = 60_000 + if at == 0 { 0 } else { 1_000 + 10 * at as u64 };
+        let refused = AskEnd::Status(503);
+        rows.asks.push(AskRow { attempt: attempt.clone(), ..ask(AskKind::Once, sent_ms, refused) });
+        rows.arrivals.push(ArrivalRow {
+            attempt,
+            upstream: 0,
+            life: 1,
+            at_ms: sent_ms,
+            rest_ms: if at == 0 { 3_000 } else { 0 },
+        });
+    }
+    rows
+}
+
+#[test]
+fn more_than_two_requests_within_a_rest_are_told() {
+    assert_eq!(told(&sent_within_rest(3)), ["rest"]);
+    assert_eq!(told(&sent_within_rest(2)), Vec::<&str>::new());
+    let mut other_vm = sent_within_rest(3);
+    other_vm.asks[0].vm = 1;
+    assert_eq!(told(&other_vm), Vec::<&str>::new(), "it was asked of another VM");
+    let mut cut = sent_within_rest(3);
+    let touched = Touched::Vm(0);
+    cut.spans.push(SpanRow { touched, from_ms: 62_000, until_ms: None });
+    assert_eq!(told(&cut), Vec::<&str>::new());
+}
+
 #[test]
 fn a_request_to_an_emptied_zone_is_told() {
     let mut rows = sound(AskKind::Once, 60_000);
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -80,3 +80,21 @@
     assert!(verdict.rows.fatal[0].ended_ms.len() >= 3, "{:?}", verdict.rows.fatal);
     assert_eq!(broken_by(&verdict), Vec::<String>::new());
 }
+
+#[test]
+fn upstreams_that_ask_for_rest_or_leave_unlisted_are_heeded() {
+    let step = |at_ms, disturbance| PlannedStep { at_ms, disturbance };
+    let verdict = played(
+        92,
+        vec![
+            step(500, Disturbance::TireUpstreams(0, 2, 5_000, 2_500)),
+            step(1_000, Disturbance::LeaveUnlisted(3, 6_000)),
+            step(9_000, Disturbance::TireUpstreams(0, 4, 2_000, 1_500)),
+        ],
+    );
+
+    let turned_away = verdict.rows.arrivals.iter().filter(|row| row.rest_ms > 0).count();
+    assert!(turned_away > 3, "rest was asked for: {turned_away}");
+    assert!(verdict.rows.runs.iter().any(|run| run.leaving), "leaving was told");
+    assert_eq!(broken_by(&verdict), Vec::<String>::new());
+}
