send: a refusal of another request says nothing of this one

Callers could have a request that may run once run twice: where a second, late answer to an earlier request stood in the place of this one's and was a refusal, this one was sent on while it ran. Cause: whose answer it is was looked at after whether it says that the request didn't run. Change: whose it is comes first, for notices, too. Result: a test in which such a refusal comes fails without the change (the request runs at two upstreams) and passes with it. Found by reading.

--- a/lib/src/transport/vm_notice.rs
+++ b/lib/src/transport/vm_notice.rs
@@ -11,10 +11,9 @@
 use crate::protocol::wire_adapter::UpstreamAnswer;
 
 impl CallerTask {
-    /// Takes the notices of an answer's head.
+    /// Takes the notices of the head of an answer to this request.
     pub(super) fn hear_notices(&self, place: &SendPlace, told: &UpstreamAnswer) {
-        let others = told.attempt.as_ref().is_some_and(|attempt| *attempt != self.caller.attempt);
-        if told.other_life || others {
+        if told.other_life {
             return;
         }
         let now_ms = self.node.now_ms();
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -229,6 +229,13 @@
     ) -> SendResult {
         let (head, body) = answer.into_parts();
         let told = self.node.adapter.read_answer(&head);
+        let own = told.attempt.as_deref().map(|attempt| attempt == self.caller.attempt);
+        if own == Some(false) {
+            // Also a refusal: this request may run while another's answer is read in its place.
+            place.trial.end_bad();
+            self.note_failure(place.upstream, "another answer");
+            return SendResult::Bad(SendOutcome::Broken);
+        }
         self.hear_notices(place, &told);
         if told.not_run {
             place.trial.end_unsaid();
@@ -247,8 +254,7 @@
             }
             return SendResult::Bad(SendOutcome::NotRun);
         }
-        let own = told.attempt.as_deref() == Some(self.caller.attempt.as_str());
-        if !own || (head.status.is_success() && !told.stamped) {
+        if own.is_none() || (head.status.is_success() && !told.stamped) {
             place.trial.end_bad();
             self.note_failure(place.upstream, "another answer");
             return SendResult::Bad(SendOutcome::Broken);
