plain upstreams of routers: who asks for rest gets it

Callers of the product's own interface were refused by upstreams that had asked for rest, and told to come back in a second whatever these said; that a plain upstream turned work away counted as its failure. Cause: the same as on the platform, in the other data path: Retry-After beside 503 wasn't read. Change: the same table of notices is heeded where a plain upstream is chosen; a later incarnation starts without. Where all rest the first end of a rest is told.

--- a/lib/src/coordination/upstream_notice.rs
+++ b/lib/src/coordination/upstream_notice.rs
@@ -109,6 +109,11 @@
         self.rows.get(&upstream).is_some_and(|row| row.leaving)
     }
 
+    /// Another incarnation has come under this key: nothing was said of it.
+    pub fn forget(&mut self, upstream: UpstreamKey) {
+        self.rows.remove(&upstream);
+    }
+
     /// Forgets what was said by those that are not `known` any more, a good while after.
     pub fn sweep(&mut self, known: impl Fn(UpstreamKey) -> bool, now_ms: u64) {
         self.rows.retain(|upstream, row| {
--- a/lib/src/protocol/plain.rs
+++ b/lib/src/protocol/plain.rs
@@ -1,7 +1,8 @@
 //! The plain upstreams' interface: any HTTP call, passed on with its request id.
 
 use super::caller::CallerRequest;
-use super::http::HttpCall;
+use super::http::{find_header, HttpCall, HttpReply};
+use super::retry_after::read_retry_after;
 
 /// The request id, as plain upstreams see it.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -25,7 +26,15 @@
 
 /// Whether a reply says that the request did not run.
 pub fn says_not_run(headers: &[(String, String)]) -> bool {
-    super::http::find_header(headers, NOT_RUN_HEADER) == Some("true")
+    find_header(headers, NOT_RUN_HEADER) == Some("true")
+}
+
+/// The rest that an upstream asks for beside a refusal, in milliseconds.
+pub fn asked_rest(reply: &HttpReply) -> Option<u64> {
+    let values = reply.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("retry-after"));
+    let values = values.map(|(_, value)| value.as_str());
+    let refused = reply.status == 503;
+    refused.then(|| read_retry_after(values, find_header(&reply.headers, "date")))?
 }
 
 /// Whether a method is repeatable by its meaning in HTTP.
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -132,9 +132,11 @@
 
 fn renew(shared: &Arc<RouterShared>, times: &mut ControlTimes, now_ms: u64) {
     let (version, epoch) = applied(shared);
+    let view = shared.view();
     let marks = {
         let mut desk = lock(&shared.desk);
         desk.news.retain(|(_, noted_ms)| now_ms < noted_ms + NEWS_KEEP_MS);
+        desk.notices.sweep(|upstream| view.upstreams.contains_key(&upstream), now_ms);
         desk.news.iter().map(|(mark, _)| *mark).take(MARKS_TOLD).collect()
     };
     let renewal = LeaseRenewal {
--- a/lib/src/transport/router_plain.rs
+++ b/lib/src/transport/router_plain.rs
@@ -10,7 +10,9 @@
 use super::router_shared::{lock, FleetSight, RouterShared, RouterView};
 use super::seen::SeenPhase;
 use crate::coordination::retry::may_retry;
+use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::protocol::caller::{CallerError, CallerRequest, RanMark};
+use crate::protocol::http::HttpReply;
 use crate::protocol::peer_wire::RouteDecision;
 use crate::protocol::plain;
 use crate::state::claim_table::ClaimEnd;
@@ -46,7 +48,13 @@
         if attempt > 0 && !lock(&shared.desk).retries.spend() {
             break;
         }
-        let Some(upstream) = choose(shared, sight, &request.request_id, &tried) else { break };
+        let upstream = match choose(shared, sight, &request.request_id, &tried) {
+            Ok(upstream) => upstream,
+            Err(rest_ms) => {
+                last.retry_after_ms = rest_ms.or(last.retry_after_ms);
+                break;
+            }
+        };
         tried.push(upstream);
         match call_plain(shared, view, request, upstream, sink) {
             PlainEnd::Answered => {
@@ -57,7 +65,7 @@
                 }
                 return;
             }
-            PlainEnd::NotRun(text) => {
+            PlainEnd::NotRun(text) | PlainEnd::Resting(text) => {
                 let message = format!("The upstream did not take the request ({text}).");
                 last = CallerError::not_run(503, "upstream_refused", message).after(1000);
             }
@@ -82,32 +90,44 @@
 enum PlainEnd {
     Answered,
     NotRun(String),
+    /// It turned the request away and asks for rest, which says nothing of its health.
+    Resting(String),
     Unknown(String),
 }
 
-/// The upstream with the fewest requests of ours; among equals, the request's own order.
+/// The upstream with the fewest requests of ours; among equals, the request's own order. Where there is none
+/// since all that take work rest, how long the first of them does, in milliseconds.
 fn choose(
     shared: &RouterShared,
     sight: &FleetSight,
     request_id: &str,
     tried: &[UpstreamKey],
-) -> Option<UpstreamKey> {
+) -> Result<UpstreamKey, Option<u64>> {
     let now_ms = shared.clock.now_ms();
     let mut desk = lock(&shared.desk);
     let subject = UpstreamKey::of(request_id).0;
-    let open = sight.members.iter().copied().filter(|upstream| {
-        !tried.contains(upstream)
-            && sight.view.engines.contains_key(upstream)
-            && !desk.leaving.is_leaving(*upstream)
-            && !desk.outliers.is_aside(*upstream, now_ms)
+    let staying = || {
+        sight.members.iter().copied().filter(|upstream| {
+            sight.view.engines.contains_key(upstream)
+                && !desk.leaving.is_leaving(*upstream)
+                && !desk.outliers.is_aside(*upstream, now_ms)
+        })
+    };
+    let open = staying().filter(|upstream| {
+        let wanted = desk.notices.may_approach(*upstream, ApproachPurpose::Request, now_ms);
+        wanted && !tried.contains(upstream)
     });
     let chosen = open.min_by_key(|upstream| {
         let in_flight = desk.plain_in_flight.get(upstream).copied().unwrap_or(0);
         (in_flight, std::cmp::Reverse(rendezvous_score(subject, upstream.0)))
-    })?;
+    });
+    let Some(chosen) = chosen else {
+        let rests = staying().map(|upstream| desk.notices.rest_ms(upstream, now_ms));
+        return Err(rests.min().filter(|rest_ms| *rest_ms > 0));
+    };
     desk.outliers.begin_trial(chosen, now_ms);
     *desk.plain_in_flight.entry(chosen).or_default() += 1;
-    Some(chosen)
+    Ok(chosen)
 }
 
 fn call_plain(
@@ -126,9 +146,14 @@
             let reply = shared.client.call(sight.address, &call, times, LONGEST_ANSWER, "plain");
             match reply {
                 Ok(reply) if plain::says_not_run(&reply.headers) => {
-                    PlainEnd::NotRun(format!("status {}", reply.status))
+                    let text = format!("status {}", reply.status);
+                    match hear_rest(shared, upstream, &reply) {
+                        true => PlainEnd::Resting(text),
+                        false => PlainEnd::NotRun(text),
+                    }
                 }
                 Ok(reply) => {
+                    hear_rest(shared, upstream, &reply);
                     sink.set_upstream(&sight.name);
                     sink.pass(reply, RanMark::Yes);
                     PlainEnd::Answered
@@ -146,8 +171,16 @@
             desk.outliers.note_success(upstream);
         }
     }
-    if !matches!(end, PlainEnd::Answered) {
+    if !matches!(end, PlainEnd::Answered | PlainEnd::Resting(_)) {
         shared.note_failure(upstream);
     }
     end
 }
+
+/// Notes the rest that an upstream asks for; false where it doesn't.
+fn hear_rest(shared: &RouterShared, upstream: UpstreamKey, reply: &HttpReply) -> bool {
+    let Some(rest_ms) = plain::asked_rest(reply) else { return false };
+    let now_ms = shared.clock.now_ms();
+    lock(&shared.desk).notices.note_rest(upstream, rest_ms, now_ms);
+    true
+}
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -23,6 +23,7 @@
 use crate::coordination::policy::{compile_policy, PolicyProgram};
 use crate::coordination::retry::RetryBudget;
 use crate::coordination::router_lease::RouterLease;
+use crate::coordination::upstream_notice::NoticeTable;
 use crate::coordination::workspace_limit::LimitTable;
 use crate::coordination::workspace_share::ShareTable;
 use crate::protocol::keeper_wire::ChatNote;
@@ -151,6 +152,7 @@
     pub(super) peer_loads: LoadTable,
     pub(super) outliers: OutlierTable,
     pub(super) leaving: LeavingTable,
+    pub(super) notices: NoticeTable,
     pub(super) news: Vec<(LeavingMark, u64)>,
     pub(super) notes: HashMap<RouterId, Vec<ChatNote>>,
     pub(super) events_seen: HashMap<UpstreamKey, u64>,
@@ -228,6 +230,7 @@
                 peer_loads: LoadTable::default(),
                 outliers: OutlierTable::default(),
                 leaving: LeavingTable::default(),
+                notices: NoticeTable::default(),
                 news: Vec::new(),
                 notes: HashMap::new(),
                 events_seen: HashMap::new(),
@@ -387,6 +390,7 @@
             if desk.leaving.life(upstream) < life {
                 desk.memory.set_life(upstream, life);
                 desk.events_seen.remove(&upstream);
+                desk.notices.forget(upstream);
             }
             desk.leaving.note_life(upstream, life);
             was_leaving && !desk.leaving.is_leaving(upstream)
--- a/lib/tests/test_promises.rs
+++ b/lib/tests/test_promises.rs
@@ -228,6 +228,43 @@
     }
 }
 
+/// When a refusal says to come back.
+fn retry_after_ms(body: &str) -> u64 {
+    let body: serde_json::Value = serde_json::from_str(body).unwrap();
+    body["error"]["retry_after_ms"].as_u64().unwrap()
+}
+
+#[test]
+fn a_plain_upstream_that_asks_for_rest_gets_it() {
+    let fixture = system_with(|make| make.routers = 1);
+    let system = &fixture.system;
+    let router = system.router_addresses()[0];
+    let call = |id: &str| {
+        let call = plain_call("w0", "k0", id, "plain", "POST", "/x");
+        send(&system.client, router, &call, None)
+    };
+    let tire = |at: usize, rest_s: u64| {
+        let faults = system.plains[at].as_ref().unwrap().faults();
+        faults.refuse.store(true, Ordering::Relaxed);
+        faults.rest_s.store(rest_s, Ordering::Relaxed);
+    };
+    let refused = || -> Vec<u64> { system.plains.iter().flatten().map(|p| p.refused()).collect() };
+
+    tire(0, 600);
+    let served = (0..12).filter(|at| call(&format!("beside-{at}")).whole).count();
+    let beside = refused();
+    tire(1, 300);
+    call("last");
+    let before = refused();
+    let answer = call("all-rest");
+
+    assert_eq!((served, beside), (12, vec![1, 0]), "it is asked once");
+    assert_eq!((answer.status, answer.ran), (503, Some(RanMark::No)), "{answer:?}");
+    assert_eq!(refused(), before, "nobody is asked while all rest");
+    let wait_ms = retry_after_ms(&answer.body);
+    assert!((290_000..=300_000).contains(&wait_ms), "the earliest return: {wait_ms}");
+}
+
 #[test]
 fn a_plain_request_is_repeated_only_when_that_is_safe() {
     let fixture = system_with(|make| make.routers = 1);
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -19,6 +19,8 @@
 pub struct PlainFaults {
     /// Says 503 and that the request did not run.
     pub refuse: AtomicBool,
+    /// Asks for so much rest when it refuses, in seconds; 0 for none.
+    pub rest_s: AtomicU64,
     /// Runs the request and cuts the connection before answering.
     pub cut: AtomicBool,
     /// Answers this late, in milliseconds.
@@ -28,6 +30,7 @@
 #[derive(Default)]
 struct PlainShared {
     runs: Mutex<HashMap<String, u64>>,
+    refused: AtomicU64,
     faults: PlainFaults,
 }
 
@@ -63,6 +66,11 @@
         self.shared.runs.lock().unwrap_or_else(|poison| poison.into_inner()).clone()
     }
 
+    /// How many requests it refused.
+    pub fn refused(&self) -> u64 {
+        self.shared.refused.load(Ordering::Relaxed)
+    }
+
     /// Stops listening.
     pub fn kill(mut self) {
         self.server.stop();
@@ -72,7 +80,12 @@
 fn handle(shared: &PlainShared, mut exchange: HttpExchange) {
     let id = exchange.call.header(REQUEST_ID_HEADER).unwrap_or("-").to_string();
     if shared.faults.refuse.load(Ordering::Relaxed) {
+        shared.refused.fetch_add(1, Ordering::Relaxed);
         let reply = HttpReply { status: 503, ..HttpReply::default() }.with(NOT_RUN_HEADER, "true");
+        let reply = match shared.faults.rest_s.load(Ordering::Relaxed) {
+            0 => reply,
+            rest_s => reply.with("retry-after", rest_s.to_string()),
+        };
         let _ = exchange.writer.send(&reply);
         return;
     }
