send: the way out, what comes back and signs of health in files of their own

Change: vm_place, vm_send, vm_reply, vm_signs, each with its invariant; an answer is taken in three steps. Nothing is decided otherwise. Result: all tests of the platform and the layers pass.

--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -12,8 +12,8 @@
 use tracing::info;
 
 use super::vm_node::VmNode;
+use super::vm_place::SendPlace;
 use super::vm_pool::ConnectFault;
-use super::vm_send::SendPlace;
 use super::vm_task::CallerTask;
 use crate::coordination::crash_outbox::SeenCrash;
 use crate::coordination::upstream_notice::ApproachPurpose;
--- a/lib/src/transport/vm_notice.rs
+++ b/lib/src/transport/vm_notice.rs
@@ -6,7 +6,7 @@
 use hyper::http::response;
 use tracing::info;
 
-use super::vm_send::SendPlace;
+use super::vm_place::SendPlace;
 use super::vm_task::CallerTask;
 use crate::protocol::wire_adapter::UpstreamAnswer;
 
--- /dev/null
+++ b/lib/src/transport/vm_reply.rs
@@ -0,0 +1,183 @@
+//! What came back of a send: whose answer it is, whether the request ran, and its body.
+//!
+//! Invariant: nothing is believed of an answer before it is known to be the one to this request.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response;
+use hyper::Response;
+use tracing::info;
+
+use super::vm_guard::FlightGuard;
+use super::vm_place::SendPlace;
+use super::vm_pool::ConnectionLease;
+use super::vm_silence::Waited;
+use super::vm_task::CallerTask;
+use crate::coordination::attempt_plan::SendOutcome;
+use crate::protocol::wire_adapter::UpstreamAnswer;
+
+/// A plain answer up to this length is taken whole before it is passed on, so that one that
+/// breaks off can still be asked for again.
+const HELD_BYTES: u64 = 64 << 10;
+
+/// What a send brought.
+pub(super) enum SendResult {
+    Answer(Box<GoodAnswer>),
+    Bad(SendOutcome),
+}
+
+/// An answer that may be passed on.
+pub(super) struct GoodAnswer {
+    pub(super) head: response::Parts,
+    pub(super) body: GoodBody,
+    /// The upstream turns this VM away with it, which says nothing of its health.
+    pub(super) asks_rest: bool,
+}
+
+pub(super) enum GoodBody {
+    /// A short plain answer, all of it here.
+    Whole(Bytes),
+    /// A stream, or a long answer, that still comes.
+    Coming(Box<ComingBody>),
+}
+
+pub(super) struct ComingBody {
+    pub(super) told: UpstreamAnswer,
+    /// Whether its end is told by its framing, not by the end of the connection.
+    pub(super) framed: bool,
+    pub(super) body: Incoming,
+    pub(super) lease: ConnectionLease,
+    pub(super) guard: FlightGuard,
+}
+
+impl CallerTask {
+    /// Whose answer it is, what it says of its upstream, and whether the request ran.
+    pub(super) async fn check_answer(
+        &self,
+        place: &SendPlace,
+        answer: Response<Incoming>,
+        lease: ConnectionLease,
+        guard: FlightGuard,
+        deadline_ms: u64,
+    ) -> SendResult {
+        let (head, body) = answer.into_parts();
+        let told = self.node.adapter.read_answer(&head);
+        let own = told.attempt.as_deref().map(|attempt| attempt == self.caller.attempt);
+        // Also where it is a refusal: this request may run while another's answer is read in its place.
+        if own == Some(false) {
+            return self.take_foreign(place);
+        }
+        self.hear_notices(place, &told);
+        if told.not_run {
+            return self.take_refusal(place, &told, &head, body, lease).await;
+        }
+        if own.is_none() || (head.status.is_success() && !told.stamped) {
+            return self.take_foreign(place);
+        }
+        match (head.status.is_server_error(), told.rest_ms) {
+            (true, Some(_)) => place.trial.end_unsaid(),
+            (true, None) => place.trial.end_bad(),
+            (false, _) => {}
+        }
+        let rule = &place.book.book.routes[place.route];
+        let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
+        if rule.kind.is_stream() || !short {
+            let asks_rest = told.rest_ms.is_some();
+            let framed = head.headers.contains_key(CONTENT_LENGTH)
+                || head.headers.contains_key(TRANSFER_ENCODING);
+            let body = GoodBody::Coming(Box::new(ComingBody { told, framed, body, lease, guard }));
+            return SendResult::Answer(Box::new(GoodAnswer { head, body, asks_rest }));
+        }
+        self.take_whole(place, &told, head, body, lease, deadline_ms).await
+    }
+
+    /// What came is no answer to this request.
+    fn take_foreign(&self, place: &SendPlace) -> SendResult {
+        place.trial.end_bad();
+        self.note_failure(place.upstream, "another answer");
+        SendResult::Bad(SendOutcome::Broken)
+    }
+
+    /// The upstream says that it did not run the request.
+    async fn take_refusal(
+        &self,
+        place: &SendPlace,
+        told: &UpstreamAnswer,
+        head: &response::Parts,
+        body: Incoming,
+        lease: ConnectionLease,
+    ) -> SendResult {
+        place.trial.end_unsaid();
+        match told.other_life {
+            true => self.note_gone(place.upstream, "another life listens there"),
+            false => self.log_turned_away(place, told, head, lease.is_kept()),
+        }
+        let read = Limited::new(body, HELD_BYTES as usize).collect().await;
+        if read.is_ok() {
+            lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
+        }
+        SendResult::Bad(SendOutcome::NotRun)
+    }
+
+    /// A short plain answer, all of it before it is passed on.
+    async fn take_whole(
+        &self,
+        place: &SendPlace,
+        told: &UpstreamAnswer,
+        head: response::Parts,
+        body: Incoming,
+        lease: ConnectionLease,
+        deadline_ms: u64,
+    ) -> SendResult {
+        let at = (place.upstream, place.address);
+        match self.node.wait_for(at, body.collect(), deadline_ms, false).await {
+            Waited::Done(Ok(body)) => {
+                self.note_ran(place, true);
+                lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
+                let (body, asks_rest) = (GoodBody::Whole(body.to_bytes()), told.rest_ms.is_some());
+                SendResult::Answer(Box::new(GoodAnswer { head, body, asks_rest }))
+            }
+            Waited::Done(Err(_)) => {
+                place.trial.end_unsaid();
+                self.note_failure(place.upstream, "cut answer");
+                self.look_after_break(place);
+                SendResult::Bad(SendOutcome::Broken)
+            }
+            Waited::TimedOut | Waited::Dark => {
+                place.trial.end_bad();
+                SendResult::Bad(SendOutcome::TimedOut)
+            }
+        }
+    }
+
+    /// Counts an answer's first byte, and logs one that comes after its goal with what decided
+    /// its way.
+    pub(super) fn note_first_byte(&self, place: &SendPlace, what: &'static str) {
+        let rule = &place.book.book.routes[place.route];
+        let took_ms = self.node.now_ms().saturating_sub(self.arrived_ms);
+        let late = rule.goal_ms > 0 && took_ms > rule.goal_ms;
+        {
+            let mut figures = self.node.figures.borrow_mut();
+            figures.note_first_byte(place.send.workspace.as_deref(), took_ms);
+            figures.late += u64::from(late);
+        }
+        let own = self.node.in_flight.borrow().get(&place.upstream).copied().unwrap_or(0);
+        let others = self.node.view.borrow().told.others(place.upstream);
+        let service = &place.book.book.services[place.service];
+        if let Some(engine) = &service.engine {
+            self.node.with_room(&service.name, |room| {
+                room.note_first_event(late, own + others, engine.slots);
+            });
+        }
+        if !late {
+            return;
+        }
+        info!(
+            target: "request", attempt = self.caller.attempt, took_ms, goal_ms = rule.goal_ms,
+            life = place.send.life, left_ms = place.send.left_ms,
+            own, others, fetched = place.send.fetch_from.is_some(), "late {what}",
+        );
+    }
+}
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -8,8 +8,9 @@
 use tokio::task::spawn_local;
 use tracing::info;
 
+use super::vm_place::SendPlace;
 use super::vm_relay::{AnswerBody, CutShort};
-use super::vm_send::{ComingBody, GoodAnswer, GoodBody, SendPlace, SendResult};
+use super::vm_reply::{ComingBody, GoodAnswer, GoodBody, SendResult};
 use super::vm_silence::Waited;
 use super::vm_task::{CallerTask, LEAST_LEFT_MS};
 use crate::coordination::attempt_plan::{AttemptCount, RunKnowledge, SendOutcome};
