notices: who leaves takes what nobody else would serve for a while

Callers of a service whose upstreams had all said in answers that they leave were refused for as long as the list lagged behind those that came in their place. Cause: leaving was heeded at once, also where nobody else was left. Change: for a third of the time for which an upstream serves on it is a last resort; the pool holds the bound. The soak's steps of a case are played in order of time: three had been played after all others.

--- a/lib/src/coordination/upstream_notice.rs
+++ b/lib/src/coordination/upstream_notice.rs
@@ -23,6 +23,9 @@
 /// service's upstreams turned requests away for twice nine seconds, this gave 0.027 to 0.056 of worth on each
 /// of eight days of two sites, and nothing either way on 16 others.
 pub const TURNED_AWAY_MS: u64 = 300;
+/// The part of the time for which an upstream serves on once it leaves (a deployment's bound) in which it still
+/// gets requests that nobody else would serve: who comes in its place is seconds later on the list.
+pub const LAST_RESORT_PART: f64 = 1.0 / 3.0;
 /// What an incarnation said is kept for this long after it was last listed or heard, in milliseconds: a list
 /// that lags, or is read in part, may name it again.
 const KEEP_MS: u64 = 60 * 60 * 1000;
@@ -44,7 +47,8 @@
     tried_ms: Option<u64>,
     /// Until when it is left to others, as it turned a request away.
     spared_until_ms: u64,
-    leaving: bool,
+    /// Until when it gets what nobody else would serve, since it leaves.
+    leaving: Option<u64>,
     /// When it last said something, or was on the list.
     heard_ms: u64,
 }
@@ -85,8 +89,14 @@
         purpose: ApproachPurpose,
         now_ms: u64,
     ) -> bool {
-        let leaves = purpose == ApproachPurpose::Request && self.is_leaving(upstream);
-        self.rest_ms(upstream, now_ms) == 0 && !leaves
+        let open = !self.is_leaving(upstream) || self.is_last_resort(upstream, now_ms);
+        self.rest_ms(upstream, now_ms) == 0 && (purpose == ApproachPurpose::Trial || open)
+    }
+
+    /// Whether an upstream that leaves may still get what nobody else would serve.
+    pub fn is_last_resort(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
+        let last_ms = self.rows.get(&upstream).and_then(|row| row.leaving);
+        last_ms.is_some_and(|last_ms| last_ms > now_ms)
     }
 
     /// An upstream turned a request away and asked for nothing.
@@ -102,9 +112,13 @@
         tried || row.spared_until_ms > now_ms
     }
 
-    /// An upstream said that it leaves; true when that is news.
-    pub fn note_leaving(&mut self, upstream: UpstreamKey, now_ms: u64) -> bool {
-        !std::mem::replace(&mut self.row(upstream, now_ms).leaving, true)
+    /// An upstream said that it leaves, which takes `drain_ms` at least; true when that is news.
+    pub fn note_leaving(&mut self, upstream: UpstreamKey, drain_ms: u64, now_ms: u64) -> bool {
+        let last_ms = now_ms + (drain_ms as f64 * LAST_RESORT_PART) as u64;
+        let row = self.row(upstream, now_ms);
+        let news = row.leaving.is_none();
+        row.leaving.get_or_insert(last_ms);
+        news
     }
 
     fn row(&mut self, upstream: UpstreamKey, now_ms: u64) -> &mut NoticeRow {
@@ -120,7 +134,7 @@
 
     /// Whether an upstream said that it leaves.
     pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
-        self.rows.get(&upstream).is_some_and(|row| row.leaving)
+        self.rows.get(&upstream).is_some_and(|row| row.leaving.is_some())
     }
 
     /// Another incarnation has come under this key: nothing was said of it.
@@ -145,6 +159,6 @@
 
     /// How many said that they leave.
     pub fn leaving(&self) -> usize {
-        self.rows.values().filter(|row| row.leaving).count()
+        self.rows.values().filter(|row| row.leaving.is_some()).count()
     }
 }
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -196,7 +196,15 @@
             first_seen_ms: upstreams.first_seen_ms.get(&key).copied().unwrap_or(0),
         };
         let living = upstreams.of_service(&service.name).filter(|(key, _)| !outliers.is_gone(*key));
-        living.map(candidate).collect()
+        let mut candidates: Vec<UpstreamCandidate> = living.map(candidate).collect();
+        if !candidates.iter().any(UpstreamCandidate::takes_work) {
+            let listed = |key| upstreams.entries.get(&key).is_some_and(|entry| entry.leaving);
+            let last = |c: &&mut UpstreamCandidate| {
+                notices.is_last_resort(c.key, now_ms) && !listed(c.key)
+            };
+            candidates.iter_mut().filter(last).for_each(|c| c.leaving = false);
+        }
+        candidates
     }
 }
 
--- a/lib/src/transport/vm_notice.rs
+++ b/lib/src/transport/vm_notice.rs
@@ -17,6 +17,7 @@
             return;
         }
         let now_ms = self.node.now_ms();
+        let drain_ms = self.node.settings.borrow().bounds.drain_ms;
         let mut notices = self.node.pool.notices().borrow_mut();
         match told.rest_ms {
             Some(rest_ms) => {
@@ -26,7 +27,7 @@
             None if told.not_run => notices.note_turned_away(place.upstream, now_ms),
             None => notices.note_taken(place.upstream, now_ms),
         }
-        if told.leaving && notices.note_leaving(place.upstream, now_ms) {
+        if told.leaving && notices.note_leaving(place.upstream, drain_ms, now_ms) {
             info!(target: "upstream", life = place.send.life, "says that it leaves");
         }
     }
--- a/lib/tests/test_notices.rs
+++ b/lib/tests/test_notices.rs
@@ -25,6 +25,7 @@
 
 const KEY: UpstreamKey = UpstreamKey(7);
 const HOUR_MS: u64 = 3_600_000;
+const DRAIN_MS: u64 = 3000;
 
 fn at_rest(key: u64, rest_ms: u64) -> UpstreamCandidate {
     UpstreamCandidate { rest_ms, ..candidate(key, 0) }
@@ -102,12 +103,26 @@
     assert!(notices.may_approach(KEY, Request, 1001), "it asked for nothing");
 }
 
+#[test]
+fn who_leaves_is_a_last_resort_for_a_while_from_when_it_first_said_so() {
+    let mut notices = NoticeTable::default();
+
+    let news = [0, 900].map(|now_ms| notices.note_leaving(KEY, DRAIN_MS, now_ms));
+
+    assert_eq!(news, [true, false]);
+    let last = [999, 1000].map(|now_ms| notices.is_last_resort(KEY, now_ms));
+    let sent = [999, 1000].map(|now_ms| notices.may_approach(KEY, Request, now_ms));
+    assert_eq!((last, sent), ([true, false], [true, false]));
+    notices.note_rest(KEY, 500, 0);
+    assert!(!notices.may_approach(KEY, Request, 400), "it rests, too");
+}
+
 #[test]
 fn what_was_said_outlasts_lists_that_lack_the_incarnation() {
     let mut notices = NoticeTable::default();
     notices.note_rest(KEY, 2 * HOUR_MS, 0);
-    notices.note_leaving(UpstreamKey(8), 0);
-    notices.note_leaving(UpstreamKey(9), 2 * HOUR_MS);
+    notices.note_leaving(UpstreamKey(8), DRAIN_MS, 0);
+    notices.note_leaving(UpstreamKey(9), DRAIN_MS, 2 * HOUR_MS);
     notices.sweep(|key| key.0 < 9, 0);
 
     notices.sweep(|_| false, HOUR_MS - 1);
@@ -235,10 +250,10 @@
     run_local(async {
         let (_listener, address) = listening().await;
         let pool = ConnectionPool::default();
-        pool.notices().borrow_mut().note_leaving(KEY, 0);
+        pool.notices().borrow_mut().note_leaving(KEY, DRAIN_MS, 0);
 
-        let sent = pool.connect(KEY, address, Request, 10).await.err();
-        let tried = pool.connect(KEY, address, Trial, 10).await.err();
+        let sent = pool.connect(KEY, address, Request, DRAIN_MS).await.err();
+        let tried = pool.connect(KEY, address, Trial, DRAIN_MS).await.err();
 
         assert_eq!((sent, tried), (Some(ConnectFault::Unwanted), None));
     });
--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -18,6 +18,13 @@
     PlannedStep { at_ms, disturbance }
 }
 
+/// Steps in order of time, as they are played.
+fn in_time(steps: impl Iterator<Item = PlannedStep>) -> Vec<PlannedStep> {
+    let mut steps: Vec<PlannedStep> = steps.collect();
+    steps.sort_by_key(|step| step.at_ms);
+    steps
+}
+
 /// All cases.
 pub fn cases() -> Vec<SoakCase> {
     let mut cases = order_cases();
@@ -125,16 +132,21 @@
         SoakCase {
             name: "rest-over-stops-and-stand-stills",
             cause: "an upstream that asks for rest is sent requests on",
-            steps: (0..6)
-                .map(|at| {
-                    step(500 + 3_000 * at, Disturbance::TireUpstreams(at as usize, 3, 2_800, 2_000))
-                })
-                .chain([
-                    step(4_000, Disturbance::StopVm(0)),
-                    step(9_000, Disturbance::FreezeVm(1, 1_500)),
-                    step(12_000, Disturbance::KillVm(2, 300)),
-                ])
-                .collect(),
+            steps: in_time(
+                (0..6)
+                    .map(|at| {
+                        let upstream = at as usize;
+                        step(
+                            500 + 3_000 * at,
+                            Disturbance::TireUpstreams(upstream, 3, 2_800, 2_000),
+                        )
+                    })
+                    .chain([
+                        step(4_000, Disturbance::StopVm(0)),
+                        step(9_000, Disturbance::FreezeVm(1, 1_500)),
+                        step(12_000, Disturbance::KillVm(2, 300)),
+                    ]),
+            ),
         },
         SoakCase {
             name: "leaving-that-no-list-shows",
