--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -16,7 +16,6 @@
 use super::vm_pool::ConnectFault;
 use super::vm_task::CallerTask;
 use crate::coordination::crash_outbox::SeenCrash;
-use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::state::ids::{RequestMark, UpstreamKey};
 
 /// A process that ends closes its connections and its listener one after the other, so that one which
@@ -104,7 +103,7 @@
         }
         for pause in LOOK_AGAIN {
             tokio::time::sleep(pause).await;
-            match self.pool.take(upstream, address, ApproachPurpose::Trial, self.now_ms()).await {
+            match self.pool.take(self.trial(upstream, address)).await {
                 Ok(lease) => lease.finish(false, None, self.now_ms()).await,
                 Err(fault) => return fault == ConnectFault::NobodyListens,
             }
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -15,6 +15,7 @@
 
 use super::vm_keeper::KeeperDriver;
 use super::vm_node::VmNode;
+use super::vm_pool::UpstreamApproach;
 use crate::coordination::line_budget::LINES_A_PLACE;
 use crate::coordination::list_turn::{list_deed, ListCost, ListDeed, ListStanding};
 use crate::coordination::upstream_notice::ApproachPurpose;
@@ -363,8 +364,13 @@
     async fn call_list(&self, call: &str) -> Result<Bytes, ListFault> {
         let other = |text: String| ListFault::Other(text);
         let address = self.settings.borrow().list.address;
-        let lease =
-            self.pool.take(self.list_key(), address, ApproachPurpose::Request, self.now_ms()).await;
+        let approach = UpstreamApproach {
+            upstream: self.list_key(),
+            address,
+            purpose: ApproachPurpose::Request,
+            now_ms: self.now_ms(),
+        };
+        let lease = self.pool.take(approach).await;
         let mut lease = lease.map_err(|fault| other(format!("cannot connect: {fault:?}")))?;
         let request = Request::get(call)
             .header(HOST, address.to_string())
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -49,6 +49,19 @@
     Unwanted,
 }
 
+/// Who is approached, where, what for, and when by the node's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamApproach {
+    /// The incarnation.
+    pub upstream: UpstreamKey,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What for.
+    pub purpose: ApproachPurpose,
+    /// The present time, in milliseconds.
+    pub now_ms: u64,
+}
+
 struct RestingConnection {
     stream: TcpStream,
     until_ms: u64,
@@ -150,28 +163,19 @@
 
 impl ConnectionPool {
     /// A resting connection to the upstream, or a new one.
-    pub async fn take(
-        &self,
-        upstream: UpstreamKey,
-        address: SocketAddr,
-        purpose: ApproachPurpose,
-        now_ms: u64,
-    ) -> Result<ConnectionLease, ConnectFault> {
-        self.check_wanted(upstream, purpose, now_ms)?;
-        match self.pop(upstream, now_ms) {
+    pub async fn take(&self, approach: UpstreamApproach) -> Result<ConnectionLease, ConnectFault> {
+        self.check_wanted(approach)?;
+        match self.pop(approach.upstream, approach.now_ms) {
             Some(stream) => {
-                self.lease(UseGuard::new(self, upstream), stream, true, purpose, now_ms).await
+                let in_use = UseGuard::new(self, approach.upstream);
+                self.lease(approach, in_use, stream, true).await
             }
-            None => self.connect(upstream, address, purpose, now_ms).await,
+            None => self.connect(approach).await,
         }
     }
 
-    fn check_wanted(
-        &self,
-        upstream: UpstreamKey,
-        purpose: ApproachPurpose,
-        now_ms: u64,
-    ) -> Result<(), ConnectFault> {
+    fn check_wanted(&self, approach: UpstreamApproach) -> Result<(), ConnectFault> {
+        let UpstreamApproach { upstream, purpose, now_ms, .. } = approach;
         match self.notices.borrow().may_approach(upstream, purpose, now_ms) {
             true => Ok(()),
             false => Err(ConnectFault::Unwanted),
@@ -180,15 +184,13 @@
 
     async fn lease(
         &self,
+        approach: UpstreamApproach,
         in_use: UseGuard,
         stream: TcpStream,
         kept: bool,
-        purpose: ApproachPurpose,
-        now_ms: u64,
     ) -> Result<ConnectionLease, ConnectFault> {
-        let upstream = in_use.upstream;
         let lease = lease(in_use, stream, kept).await?;
-        self.check_wanted(upstream, purpose, now_ms)?;
+        self.check_wanted(approach)?;
         Ok(lease)
     }
 
@@ -200,12 +202,10 @@
     /// given up: nothing was sent, so another upstream can still be asked.
     pub async fn connect(
         &self,
-        upstream: UpstreamKey,
-        address: SocketAddr,
-        purpose: ApproachPurpose,
-        now_ms: u64,
+        approach: UpstreamApproach,
     ) -> Result<ConnectionLease, ConnectFault> {
-        self.check_wanted(upstream, purpose, now_ms)?;
+        self.check_wanted(approach)?;
+        let UpstreamApproach { upstream, address, .. } = approach;
         let cause =
             self.upstreams.borrow().get(&upstream).map_or(ConnectCause::First, |had| had.cause());
         let in_use = UseGuard::new(self, upstream);
@@ -223,7 +223,7 @@
         self.patience.set(patience);
         set_stream(&stream);
         self.opened.borrow_mut().note(cause);
-        self.lease(in_use, stream, false, purpose, now_ms).await
+        self.lease(approach, in_use, stream, false).await
     }
 
     /// Closes what has rested for long enough, and what belongs to upstreams that are gone.
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -9,6 +9,7 @@
 
 use super::vm_guard::{FlightGuard, HeldPlace};
 use super::vm_place::SendPlace;
+use super::vm_pool::UpstreamApproach;
 use super::vm_reply::SendResult;
 use super::vm_silence::Waited;
 use super::vm_task::CallerTask;
@@ -29,13 +30,18 @@
         };
         let guard = FlightGuard::new(&self.node, place.upstream, held);
         let may_repeat = place.book.book.routes[place.route].kind.may_repeat();
-        let (pool, purpose) = (&self.node.pool, ApproachPurpose::Request);
+        let pool = &self.node.pool;
         let mut fresh = false;
         for _ in 0..STALE_CONNECTIONS {
-            let now_ms = self.node.now_ms();
+            let approach = UpstreamApproach {
+                upstream: place.upstream,
+                address: place.address,
+                purpose: ApproachPurpose::Request,
+                now_ms: self.node.now_ms(),
+            };
             let lease = match fresh {
-                true => pool.connect(place.upstream, place.address, purpose, now_ms).await,
-                false => pool.take(place.upstream, place.address, purpose, now_ms).await,
+                true => pool.connect(approach).await,
+                false => pool.take(approach).await,
             };
             let mut lease = match lease {
                 Ok(lease) => lease,
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -13,7 +13,7 @@
 use tracing::info;
 
 use super::vm_node::VmNode;
-use super::vm_pool::ConnectFault;
+use super::vm_pool::{ConnectFault, UpstreamApproach};
 use crate::coordination::silence::DarkMark;
 use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::coordination::vm_roster::pressed_renew_ms;
@@ -113,7 +113,7 @@
         upstream: UpstreamKey,
         address: SocketAddr,
     ) -> Option<ConnectFault> {
-        match self.pool.connect(upstream, address, ApproachPurpose::Trial, self.now_ms()).await {
+        match self.pool.connect(self.trial(upstream, address)).await {
             Ok(lease) => {
                 self.note_connect(upstream, None);
                 lease.finish(false, None, self.now_ms()).await;
@@ -126,6 +126,12 @@
         }
     }
 
+    /// To see whether an upstream can be reached, now.
+    pub(super) fn trial(&self, upstream: UpstreamKey, address: SocketAddr) -> UpstreamApproach {
+        let (purpose, now_ms) = (ApproachPurpose::Trial, self.now_ms());
+        UpstreamApproach { upstream, address, purpose, now_ms }
+    }
+
     /// Takes a VM's doubts, as the leader of `term`.
     pub(super) fn take_doubts(&self, term: u64, from: VmId, doubts: &[UpstreamKey]) {
         let now_ms = self.now_ms();
--- a/lib/tests/test_notices.rs
+++ b/lib/tests/test_notices.rs
@@ -15,11 +15,11 @@
 use wingshed_lib::coordination::upstream_choice::{choose_engine, PrefixMemory};
 use wingshed_lib::coordination::upstream_notice::ApproachPurpose::{Request, Trial};
 use wingshed_lib::coordination::upstream_notice::{
-    NoticeTable, LONGEST_REST_MS, RETURN_TRIAL_MS, TURNED_AWAY_MS,
+    ApproachPurpose, NoticeTable, LONGEST_REST_MS, RETURN_TRIAL_MS, TURNED_AWAY_MS,
 };
 use wingshed_lib::state::ids::UpstreamKey;
 use wingshed_lib::state::prompt_part::PromptPart;
-use wingshed_lib::transport::vm_pool::{ConnectFault, ConnectionPool};
+use wingshed_lib::transport::vm_pool::{ConnectFault, ConnectionPool, UpstreamApproach};
 
 use testutils::engines::{candidate, RULES};
 
@@ -214,6 +214,10 @@
     LocalSet::new().block_on(&runtime, test);
 }
 
+fn approach(address: SocketAddr, purpose: ApproachPurpose, now_ms: u64) -> UpstreamApproach {
+    UpstreamApproach { upstream: KEY, address, purpose, now_ms }
+}
+
 async fn listening() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -225,7 +229,7 @@
     run_local(async {
         let (listener, address) = listening().await;
         let pool = ConnectionPool::default();
-        let Ok(kept) = pool.connect(KEY, address, Request, 0).await else {
+        let Ok(kept) = pool.connect(approach(address, Request, 0)).await else {
             panic!("nobody rests yet")
         };
         let accepted = listener.accept().await.unwrap();
@@ -233,14 +237,14 @@
         pool.notices().borrow_mut().note_rest(KEY, 1000, 0);
 
         let refused = [
-            pool.take(KEY, address, Request, 10).await.err(),
-            pool.connect(KEY, address, Request, 10).await.err(),
+            pool.take(approach(address, Request, 10)).await.err(),
+            pool.connect(approach(address, Request, 10)).await.err(),
         ];
         let more = tokio::time::timeout(Duration::from_millis(50), listener.accept()).await;
 
         assert_eq!(refused, [Some(ConnectFault::Unwanted); 2]);
         assert!(more.is_err(), "nothing comes");
-        assert!(pool.take(KEY, address, Request, 1000).await.is_ok(), "the rest is over");
+        assert!(pool.take(approach(address, Request, 1000)).await.is_ok(), "the rest is over");
         drop(accepted);
     });
 }
@@ -252,8 +256,8 @@
         let pool = ConnectionPool::default();
         pool.notices().borrow_mut().note_leaving(KEY, DRAIN_MS, 0);
 
-        let sent = pool.connect(KEY, address, Request, DRAIN_MS).await.err();
-        let tried = pool.connect(KEY, address, Trial, DRAIN_MS).await.err();
+        let sent = pool.connect(approach(address, Request, DRAIN_MS)).await.err();
+        let tried = pool.connect(approach(address, Trial, DRAIN_MS)).await.err();
 
         assert_eq!((sent, tried), (Some(ConnectFault::Unwanted), None));
     });
@@ -267,7 +271,7 @@
         let asks = async { pool.notices().borrow_mut().note_rest(KEY, 1000, 5) };
 
         // The connection isn't up when it is first polled.
-        let (connected, ()) = tokio::join!(pool.connect(KEY, address, Request, 0), asks);
+        let (connected, ()) = tokio::join!(pool.connect(approach(address, Request, 0)), asks);
 
         assert_eq!(connected.err(), Some(ConnectFault::Unwanted));
     });
