forward: an upstream's own failure is passed on when nobody else could repeat it

Callers got 502 of the VM's own in place of an upstream's answer, where that answer was a failure that may be repeated and no other upstream took work: all others rested, left, or were tried. Cause: the answer was given up for a repeat before it was known whether there is anybody to repeat it. Change: it is given up only once somebody else would be chosen. Result: a test with the other upstream at rest fails without it (502) and passes with it (500, its own body).

--- a/lib/src/coordination/attempt_plan.rs
+++ b/lib/src/coordination/attempt_plan.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Whether an upstream's own failure, which came just now, is followed by another send.
+    pub fn repeats_failure(mut self, kind: RequestKind, most_upstreams: u32) -> bool {
+        self.note(SendOutcome::Failed);
+        self.next(SendOutcome::Failed, kind, most_upstreams) == NextStep::Repeat
+    }
+
     /// The final answer when nothing more is tried.
     pub fn give_up(&self) -> NextStep {
         match self.may_have_run {
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -173,15 +173,9 @@
                 goal_ms: rule.goal_ms,
                 wait_ms: self.caller.wait_ms.unwrap_or(rule.timeout_ms),
             });
-            let first = !noted;
+            let first = !std::mem::replace(&mut noted, true);
             if first {
-                noted = true;
-                self.note_first(&service.name);
-                if let Some(room) = &room {
-                    let now_ms = self.node.now_ms();
-                    self.node.prefixes.borrow_mut().note_asked(&self.caller.prompt, now_ms);
-                    self.node.with_room(&service.name, |known| known.note_asked(room, now_ms));
-                }
+                self.note_asked(&service.name, room.as_ref());
             }
             let left = deadline_ms.saturating_sub(self.node.now_ms());
             if left < LEAST_LEFT_MS {
@@ -212,14 +206,12 @@
                 SendResult::Answer(answer) => {
                     self.record.note(RunKnowledge::Ran);
                     let failed = answer.head.status.is_server_error();
-                    let repeat = failed && {
-                        let mut after = count;
-                        after.note(SendOutcome::Failed);
-                        let kind = rule.kind;
-                        after.next(SendOutcome::Failed, kind, rule.most_upstreams)
-                            == NextStep::Repeat
-                    };
-                    if !repeat || !self.may_spend_repeat(&service.name) {
+                    // With nobody left for a repeat its caller gets the upstream's own failure, not ours.
+                    let repeats = failed
+                        && count.repeats_failure(rule.kind, rule.most_upstreams)
+                        && self.may_spend_repeat(&service.name)
+                        && self.choose(service, rule, room.as_ref(), &tried).is_ok();
+                    if !repeats {
                         return self.pass_on(place, *answer, deadline_ms, &mut count).await;
                     }
                     SendOutcome::Failed
@@ -272,10 +264,15 @@
         self.arrived_ms + wait_ms
     }
 
-    fn note_first(&self, service: &str) {
+    /// It asks its service for the first time.
+    fn note_asked(&self, service: &str, room: Option<&RoomRequest>) {
         let (allowance, now_ms) = (self.node.allowance(), self.node.now_ms());
         let mut budgets = self.node.budgets.borrow_mut();
         budgets.entry(service.to_string()).or_default().note_first(&allowance, now_ms);
+        if let Some(room) = room {
+            self.node.prefixes.borrow_mut().note_asked(&self.caller.prompt, now_ms);
+            self.node.with_room(service, |known| known.note_asked(room, now_ms));
+        }
     }
 
     pub(super) fn spend_repeat(&self, service: &str) -> bool {
