--- a/lib/src/transport/clock.rs
+++ b/lib/src/transport/clock.rs
@@ -4,6 +4,9 @@
 
 /// Monotonic time starts here, so that "never" can be 0 in tables.
 const START_MS: u64 = 1_000_000;
+/// The step of the clock, in milliseconds: a moment may be nearly this much later than it is read. What others
+/// bound from their side of an answer, and are nearer than that, counts from the step after it.
+pub const CLOCK_STEP_MS: u64 = 1;
 
 /// A node's clocks.
 #[derive(Clone, Copy, Debug)]
