soak: an upstream's next life isn't held for the one that left

Its trace: all came to one later life (number 20877), which had started in its place under its id 0.15 s before the first of them and was listed as ready; the check went by the place of the upstream. Change: rows of leaving name the life, and the check goes by it; the steps are kept as a case.

--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -155,6 +155,14 @@
                 .map(|at| step(500 + 1_500 * at, Disturbance::LeaveUnlisted(at as usize, 9_000)))
                 .collect(),
         },
+        SoakCase {
+            name: "started-again-while-leaving",
+            cause: "requests to the next life of an upstream that left were held against the VMs",
+            steps: vec![
+                step(500, Disturbance::LeaveUpstream(2, 5_192)),
+                step(2_825, Disturbance::RestartUpstream(2, true, 3_525)),
+            ],
+        },
         SoakCase {
             name: "all-stopped-at-once",
             cause: "planned stops of all VMs within a second cut requests",
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -179,6 +179,7 @@
             let left = self.rows.leaving.iter().find(|row| {
                 let until_ms = row.until_ms.unwrap_or(u64::MAX);
                 row.upstream == run.upstream
+                    && row.life == run.life
                     && run.at_ms < until_ms
                     && run.at_ms > row.from_ms.max(since) + DRAIN_MS + NOTE_MS
             });
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -180,6 +180,8 @@
 pub struct LeavingRow {
     /// The index of the upstream.
     pub upstream: usize,
+    /// Its life: one that starts in its place meanwhile is listed as ready.
+    pub life: u64,
     /// When the list showed it.
     pub from_ms: u64,
     /// When the upstream stood there as ready again.
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -367,8 +367,9 @@
 
     fn note_leaving(&self, index: usize) -> usize {
         let from_ms = self.ledger.now_ms();
+        let life = self.upstreams[index].life.borrow().as_ref().map_or(0, UpstreamLife::number);
         let leaving = &mut self.ledger.rows.borrow_mut().leaving;
-        leaving.push(LeavingRow { upstream: index, from_ms, until_ms: None });
+        leaving.push(LeavingRow { upstream: index, life, from_ms, until_ms: None });
         leaving.len() - 1
     }
 
