--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -198,11 +198,12 @@
         let living = upstreams.of_service(&service.name).filter(|(key, _)| !outliers.is_gone(*key));
         let mut candidates: Vec<UpstreamCandidate> = living.map(candidate).collect();
         if !candidates.iter().any(UpstreamCandidate::takes_work) {
+            // Who leaves as the list says does so for longer than anybody is a last resort.
             let listed = |key| upstreams.entries.get(&key).is_some_and(|entry| entry.leaving);
             let last = |c: &&mut UpstreamCandidate| {
                 notices.is_last_resort(c.key, now_ms) && !listed(c.key)
             };
-            candidates.iter_mut().filter(last).for_each(|c| c.leaving = false);
+            candidates.iter_mut().filter(last).for_each(|candidate| candidate.leaving = false);
         }
         candidates
     }
