notices: when a rest counts from is said in one place; a return as told is never too soon

Cause: the clock reads whole milliseconds, and since a rest counts from the step after it was asked for, a request that is refused within that step is told one more. Ruled out: a return that is cut to what was asked for, which sends a caller back up to a millisecond too soon. Change: `NodeClock::next_ms` is the one place that reads the clock upwards; it stood in two. The check's bound is the rest and the millisecond that the clock doesn't tell apart, no more.

--- a/lib/src/transport/clock.rs
+++ b/lib/src/transport/clock.rs
@@ -4,8 +4,7 @@
 
 /// Monotonic time starts here, so that "never" can be 0 in tables.
 const START_MS: u64 = 1_000_000;
-/// The step of the clock, in milliseconds: a moment may be nearly this much later than it is read. What others
-/// bound from their side of an answer, and are nearer than that, counts from the step after it.
+/// The step of the clock, in milliseconds: a moment may be nearly this much later than it is read.
 pub const CLOCK_STEP_MS: u64 = 1;
 
 /// A node's clocks.
@@ -28,6 +27,12 @@
         START_MS + self.age_ms()
     }
 
+    /// The step after the present one, by the same clock: nothing that has happened yet is later. A span that
+    /// somebody else bounds from an event of a moment ago counts from it, lest it end up to a step too soon.
+    pub fn next_ms(&self) -> u64 {
+        self.now_ms() + CLOCK_STEP_MS
+    }
+
     /// Milliseconds since this process made the clock, likewise.
     pub fn age_ms(&self) -> u64 {
         since_boot().saturating_sub(self.start).as_millis() as u64
--- a/lib/src/transport/router_plain.rs
+++ b/lib/src/transport/router_plain.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::clock::CLOCK_STEP_MS;
 use super::http_client::{CallFailure, CallTimes};
 use super::router_claims::claim;
 use super::router_relay::AnswerSink;
@@ -181,7 +180,6 @@
 /// Notes the rest that an upstream asks for; false where it doesn't.
 fn hear_rest(shared: &RouterShared, upstream: UpstreamKey, reply: &HttpReply) -> bool {
     let Some(rest_ms) = plain::asked_rest(reply) else { return false };
-    let now_ms = shared.clock.now_ms() + CLOCK_STEP_MS;
-    lock(&shared.desk).notices.note_rest(upstream, rest_ms, now_ms);
+    lock(&shared.desk).notices.note_rest(upstream, rest_ms, shared.clock.next_ms());
     true
 }
--- a/lib/src/transport/vm_notice.rs
+++ b/lib/src/transport/vm_notice.rs
@@ -6,7 +6,6 @@
 use hyper::http::response;
 use tracing::info;
 
-use super::clock::CLOCK_STEP_MS;
 use super::vm_place::SendPlace;
 use super::vm_task::CallerTask;
 use crate::protocol::wire_adapter::UpstreamAnswer;
@@ -22,7 +21,7 @@
         let mut notices = self.node.pool.notices().borrow_mut();
         match told.rest_ms {
             Some(rest_ms) => {
-                notices.note_rest(place.upstream, rest_ms, now_ms + CLOCK_STEP_MS);
+                notices.note_rest(place.upstream, rest_ms, self.node.clock.next_ms());
                 self.node.figures.borrow_mut().rests_asked += 1;
             }
             None if told.not_run => notices.note_turned_away(place.upstream, now_ms),
--- a/lib/tests/test_clock.rs
+++ b/lib/tests/test_clock.rs
@@ -54,3 +54,14 @@
     assert!(clock.age_ms() >= age_ms + 5);
     assert!(first_ms > age_ms, "so that 0 is never a time");
 }
+
+#[test]
+fn no_event_of_the_past_is_later_than_the_next_step() {
+    let clock = NodeClock::default();
+
+    for _ in 0..10_000 {
+        let (before_ms, next_ms) = (clock.now_ms(), clock.next_ms());
+
+        assert!(next_ms > before_ms);
+    }
+}
--- a/lib/tests/test_notices.rs
+++ b/lib/tests/test_notices.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use proptest::prelude::*;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use wingshed_lib::coordination::plain_choice::{choose_by_own, choose_plain};
@@ -26,6 +27,8 @@
 const KEY: UpstreamKey = UpstreamKey(7);
 const HOUR_MS: u64 = 3_600_000;
 const DRAIN_MS: u64 = 3000;
+/// What the node's clock tells apart, in milliseconds.
+const STEP_MS: u64 = 1;
 
 fn at_rest(key: u64, rest_ms: u64) -> UpstreamCandidate {
     UpstreamCandidate { rest_ms, ..candidate(key, 0) }
@@ -51,6 +54,31 @@
     assert_eq!(notices.rest_ms(UpstreamKey(8), 1500), 0, "another incarnation");
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(27), ..ProptestConfig::default() })]
+
+    /// Whoever comes back when told isn't refused again, finds the upstream's rest over, and was told no more
+    /// than what is left of it and what two readings of a clock of whole milliseconds leave open.
+    #[test]
+    fn a_return_as_told_is_never_too_soon(
+        asked_us in 0..20_000_u64, refused_after_us in 0..8_000_000_u64, rest_ms in 1..8_000_u64,
+    ) {
+        let refused_us = asked_us + refused_after_us;
+        let over_us = asked_us + rest_ms * 1000;
+        let mut notices = NoticeTable::default();
+        notices.note_rest(KEY, rest_ms, asked_us / 1000 + STEP_MS);
+
+        let told_ms = notices.rest_ms(KEY, refused_us / 1000);
+        let back_us = refused_us + told_ms * 1000;
+
+        prop_assert!(told_ms == 0 || notices.may_approach(KEY, Request, back_us / 1000));
+        prop_assert!(back_us >= over_us, "{} us too soon", over_us - back_us);
+        let left_us = over_us.saturating_sub(refused_us);
+        prop_assert!(told_ms * 1000 < left_us + 2 * STEP_MS * 1000, "{told_ms} ms of {left_us} us");
+        prop_assert!(told_ms <= rest_ms + STEP_MS);
+    }
+}
+
 #[test]
 fn a_huge_rest_is_a_day() {
     let mut notices = NoticeTable::default();
