--- a/lib/tests/test_promises.rs
+++ b/lib/tests/test_promises.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use testutils::{returning_chat, system_with, SystemFixture};
+use wingshed_lib::coordination::outlier::FIRST_ASIDE_MS;
 use wingshed_lib::protocol::caller::RanMark;
 use wingshed_lib::protocol::engine::run_id;
 use wingshed_lib::protocol::vm_list::{VmEntry, VmStanding};
@@ -267,6 +268,43 @@
     assert!((290_000..=most_ms).contains(&wait_ms), "the earliest return: {wait_ms}");
 }
 
+/// The story: an upstream failed a few requests and was set aside for two seconds. The first request that
+/// tried it again came in a moment in which it wanted rest. From then on this router never sent it another,
+/// though it had rested and was well: callers got what the others bore. The cause: a try ended by a success
+/// or by a failure alone, and who asks for rest is neither. The evidence: none of 40 requests reached it four
+/// seconds after its rest, while nothing else kept it from them.
+#[test]
+fn an_upstream_that_asks_for_rest_when_it_is_tried_again_is_sent_requests_after_it() {
+    let fixture = system_with(|make| make.routers = 1);
+    let system = &fixture.system;
+    let router = system.router_addresses()[0];
+    let call_often = |name: &str| {
+        for at in 0..40 {
+            let call = plain_call("w0", "k0", &format!("{name}-{at}"), "plain", "GET", "/x");
+            send(&system.client, router, &call, None);
+        }
+    };
+    let tired = system.plains[0].as_ref().unwrap();
+    let counts = || (tired.runs().len(), tired.refused());
+    tired.faults().cut.store(true, Ordering::Relaxed);
+    call_often("fails");
+    let set_aside = counts();
+    tired.faults().cut.store(false, Ordering::Relaxed);
+    tired.faults().refuse.store(true, Ordering::Relaxed);
+    tired.faults().rest_s.store(1, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_millis(FIRST_ASIDE_MS + 100));
+    call_often("tried");
+    let asked_rest = counts();
+    tired.faults().refuse.store(false, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_millis(1500));
+
+    call_often("rested");
+
+    assert!((1..10).contains(&set_aside.0), "set aside after a few: {set_aside:?}");
+    assert_eq!(asked_rest, (set_aside.0, 1), "one request tries it");
+    assert!(counts().0 > set_aside.0, "it has rested and serves: {:?}", counts());
+}
+
 #[test]
 fn a_plain_request_is_repeated_only_when_that_is_safe() {
     let fixture = system_with(|make| make.routers = 1);
