outliers: a trial ends with its request, however that ends

Callers of the product's own interface lost an upstream for good: one that had been set aside and asked for rest when the first request tried it again got none of that router's requests any more. Cause: the flag that a trial is under way fell with a success or a failure alone; what says nothing of health left it set: rest that is asked for, an upstream that left the configuration meanwhile, at engines a run whose caller left (there the next look at the engine's state, a second later, took it back). Change: whoever began a trial ends it where its place is given back, which each way passes; health is noted beside that.

--- a/lib/src/coordination/outlier.rs
+++ b/lib/src/coordination/outlier.rs
@@ -98,7 +98,7 @@
         })
     }
 
-    /// After its time aside, lets one request through as a trial; more only once that succeeds.
+    /// After its time aside, lets one request through as a trial; more only once that has ended.
     pub fn begin_trial(&mut self, upstream: UpstreamKey, now_ms: u64) {
         if let Some(health) = self.health.get_mut(&upstream) {
             if health.times_aside > 0 && now_ms >= health.aside_until_ms {
@@ -106,4 +106,12 @@
             }
         }
     }
+
+    /// A request to the upstream has ended, however it did: whoever it was a trial for, another may come. What it
+    /// tells of the upstream's health is noted apart, and that may be nothing.
+    pub fn end_trial(&mut self, upstream: UpstreamKey) {
+        if let Some(health) = self.health.get_mut(&upstream) {
+            health.trial_running = false;
+        }
+    }
 }
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -31,6 +31,7 @@
         let mut desk = lock(&self.shared.desk);
         desk.homes.release(self.engine, self.work, self.shared.clock.now_ms());
         desk.shares.leave(self.fleet, self.workspace);
+        desk.outliers.end_trial(self.engine);
         pump(&self.shared, &mut desk, self.fleet, &view);
     }
 }
--- a/lib/src/transport/router_plain.rs
+++ b/lib/src/transport/router_plain.rs
@@ -167,6 +167,8 @@
         let mut desk = lock(&shared.desk);
         let in_flight = desk.plain_in_flight.entry(upstream).or_default();
         *in_flight = in_flight.saturating_sub(1);
+        // Whatever the end, or a refusal that says nothing of its health would keep it aside for good.
+        desk.outliers.end_trial(upstream);
         if matches!(end, PlainEnd::Answered) {
             desk.outliers.note_success(upstream);
         }
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -284,6 +284,9 @@
     assert_eq!(aside(&table, later), 0, "after its time it is tried again");
     table.begin_trial(fleet[0], later);
     assert!(table.is_aside(fleet[0], later), "by one request only");
+    table.end_trial(fleet[0]);
+    assert!(!table.is_aside(fleet[0], later), "the next may try it where that one said nothing");
+    table.begin_trial(fleet[0], later);
     table.note_success(fleet[0]);
     assert!(!table.is_aside(fleet[0], later));
 }
