router_plain: the choice among candidates that VMs use, in place of one of its own

Nothing that callers see. Cause: the requests' own choice of a plain upstream, with the rule of when to come back, was written again beside `plain_choice` and `earliest_return`, behind a lock, so that no test reached it without a network. Change: the router turns what it knows into candidates and asks `choose_by_own`; `UpstreamCandidate::idle` for the parts that it doesn't know, and for the tests' fixture.

--- a/lib/src/coordination/upstream_candidate.rs
+++ b/lib/src/coordination/upstream_candidate.rs
@@ -34,6 +34,24 @@
 }
 
 impl UpstreamCandidate {
+    /// One that takes work and has none, of which nothing more is known.
+    pub fn idle(key: UpstreamKey) -> UpstreamCandidate {
+        UpstreamCandidate {
+            key,
+            load: 0,
+            own: 0,
+            aside: false,
+            full: false,
+            tried: false,
+            leaving: false,
+            withheld: false,
+            rest_ms: 0,
+            seat: None,
+            near: false,
+            first_seen_ms: 0,
+        }
+    }
+
     /// Whether this VM may send it new work.
     pub fn takes_work(&self) -> bool {
         !self.leaving && !self.is_held_back()
--- a/lib/src/transport/router_plain.rs
+++ b/lib/src/transport/router_plain.rs
@@ -7,17 +7,17 @@
 use super::router_claims::claim;
 use super::router_relay::AnswerSink;
 use super::router_serve::ServeContext;
-use super::router_shared::{lock, FleetSight, RouterShared, RouterView};
+use super::router_shared::{lock, FleetSight, HomeDesk, RouterShared, RouterView};
 use super::seen::SeenPhase;
+use crate::coordination::plain_choice::choose_by_own;
 use crate::coordination::retry::may_retry;
-use crate::coordination::upstream_notice::ApproachPurpose;
+use crate::coordination::upstream_candidate::{ChoiceFault, UpstreamCandidate};
 use crate::protocol::caller::{CallerError, CallerRequest, RanMark};
 use crate::protocol::http::HttpReply;
 use crate::protocol::peer_wire::RouteDecision;
 use crate::protocol::plain;
 use crate::state::claim_table::ClaimEnd;
 use crate::state::ids::{FleetKey, UpstreamKey};
-use crate::state::rendezvous::rendezvous_score;
 
 const LONGEST_ANSWER: usize = 64 << 20;
 const TRIES: usize = 3;
@@ -95,8 +95,8 @@
     Unknown(String),
 }
 
-/// The upstream with the fewest requests of ours; among equals, the request's own order. Where there is none
-/// since all that take work rest, how long the first of them does, in milliseconds.
+/// Chooses an upstream and counts the request there. Where there is none since all that take work rest, how long
+/// the first of them does, in milliseconds.
 fn choose(
     shared: &RouterShared,
     sight: &FleetSight,
@@ -105,31 +105,41 @@
 ) -> Result<UpstreamKey, Option<u64>> {
     let now_ms = shared.clock.now_ms();
     let mut desk = lock(&shared.desk);
-    let subject = UpstreamKey::of(request_id).0;
-    let staying = || {
-        sight.members.iter().copied().filter(|upstream| {
-            sight.view.engines.contains_key(upstream)
-                && !desk.leaving.is_leaving(*upstream)
-                && !desk.outliers.is_aside(*upstream, now_ms)
-        })
-    };
-    let open = staying().filter(|upstream| {
-        let wanted = desk.notices.may_approach(*upstream, ApproachPurpose::Request, now_ms);
-        wanted && !tried.contains(upstream)
-    });
-    let chosen = open.min_by_key(|upstream| {
-        let in_flight = desk.plain_in_flight.get(upstream).copied().unwrap_or(0);
-        (in_flight, std::cmp::Reverse(rendezvous_score(subject, upstream.0)))
-    });
-    let Some(chosen) = chosen else {
-        let rests = staying().map(|upstream| desk.notices.rest_ms(upstream, now_ms));
-        return Err(rests.min().filter(|rest_ms| *rest_ms > 0));
-    };
+    let candidates = candidates(&desk, sight, tried, now_ms);
+    let chosen = choose_by_own(&candidates, UpstreamKey::of(request_id).0);
+    let chosen = chosen.map_err(|fault| match fault {
+        ChoiceFault::Resting(rest_ms) => Some(rest_ms),
+        ChoiceFault::NoUpstream | ChoiceFault::Full => None,
+    })?;
     desk.outliers.begin_trial(chosen, now_ms);
     *desk.plain_in_flight.entry(chosen).or_default() += 1;
     Ok(chosen)
 }
 
+/// The upstreams that aren't set aside, as this router knows them: it is told of no other router's requests.
+fn candidates(
+    desk: &HomeDesk,
+    sight: &FleetSight,
+    tried: &[UpstreamKey],
+    now_ms: u64,
+) -> Vec<UpstreamCandidate> {
+    let candidate = |key: UpstreamKey| {
+        let own = desk.plain_in_flight.get(&key).copied().unwrap_or(0);
+        UpstreamCandidate {
+            own,
+            tried: tried.contains(&key),
+            rest_ms: desk.notices.rest_ms(key, now_ms),
+            ..UpstreamCandidate::idle(key)
+        }
+    };
+    let staying = sight.members.iter().copied().filter(|key| {
+        sight.view.engines.contains_key(key)
+            && !desk.leaving.is_leaving(*key)
+            && !desk.outliers.is_aside(*key, now_ms)
+    });
+    staying.map(candidate).collect()
+}
+
 fn call_plain(
     shared: &Arc<RouterShared>,
     view: &RouterView,
--- a/lib/tests/testutils/engines.rs
+++ b/lib/tests/testutils/engines.rs
@@ -16,18 +16,6 @@
 
 /// An engine that takes work, with so many requests in flight, seen long ago.
 pub fn candidate(key: u64, load: u32) -> UpstreamCandidate {
-    UpstreamCandidate {
-        key: UpstreamKey(key),
-        load,
-        own: 0,
-        aside: false,
-        full: false,
-        tried: false,
-        leaving: false,
-        withheld: false,
-        rest_ms: 0,
-        seat: Some(key),
-        near: false,
-        first_seen_ms: 1,
-    }
+    let seat = Some(key);
+    UpstreamCandidate { load, seat, first_seen_ms: 1, ..UpstreamCandidate::idle(UpstreamKey(key)) }
 }
