--- a/lib/tests/test_rollouts.rs
+++ b/lib/tests/test_rollouts.rs
@@ -6,7 +6,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use wingshed_lib::coordination::rollout_counts::{RolloutCounts, SideCount};
-use wingshed_lib::coordination::rollout_evidence::{RolloutArm, RouteKey, TrialOutcome};
+use wingshed_lib::coordination::rollout_evidence::{
+    EvidenceLedger, RolloutArm, RouteKey, TrialOutcome,
+};
 use wingshed_lib::coordination::rollout_lead::{RolloutLead, TargetStanding};
 use wingshed_lib::coordination::rollout_share::{sharing_vms, ExposureBound, TrialLedger};
 use wingshed_lib::coordination::rollout_watch::{RolloutLane, RolloutNote, RolloutWatch, PROOF_MS};
@@ -377,6 +379,90 @@
     assert!((10_000..11_000).contains(&ended_ms), "{ended_ms}");
 }
 
+/// What both VMs tell of a quiet service with so many answers of the old version in a tenth of a second.
+struct QuietService {
+    ledger: EvidenceLedger,
+    base: u32,
+    /// In how many tenths of a second the target answers once.
+    target_each: u64,
+    /// Each how manieth of its answers is bad; 0 for none.
+    bad_each: u32,
+    answered: u32,
+}
+
+impl QuietService {
+    fn answer(&mut self, tenth: u64) {
+        let well = TrialOutcome::Well { pace_ms: Some(20.0), first_ms: None };
+        (0..self.base).for_each(|_| self.ledger.note(ROUTE, RolloutArm::Base, &well));
+        if tenth % self.target_each == 0 {
+            self.answered += 1;
+            let bad = self.bad_each > 0 && self.answered % self.bad_each == 0;
+            let outcome = if bad { TrialOutcome::Bad } else { well };
+            self.ledger.note(ROUTE, RolloutArm::Target, &outcome);
+        }
+    }
+
+    /// How an order of 10 s leaves its trial.
+    fn trial_end(mut self) -> RolloutPhase {
+        let mut fleet = LedFleet::new();
+        for tenth in 0..100 {
+            self.answer(tenth);
+            let now_ms = 1000 + 100 * tenth;
+            let note = |step| RolloutNote {
+                service: VersionKey::of("s1"),
+                number: 1,
+                step,
+                base_in_flight: 1,
+                rows: self.ledger.rows(),
+            };
+            fleet.lead.observe(fleet.table.rows(), now_ms);
+            let notes = vec![note(fleet.table.rows()[0].step)];
+            fleet.lead.take(5, 1, 1, notes, now_ms);
+            if let Some(phase) = fleet.step(now_ms) {
+                return phase;
+            }
+        }
+        RolloutPhase::Trial
+    }
+}
+
+/// The story: a version that failed three answers of ten was rolled out for a service with ten requests a
+/// second. It was called complete, its old upstreams ended, and each caller met the failures from then on.
+/// The cause: what shows a version unsound at any moment of an order must be rare in a sound one, so it takes more
+/// answers than such a service gives; and without that traffic was moved, which can't be taken back. The evidence:
+/// the log of such an order said "nothing shows that it is unsound" when it was moved, and so ends the play below
+/// with four of sixteen answers bad.
+#[test]
+fn a_quiet_service_is_not_moved_to_what_fails_many_of_few_answers() {
+    let quiet = |bad_each| QuietService {
+        ledger: EvidenceLedger::new(1),
+        base: 1,
+        target_each: 5,
+        bad_each,
+        answered: 0,
+    };
+
+    assert_eq!(quiet(4).trial_end(), RolloutPhase::RolledBack, "a quarter");
+    assert_eq!(quiet(3).trial_end(), RolloutPhase::RolledBack, "a third");
+    assert_eq!(quiet(0).trial_end(), RolloutPhase::Shift, "sound");
+    assert_eq!(quiet(16).trial_end(), RolloutPhase::Shift, "one failure is chance");
+}
+
+/// All VMs were killed in the middle of a trial, and with them what they had counted: the few answers after
+/// that say nothing of a version that fails three of ten.
+#[test]
+fn a_version_that_hardly_answered_since_all_was_lost_is_not_moved_to() {
+    let few = QuietService {
+        ledger: EvidenceLedger::new(1),
+        base: 1,
+        target_each: 20,
+        bad_each: 0,
+        answered: 0,
+    };
+
+    assert_eq!(few.trial_end(), RolloutPhase::RolledBack);
+}
+
 #[test]
 fn a_new_leader_counts_the_time_rather_too_long_than_too_short() {
     let mut follower = RolloutLead::default();
