rollouts: before traffic is moved it is asked which is likelier, not what is proved

Cause: one threshold served two questions. At any moment of an order a finding must be rare in a sound version, however often it is looked at, which takes more answers than a quiet service gives; the move was made on the absence of that proof, although it can't be taken back. And 4 answers in 100 counted as enough, so that a trial whose counts were lost with all VMs said yes. Change: at the move the target is rolled back if what was seen is three times likelier of an unsound one, where one moment adds as little as it lasts. Twelve answers are enough, or a quarter of all where there are few. The check of that which let one answer of 21 pass asks for more now.

--- a/cli/src/bench_rollouts.rs
+++ b/cli/src/bench_rollouts.rs
@@ -153,7 +153,8 @@
             if begins {
                 verdict = VerdictState::default();
             }
-            verdict.judge(sums, now_ms).is_some()
+            let found = verdict.judge(sums, now_ms).is_some();
+            found || (now_ms == case.move_ms() && verdict.leans(sums).is_some())
         }),
         Box::new(|sums, now_ms, begins| {
             if begins {
--- a/cli/src/rollout_play.rs
+++ b/cli/src/rollout_play.rs
@@ -112,6 +112,11 @@
         (all_ms / 2).max(all_ms.saturating_sub(MOVE_MS)) / TICK_MS
     }
 
+    /// When traffic is moved, in milliseconds.
+    pub fn move_ms(&self) -> u64 {
+        self.move_tick() * TICK_MS
+    }
+
     fn in_burst(&self, tick: u64) -> bool {
         let bursts = self.setting == PlaySetting::Bursts || self.time == FaultTime::Burst;
         bursts && (1000..2000).contains(&(tick * TICK_MS % 4000))
--- a/lib/src/coordination/rollout_lead.rs
+++ b/lib/src/coordination/rollout_lead.rs
@@ -217,6 +217,9 @@
             let asked = sums.iter().any(|row| row.all() > 0);
             let shown = is_enough(&sums) || !asked;
             if due && heard && shown && standing.has_room() && !late {
+                if let Some(finding) = order.heard.verdict.leans(&sums) {
+                    return to(RolloutPhase::RolledBack, format!("it rather {finding}"));
+                }
                 return to(RolloutPhase::Shift, "nothing shows that it is unsound".to_string());
             }
             if late && heard {
--- a/lib/src/coordination/rollout_odds.rs
+++ b/lib/src/coordination/rollout_odds.rs
@@ -19,6 +19,9 @@
 /// breaks what it runs and refuses for 0.3 s rolls 14 of 200 sound targets back at most, and few that
 /// fail a little are missed for it (`wingshed bench rollouts`; docs/design/rollouts.md has 2 beside it).
 pub const MOST_A_SLICE: f64 = 3.0;
+/// And the most that it adds where the question is only which is likelier: so much less is asked for there that a
+/// moment in which an upstream breaks what it runs would decide.
+pub const MOST_A_MOMENT: f64 = 1.0;
 /// The prior that the target is unsound from the start, if it is at all.
 const FROM_START: f64 = 0.4;
 /// The prior that it turns so with a later slice, for each length of the shortest: together 1 over half
@@ -30,16 +33,17 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ChangeOdds {
     odds: DegreeLogs,
-    begun: bool,
+    /// All priors that were added.
+    prior: f64,
 }
 
 impl ChangeOdds {
-    /// Takes the next slice, which lasted `lengths` times as long as the shortest.
-    pub fn take(&mut self, logs: &DegreeLogs, lengths: f64) {
-        let prior = if self.begun { FROM_SLICE * lengths } else { FROM_START };
-        self.begun = true;
+    /// Takes the next slice, which lasted `lengths` times as long as the shortest and says `most` at most.
+    pub fn take(&mut self, logs: &DegreeLogs, lengths: f64, most: f64) {
+        let prior = if self.prior > 0.0 { FROM_SLICE * lengths } else { FROM_START };
+        self.prior += prior;
         for (odds, log) in self.odds.iter_mut().zip(logs) {
-            *odds = (*odds + prior) * log.min(MOST_A_SLICE * lengths).exp();
+            *odds = (*odds + prior) * log.min(most).exp();
         }
     }
 
@@ -47,6 +51,12 @@
     pub fn log(&self) -> f64 {
         (self.odds.iter().sum::<f64>() / DEGREES as f64).max(f64::MIN_POSITIVE).ln()
     }
+
+    /// The same as a part of all priors: how much likelier what was seen is if the target is unsound, whenever
+    /// it may have turned so.
+    pub fn likelier_log(&self) -> f64 {
+        self.log() - self.prior.max(f64::MIN_POSITIVE).ln()
+    }
 }
 
 /// Where the line between sound and unsound is drawn for faults.
--- a/lib/src/coordination/rollout_verdict.rs
+++ b/lib/src/coordination/rollout_verdict.rs
@@ -13,12 +13,19 @@
 use super::rollout_evidence::{ArmSums, LogSums, RouteKey, RouteSums};
 use super::rollout_odds::{
     fault_logs, slow_logs, ChangeOdds, DegreeLogs, FaultCount, FaultReference, TimeReference,
-    TimeSpread, DEGREES, FAILURES_AFTER, FAILURES_BESIDE, LATE_BESIDE, SLOW_AFTER, SLOW_BESIDE,
+    TimeSpread, DEGREES, FAILURES_AFTER, FAILURES_BESIDE, LATE_BESIDE, MOST_A_MOMENT, MOST_A_SLICE,
+    SLOW_AFTER, SLOW_BESIDE,
 };
 
 /// In about this part of all orders at most a sound target is found unsound: 2 of 9,000 in the settings
 /// of `wingshed bench rollouts` without a crash and without failures on all routes.
 pub const FALSE_FINDINGS: f64 = 0.005;
+/// Before traffic is moved, which can't be taken back once the order is complete, it is enough that what all
+/// routes showed together is so many times likelier of an unsound target,
+const RATHER_UNSOUND: f64 = 3.0;
+/// or what one of them showed so many times. Lower ones find more and roll more sound targets back; figures of both:
+/// `docs/design/rollouts.md`, "Figures".
+const RATHER_UNSOUND_ALONE: f64 = 30.0;
 /// A slice lasts this long at least, in milliseconds: as long as VMs take to tell once.
 const SLICE_MS: u64 = 300;
 /// And at most this long, in milliseconds,
@@ -32,10 +39,12 @@
 const LONGEST_WAIT_MS: u64 = 3000;
 /// What counts how many answers each side gave of late keeps this part with each slice.
 const FLOW_KEPT: f64 = 0.7;
-/// Fewer answers of the target than this say nothing,
+/// Fewer answers of the target than this say nothing: of a version that fails 30%, so many are all good in 1 of 70
+/// orders (worked out),
 const ENOUGH_ANSWERS: u32 = 12;
-/// unless there were few requests: then this part of all answers.
-const ENOUGH_PART: f64 = 0.04;
+/// unless there were few requests: then this part of all answers. What is handed out at the start goes to the target
+/// first, so that a trial has it unless its counts were lost.
+const ENOUGH_PART: f64 = 0.25;
 
 /// What shows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,22 +89,40 @@
 /// The odds by each sign.
 #[derive(Clone, Copy, Debug, Default)]
 struct SignOdds {
-    signs: [ChangeOdds; SIGNS],
+    /// To find it unsound at any moment.
+    found: [ChangeOdds; SIGNS],
+    /// To say which is likelier, once.
+    rather: [ChangeOdds; SIGNS],
 }
 
 impl SignOdds {
-    fn take(&mut self, logs: &SignLogs, lengths: f64) {
-        self.signs.iter_mut().zip(logs).for_each(|(odds, log)| odds.take(log, lengths));
+    /// Takes a slice of so many `lengths` of the shortest; what it shows was gathered over `over` of them.
+    fn take(&mut self, logs: &SignLogs, lengths: f64, over: f64) {
+        for (odds, log) in self.found.iter_mut().zip(logs) {
+            odds.take(log, lengths, MOST_A_SLICE * lengths);
+        }
+        for (odds, log) in self.rather.iter_mut().zip(logs) {
+            odds.take(log, lengths, MOST_A_MOMENT * over);
+        }
     }
 
     /// The sign that shows most, and its odds.
-    fn most(&self) -> (usize, f64) {
-        let parts = self.signs.iter().zip(SIGN_PARTS);
-        let logs = parts.map(|(odds, part)| odds.log() + part.ln()).enumerate();
-        logs.max_by(|one, other| one.1.total_cmp(&other.1)).unwrap_or((0, f64::NEG_INFINITY))
+    fn found(&self) -> (usize, f64) {
+        most_shown(&self.found, ChangeOdds::log)
+    }
+
+    /// The sign that shows most, and how much likelier it is of an unsound target.
+    fn rather(&self) -> (usize, f64) {
+        most_shown(&self.rather, ChangeOdds::likelier_log)
     }
 }
 
+fn most_shown(signs: &[ChangeOdds; SIGNS], log: fn(&ChangeOdds) -> f64) -> (usize, f64) {
+    let parts = signs.iter().zip(SIGN_PARTS);
+    let logs = parts.map(|(odds, part)| log(odds) + part.ln()).enumerate();
+    logs.max_by(|one, other| one.1.total_cmp(&other.1)).unwrap_or((0, f64::NEG_INFINITY))
+}
+
 /// What is remembered of one route.
 #[derive(Clone, Copy, Debug, Default)]
 struct RouteTrial {
@@ -161,11 +188,14 @@
 struct CommonOdds {
     odds: SignOdds,
     added: Option<SignLogs>,
+    /// The longest of the slices that were added, in lengths of the shortest.
+    over: f64,
     since_ms: Option<u64>,
 }
 
 impl CommonOdds {
-    fn add(&mut self, logs: &SignLogs) {
+    fn add(&mut self, logs: &SignLogs, lengths: f64) {
+        self.over = self.over.max(lengths);
         let added = self.added.get_or_insert([[0.0; DEGREES]; SIGNS]);
         added.iter_mut().flatten().zip(logs.iter().flatten()).for_each(|(sum, log)| *sum += log);
     }
@@ -176,8 +206,9 @@
             return;
         }
         if let Some(logs) = self.added.take() {
-            self.odds.take(&logs, to_lengths(age_ms));
-            self.since_ms = Some(now_ms);
+            let lengths = to_lengths(age_ms);
+            self.odds.take(&logs, lengths, self.over.max(lengths));
+            (self.over, self.since_ms) = (0.0, Some(now_ms));
         }
     }
 }
@@ -230,8 +261,8 @@
         for (slice, lengths) in &slices {
             let Some(trial) = self.routes.get_mut(&slice.route) else { continue };
             let logs = trial.logs(slice, &shared, after);
-            trial.odds.take(&logs, *lengths);
-            self.all.add(&logs);
+            trial.odds.take(&logs, *lengths, *lengths);
+            self.all.add(&logs, *lengths);
         }
         self.all.end_slice(now_ms);
         self.finding(sums)
@@ -284,19 +315,39 @@
 
     fn finding(&self, sums: &[RouteSums]) -> Option<UnsoundFinding> {
         // Half for all routes together, half for each alone.
-        let needed = (2.0 / FALSE_FINDINGS).ln();
-        let needed_alone = needed + (self.routes.len().max(1) as f64).ln();
-        let (sign, odds) = self.all.odds.most();
-        if odds >= needed {
-            return Some(to_finding(None, sign, odds - needed, sums));
+        let all = (2.0 / FALSE_FINDINGS).ln();
+        let alone = all + (self.routes.len().max(1) as f64).ln();
+        self.beyond(sums, NeededOdds { all, alone, of: SignOdds::found })
+    }
+
+    /// Whether what was seen is rather that of an unsound target than of a sound one. Asked once, when nothing was
+    /// found and traffic is to be moved; a sound one is held for unsound more often by it than [`FALSE_FINDINGS`].
+    pub fn leans(&self, sums: &[RouteSums]) -> Option<UnsoundFinding> {
+        let (all, alone) = (RATHER_UNSOUND.ln(), RATHER_UNSOUND_ALONE.ln());
+        self.beyond(sums, NeededOdds { all, alone, of: SignOdds::rather })
+    }
+
+    fn beyond(&self, sums: &[RouteSums], needed: NeededOdds) -> Option<UnsoundFinding> {
+        let (sign, odds) = (needed.of)(&self.all.odds);
+        if odds >= needed.all {
+            return Some(to_finding(None, sign, odds - needed.all, sums));
         }
-        let alone = self.routes.iter().map(|(route, trial)| (*route, trial.odds.most()));
+        let alone = self.routes.iter().map(|(route, trial)| (*route, (needed.of)(&trial.odds)));
         let (route, (sign, odds)) = alone.max_by(|one, other| one.1 .1.total_cmp(&other.1 .1))?;
         let own: Vec<RouteSums> = sums.iter().filter(|row| row.route == route).copied().collect();
-        (odds >= needed_alone).then(|| to_finding(Some(route), sign, odds - needed_alone, &own))
+        (odds >= needed.alone).then(|| to_finding(Some(route), sign, odds - needed.alone, &own))
     }
 }
 
+/// Which odds decide, and how high they must be, as logarithms.
+struct NeededOdds {
+    /// Of all routes together.
+    all: f64,
+    /// Of one alone.
+    alone: f64,
+    of: fn(&SignOdds) -> (usize, f64),
+}
+
 fn to_finding(
     route: Option<RouteKey>,
     sign: usize,
@@ -339,12 +390,12 @@
     format!("{what} {times:.1} times as long over {count} answers")
 }
 
-/// Whether the target answered enough for "not unsound" to say something: so often that half of them
-/// failing would have shown, or where there are few requests its part of them; and mostly well.
+/// Whether the target answered enough for "not unsound" to say something: so often that three of ten failing
+/// would have shown, or where there are few requests its part of them; and mostly well.
 pub fn is_enough(sums: &[RouteSums]) -> bool {
     let bad: u32 = sums.iter().map(|row| row.target.bad).sum();
     let well: u32 = sums.iter().map(|row| row.target.well).sum();
     let all: u64 = sums.iter().map(RouteSums::all).sum();
-    let few = (ENOUGH_PART * all as f64) as u32;
+    let few = (ENOUGH_PART * all as f64).ceil() as u32;
     well > bad && well + bad >= ENOUGH_ANSWERS.min(few.max(1))
 }
--- a/lib/tests/test_rollout_evidence.rs
+++ b/lib/tests/test_rollout_evidence.rs
@@ -202,6 +202,17 @@
 
 /// Looks at flows; when it was found and what.
 fn judged(flows: FlowList) -> Option<(u64, UnsoundFinding)> {
+    judged_and_rather(flows).0
+}
+
+/// Whether the target is rather unsound, when nothing was found.
+fn is_rather_unsound(flows: FlowList) -> bool {
+    let (found, rather) = judged_and_rather(flows);
+    assert_eq!(found, None);
+    rather
+}
+
+fn judged_and_rather(flows: FlowList) -> (Option<(u64, UnsoundFinding)>, bool) {
     let mut verdict = VerdictState::default();
     let mut rows: Vec<RouteSums> = Vec::new();
     let mut look = 0;
@@ -216,12 +227,12 @@
                 add(&mut rows[at].target, flow.target, flow.target_ms);
             }
             if let Some(finding) = verdict.judge(&rows, look * LOOK_MS) {
-                return Some((look * LOOK_MS, finding));
+                return (Some((look * LOOK_MS, finding)), true);
             }
             look += 1;
         }
     }
-    None
+    (None, verdict.leans(&rows).is_some())
 }
 
 #[test]
@@ -298,6 +309,42 @@
     assert_eq!(found, None);
 }
 
+#[test]
+fn what_is_no_proof_may_still_be_rather_that_of_an_unsound_target() {
+    // Ten answers of the old version to one of the target, as in a trial of a quiet service.
+    let quiet = Flow { base: (1, 0), target: (0, 0), ..SOUND };
+    let well = Flow { target: (1, 0), ..quiet };
+    let bad = Flow { target: (0, 1), ..quiet };
+    let slow = Flow { target_ms: 170.0, ..well };
+    // Ten answers of the target in ten seconds, the last ones other than the first.
+    let trial = |last: &[Flow]| -> Vec<Flow> {
+        let all = [well; 10].into_iter().take(10 - last.len()).chain(last.iter().copied());
+        all.flat_map(|one| std::iter::repeat_n(quiet, 9).chain([one])).collect()
+    };
+    let cases = [
+        ("all well", vec![well], false),
+        ("one of ten bad", vec![well, bad, well, well], false),
+        ("three of ten bad", vec![bad, well, well, bad, well, bad, well], true),
+        ("eight of ten twice as long", vec![slow; 8], true),
+    ];
+    for (case, last, rather) in cases {
+        let looks: Vec<[Flow; 1]> = trial(&last).into_iter().map(|flow| [flow]).collect();
+        let flows: Vec<(&[Flow], u64)> = looks.iter().map(|flow| (flow.as_slice(), 1)).collect();
+
+        assert_eq!(is_rather_unsound(&flows), rather, "{case}");
+    }
+}
+
+#[test]
+fn what_an_upstream_breaks_at_once_is_no_leaning_either() {
+    let crash = Flow { target: (0, 20), ..SOUND };
+    let fails_both = Flow { base: (30, 16), target: (3, 2), ..SOUND };
+
+    assert!(!is_rather_unsound(&[(&[SOUND], 50), (&[crash], 1), (&[SOUND], 30)]));
+    assert!(!is_rather_unsound(&[(&[SOUND], 50), (&[fails_both], 30)]), "both sides alike");
+    assert!(!is_rather_unsound(&[(&[SOUND], 300)]));
+}
+
 #[test]
 fn after_the_move_the_target_is_compared_with_what_was_before() {
     let moved = Flow { base: (0, 0), target: (50, 0), ..SOUND };
@@ -345,7 +392,10 @@
         ("nothing", sums(500, (0, 0)), false),
         ("few of many", sums(500, (5, 0)), false),
         ("enough", sums(500, (12, 0)), true),
-        ("its part of few", sums(20, (1, 0)), true),
+        ("a part of few that says nothing", sums(20, (1, 0)), false),
+        ("nearly its part of few", sums(20, (5, 0)), false),
+        ("its part of few", sums(15, (5, 0)), true),
+        ("one alone", sums(0, (1, 0)), true),
         ("mostly bad", sums(500, (8, 9)), false),
     ];
     for (case, sums, enough) in cases {
