tests: a system of processes in testutils; what a router did that hadn't ended

Cause: the known red of a router that hadn't ended 20 s after SIGTERM could never be traced, since its daemons logged to nowhere and no time was told; and a file of 425 lines was half fixtures. Change: fixtures apart; daemons log beside their settings, and the test tells when each answer ended, and the router's log. No bound and no check is changed.

--- a/daemons/tests/test_processes.rs
+++ b/daemons/tests/test_processes.rs
@@ -1,211 +1,20 @@
 //! The daemons as real processes: kills, signals, and running out of descriptors.
 
+mod testutils;
+
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
-use std::os::unix::process::CommandExt;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::net::TcpStream;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 use wingshed_lib::protocol::engine::run_id;
 use wingshed_lib::protocol::http::HttpCall;
-use wingshed_lib::transport::http_client::{CallTimes, HttpClient};
-use wingshed_standin::address::free_address;
-use wingshed_standin::caller::{chat_call, send, ChatAsk};
+use wingshed_lib::transport::http_client::CallTimes;
+use wingshed_standin::caller::{chat_call, send};
 use wingshed_standin::engine::{whole_text, EngineMake, EngineStandIn};
-use wingshed_standin::system::POLICY;
-
-const FLEET_KEY: &str = "0123456789abcdef";
-
-/// A process that is killed when the test is over.
-struct Daemon(Child);
-
-impl Daemon {
-    fn signal(&self, signal: i32) {
-        // SAFETY: the child is ours and has not been waited for.
-        unsafe { libc::kill(self.0.id() as i32, signal) };
-    }
-
-    fn wait(&mut self, most: Duration) -> Option<i32> {
-        let until = Instant::now() + most;
-        while Instant::now() < until {
-            if let Ok(Some(status)) = self.0.try_wait() {
-                return Some(status.code().unwrap_or(-1));
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        None
-    }
-}
 
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// Starts a daemon under a limit of the system, if one is given: the resource and its value.
-fn spawn(program: &str, settings: &Path, limit: Option<(u32, u64)>) -> Daemon {
-    let mut command = Command::new(program);
-    command.arg("--settings").arg(settings).arg("--log").arg("error");
-    command.stderr(Stdio::null());
-    if let Some((resource, most)) = limit {
-        let limit = libc::rlimit { rlim_cur: most, rlim_max: most };
-        // SAFETY: only system calls that are safe after fork.
-        unsafe {
-            command.pre_exec(move || {
-                // A write beyond the limit of a file's size is then an error, as on a full disk.
-                libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
-                libc::setrlimit(resource, &limit);
-                Ok(())
-            });
-        }
-    }
-    Daemon(command.spawn().unwrap())
-}
-
-fn keeper(path: &Path) -> Daemon {
-    spawn(env!("CARGO_BIN_EXE_wingshed-keeper"), path, None)
-}
-
-fn router(path: &Path, limit: Option<(u32, u64)>) -> Daemon {
-    spawn(env!("CARGO_BIN_EXE_wingshed-router"), path, limit)
-}
-
-/// The files and addresses of a system of processes.
-struct Site {
-    folder: tempfile::TempDir,
-    keepers: Vec<SocketAddr>,
-    routers: Vec<SocketAddr>,
-    client: HttpClient,
-}
-
-impl Site {
-    fn new(keepers: usize, routers: usize) -> Site {
-        let site = Site {
-            folder: tempfile::tempdir().unwrap(),
-            keepers: (0..keepers).map(|_| free_address()).collect(),
-            routers: (0..routers).map(|_| free_address()).collect(),
-            client: HttpClient::default(),
-        };
-        let list: Vec<Value> = site
-            .keepers
-            .iter()
-            .enumerate()
-            .map(|(at, address)| json!({ "id": at + 1, "address": address.to_string() }))
-            .collect();
-        for (at, address) in site.keepers.iter().enumerate() {
-            let data = site.folder.path().join(format!("data-{at}"));
-            site.write(
-                &format!("keeper-{at}"),
-                &json!({
-                    "role": "keeper", "id": at + 1, "zone": "a", "address": address.to_string(),
-                    "keepers": list, "data_folder": data, "fleet_key": FLEET_KEY,
-                }),
-            );
-        }
-        for (at, address) in site.routers.iter().enumerate() {
-            site.write(
-                &format!("router-{at}"),
-                &json!({
-                    "role": "router", "id": at + 1, "zone": "a", "address": address.to_string(),
-                    "keepers": list, "fleet_key": FLEET_KEY,
-                    "limits": { "read_timeout_ms": 1000, "drain_ms": 30000 },
-                }),
-            );
-        }
-        site
-    }
-
-    fn path(&self, name: &str) -> PathBuf {
-        self.folder.path().join(name).with_extension("json")
-    }
-
-    fn write(&self, name: &str, value: &Value) {
-        std::fs::write(self.path(name), value.to_string()).unwrap();
-    }
-
-    /// An operator's call at whichever keeper leads.
-    fn operate(&self, method: &str, path: &str, body: Option<&Value>) -> Option<(u16, Value)> {
-        let call = HttpCall {
-            method: method.to_string(),
-            target: path.to_string(),
-            headers: Vec::new(),
-            body: body.map(|body| body.to_string().into_bytes()).unwrap_or_default(),
-        };
-        let call = call.with("authorization", format!("Bearer {FLEET_KEY}"));
-        self.keepers.iter().find_map(|address| {
-            let times = CallTimes::of_ms(3000);
-            let reply = self.client.call(*address, &call, times, 16 << 20, "operator").ok()?;
-            let good = !matches!(reply.status, 421 | 503);
-            good.then(|| (reply.status, serde_json::from_slice(&reply.body).unwrap_or_default()))
-        })
-    }
-
-    fn operate_until(&self, method: &str, path: &str, body: Option<&Value>) -> (u16, Value) {
-        let until = Instant::now() + Duration::from_secs(20);
-        loop {
-            if let Some(answer) = self.operate(method, path, body) {
-                return answer;
-            }
-            assert!(Instant::now() < until, "no keeper leads");
-            std::thread::sleep(Duration::from_millis(30));
-        }
-    }
-
-    fn configure(&self, engines: &[EngineStandIn]) {
-        let put = |section: &str, name: &str, value: Value| json!({ "Put": { "section": section, "name": name, "value": value } });
-        let mut operations = vec![
-            put("fleets", "engines", json!({ "kind": "engine" })),
-            put("fleets", "plain", json!({ "kind": "plain" })),
-            put("policies", "main", json!({ "source": POLICY })),
-            put("workspaces", "w0", json!({ "key": "k0", "policy": "main" })),
-        ];
-        for (at, engine) in engines.iter().enumerate() {
-            let entry =
-                json!({ "fleet": "engines", "address": engine.address.to_string(), "zone": "a" });
-            operations.push(put("upstreams", &format!("engine-{at}"), entry));
-        }
-        let change = json!({ "id": "first", "base": 0, "operations": operations });
-        let (status, answer) = self.operate_until("POST", "/operator/changes", Some(&change));
-        assert_eq!(status, 200, "{answer}");
-    }
-
-    fn wait_serving(&self) {
-        let until = Instant::now() + Duration::from_secs(20);
-        for address in &self.routers {
-            let serving = || {
-                let call = HttpCall::get("/status");
-                let times = CallTimes::of_ms(1000);
-                let reply = self.client.call(*address, &call, times, 1 << 20, "status").ok()?;
-                let value: Value = serde_json::from_slice(&reply.body).ok()?;
-                value["serves"].as_bool()
-            };
-            while serving() != Some(true) {
-                assert!(Instant::now() < until, "a router does not serve");
-                std::thread::sleep(Duration::from_millis(30));
-            }
-        }
-        std::thread::sleep(Duration::from_millis(600));
-    }
-}
-
-fn ask(id: &str, service: &str, max_tokens: u32) -> ChatAsk {
-    ChatAsk {
-        workspace: "w0".to_string(),
-        key: "k0".to_string(),
-        request_id: id.to_string(),
-        chat: format!("chat-{id}"),
-        service: service.to_string(),
-        prompt_tokens: 20,
-        max_tokens,
-        stream: true,
-        run_once: false,
-        returning: false,
-    }
-}
+use testutils::{ask, keeper, log_of, router, spawn, Daemon, Site, FLEET_KEY};
 
 #[test]
 fn every_acknowledged_change_and_claim_survives_kill_9_of_the_leader() {
@@ -277,17 +86,25 @@
     let _second = router(&site.path("router-1"), None);
     site.wait_serving();
 
+    let began = Instant::now();
     let (answers, code) = std::thread::scope(|scope| {
         let running: Vec<_> = (0..8)
             .map(|number| {
                 let call = chat_call(&ask(&format!("long-{number}"), "chat", 300));
                 let site = &site;
-                scope.spawn(move || send(&site.client, site.routers[0], &call, None))
+                scope.spawn(move || {
+                    let answer = send(&site.client, site.routers[0], &call, None);
+                    eprintln!("answer {number} ended after {:?}", began.elapsed());
+                    answer
+                })
             })
             .collect();
         std::thread::sleep(Duration::from_millis(400));
         first.signal(libc::SIGTERM);
+        eprintln!("SIGTERM after {:?}", began.elapsed());
         let code = first.wait(Duration::from_secs(20));
+        eprintln!("{code:?} after {:?}; its log:", began.elapsed());
+        eprintln!("{}", std::fs::read_to_string(log_of(&site.path("router-0"))).unwrap());
         let answers: Vec<_> = running.into_iter().map(|thread| thread.join().unwrap()).collect();
         (answers, code)
     });
