tests: the leader's steps of roll-outs in a file of their own

Change: the leader's steps apart, fixtures of orders for both; candidates of the spread by `UpstreamCandidate::idle`. No test is changed.

--- a/lib/tests/test_plain_spread.rs
+++ b/lib/tests/test_plain_spread.rs
@@ -68,18 +68,10 @@
             let vm = random.gen_range(0..case.vms);
             let candidates: Vec<UpstreamCandidate> = (0..case.upstreams)
                 .map(|at| UpstreamCandidate {
-                    key: UpstreamKey(at as u64 + 1),
                     load: own[vm][at] + told[vm][at].saturating_sub(told_own[vm][at]),
                     own: own[vm][at],
-                    aside: false,
-                    full: false,
-                    tried: false,
-                    leaving: false,
-                    withheld: false,
-                    rest_ms: 0,
-                    seat: None,
                     near: at % case.zones == vm % case.zones,
-                    first_seen_ms: 0,
+                    ..UpstreamCandidate::idle(UpstreamKey(at as u64 + 1))
                 })
                 .collect();
             let draw = random.gen();
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -4,6 +4,7 @@
 pub mod engines;
 pub mod keeper_bench;
 pub mod raft_bench;
+pub mod rollouts;
 
 use wingshed_standin::caller::ChatAsk;
 use wingshed_standin::system::{SystemMake, SystemStandIn};
