metrics: bytes between VMs by kind of message

Cause: what one VM costs another was known as a sum only, so that it could not be said which message grows faster than the fleet. Change: datagrams and frames are counted where they are sent and received, by kind, and told as wingshed_peer_bytes_total and wingshed_peer_messages_total. A datagram is encoded once for all that it is sent to.

--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -162,6 +162,23 @@
     },
 }
 
+impl VmMessage {
+    /// The kind's name in figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            VmMessage::Raft(_) => "raft",
+            VmMessage::Put { .. } | VmMessage::PutReply { .. } => "put",
+            VmMessage::Order { .. } | VmMessage::OrderReply { .. } => "order",
+            VmMessage::WantDocument => "want_document",
+            VmMessage::Document { .. } => "document",
+            VmMessage::DocumentChange { .. } => "document_change",
+            VmMessage::WantList { .. } => "want_list",
+            VmMessage::ListStep(_) => "list_step",
+            VmMessage::List { .. } => "list",
+        }
+    }
+}
+
 /// What all VMs have in flight, summed, by upstream.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum LoadNews {
@@ -242,6 +259,22 @@
     PeerNews(PeerNote),
 }
 
+impl VmDatagram {
+    /// The kind's name in figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            VmDatagram::Renew(_) => "renewal",
+            VmDatagram::Grant(_) => "grant",
+            VmDatagram::Elsewhere { .. } => "redirect",
+            VmDatagram::Leads { .. } => "leadership",
+            VmDatagram::Dark { .. } => "dark",
+            VmDatagram::Rollouts { .. } => "rollouts",
+            VmDatagram::Quarantine { .. } => "quarantine",
+            VmDatagram::AskNews(_) | VmDatagram::PeerNews(_) => "peer_news",
+        }
+    }
+}
+
 /// What a VM that was told nothing for too long asks others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsAsk {
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -8,6 +8,7 @@
 use tracing::{debug, info};
 
 use super::vm_node::VmNode;
+use super::wire_count::DATAGRAM_HEAD_BYTES;
 use crate::coordination::list_turn::UNTOLD_MS;
 use crate::coordination::vm_roster::{
     pressed_renew_ms, seek_pause_ms, MANY_VMS, PRESSED_KEEP_MS, RENEW_MS,
@@ -53,7 +54,7 @@
         if std::mem::replace(&mut self.view.borrow_mut().told_term, term) == term {
             return;
         }
-        let bytes = encode(&VmDatagram::Leads { term });
+        let datagram = VmDatagram::Leads { term };
         let known: Vec<VmId> = {
             let mut seekers = self.seekers.borrow_mut();
             let rows = self.view.borrow().roster.rows.iter().map(|row| row.id).collect::<Vec<_>>();
@@ -61,9 +62,7 @@
             std::mem::take(&mut *seekers).into_iter().filter(|id| *id != self.id).collect()
         };
         info!(target: "contact", term, told = known.len(), "tells that it leads");
-        for to in known {
-            self.send_datagram(to, &bytes);
-        }
+        self.send_datagrams(known, &datagram);
     }
 
     /// A VM tells that it leads.
@@ -95,15 +94,13 @@
         if self.grant_to_itself(now_ms) {
             return;
         }
-        let bytes = self.renewal(now_ms);
-        for to in self.whom_to_ask(now_ms) {
-            self.send_datagram(to, &bytes);
-        }
+        let renewal = self.renewal(now_ms);
+        self.send_datagrams(self.whom_to_ask(now_ms), &renewal);
     }
 
-    /// A renewal as a datagram; what it tells of the own load is kept, to take it off the sum
-    /// that the answer brings.
-    fn renewal(&self, now_ms: u64) -> Vec<u8> {
+    /// A renewal; what it tells of the own load is kept, to take it off the sum that the answer
+    /// brings.
+    fn renewal(&self, now_ms: u64) -> VmDatagram {
         let loads = self.own_loads();
         let keeper = self.keeper.borrow().as_ref().map(|keeper| keeper.incarnation);
         let row = self.own_row();
@@ -140,7 +137,7 @@
         };
         view.own_told.insert(now_ms, note.loads.clone());
         view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
-        encode(&VmDatagram::Renew(note))
+        VmDatagram::Renew(note)
     }
 
     fn whom_to_ask(&self, now_ms: u64) -> Vec<VmId> {
@@ -177,7 +174,18 @@
         asked
     }
 
-    pub(super) fn send_datagram(&self, to: VmId, bytes: &[u8]) {
+    pub(super) fn send_datagram(&self, to: VmId, datagram: &VmDatagram) {
+        self.send_datagrams([to], datagram);
+    }
+
+    /// Sends one datagram to several VMs.
+    pub(super) fn send_datagrams(&self, to: impl IntoIterator<Item = VmId>, datagram: &VmDatagram) {
+        let bytes = encode(datagram);
+        to.into_iter().for_each(|id| self.send_bytes(id, datagram.kind(), &bytes));
+    }
+
+    fn send_bytes(&self, to: VmId, kind: &'static str, bytes: &[u8]) {
+        self.wire.sent(kind, bytes.len() as u64 + DATAGRAM_HEAD_BYTES);
         let address = SocketAddr::from((vm_address(to), self.settings.borrow().peer_port));
         if let Err(error) = self.datagrams.try_send_to(bytes, address) {
             debug!(target: "contact", %address, "a datagram was not sent: {error}");
@@ -196,8 +204,11 @@
                 }
             };
             let SocketAddr::V4(from) = from else { continue };
-            match decode(&buffer[..length]) {
-                Ok(datagram) => self.take_datagram(VmId::from(*from.ip()), datagram),
+            match decode::<VmDatagram>(&buffer[..length]) {
+                Ok(datagram) => {
+                    self.wire.received(datagram.kind(), length as u64 + DATAGRAM_HEAD_BYTES);
+                    self.take_datagram(VmId::from(*from.ip()), datagram);
+                }
                 Err(error) => debug!(target: "contact", %from, "no datagram of ours: {error}"),
             }
         }
--- a/lib/src/transport/vm_grant.rs
+++ b/lib/src/transport/vm_grant.rs
@@ -13,7 +13,7 @@
 use crate::coordination::holder_news::{HolderMark, HolderNote};
 use crate::coordination::vm_roster::{RosterMark, RosterNews, SETTLE_MS};
 use crate::protocol::vm_wire::{
-    encode, vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
+    vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
 };
 use crate::state::ids::UpstreamKey;
 use crate::state::rollout_order::RolloutTable;
@@ -41,7 +41,7 @@
             Some(keeper) => self.point_as_keeper(keeper, from),
             None => self.point_elsewhere(now_ms),
         };
-        self.send_datagram(from, &encode(&answer));
+        self.send_datagram(from, &answer);
     }
 
     /// Takes what a renewal tells, as the leader, and makes the answer.
--- a/lib/src/transport/vm_links.rs
+++ b/lib/src/transport/vm_links.rs
@@ -16,6 +16,7 @@
 use tracing::debug;
 
 use super::vm_sockets::set_stream;
+use super::wire_count::WireCount;
 use crate::protocol::vm_wire::{
     decode_frame_body, decode_frame_head, encode_frame, vm_address, VmId, VmMessage, FRAME_HEAD,
 };
@@ -36,24 +37,25 @@
     own: VmId,
     port: u16,
     links: Rc<RefCell<HashMap<VmId, Sender<Bytes>>>>,
+    wire: Rc<WireCount>,
 }
 
 impl LinkTable {
     /// The links of VM `own`, to `port` of the others.
-    pub fn new(own: VmId, port: u16) -> LinkTable {
-        LinkTable { own, port, links: Rc::default() }
+    pub fn new(own: VmId, port: u16, wire: Rc<WireCount>) -> LinkTable {
+        LinkTable { own, port, links: Rc::default(), wire }
     }
 
     /// Sends a message, or drops it when the link is full.
     pub fn send(&self, to: VmId, message: &VmMessage) {
-        self.send_frame(to, encode_frame(self.own, message));
+        self.send_frame(to, message.kind(), encode_frame(self.own, message));
     }
 
     /// Sends one message to several VMs; they share its bytes.
     pub fn send_all(&self, to: impl Iterator<Item = VmId>, message: &VmMessage) {
         let frame = encode_frame(self.own, message);
         for id in to {
-            self.send_frame(id, frame.clone());
+            self.send_frame(id, message.kind(), frame.clone());
         }
     }
 
@@ -62,6 +64,7 @@
     pub fn send_shared<M: PartialEq + Copy>(
         &self,
         to: VmId,
+        kind: &'static str,
         mark: M,
         shared: &RefCell<Option<(M, Bytes)>>,
         make: impl FnOnce() -> VmMessage,
@@ -72,10 +75,11 @@
             *shared.borrow_mut() = Some((mark, frame.clone()));
             frame
         });
-        self.send_frame(to, frame);
+        self.send_frame(to, kind, frame);
     }
 
-    fn send_frame(&self, to: VmId, mut frame: Bytes) {
+    fn send_frame(&self, to: VmId, kind: &'static str, mut frame: Bytes) {
+        self.wire.sent(kind, frame.len() as u64);
         let mut links = self.links.borrow_mut();
         if let Some(link) = links.get(&to) {
             match link.try_send(frame) {
@@ -126,12 +130,16 @@
 }
 
 /// Takes links of other VMs and hands their messages to `take`.
-pub async fn accept_links(listener: TcpListener, take: Rc<dyn Fn(VmId, VmMessage)>) {
+pub async fn accept_links(
+    listener: TcpListener,
+    wire: Rc<WireCount>,
+    take: Rc<dyn Fn(VmId, VmMessage)>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 set_stream(&stream);
-                spawn_local(read_link(stream, take.clone()));
+                spawn_local(read_link(stream, wire.clone(), take.clone()));
             }
             Err(error) => {
                 debug!(target: "link", "cannot accept: {error}");
@@ -141,7 +149,7 @@
     }
 }
 
-async fn read_link(mut stream: TcpStream, take: Rc<dyn Fn(VmId, VmMessage)>) {
+async fn read_link(mut stream: TcpStream, wire: Rc<WireCount>, take: Rc<dyn Fn(VmId, VmMessage)>) {
     loop {
         let mut head = [0; FRAME_HEAD];
         if stream.read_exact(&mut head).await.is_err() {
@@ -159,7 +167,10 @@
             return;
         }
         match decode_frame_body(head, body) {
-            Ok(message) => take(head.from, message),
+            Ok(message) => {
+                wire.received(message.kind(), (FRAME_HEAD + head.length) as u64);
+                take(head.from, message);
+            }
             Err(error) => {
                 debug!(target: "link", from = %vm_address(head.from), "closes: {error}");
                 return;
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -11,7 +11,7 @@
 use super::vm_disk::DiskJob;
 use super::vm_node::VmNode;
 use crate::coordination::list_turn::{reader_order, whom_to_ask, ASK_MS};
-use crate::protocol::vm_wire::{encode, NewsAsk, PeerNote, VmDatagram, VmId, VmMessage};
+use crate::protocol::vm_wire::{NewsAsk, PeerNote, VmDatagram, VmId, VmMessage};
 use crate::state::kept_list::KeptList;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
 
@@ -87,10 +87,8 @@
         if order.len() <= 1 {
             order.extend(self.settings.borrow().seeds.iter().map(|ip| VmId::from(*ip)));
         }
-        let bytes = encode(&VmDatagram::AskNews(ask));
-        for to in whom_to_ask(&order, self.id, round, self.draw() as usize) {
-            self.send_datagram(to, &bytes);
-        }
+        let asked = whom_to_ask(&order, self.id, round, self.draw() as usize);
+        self.send_datagrams(asked, &VmDatagram::AskNews(ask));
     }
 
     /// Answers a question at once if this VM knows more, or remembers it.
@@ -117,7 +115,7 @@
             || note.list == ask.list && younger(note.list_age_ms, ask.list_age_ms)
             || younger(note.version_age_ms, ask.version_age_ms);
         if knows {
-            self.send_datagram(to, &encode(&VmDatagram::PeerNews(note)));
+            self.send_datagram(to, &VmDatagram::PeerNews(note));
         }
         knows
     }
@@ -176,7 +174,7 @@
         }
         match upstreams.step_since(have) {
             Some(step) => self.links.send(to, &VmMessage::ListStep(step)),
-            None => self.links.send_shared(to, upstreams.mark, &self.list_frame, || {
+            None => self.links.send_shared(to, "list", upstreams.mark, &self.list_frame, || {
                 VmMessage::List { mark: upstreams.mark, rows: upstreams.rows() }
             }),
         }
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -13,7 +13,9 @@
 use super::vm_answer::own_answer;
 use super::vm_node::VmNode;
 use super::vm_relay::AnswerBody;
+use super::wire_count::WireCount;
 use crate::coordination::engine_room::ServiceRoom;
+use crate::protocol::operator::WireRow;
 use crate::state::connect_count::{ConnectCause, ConnectCount};
 use crate::state::rollout_order::{RolloutPhase, RolloutRow};
 use crate::state::vm_figures::{RequestEnd, VmFigures, BUCKETS_MS};
@@ -22,7 +24,7 @@
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 43] = [
+pub const FIGURES: [FigureEntry; 45] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -74,6 +76,8 @@
     ("wingshed_rollout_requests_total", "counter", "Requests sent, by service and side."),
     ("wingshed_rollout_bad_total", "counter", "Bad answers to those, by service and side."),
     ("wingshed_rollout_share", "gauge", "Percent of those sent to the target, by service."),
+    ("wingshed_peer_bytes_total", "counter", "Bytes to and from other VMs, by kind of message."),
+    ("wingshed_peer_messages_total", "counter", "Messages to and from other VMs, by kind."),
 ];
 
 /// Serves the figures.
@@ -106,6 +110,12 @@
             "wingshed_requests_total" => write_ends(text, &figures),
             "wingshed_connects_total" => write_connects(text, self.pool.opened()),
             "wingshed_first_byte_ms" => write_first_bytes(text, &figures),
+            "wingshed_peer_bytes_total" => {
+                write_wire(text, name, &self.wire, |row| [row.sent_bytes, row.received_bytes]);
+            }
+            "wingshed_peer_messages_total" => {
+                write_wire(text, name, &self.wire, |row| [row.sent, row.received]);
+            }
             "wingshed_repeats_left" => self.write_repeats_left(text),
             "wingshed_hold_ms" => self.write_rooms(text, name, ServiceRoom::hold_ms),
             "wingshed_places_used" => {
@@ -242,6 +252,20 @@
     }
 }
 
+fn write_wire(
+    text: &mut String,
+    name: &str,
+    wire: &WireCount,
+    counts: impl Fn(&WireRow) -> [u64; 2],
+) {
+    for row in wire.rows() {
+        let kind = &row.kind;
+        for (direction, count) in ["sent", "received"].into_iter().zip(counts(&row)) {
+            let _ = writeln!(text, "{name}{{kind=\"{kind}\",direction=\"{direction}\"}} {count}");
+        }
+    }
+}
+
 /// What the allocator says that is in use, and all that it holds, in bytes. What is free isn't given
 /// back to the system at once, so the peak of the second is what a process takes.
 fn heap_bytes() -> (u64, u64) {
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -25,6 +25,7 @@
 use super::vm_order_desk::OrderDesk;
 use super::vm_pool::ConnectionPool;
 use super::vm_sockets::listen;
+use super::wire_count::WireCount;
 use crate::coordination::engine_room::ServiceRoom;
 use crate::coordination::fleet_health::{HealthOutbox, HealthTable};
 use crate::coordination::holder_news::{HolderMark, HolderOutbox, HolderRing};
@@ -176,6 +177,8 @@
     pub budgets: RefCell<HashMap<String, RepeatBudget>>,
     /// Links to other VMs.
     pub links: LinkTable,
+    /// Bytes to and from other VMs, by kind of message.
+    pub wire: Rc<WireCount>,
     /// The list of upstreams as a frame, when VMs have asked for the whole.
     pub list_frame: RefCell<Option<(ListMark, Bytes)>>,
     /// Who asked for the list, or for news of it, in vain.
@@ -215,7 +218,8 @@
         let peer = SocketAddr::from((settings.ip, settings.peer_port));
         let datagrams = UdpSocket::bind(peer).await?;
         let zone = xxhash_rust::xxh3::xxh3_64(settings.zone.as_bytes());
-        let links = LinkTable::new(id, settings.peer_port);
+        let wire = Rc::new(WireCount::default());
+        let links = LinkTable::new(id, settings.peer_port, wire.clone());
         Ok(Rc::new(VmNode {
             settings: RefCell::new(settings),
             adapter,
@@ -247,6 +251,7 @@
             silence_changed: Notify::new(),
             budgets: RefCell::default(),
             links,
+            wire,
             list_frame: RefCell::default(),
             list_desk: RefCell::default(),
             seekers: RefCell::default(),
@@ -472,7 +477,7 @@
             self.document_askers.borrow_mut().insert(to);
             return;
         }
-        self.links.send_shared(to, held.version, &self.document_frame, || {
+        self.links.send_shared(to, "document", held.version, &self.document_frame, || {
             let (version, document) = (held.version, held.text.clone());
             VmMessage::Document { version, document }
         });
@@ -536,7 +541,7 @@
         let listener = listen(peer)?;
         let node = self.clone();
         let take = Rc::new(move |from, message| node.take_message(from, message));
-        spawn_local(accept_links(listener, take));
+        spawn_local(accept_links(listener, self.wire.clone(), take));
         spawn_local(self.clone().take_datagrams());
         self.start_keeper()?;
         spawn_local(self.clone().tick_keeper());
--- a/lib/src/transport/vm_quarantine.rs
+++ b/lib/src/transport/vm_quarantine.rs
@@ -10,7 +10,7 @@
 use super::vm_node::VmNode;
 use crate::coordination::crash_outbox::{CrashReport, SeenCrash};
 use crate::coordination::vm_roster::pressed_renew_ms;
-use crate::protocol::vm_wire::{encode, VmDatagram, VmId};
+use crate::protocol::vm_wire::VmDatagram;
 use crate::state::fleet_record::FleetCommand;
 use crate::state::ids::RequestMark;
 use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
@@ -112,14 +112,13 @@
             _ => return,
         };
         self.take_quarantine(table.clone());
-        self.send_others(&encode(&VmDatagram::Quarantine { term, table }));
+        self.send_others(&VmDatagram::Quarantine { term, table });
     }
 
     /// Sends a datagram to all VMs that this one knows.
-    pub(super) fn send_others(&self, bytes: &[u8]) {
-        let others: Vec<VmId> = self.view.borrow().roster.rows.iter().map(|row| row.id).collect();
-        for to in others.into_iter().filter(|id| *id != self.id) {
-            self.send_datagram(to, bytes);
-        }
+    pub(super) fn send_others(&self, datagram: &VmDatagram) {
+        let view = self.view.borrow();
+        let others = view.roster.rows.iter().map(|row| row.id).filter(|id| *id != self.id);
+        self.send_datagrams(others, datagram);
     }
 }
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -20,7 +20,7 @@
 use crate::coordination::rollout_share::{sharing_vms, ExposureBound};
 use crate::coordination::rollout_watch::{RolloutLane, RolloutNote, TrialTag, VersionRule};
 use crate::coordination::vm_roster::pressed_renew_ms;
-use crate::protocol::vm_wire::{encode, FleetOrder, OrderEnd, RolloutWish, VmDatagram, VmId};
+use crate::protocol::vm_wire::{FleetOrder, OrderEnd, RolloutWish, VmDatagram, VmId};
 use crate::protocol::wire_adapter::RolloutCall;
 use crate::state::finding::Finding;
 use crate::state::fleet_record::FleetCommand;
@@ -366,7 +366,6 @@
             _ => return,
         };
         self.take_rollouts(table.clone());
-        let bytes = encode(&VmDatagram::Rollouts { term, table });
-        self.send_others(&bytes);
+        self.send_others(&VmDatagram::Rollouts { term, table });
     }
 }
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -17,7 +17,7 @@
 use crate::coordination::silence::DarkMark;
 use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::coordination::vm_roster::pressed_renew_ms;
-use crate::protocol::vm_wire::{encode, VmDatagram, VmId};
+use crate::protocol::vm_wire::{VmDatagram, VmId};
 use crate::state::ids::UpstreamKey;
 
 /// An upstream that says nothing for this long while it owes an answer is tried.
@@ -193,8 +193,7 @@
         if dark.len() > MOST_TOLD_AT_ONCE {
             return;
         }
-        let bytes = encode(&VmDatagram::Dark { term, upstreams: dark });
-        self.send_others(&bytes);
+        self.send_others(&VmDatagram::Dark { term, upstreams: dark });
     }
 
     /// What a leader answers to a VM that was told the dark upstreams `known`.
