upstream_list: a step changes the rows that it names

Cause: a VM that took a step cloned every row, and so did a reading without news: at 10,000 upstreams and 995 VMs each step costs ten million copies, the product of both. Change: a list is compared with what is held, and the rows that are other are put in place; all others stay where they are in memory.

--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -127,7 +127,7 @@
 pub struct UpstreamList {
     /// By key.
     pub entries: BTreeMap<UpstreamKey, UpstreamEntry>,
-    /// When each was first seen here, in milliseconds of the VM's steady clock.
+    /// When each of them was first seen here, in milliseconds of the VM's steady clock.
     pub first_seen_ms: BTreeMap<UpstreamKey, u64>,
     /// When this was surely the platform's list, in milliseconds of the VM's steady clock; 0 when
     /// that isn't known, as for a list from disk.
@@ -203,10 +203,7 @@
         if step.from != self.mark || !self.is_held() || step.to <= self.mark {
             return false;
         }
-        let mut rows = self.entries.clone();
-        step.change.gone.iter().for_each(|key| drop(rows.remove(key)));
-        rows.extend(step.change.rows.iter().map(|row| (row.key(), row.clone())));
-        self.replace(rows.into_values().collect(), now_ms);
+        self.apply(&step.change, now_ms);
         self.note_step(step);
         true
     }
@@ -237,39 +234,48 @@
         let mut entries = BTreeMap::new();
         for mut row in rows {
             let key = row.key();
+            row.leaving |= self.leaving.contains(&key);
+            entries.insert(key, row);
+        }
+        let gone = self.entries.keys().filter(|key| !entries.contains_key(key)).copied().collect();
+        let is_other =
+            |(key, row): &(UpstreamKey, UpstreamEntry)| self.entries.get(key) != Some(row);
+        let rows = entries.into_iter().filter(is_other).map(|(_, row)| row).collect();
+        let change = ListChange { rows, gone };
+        self.apply(&change, now_ms);
+        change
+    }
+
+    /// Changes the rows that a change names, and leaves all others as they are: a list is long, and
+    /// changes are small.
+    fn apply(&mut self, change: &ListChange, now_ms: u64) {
+        let mut gone_lives = BTreeSet::new();
+        for key in &change.gone {
+            gone_lives.extend(self.entries.remove(key).map(|row| row.life));
+            self.first_seen_ms.remove(key);
+            self.leaving.remove(key);
+        }
+        for row in &change.rows {
+            let (key, mut row) = (row.key(), row.clone());
             if row.leaving {
                 self.leaving.insert(key);
             }
             row.leaving = self.leaving.contains(&key);
-            entries.insert(key, row);
-        }
-        self.leaving.retain(|key| entries.contains_key(key));
-        let other = entries.iter().filter(|(key, row)| self.entries.get(key) != Some(*row));
-        let rows = other.map(|(_, row)| row.clone()).collect();
-        let gone: Vec<UpstreamKey> =
-            self.entries.keys().filter(|key| !entries.contains_key(key)).copied().collect();
-        self.note_replaced(&gone, &entries);
-        self.first_seen_ms.retain(|key, _| entries.contains_key(key));
-        for key in entries.keys() {
-            self.first_seen_ms.entry(*key).or_insert(now_ms);
+            self.first_seen_ms.entry(key).or_insert(now_ms);
+            self.entries.insert(key, row);
         }
-        self.entries = entries;
-        ListChange { rows, gone }
+        self.note_replaced(&gone_lives);
     }
 
     /// Notes whose names are on the list as before while their incarnations aren't.
-    fn note_replaced(
-        &mut self,
-        gone: &[UpstreamKey],
-        entries: &BTreeMap<UpstreamKey, UpstreamEntry>,
-    ) {
-        let gone = gone.iter().filter_map(|key| self.entries.get(key));
-        let gone: BTreeSet<&str> = gone.map(|row| row.life.as_str()).collect();
-        let again = entries.values().filter(|row| gone.contains(row.life.as_str()));
-        let again =
-            if gone.is_empty() { Vec::new() } else { again.map(|row| row.life.clone()).collect() };
-        self.replaced += again.len() as u64;
-        self.replaced_last = again;
+    fn note_replaced(&mut self, gone_lives: &BTreeSet<String>) {
+        self.replaced_last.clear();
+        if gone_lives.is_empty() {
+            return;
+        }
+        let again = self.entries.values().filter(|row| gone_lives.contains(&row.life));
+        self.replaced_last = again.map(|row| row.life.clone()).collect();
+        self.replaced += self.replaced_last.len() as u64;
     }
 
     /// The rows, to tell another VM.
@@ -286,6 +292,17 @@
         entries.filter(move |(_, entry)| entry.service == service).map(|(key, entry)| (*key, entry))
     }
 
+    /// The upstreams of a service in the order of their keys, and when each was first seen.
+    pub fn seen_of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (UpstreamKey, &'a UpstreamEntry, u64)> + 'a {
+        // Both maps hold the same keys, so that they go in step.
+        let rows = self.entries.iter().zip(self.first_seen_ms.values());
+        let of_service = rows.filter(move |((_, entry), _)| entry.service == service);
+        of_service.map(|((key, entry), first_seen_ms)| (*key, entry, *first_seen_ms))
+    }
+
     /// The upstreams of a service that take new work.
     pub fn taking<'a>(
         &'a self,
