upstream_choice: a root's holders are told until there are enough

Cause: each first sending of a root to an engine was told to all VMs: notes grow with the engines and are told to each VM. An order of engines was sorted with two hashes a comparison. Change: a VM that knows 32 holders of a root tells of no more, since whoever fetches it draws one. What is known of parts is kept by part. The order is sorted by keys that are made once.

--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -74,6 +74,9 @@
 /// An engine that was first seen less than this long ago may lack what its place in the
 /// order says, in milliseconds.
 pub const NEW_ENGINE_MS: u64 = 20_000;
+/// A VM that knows so many holders of a root tells of no more: every VM is told every note, and one that
+/// fetches a root needs a few that it can draw from, however many engines there are.
+pub const ROOT_HOLDERS_TOLD: usize = 32;
 /// Shared prompts shorter than this aren't worth a fetch, in tokens.
 pub const LEAST_FETCH_TOKENS: u32 = 64;
 
@@ -87,7 +90,7 @@
     /// The deepest shared part, when no other VM would guess that this engine keeps it, and what
     /// the shared parts hold is worth telling.
     pub against_order: Option<u64>,
-    /// The first part, when this VM didn't know that the engine keeps it, and it is worth telling.
+    /// The first part, when this VM didn't know that the engine keeps it, and others need to know.
     pub new_root: Option<u64>,
 }
 
@@ -98,10 +101,24 @@
     }
 }
 
+/// An engine that was sent a part, and when last.
+#[derive(Clone, Copy, Debug)]
+struct PartHolder {
+    engine: UpstreamKey,
+    sent_ms: u64,
+}
+
+impl PartHolder {
+    fn is_sure(&self, now_ms: u64) -> bool {
+        self.sent_ms + KEPT_MS > now_ms
+    }
+}
+
 /// Which parts this VM sent to which engine, and when.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixMemory {
-    sent: HashMap<(u64, UpstreamKey), u64>,
+    /// Which engines were sent a part.
+    holders: HashMap<u64, Vec<PartHolder>>,
     /// How often the deepest shared parts were asked for here lately, and when last.
     heat: HashMap<u64, (f64, u64)>,
     swept_ms: u64,
@@ -114,11 +131,14 @@
     pub fn note_sent(&mut self, prompt: &[PromptPart], engine: UpstreamKey, now_ms: u64) {
         self.since_ms.get_or_insert(now_ms);
         for part in shared_parts(prompt) {
-            self.sent.insert((part.id, engine), now_ms);
+            self.note_told(part.id, engine, now_ms);
         }
         if now_ms >= self.swept_ms + KEPT_MS / 4 {
             self.swept_ms = now_ms;
-            self.sent.retain(|_, sent_ms| *sent_ms + KEPT_MS > now_ms);
+            self.holders.retain(|_, holders| {
+                holders.retain(|holder| holder.is_sure(now_ms));
+                !holders.is_empty()
+            });
             self.heat.retain(|_, (_, at_ms)| *at_ms + 4 * HEAT_MS as u64 > now_ms);
         }
     }
@@ -146,13 +166,22 @@
 
     /// Another VM sent this part to the engine.
     pub fn note_told(&mut self, part: u64, engine: UpstreamKey, now_ms: u64) {
-        self.sent.insert((part, engine), now_ms);
+        let holders = self.holders.entry(part).or_default();
+        match holders.iter_mut().find(|holder| holder.engine == engine) {
+            Some(holder) => holder.sent_ms = now_ms,
+            None => holders.push(PartHolder { engine, sent_ms: now_ms }),
+        }
     }
 
     /// Whether the engine surely had this part lately.
     pub fn holds(&self, part: u64, engine: UpstreamKey, now_ms: u64) -> bool {
-        let sent_ms = self.sent.get(&(part, engine));
-        sent_ms.is_some_and(|sent_ms| sent_ms + KEPT_MS > now_ms)
+        self.holders_of(part, now_ms).any(|holder| holder == engine)
+    }
+
+    /// The engines that surely had this part lately.
+    fn holders_of(&self, part: u64, now_ms: u64) -> impl Iterator<Item = UpstreamKey> + '_ {
+        let holders = self.holders.get(&part).into_iter().flatten();
+        holders.filter(move |holder| holder.is_sure(now_ms)).map(|holder| holder.engine)
     }
 }
 
@@ -209,7 +238,11 @@
     let told = moves && tokens >= LEAST_TOLD_TOKENS && guessed() != Some(pick.key);
     let against_order = told.then_some(deep.id);
     let news = moves && root.tokens >= LEAST_TOLD_TOKENS && root.id != deep.id;
-    let new_root = (news && !memory.holds(root.id, pick.key, now_ms)).then_some(root.id);
+    let is_news = || {
+        let known = root_holders(&usable, root.id, memory, now_ms);
+        known.len() < ROOT_HOLDERS_TOLD && !known.contains(&pick.key)
+    };
+    let new_root = (news && is_news()).then_some(root.id);
     Ok(UpstreamPick { upstream: pick.key, fetch_from, against_order, new_root })
 }
 
@@ -229,7 +262,7 @@
 /// lives with one seat the one that stays goes first.
 fn engine_order<'a>(usable: &[&'a UpstreamCandidate], part: u64) -> Vec<&'a UpstreamCandidate> {
     let mut order = usable.to_vec();
-    order.sort_by_key(|candidate| {
+    order.sort_by_cached_key(|candidate| {
         let rank = candidate.seat.map(|seat| rendezvous_score(part, seat));
         (std::cmp::Reverse(rank), candidate.leaving, candidate.key)
     });
@@ -271,14 +304,22 @@
     draw: u64,
     now_ms: u64,
 ) -> Option<UpstreamKey> {
-    let keepers: Vec<UpstreamKey> = usable
-        .iter()
-        .filter(|candidate| candidate.rest_ms == 0)
-        .map(|candidate| candidate.key)
-        .filter(|key| memory.holds(root, *key, now_ms))
-        .collect();
-    match keepers.len() {
+    let holders = root_holders(usable, root, memory, now_ms);
+    match holders.len() {
         0 => holder(&engine_order(usable, root), root, memory, now_ms),
-        count => Some(keepers[(draw >> 7) as usize % count]),
+        count => Some(holders[(draw >> 7) as usize % count]),
     }
 }
+
+/// The engines that surely keep a root and may be asked for it.
+fn root_holders(
+    usable: &[&UpstreamCandidate],
+    root: u64,
+    memory: &PrefixMemory,
+    now_ms: u64,
+) -> Vec<UpstreamKey> {
+    let mut known: Vec<UpstreamKey> = memory.holders_of(root, now_ms).collect();
+    known.sort_unstable();
+    let awake = usable.iter().filter(|candidate| candidate.rest_ms == 0);
+    awake.map(|candidate| candidate.key).filter(|key| known.binary_search(key).is_ok()).collect()
+}
