list_turn: the leader reads as seldom as the bound on leaving upstreams allows

Cause: the leader read every 600 ms whatever the bound. Change: it waits for what half of the bound leaves beside the last reading's time and three renewals, 600 ms at least and 2 s at most. From what age on a VM looks for a list by itself is as before. Result: where 5 s are allowed 1.3 s in place of 0.6 after a reading of 0.3 s; where 3 s are allowed as before. A list that is told is never taken for old in any case of the test.

--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_turn.rs
@@ -7,18 +7,20 @@
 //! VMs on a day on which 113 restart at once: 11,000 to 12,100 calls and 9 s without a list of the
 //! leader. See `docs/design/fleet-news.md`.
 
+use super::vm_roster::RENEW_MS;
 use crate::state::rendezvous::rendezvous_score;
 
-/// How often the leader reads, in milliseconds: the list itself lags by 800 ms, and an upstream
-/// that leaves must get nothing after 3 s.
+/// The shortest pause between two readings of the leader, in milliseconds.
 pub const READ_MS: u64 = 600;
+/// The longest, in milliseconds: new upstreams get no work before they are read.
+const MOST_READ_MS: u64 = 2000;
 /// A VM whose list is older than this part of the time after which an upstream that leaves must get
 /// nothing looks for a newer one: the rest is for asking and reading. A leader that leads well keeps
 /// the list younger than 1.3 s.
 const STALE_PART: f64 = 0.5;
-/// Kept for the exchange with the leader when a list is so long that reading it takes more than
-/// that, in milliseconds.
-const EXCHANGE_MS: u64 = 900;
+/// The time from the end of a reading until every VM has confirmed it, in milliseconds: three renewals,
+/// so that two datagrams in a row may be lost.
+const EXCHANGE_MS: u64 = 3 * RENEW_MS;
 /// A VM that is in contact and holds no list reads one after this long, in milliseconds: its
 /// leader can't. A leader reads 60 pages in 2 s where 47 calls a second are taken.
 pub const UNTOLD_MS: u64 = 6000;
@@ -50,16 +52,23 @@
 }
 
 impl ListCost {
-    /// How long the leader waits between two readings, in milliseconds.
-    pub fn leader_pause_ms(&self) -> u64 {
+    /// How long the leader waits after a reading that took `reading_ms` until the next, in milliseconds,
+    /// where an upstream that leaves must get nothing after `drain_ms`. Calls are limited and cost, so
+    /// it waits as long as the list at every VM stays younger than [`ListCost::stale_ms`].
+    pub fn leader_pause_ms(&self, drain_ms: u64, reading_ms: u64) -> u64 {
+        let fresh_ms = stale_bound_ms(drain_ms).saturating_sub(EXCHANGE_MS + reading_ms);
+        self.least_pause_ms().max(fresh_ms.min(MOST_READ_MS))
+    }
+
+    fn least_pause_ms(&self) -> u64 {
         self.span_ms(self.pages, LEADER_PART).max(READ_MS)
     }
 
     /// The age of a VM's list at which it looks for a newer one, in milliseconds, where an upstream
     /// that leaves must get nothing after `drain_ms`; never so young that a leader can't keep to it.
     pub fn stale_ms(&self, drain_ms: u64) -> u64 {
-        let kept_to = 2 * self.leader_pause_ms() + EXCHANGE_MS;
-        let bound_ms = (drain_ms as f64 * STALE_PART) as u64;
+        let kept_to = 2 * self.least_pause_ms() + EXCHANGE_MS;
+        let bound_ms = stale_bound_ms(drain_ms);
         match self.pages <= PAGES_AT_ONCE {
             true => bound_ms,
             false => bound_ms.max(kept_to),
@@ -98,6 +107,10 @@
     }
 }
 
+fn stale_bound_ms(drain_ms: u64) -> u64 {
+    (drain_ms as f64 * STALE_PART) as u64
+}
+
 /// What a VM that doesn't lead knows of its leader and list; times in milliseconds of its clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListStanding {
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -127,14 +127,14 @@
                 self.note_replaced();
                 self.contact_changed.notify_waiters();
                 self.tell_askers();
-                self.set_list_due(self.list_cost().leader_pause_ms() + self.draw() % 50);
+                self.set_list_due(self.leader_pause_ms(began_ms) + self.draw() % 50);
             }
             Err(ListFault::TooMany) if turn.alone => {
                 turn.refusals += 1;
                 let pause_ms = self.list_cost().alone_pause_ms(turn.refusals);
                 self.set_list_due(pause_ms / 2 + self.draw() % pause_ms);
             }
-            Err(ListFault::Told) => self.set_list_due(self.list_cost().leader_pause_ms()),
+            Err(ListFault::Told) => self.set_list_due(self.leader_pause_ms(began_ms)),
             Err(error) => {
                 if turn.fails == 0 {
                     warn!(target: "list", "cannot be read: {error}");
@@ -145,6 +145,12 @@
         }
     }
 
+    fn leader_pause_ms(&self, began_ms: u64) -> u64 {
+        let drain_ms = self.settings.borrow().bounds.drain_ms;
+        let reading_ms = self.now_ms().saturating_sub(began_ms);
+        self.list_cost().leader_pause_ms(drain_ms, reading_ms)
+    }
+
     fn list_cost(&self) -> ListCost {
         let calls_per_s = self.settings.borrow().list.calls_per_s;
         ListCost { calls_per_s, pages: self.view.borrow().list_pages.max(1) }
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -210,7 +210,8 @@
     ];
     for ((calls_per_s, pages), pauses) in cases {
         let cost = ListCost { calls_per_s, pages };
-        let told = [cost.leader_pause_ms(), cost.alone_pause_ms(0), cost.alone_pause_ms(40)];
+        let leader_ms = cost.leader_pause_ms(3000, 25);
+        let told = [leader_ms, cost.alone_pause_ms(0), cost.alone_pause_ms(40)];
         assert_eq!(told, pauses, "{cost:?}");
         // Where none of 300 VMs reaches another, they leave each other room in the end.
         let all_per_s = 300.0 * pages as f64 * 1000.0 / pauses[2] as f64;
@@ -389,7 +390,8 @@
 #[test]
 fn a_leaving_upstream_is_known_in_time_whether_or_not_a_leader_tells() {
     // Calls a second, pages, the time that is allowed in milliseconds.
-    let cases = [(50.0, 1, 3000), (47.0, 1, 3000), (360.0, 3, 4000), (50.0, 8, 4000)];
+    let cases =
+        [(50.0, 1, 3000), (47.0, 1, 3000), (360.0, 3, 4000), (50.0, 8, 4000), (320.0, 8, 5000)];
     // What one call takes where nothing is slow, and the way of one exchange between two VMs.
     let (call_ms, exchange_ms) = (25, RENEW_MS + 25);
     for (calls_per_s, pages, drain_ms) in cases {
@@ -397,15 +399,35 @@
         let pages = pages as u64;
         let stale_ms = cost.stale_ms(drain_ms);
 
-        let told_ms = cost.leader_pause_ms() + pages * call_ms + exchange_ms;
+        let reading_ms = pages * call_ms;
+        let pause_ms = cost.leader_pause_ms(drain_ms, reading_ms);
+        let told_ms = pause_ms + reading_ms + exchange_ms;
         // The first reader is gone, the second reads, and another asks it.
-        let alone_ms = stale_ms + reader_delay_ms(1) + pages * call_ms + exchange_ms;
+        let alone_ms = stale_ms + reader_delay_ms(1) + reading_ms + exchange_ms;
 
         assert!(told_ms < stale_ms, "{cost:?}: a list that is told is never taken for old");
         assert!(alone_ms + 500 < drain_ms, "{cost:?}: {alone_ms} ms without a leader");
     }
     let long = ListCost { calls_per_s: 47.0, pages: 60 };
-    assert!(long.stale_ms(3000) > long.leader_pause_ms(), "a leader can keep to it");
+    assert!(long.stale_ms(3000) > long.leader_pause_ms(3000, 2000), "a leader can keep to it");
+}
+
+#[test]
+fn a_leader_reads_as_seldom_as_the_bound_allows() {
+    // Pages, the time that is allowed and that a reading took, the pause, in milliseconds.
+    let cases = [
+        (1, 3000, 25, 600),
+        (3, 4000, 60, 1040),
+        (50, 5000, 300, 1300),
+        (100, 5000, 600, 1000),
+        (100, 5000, 4000, 600),
+        (1, 60_000, 25, 2000),
+    ];
+    for (pages, drain_ms, reading_ms, pause_ms) in cases {
+        let cost = ListCost { calls_per_s: 320.0, pages };
+
+        assert_eq!(cost.leader_pause_ms(drain_ms, reading_ms), pause_ms, "{cost:?}");
+    }
 }
 
 fn document(version: u32, routes: &[u16]) -> Vec<u8> {
