upstream_load: a grant tells what changes a choice, and is summed up once for many

Cause: each grant looked at every upstream and told every one with a request in flight: looks and bytes grow with the product of VMs and upstreams, or of VMs and requests. A loss of more than 64 VMs at once told each VM the whole roster again, at each renewal in which another was missed. Change: loads move from vm_roster to upstream_load. A leader of a large fleet sums up once in 50 ms. VMs that left are remembered by time in place of a count.

--- a/lib/src/coordination/upstream_seats.rs
+++ b/lib/src/coordination/upstream_seats.rs
@@ -12,7 +12,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::vm_roster::UpstreamLoad;
+use super::upstream_load::UpstreamLoad;
 use crate::state::fleet_record::SeatRow;
 use crate::state::ids::UpstreamKey;
 use crate::state::upstream_list::{UpstreamEntry, UpstreamList};
--- a/lib/src/coordination/vm_roster.rs
+++ b/lib/src/coordination/vm_roster.rs
@@ -4,10 +4,11 @@
 //! others: two small datagrams an exchange, however many VMs there are. See
 //! `docs/design/platform.md`.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+use super::upstream_load::UpstreamLoad;
 use crate::state::ids::{Incarnation, KeeperId, UpstreamKey};
 
 /// How often a VM renews, in milliseconds; see `docs/design/platform.md`.
@@ -53,6 +54,19 @@
 /// From so many VMs on a fleet is large.
 pub const MANY_VMS: usize = 30;
 
+/// A leader of a large fleet sums up loads once for all that it answers within this time, in
+/// milliseconds. Summing up looks at every upstream, and the answers grow with the VMs.
+const LOADS_SHARED_MS: u64 = 50;
+
+/// For how long a leader of so many VMs tells the same loads, in milliseconds. In a small fleet a VM's
+/// own part of the sums is so large that they must hold what it has just told.
+pub fn loads_shared_ms(vms: usize) -> u64 {
+    match vms < MANY_VMS {
+        true => 0,
+        false => LOADS_SHARED_MS,
+    }
+}
+
 /// How long callers may keep an answer about addresses, in seconds.
 pub fn addresses_ttl_s(vms: usize) -> f64 {
     match vms < MANY_VMS {
@@ -72,15 +86,6 @@
     pub ready: bool,
 }
 
-/// What one VM, or all of them, have in flight at one upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamLoad {
-    /// The upstream's life.
-    pub upstream: UpstreamKey,
-    /// Requests in flight.
-    pub requests: u32,
-}
-
 /// Names one state of the roster, as one leader keeps it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterMark {
@@ -103,8 +108,17 @@
     pub gone: Vec<u32>,
 }
 
-/// VMs that left the roster are remembered, so many, for those that missed it.
-const GONE_KEPT: usize = 64;
+/// VMs that left the roster are remembered for this long, in milliseconds, however many they are: after a
+/// loss of many at once every VM in contact is told of those, and not of all others again.
+const GONE_KEEP_MS: u64 = 2 * ROW_KEEP_MS;
+
+/// A VM that left the roster.
+#[derive(Clone, Copy, Debug)]
+struct GoneVm {
+    change: u64,
+    id: u32,
+    at_ms: u64,
+}
 
 #[derive(Clone, Debug)]
 struct HeardVm {
@@ -124,7 +138,7 @@
     heard: BTreeMap<u32, HeardVm>,
     sums: BTreeMap<UpstreamKey, u32>,
     change: u64,
-    gone: VecDeque<(u64, u32)>,
+    gone: VecDeque<GoneVm>,
     /// Who holds a state older than this has missed a VM that left and is forgotten by now.
     forgotten: u64,
 }
@@ -160,10 +174,10 @@
                 self.take_off(&vm.loads);
             }
             let change = self.next_change();
-            self.gone.push_back((change, id));
-            if self.gone.len() > GONE_KEPT {
-                self.forgotten = self.gone.pop_front().map_or(0, |(change, _)| change);
-            }
+            self.gone.push_back(GoneVm { change, id, at_ms: now_ms });
+        }
+        while self.gone.front().is_some_and(|vm| vm.at_ms + GONE_KEEP_MS <= now_ms) {
+            self.forgotten = self.gone.pop_front().map_or(self.forgotten, |vm| vm.change);
         }
     }
 
@@ -188,6 +202,16 @@
         }
     }
 
+    /// How many VMs were heard lately.
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    /// Whether none was.
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+
     /// The VMs heard lately.
     pub fn rows(&self) -> Vec<RosterRow> {
         self.heard.values().map(|vm| vm.row).collect()
@@ -204,8 +228,8 @@
         }
         let changed = self.heard.values().filter(|vm| vm.changed > have.change);
         let rows: Vec<RosterRow> = changed.map(|vm| vm.row).collect();
-        let left = self.gone.iter().filter(|(change, _)| *change > have.change);
-        let gone = left.map(|(_, id)| *id).filter(|id| !self.heard.contains_key(id)).collect();
+        let left = self.gone.iter().filter(|vm| vm.change > have.change).map(|vm| vm.id);
+        let gone = left.filter(|id| !self.heard.contains_key(id)).collect();
         RosterNews { mark, whole: false, rows, gone }
     }
 
@@ -216,17 +240,6 @@
             .collect()
     }
 
-    /// The same for these upstreams, in their order, one byte each: 255 stands for all above.
-    pub fn placed_loads<'a>(&self, keys: impl Iterator<Item = &'a UpstreamKey>) -> Vec<u8> {
-        let mut sums = self.sums.iter().peekable();
-        keys.map(|key| {
-            while sums.next_if(|(upstream, _)| *upstream < key).is_some() {}
-            let own = sums.next_if(|(upstream, _)| *upstream == key);
-            own.map_or(0, |(_, requests)| u8::try_from(*requests).unwrap_or(u8::MAX))
-        })
-        .collect()
-    }
-
     /// The VMs with a disk, the lives of their disks and their zones.
     pub fn keepers(&self) -> BTreeMap<KeeperId, (Incarnation, u64)> {
         let keepers = self.heard.values();
@@ -262,49 +275,3 @@
         self.mark = news.mark;
     }
 }
-
-/// What a VM was last told of the others' load.
-#[derive(Clone, Debug, Default)]
-pub struct ToldLoad {
-    sums: HashMap<UpstreamKey, u32>,
-    own_part: HashMap<UpstreamKey, u32>,
-}
-
-impl ToldLoad {
-    /// Notes the sums of a grant; `own_told` is what this VM's part of them was.
-    pub fn tell(&mut self, sums: &[UpstreamLoad], own_told: &[UpstreamLoad]) {
-        let by_key = |rows: &[UpstreamLoad]| -> HashMap<UpstreamKey, u32> {
-            rows.iter().map(|row| (row.upstream, row.requests)).collect()
-        };
-        self.sums = by_key(sums);
-        self.own_part = by_key(own_told);
-    }
-
-    /// Notes sums that were told one byte an upstream, in the order of `keys`.
-    pub fn tell_placed<'a>(
-        &mut self,
-        keys: impl Iterator<Item = &'a UpstreamKey>,
-        sums: &[u8],
-        own_told: &[UpstreamLoad],
-    ) {
-        let rows = keys.zip(sums).filter(|(_, requests)| **requests > 0);
-        let rows: Vec<UpstreamLoad> = rows
-            .map(|(upstream, requests)| UpstreamLoad {
-                upstream: *upstream,
-                requests: u32::from(*requests),
-            })
-            .collect();
-        self.tell(&rows, own_told);
-    }
-
-    /// What the other VMs have in flight at an upstream.
-    pub fn others(&self, upstream: UpstreamKey) -> u32 {
-        let sum = self.sums.get(&upstream).copied().unwrap_or(0);
-        sum.saturating_sub(self.own_part(upstream))
-    }
-
-    /// What this VM had in flight there when it told of itself.
-    pub fn own_part(&self, upstream: UpstreamKey) -> u32 {
-        self.own_part.get(&upstream).copied().unwrap_or(0)
-    }
-}
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -12,14 +12,14 @@
 use crate::coordination::raft_message::RaftMessage;
 use crate::coordination::rollout_watch::RolloutNote;
 use crate::coordination::silence::DarkMark;
-use crate::coordination::vm_roster::{RosterMark, RosterNews, RosterRow, UpstreamLoad};
+use crate::coordination::upstream_load::{LoadNews, UpstreamLoad};
+use crate::coordination::vm_roster::{RosterMark, RosterNews, RosterRow};
 use crate::state::document_change::DocumentChange;
 use crate::state::ids::{Incarnation, UpstreamKey};
 use crate::state::packed_text::PackedText;
 use crate::state::quarantine::QuarantineTable;
 use crate::state::rollout_order::RolloutTable;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
-use crate::state::zero_runs::{pack_zeros, unpack_zeros};
 use crate::state::zone_order::{ZoneOrder, ZoneOrders};
 
 /// The largest frame, in bytes: a document of the largest size and its frame.
@@ -179,38 +179,6 @@
     }
 }
 
-/// What all VMs have in flight, summed, by upstream.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum LoadNews {
-    /// One byte an upstream, in the order of the list that the asker holds too: with a thousand
-    /// upstreams a keyed row each is more than a link of a small VM takes.
-    Placed(#[serde(with = "serde_bytes")] Vec<u8>),
-    /// The same with its zeros counted, where that is shorter.
-    Runs(#[serde(with = "serde_bytes")] Vec<u8>),
-    /// By key, for an asker with another state of the list.
-    Keyed(Vec<UpstreamLoad>),
-}
-
-impl LoadNews {
-    /// The shorter way to tell one byte an upstream.
-    pub fn placed(sums: Vec<u8>) -> LoadNews {
-        let runs = pack_zeros(&sums);
-        match runs.len() < sums.len() {
-            true => LoadNews::Runs(runs),
-            false => LoadNews::Placed(sums),
-        }
-    }
-
-    /// One byte for each of so many upstreams; `None` when they are told by key, or of another list.
-    pub fn into_sums(self, upstreams: usize) -> Option<Vec<u8>> {
-        match self {
-            LoadNews::Placed(sums) => Some(sums),
-            LoadNews::Runs(runs) => unpack_zeros(&runs, upstreams),
-            LoadNews::Keyed(_) => None,
-        }
-    }
-}
-
 /// What travels as a datagram.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum VmDatagram {
--- a/lib/src/transport/vm_grant.rs
+++ b/lib/src/transport/vm_grant.rs
@@ -11,10 +11,9 @@
 use super::vm_node::VmNode;
 use crate::coordination::fleet_health::{names_failing, HealthReport};
 use crate::coordination::holder_news::{HolderMark, HolderNote};
-use crate::coordination::vm_roster::{RosterMark, RosterNews, SETTLE_MS};
-use crate::protocol::vm_wire::{
-    vm_address, GrantNote, LoadNews, RenewalNote, VmDatagram, VmId, VmMessage,
-};
+use crate::coordination::upstream_load::LoadNews;
+use crate::coordination::vm_roster::{loads_shared_ms, RosterMark, RosterNews, SETTLE_MS};
+use crate::protocol::vm_wire::{vm_address, GrantNote, RenewalNote, VmDatagram, VmId, VmMessage};
 use crate::state::ids::UpstreamKey;
 use crate::state::rollout_order::RolloutTable;
 use crate::state::upstream_list::ListMark;
@@ -68,10 +67,13 @@
             list_age_ms: told_age_ms(upstreams.news_ms, now_ms),
             keepers: keeper.members().iter().map(|id| id.0).collect(),
             roster: roster_news(keeper, note.roster, now_ms),
-            loads: match note.list == upstreams.mark {
-                true => LoadNews::placed(keeper.roster.placed_loads(upstreams.entries.keys())),
-                false => LoadNews::Keyed(keeper.roster.loads()),
-            },
+            loads: self.shared_loads.borrow_mut().news(
+                || keeper.roster.loads(),
+                loads_shared_ms(keeper.roster.len()),
+                &upstreams,
+                note.list,
+                now_ms,
+            ),
             holders,
             holders_heard,
             failing,
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -38,7 +38,8 @@
 use crate::coordination::rollout_desk::RolloutDesk;
 use crate::coordination::silence_desk::SilenceDesk;
 use crate::coordination::upstream_choice::PrefixMemory;
-use crate::coordination::vm_roster::{RosterCopy, RosterRow, ToldLoad, UpstreamLoad};
+use crate::coordination::upstream_load::{SharedLoads, ToldLoad, UpstreamLoad};
+use crate::coordination::vm_roster::{RosterCopy, RosterRow};
 use crate::coordination::zone_desk::ZoneDesk;
 use crate::protocol::vm_wire::{VmId, VmMessage};
 use crate::protocol::wire_adapter::WireAdapter;
@@ -175,6 +176,8 @@
     pub silence_changed: Notify,
     /// Repeats, by service.
     pub budgets: RefCell<HashMap<String, RepeatBudget>>,
+    /// The loads that it tells while it leads.
+    pub shared_loads: RefCell<SharedLoads>,
     /// Links to other VMs.
     pub links: LinkTable,
     /// Bytes to and from other VMs, by kind of message.
@@ -250,6 +253,7 @@
             silence: RefCell::default(),
             silence_changed: Notify::new(),
             budgets: RefCell::default(),
+            shared_loads: RefCell::default(),
             links,
             wire,
             list_frame: RefCell::default(),
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -8,11 +8,11 @@
     list_deed, reader_delay_ms, reader_order, whom_to_ask, ListCost, ListDeed, ListStanding,
     PAGES_AT_ONCE, UNTOLD_MS,
 };
+use wingshed_lib::coordination::upstream_load::{place_loads, LoadNews, ToldLoad, UpstreamLoad};
 use wingshed_lib::coordination::vm_roster::{
-    addresses_ttl_s, seek_pause_ms, RosterCopy, RosterMark, RosterRow, ToldLoad, UpstreamLoad,
-    VmRoster, RENEW_MS, ROW_KEEP_MS,
+    addresses_ttl_s, seek_pause_ms, RosterCopy, RosterMark, RosterRow, VmRoster, RENEW_MS,
+    ROW_KEEP_MS,
 };
-use wingshed_lib::protocol::vm_wire::LoadNews;
 use wingshed_lib::state::document_change::DocumentChange;
 use wingshed_lib::state::ids::UpstreamKey;
 use wingshed_lib::state::rollout_order::VersionKey;
@@ -144,9 +144,9 @@
     roster.note(row(2, true), None, vec![load(7, 300), load(8, 5)], 500);
     roster.note(row(1, true), None, vec![load(4, 3)], 600);
 
-    let placed = roster.placed_loads(keys.iter());
+    let placed = place_loads(&roster.loads(), keys.iter());
     roster.expire(500 + ROW_KEEP_MS);
-    let later = roster.placed_loads(keys.iter());
+    let later = place_loads(&roster.loads(), keys.iter());
 
     assert_eq!(placed, [0, 3, 255, 0], "by place; 255 stands for all above");
     assert_eq!(later, [0, 3, 0, 0]);
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -22,8 +22,9 @@
 use wingshed_lib::coordination::upstream_choice::{
     choose_engine, EngineRules, PrefixMemory, NEW_ENGINE_MS,
 };
+use wingshed_lib::coordination::upstream_load::{ToldLoad, UpstreamLoad};
 use wingshed_lib::coordination::upstream_seats::{patient_services, SeatTable, WAIT_MS};
-use wingshed_lib::coordination::vm_roster::{RosterRow, ToldLoad, UpstreamLoad, VmRoster};
+use wingshed_lib::coordination::vm_roster::{RosterRow, VmRoster};
 use wingshed_lib::state::fleet_record::{
     FleetCommand, FleetRecord, HeldDocument, RecordChange, SeatRow,
 };
