vm_links, news_source: a whole list comes once, and from the own zone

Cause: a whole list takes longer on its way than a VM waited before it asked again, elsewhere: that holds while a list is small. A new leader's first list went whole to all VMs, beside their asking; all of it from any zone. Change: a VM asks a keeper of its zone, at each second attempt any. It doesn't ask again while a large frame is being received, and a link that is still sending an answer isn't given it again. A first list goes to the keepers; the others hear of its mark and ask.

--- a/lib/src/transport/vm_grant.rs
+++ b/lib/src/transport/vm_grant.rs
@@ -11,8 +11,11 @@
 use super::vm_node::VmNode;
 use crate::coordination::fleet_health::{names_failing, HealthReport};
 use crate::coordination::holder_news::{HolderMark, HolderNote};
+use crate::coordination::news_source::choose_source;
 use crate::coordination::upstream_load::LoadNews;
-use crate::coordination::vm_roster::{loads_shared_ms, RosterMark, RosterNews, SETTLE_MS};
+use crate::coordination::vm_roster::{
+    loads_shared_ms, RosterMark, RosterNews, RosterRow, SETTLE_MS,
+};
 use crate::protocol::vm_wire::{vm_address, GrantNote, RenewalNote, VmDatagram, VmId, VmMessage};
 use crate::state::ids::UpstreamKey;
 use crate::state::rollout_order::RolloutTable;
@@ -227,14 +230,24 @@
         }
     }
 
-    /// Asks for the newest document at any keeper, since each holds what is committed: after a
+    /// Asks for the newest document at a keeper, since each holds what is committed: after a
     /// common restart all VMs ask, and 70 large documents are seconds of one leader's link, in
     /// which it can neither read the list nor be heard. One that lags is asked again elsewhere.
     pub(super) fn ask_document(&self, leader: VmId) {
+        let attempt = {
+            let mut view = self.view.borrow_mut();
+            view.document_attempts = view.document_attempts.saturating_add(1);
+            view.document_attempts - 1
+        };
+        let source = self.news_source(attempt).unwrap_or(leader);
+        self.links.send(source, &VmMessage::WantDocument);
+    }
+
+    /// A keeper that has the whole list and configuration; see [`choose_source`].
+    pub(super) fn news_source(&self, attempt: u32) -> Option<VmId> {
+        let own = RosterRow { id: self.id, zone: self.zone, ready: false };
         let view = self.view.borrow();
-        let keepers: Vec<VmId> = view.keepers.iter().copied().filter(|id| *id != self.id).collect();
-        let keeper = keepers.get(self.draw() as usize % keepers.len().max(1));
-        self.links.send(keeper.copied().unwrap_or(leader), &VmMessage::WantDocument);
+        choose_source(&view.keepers, &view.roster.rows, &own, attempt, self.draw())
     }
 
     /// A leader is in contact with itself; true when this VM leads.
--- a/lib/src/transport/vm_links.rs
+++ b/lib/src/transport/vm_links.rs
@@ -1,7 +1,7 @@
 //! Links between VMs: one connection a direction, kept; a full or broken link drops
 //! frames, since everything that is sent over it is said again.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,20 +30,41 @@
 const WRITE_TIME: Duration = Duration::from_millis(2000);
 /// A link that carried nothing for this long is closed.
 const REST_TIME: Duration = Duration::from_secs(10);
+/// The pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A frame of this size or more takes a noticeable time on a link of 10 Mbit/s.
+const LARGE_FRAME_BYTES: usize = 32 << 10;
+
+/// Frames that a link has taken and not yet written. Clones share the bytes.
+type UnsentFrames = Rc<RefCell<Vec<Bytes>>>;
+
+/// The sending end of one link.
+struct PeerLink {
+    frames: Sender<Bytes>,
+    unsent: UnsentFrames,
+}
+
+impl PeerLink {
+    /// Whether this very frame still waits for the link.
+    fn is_sending(&self, frame: &Bytes) -> bool {
+        self.unsent.borrow().iter().any(|waiting| waiting.as_ptr() == frame.as_ptr())
+    }
+}
 
 /// The links of one VM.
 #[derive(Clone)]
 pub struct LinkTable {
     own: VmId,
     port: u16,
-    links: Rc<RefCell<HashMap<VmId, Sender<Bytes>>>>,
+    links: Rc<RefCell<HashMap<VmId, PeerLink>>>,
     wire: Rc<WireCount>,
+    large_incoming: Rc<Cell<u32>>,
 }
 
 impl LinkTable {
     /// The links of VM `own`, to `port` of the others.
     pub fn new(own: VmId, port: u16, wire: Rc<WireCount>) -> LinkTable {
-        LinkTable { own, port, links: Rc::default(), wire }
+        LinkTable { own, port, links: Rc::default(), wire, large_incoming: Rc::default() }
     }
 
     /// Sends a message, or drops it when the link is full.
@@ -59,8 +80,14 @@
         }
     }
 
+    /// Whether a large frame is being received. Its sender needn't be asked for it again.
+    pub fn is_receiving_large(&self) -> bool {
+        self.large_incoming.get() > 0
+    }
+
     /// Sends what `make` makes, once for each `mark`: after a common restart every VM asks for the
-    /// same large answer, and the links share its bytes.
+    /// same large answer, and the links share its bytes. An answer that a link is still sending is
+    /// not sent again.
     pub fn send_shared<M: PartialEq + Copy>(
         &self,
         to: VmId,
@@ -75,15 +102,22 @@
             *shared.borrow_mut() = Some((mark, frame.clone()));
             frame
         });
-        self.send_frame(to, kind, frame);
+        let under_way = self.links.borrow().get(&to).is_some_and(|link| link.is_sending(&frame));
+        if !under_way {
+            self.send_frame(to, kind, frame);
+        }
     }
 
     fn send_frame(&self, to: VmId, kind: &'static str, mut frame: Bytes) {
         self.wire.sent(kind, frame.len() as u64);
         let mut links = self.links.borrow_mut();
         if let Some(link) = links.get(&to) {
-            match link.try_send(frame) {
-                Ok(()) => return,
+            let waiting = frame.clone();
+            match link.frames.try_send(frame) {
+                Ok(()) => {
+                    link.unsent.borrow_mut().push(waiting);
+                    return;
+                }
                 Err(tokio::sync::mpsc::error::TrySendError::Full(_)) => {
                     debug!(target: "link", to, "full, a frame is dropped");
                     return;
@@ -92,15 +126,88 @@
             }
         }
         let (sender, receiver) = channel(LINK_FRAMES);
+        let unsent: UnsentFrames = Rc::new(RefCell::new(vec![frame.clone()]));
         // The channel was just made, so it has room.
         let _ = sender.try_send(frame);
-        links.insert(to, sender);
+        links.insert(to, PeerLink { frames: sender, unsent: unsent.clone() });
         let address = SocketAddr::from((vm_address(to), self.port));
-        spawn_local(run_link(address, receiver));
+        spawn_local(run_link(address, receiver, unsent));
+    }
+
+    /// Takes links of other VMs and hands their messages to `take`.
+    pub async fn accept(self, listener: TcpListener, take: Rc<dyn Fn(VmId, VmMessage)>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    set_stream(&stream);
+                    spawn_local(self.clone().read_link(stream, take.clone()));
+                }
+                Err(error) => {
+                    debug!(target: "link", "cannot accept: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn read_link(self, mut stream: TcpStream, take: Rc<dyn Fn(VmId, VmMessage)>) {
+        loop {
+            let mut head = [0; FRAME_HEAD];
+            if stream.read_exact(&mut head).await.is_err() {
+                return;
+            }
+            let head = match decode_frame_head(head) {
+                Ok(told) => told,
+                Err(error) => {
+                    debug!(target: "link", "closes: {error}");
+                    return;
+                }
+            };
+            let mut body = vec![0; head.length];
+            let incoming = LargeIncoming::new(&self.large_incoming, head.length);
+            if stream.read_exact(&mut body).await.is_err() {
+                return;
+            }
+            drop(incoming);
+            match decode_frame_body(head, body) {
+                Ok(message) => {
+                    self.wire.received(message.kind(), (FRAME_HEAD + head.length) as u64);
+                    take(head.from, message);
+                }
+                Err(error) => {
+                    let from = vm_address(head.from);
+                    debug!(target: "link", %from, "closes: {error}");
+                    return;
+                }
+            }
+        }
     }
 }
 
-async fn run_link(address: SocketAddr, mut frames: Receiver<Bytes>) {
+/// Counts a large frame for as long as it is being received, whether or not it comes to its end.
+struct LargeIncoming {
+    count: Option<Rc<Cell<u32>>>,
+}
+
+impl LargeIncoming {
+    fn new(count: &Rc<Cell<u32>>, length: usize) -> LargeIncoming {
+        let count = (length >= LARGE_FRAME_BYTES).then(|| count.clone());
+        if let Some(count) = &count {
+            count.set(count.get() + 1);
+        }
+        LargeIncoming { count }
+    }
+}
+
+impl Drop for LargeIncoming {
+    fn drop(&mut self) {
+        if let Some(count) = &self.count {
+            count.set(count.get() - 1);
+        }
+    }
+}
+
+async fn run_link(address: SocketAddr, mut frames: Receiver<Bytes>, unsent: UnsentFrames) {
     let mut stream: Option<TcpStream> = None;
     loop {
         let frame = match timeout(REST_TIME, frames.recv()).await {
@@ -116,6 +223,7 @@
                 _ => {
                     debug!(target: "link", %address, "cannot connect, frames are dropped");
                     while frames.try_recv().is_ok() {}
+                    unsent.borrow_mut().clear();
                     continue;
                 }
             };
@@ -126,55 +234,7 @@
                 stream = None;
             }
         }
-    }
-}
-
-/// Takes links of other VMs and hands their messages to `take`.
-pub async fn accept_links(
-    listener: TcpListener,
-    wire: Rc<WireCount>,
-    take: Rc<dyn Fn(VmId, VmMessage)>,
-) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                set_stream(&stream);
-                spawn_local(read_link(stream, wire.clone(), take.clone()));
-            }
-            Err(error) => {
-                debug!(target: "link", "cannot accept: {error}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
-async fn read_link(mut stream: TcpStream, wire: Rc<WireCount>, take: Rc<dyn Fn(VmId, VmMessage)>) {
-    loop {
-        let mut head = [0; FRAME_HEAD];
-        if stream.read_exact(&mut head).await.is_err() {
-            return;
-        }
-        let head = match decode_frame_head(head) {
-            Ok(told) => told,
-            Err(error) => {
-                debug!(target: "link", "closes: {error}");
-                return;
-            }
-        };
-        let mut body = vec![0; head.length];
-        if stream.read_exact(&mut body).await.is_err() {
-            return;
-        }
-        match decode_frame_body(head, body) {
-            Ok(message) => {
-                wire.received(message.kind(), (FRAME_HEAD + head.length) as u64);
-                take(head.from, message);
-            }
-            Err(error) => {
-                debug!(target: "link", from = %vm_address(head.from), "closes: {error}");
-                return;
-            }
-        }
+        // Frames are written in the order in which they were taken.
+        unsent.borrow_mut().remove(0);
     }
 }
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -20,6 +20,8 @@
 const WANT_AGAIN_MS: u64 = 600;
 /// The same while none is held, which is when nothing can be served.
 const WANT_FIRST_MS: u64 = 300;
+/// The same while a large frame is being received, which may be the list.
+const WANT_LARGE_MS: u64 = 2000;
 /// Questions are remembered this long for a later answer, in milliseconds; who asked asks again.
 const ASK_KEEP_MS: u64 = 2000;
 /// What is younger by less than this is no news, in milliseconds: two that wait for the same
@@ -148,21 +150,28 @@
         }
     }
 
-    /// Asks for a newer state of the list, unless that was done a moment ago. A VM that holds none
-    /// takes the whole from any keeper, since after a common restart all do; `holder` has it surely.
+    /// Asks for a newer state of the list, unless that was done a moment ago or a large answer is on
+    /// its way. A VM that holds none takes the whole from a keeper, since after a common restart all
+    /// do; `holder` has it surely.
     pub(super) fn want_list(&self, holder: VmId, now_ms: u64) {
         let have = self.upstreams.borrow().mark;
         let held = self.upstreams.borrow().is_held();
-        let mut view = self.view.borrow_mut();
-        let again_ms = if held { WANT_AGAIN_MS } else { WANT_FIRST_MS };
-        if view.wanted_ms + again_ms > now_ms {
-            return;
-        }
-        view.wanted_ms = now_ms;
-        let keepers: Vec<VmId> =
-            view.keepers.iter().copied().filter(|id| *id != self.id && !held).collect();
-        let any = keepers.get(self.draw() as usize % keepers.len().max(1)).copied();
-        self.links.send(any.unwrap_or(holder), &VmMessage::WantList { have });
+        let again_ms = match (self.links.is_receiving_large(), held) {
+            (true, _) => WANT_LARGE_MS,
+            (false, true) => WANT_AGAIN_MS,
+            (false, false) => WANT_FIRST_MS,
+        };
+        let attempt = {
+            let mut view = self.view.borrow_mut();
+            if view.wanted_ms + again_ms > now_ms {
+                return;
+            }
+            view.wanted_ms = now_ms;
+            view.list_attempts = view.list_attempts.saturating_add(1);
+            view.list_attempts - 1
+        };
+        let source = self.news_source(attempt).filter(|_| !held);
+        self.links.send(source.unwrap_or(holder), &VmMessage::WantList { have });
     }
 
     /// Answers a VM that wants a newer state than it holds, now or once there is one.
@@ -198,19 +207,22 @@
         self.list_desk.borrow_mut().asking.extend(unanswered);
     }
 
-    /// Tells the others of a list that changed, or of a new leader's first.
+    /// Tells the others of a list that changed, or of a new leader's first. A list that starts from
+    /// nothing is sent whole to the keepers; the others hear of its mark and ask those.
     pub(super) fn tell_list(&self, step: ListStep) {
         let upstreams = self.upstreams.borrow().entries.len();
         let changed = step.change.rows.len() + step.change.gone.len();
         info!(target: "list", upstreams, changed, change = step.to.change, "changed");
         let view = self.view.borrow();
-        let others = view.roster.rows.iter().map(|row| row.id).filter(|id| *id != self.id);
-        let message = match step.from.change {
-            // Nobody holds what this starts from.
-            0 => VmMessage::List { mark: step.to, rows: self.upstreams.borrow().rows() },
-            _ => VmMessage::ListStep(step),
-        };
-        self.links.send_all(others, &message);
+        let not_own = |id: &VmId| *id != self.id;
+        if step.from.change == 0 {
+            let keepers = view.keepers.iter().copied().filter(not_own);
+            let whole = VmMessage::List { mark: step.to, rows: self.upstreams.borrow().rows() };
+            self.links.send_all(keepers, &whole);
+            return;
+        }
+        let others = view.roster.rows.iter().map(|row| row.id).filter(not_own);
+        self.links.send_all(others, &VmMessage::ListStep(step));
     }
 
     /// Takes a step that another VM told; asks that VM if it doesn't fit what is here.
@@ -240,6 +252,7 @@
             desk.unread = 0;
             desk.found.clear();
         }
+        self.view.borrow_mut().list_attempts = 0;
         self.upstreams.borrow_mut().replaced_last.clear();
         self.contact_changed.notify_waiters();
         self.tell_askers();
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -20,7 +20,7 @@
 use super::clock::NodeClock;
 use super::vm_disk::{start_disk, DiskReport};
 use super::vm_keeper::{KeeperDriver, KeeperIdentity, KeeperOutcome};
-use super::vm_links::{accept_links, LinkTable};
+use super::vm_links::LinkTable;
 use super::vm_list_desk::ListDesk;
 use super::vm_order_desk::OrderDesk;
 use super::vm_pool::ConnectionPool;
@@ -114,6 +114,9 @@
     pub list_due_ms: u64,
     /// When the list was last asked for, so that it isn't asked for with each grant.
     pub wanted_ms: u64,
+    /// How often the list, and the configuration, were asked for in vain.
+    pub list_attempts: u32,
+    pub document_attempts: u32,
 }
 
 /// One VM.
@@ -342,6 +345,7 @@
                 let in_force = BookInForce { book, document: document.to_vec() };
                 *self.book.borrow_mut() = Some(Rc::new(in_force));
                 self.contact.borrow_mut().note_applied(version);
+                self.view.borrow_mut().document_attempts = 0;
                 self.contact_changed.notify_waiters();
                 self.tell_if_changed();
             }
@@ -545,7 +549,7 @@
         let listener = listen(peer)?;
         let node = self.clone();
         let take = Rc::new(move |from, message| node.take_message(from, message));
-        spawn_local(accept_links(listener, self.wire.clone(), take));
+        spawn_local(self.links.clone().accept(listener, take));
         spawn_local(self.clone().take_datagrams());
         self.start_keeper()?;
         spawn_local(self.clone().tick_keeper());
--- /dev/null
+++ b/lib/tests/test_vm_links.rs
@@ -0,0 +1,131 @@
+//! Large answers over links between VMs: each is sent once, however often it is asked for meanwhile.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Builder;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, LocalSet};
+use wingshed_lib::protocol::vm_wire::{encode_frame, VmId, VmMessage};
+use wingshed_lib::state::upstream_list::{EntryDoubt, ListMark, UpstreamEntry};
+use wingshed_lib::transport::vm_links::LinkTable;
+use wingshed_lib::transport::wire_count::WireCount;
+
+const LOOPBACK: VmId = 0x7f00_0001;
+/// Longer than what sockets of the loopback buffer, so that a reader that waits holds the writer up.
+const UPSTREAMS: u64 = 400_000;
+/// How long a test waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn play(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn whole_list(upstreams: u64) -> VmMessage {
+    let row = |number: u64| UpstreamEntry {
+        life: format!("{:x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        service: "engines".to_string(),
+        address: ([10, 0, 0, 1], 8000).into(),
+        zone: "a".to_string(),
+        leaving: false,
+        seat: Some(number.wrapping_mul(0xd134_2543_de82_ef95)),
+        cold: false,
+        version: Default::default(),
+        born: None,
+        doubt: EntryDoubt::None,
+    };
+    VmMessage::List { mark: ListMark::default(), rows: (0..upstreams).map(row).collect() }
+}
+
+fn sent_lists(wire: &WireCount) -> u64 {
+    wire.rows().iter().filter(|row| row.kind == "list").map(|row| row.sent).sum()
+}
+
+#[test]
+fn a_shared_answer_that_is_still_being_sent_is_not_sent_again() {
+    play(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let wire = Rc::new(WireCount::default());
+        let links = LinkTable::new(1, listener.local_addr().unwrap().port(), wire.clone());
+        let shared = RefCell::default();
+        let give = || links.send_shared(LOOPBACK, "list", 7, &shared, || whole_list(UPSTREAMS));
+
+        give();
+        let (mut slow, _) = listener.accept().await.unwrap();
+        for _ in 0..5 {
+            give();
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(sent_lists(&wire), 1);
+
+        let length = shared.borrow().as_ref().map(|(_, frame)| frame.len()).unwrap();
+        let mut body = vec![0; length];
+        tokio::time::timeout(PATIENCE, slow.read_exact(&mut body)).await.unwrap().unwrap();
+        while sent_lists(&wire) < 2 {
+            give();
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
+#[test]
+fn an_answer_over_a_broken_link_is_sent_again() {
+    play(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let wire = Rc::new(WireCount::default());
+        let links = LinkTable::new(1, listener.local_addr().unwrap().port(), wire.clone());
+        let shared = RefCell::default();
+        let give = || links.send_shared(LOOPBACK, "list", 7, &shared, || whole_list(UPSTREAMS));
+
+        give();
+        drop(listener.accept().await.unwrap());
+        let again = async {
+            while sent_lists(&wire) < 2 {
+                give();
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+
+        tokio::time::timeout(PATIENCE, again).await.unwrap();
+    });
+}
+
+#[test]
+fn a_vm_knows_that_a_large_answer_is_on_its_way() {
+    play(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let links = LinkTable::new(1, address.port(), Rc::default());
+        let came = Rc::new(Notify::new());
+        let told = came.clone();
+        let take = Rc::new(move |_, _| told.notify_one());
+        spawn_local(links.clone().accept(listener, take));
+        let frame = encode_frame(2, &whole_list(5000));
+        let receiving = |expected: bool| {
+            let links = links.clone();
+            let wait = async move {
+                while links.is_receiving_large() != expected {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            };
+            async move { tokio::time::timeout(PATIENCE, wait).await.unwrap() }
+        };
+
+        let mut sender = TcpStream::connect(address).await.unwrap();
+        sender.write_all(&frame[..100]).await.unwrap();
+        receiving(true).await;
+        sender.write_all(&frame[100..]).await.unwrap();
+        tokio::time::timeout(PATIENCE, came.notified()).await.unwrap();
+        assert!(!links.is_receiving_large());
+
+        sender.write_all(&frame[..100]).await.unwrap();
+        receiving(true).await;
+        drop(sender);
+        receiving(false).await;
+    });
+}
