--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_turn.rs
@@ -126,7 +126,7 @@
 
 /// What a VM that doesn't lead does about its list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListDeed {
+pub enum ListAction {
     /// Nothing: it is told.
     Rest,
     /// It asks others, since it was told nothing for too long.
@@ -143,9 +143,13 @@
 /// given to another upstream meanwhile refuses what was meant for the earlier one.
 ///
 /// `rank` tells its place in [`reader_order`], which is worked out only when it matters.
-pub fn list_deed(standing: &ListStanding, now_ms: u64, rank: impl FnOnce() -> usize) -> ListDeed {
+pub fn list_action(
+    standing: &ListStanding,
+    now_ms: u64,
+    rank: impl FnOnce() -> usize,
+) -> ListAction {
     let Some(first_heard_ms) = standing.first_heard_ms else {
-        return if standing.has_list { ListDeed::Rest } else { ListDeed::Ask };
+        return if standing.has_list { ListAction::Rest } else { ListAction::Ask };
     };
     let (since_ms, stale_ms) = match standing.has_list {
         // A list that came just now is confirmed with the next answer of the leader.
@@ -153,11 +157,11 @@
         false => (first_heard_ms, UNTOLD_MS),
     };
     if since_ms + stale_ms >= now_ms {
-        return if standing.has_list { ListDeed::Rest } else { ListDeed::Ask };
+        return if standing.has_list { ListAction::Rest } else { ListAction::Ask };
     }
     match since_ms + stale_ms + reader_delay_ms(rank()) < now_ms {
-        true => ListDeed::Read,
-        false => ListDeed::Ask,
+        true => ListAction::Read,
+        false => ListAction::Ask,
     }
 }
 
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -17,7 +17,7 @@
 use super::vm_node::VmNode;
 use super::vm_pool::UpstreamApproach;
 use crate::coordination::line_budget::LINES_A_PLACE;
-use crate::coordination::list_turn::{list_deed, ListCost, ListDeed, ListStanding};
+use crate::coordination::list_turn::{list_action, ListAction, ListCost, ListStanding};
 use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::coordination::upstream_seats::{patient_services, SeatTable};
 use crate::protocol::wire_adapter::UpstreamPage;
@@ -94,11 +94,11 @@
             }
             let vouches = |keeper: &KeeperDriver| keeper.may_vouch(now_ms);
             let term = self.keeper.borrow().as_ref().filter(|k| vouches(k)).map(|k| k.term());
-            let deed = self.deed(term.is_some(), now_ms);
-            if deed != ListDeed::Rest || self.is_unconfirmed(now_ms) {
+            let action = self.action(term.is_some(), now_ms);
+            if action != ListAction::Rest || self.is_unconfirmed(now_ms) {
                 self.ask_news(now_ms);
             }
-            let alone = term.is_none() && deed == ListDeed::Read;
+            let alone = term.is_none() && action == ListAction::Read;
             if alone && !turn.alone {
                 self.note_stale(now_ms);
                 turn.refusals = 0;
@@ -158,7 +158,7 @@
 
     /// What to do about the list. A leader reads by its own pace; it asks too when its list is old,
     /// since others may come through where it doesn't.
-    fn deed(&self, leads: bool, now_ms: u64) -> ListDeed {
+    fn action(&self, leads: bool, now_ms: u64) -> ListAction {
         let first_heard_ms = self.view.borrow().first_heard_ms;
         let standing = {
             let upstreams = self.upstreams.borrow();
@@ -169,9 +169,9 @@
                 has_list: upstreams.is_held(),
             }
         };
-        match list_deed(&standing, now_ms, || self.reader_rank()) {
-            ListDeed::Read if leads => ListDeed::Ask,
-            deed => deed,
+        match list_action(&standing, now_ms, || self.reader_rank()) {
+            ListAction::Read if leads => ListAction::Ask,
+            action => action,
         }
     }
 
@@ -331,7 +331,7 @@
             if pause_ms > 0 {
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
-            if alone && self.deed(false, self.now_ms()) == ListDeed::Rest {
+            if alone && self.action(false, self.now_ms()) == ListAction::Rest {
                 return Err(ListFault::Told);
             }
             let tries = if alone { 0 } else { PAGE_TRIES };
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use wingshed_lib::coordination::list_turn::{
-    list_deed, reader_delay_ms, reader_order, whom_to_ask, ListCost, ListDeed, ListStanding,
+    list_action, reader_delay_ms, reader_order, whom_to_ask, ListAction, ListCost, ListStanding,
     PAGES_AT_ONCE, UNTOLD_MS,
 };
 use wingshed_lib::coordination::upstream_load::{place_loads, LoadNews, ToldLoad, UpstreamLoad};
@@ -234,7 +234,7 @@
         stale_ms: STALE_MS,
         has_list,
     };
-    let (rest, asks, reads) = (ListDeed::Rest, ListDeed::Ask, ListDeed::Read);
+    let (rest, asks, reads) = (ListAction::Rest, ListAction::Ask, ListAction::Read);
     let step_ms = reader_delay_ms(1);
     let cases = [
         ("it has just started, as all others may have", standing(None, 0, false), 0, 60_000, asks),
@@ -254,8 +254,8 @@
         ("it was told a moment ago", standing(Some(100), 0, true), 0, 100 + STALE_MS, rest),
         ("and nothing since", standing(Some(100), 0, true), 0, 101 + STALE_MS, reads),
     ];
-    for (case, standing, rank, now_ms, deed) in cases {
-        assert_eq!(list_deed(&standing, now_ms, || rank), deed, "{case}");
+    for (case, standing, rank, now_ms, action) in cases {
+        assert_eq!(list_action(&standing, now_ms, || rank), action, "{case}");
     }
 }
 
@@ -277,13 +277,13 @@
                 stale_ms: STALE_MS,
                 has_list: true,
             };
-            match list_deed(&standing, now_ms, || rank) {
-                ListDeed::Rest => {}
-                ListDeed::Read => {
+            match list_action(&standing, now_ms, || rank) {
+                ListAction::Rest => {}
+                ListAction::Read => {
                     readings += 1;
                     news_ms[at] = now_ms;
                 }
-                ListDeed::Ask => {
+                ListAction::Ask => {
                     let round = ((now_ms - 3000) / 250) as usize;
                     let asked = whom_to_ask(&order, *id, round, (now_ms / 50) as usize * 31 + at);
                     let reached = asked.iter().filter(|other| **other % sides == id % sides);
