--- a/lib/src/coordination/crash_table.rs
+++ b/lib/src/coordination/crash_table.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::crash_outbox::{CrashNote, CrashReport};
-use super::vm_roster::pressed_renew_ms;
+use super::vm_roster::overloaded_renew_ms;
 use crate::state::ids::{RequestMark, UpstreamKey};
 use crate::state::quarantine::{QuarantineCommand, QuarantineRow, QuarantineTable, MOST_ROWS};
 
@@ -71,7 +71,7 @@
 
 /// How long it is waited for what `vms` VMs saw run well, in milliseconds.
 pub fn settle_ms(vms: usize) -> u64 {
-    pressed_renew_ms(vms) + SETTLE_MORE_MS
+    overloaded_renew_ms(vms) + SETTLE_MORE_MS
 }
 
 /// How long a request is held that is held for the `times`th time, in milliseconds.
--- a/lib/src/coordination/vm_roster.rs
+++ b/lib/src/coordination/vm_roster.rs
@@ -20,12 +20,12 @@
 const SEEK_MS: u64 = 50;
 /// Renewals a second that a leader takes from VMs whose upstreams are nearly full, all together;
 /// each costs it some 40 µs.
-const PRESSED_RENEWALS_PER_S: u64 = 600;
+const OVERLOADED_RENEWALS_PER_S: u64 = 600;
 /// The shortest time between two of them, in milliseconds. With 300 throughout, engines of 48 places
 /// were sent up to 79 requests in a burst, and its day earned 0.590 in place of 0.660.
-const PRESSED_RENEW_MS: u64 = 50;
-/// Upstreams count as pressed for this long after one of them was nearly full, in milliseconds.
-pub const PRESSED_KEEP_MS: u64 = 1000;
+const OVERLOADED_RENEW_MS: u64 = 50;
+/// Upstreams count as overloaded for this long after one of them was nearly full, in milliseconds.
+pub const OVERLOADED_KEEP_MS: u64 = 1000;
 /// A VM that was not heard for this long isn't told of to callers.
 pub const ROW_KEEP_MS: u64 = 1300;
 /// A new leader knows every VM after this long.
@@ -39,8 +39,8 @@
 
 /// How often a VM renews while upstreams are nearly full, in milliseconds: loads must be fresh
 /// then, since every VM that takes a place for free fills it.
-pub fn pressed_renew_ms(vms: usize) -> u64 {
-    (vms as u64 * 1000 / PRESSED_RENEWALS_PER_S).clamp(PRESSED_RENEW_MS, RENEW_MS)
+pub fn overloaded_renew_ms(vms: usize) -> u64 {
+    (vms as u64 * 1000 / OVERLOADED_RENEWALS_PER_S).clamp(OVERLOADED_RENEW_MS, RENEW_MS)
 }
 
 /// Callers keep an answer about addresses this long, in seconds, some of them three times as long;
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -14,13 +14,13 @@
 use crate::state::upstream_list::{EntryDoubt, UpstreamEntry};
 
 /// From this part of the bound on an engine's load VMs tell each other of loads more often.
-const PRESSED_PART: f64 = 0.75;
+const OVERLOADED_PART: f64 = 0.75;
 /// While this part of a service's engines is withheld, VMs tell each other of loads as often as under
 /// pressure: the others' mean is closer to the limit, which goes by the mean of all. With news each
 /// 300 ms 3.2 to 3.6% of requests came to an engine above it while a third of 90 was emptied, 8.6 to 9.6%
 /// with 23 more that had no seat; with news each 138 ms 0.8 to 1.5% and 2.6 to 3.3% (`test_hot_part`;
 /// 3% are allowed).
-const WITHHELD_PRESSES: f64 = 0.1;
+const WITHHELD_OVERLOADS: f64 = 0.1;
 /// Upstreams that fail everybody are left alone for this long after the leader named them last, in
 /// milliseconds.
 const FAILING_KEEP_MS: u64 = 1000;
@@ -28,7 +28,7 @@
 /// reads or moves its shared parts anew, and pushes others out of its memory. In a burst of five
 /// times the usual traffic 3 gave 0.692 of worth and all engines 0.667, on engines with 12 places 0.553
 /// and 0.474.
-const PRESSED_SPREAD: usize = 3;
+const OVERLOADED_SPREAD: usize = 3;
 
 impl CallerTask {
     /// Chooses an upstream; `room` is what asks for a place, and a request without it gets one
@@ -77,14 +77,14 @@
         let Some(engine) = engine else {
             return self.choose_plain(service, &candidates).map(UpstreamPick::plain);
         };
-        let pressed = room.is_some_and(|room| {
+        let overloaded = room.is_some_and(|room| {
             engine.slots > 0 && self.mark_full(&service.name, engine.slots, room, &mut candidates)
         });
         let held_back = candidates.iter().filter(|candidate| candidate.is_held_back()).count();
-        if held_back as f64 >= WITHHELD_PRESSES * candidates.len() as f64 {
-            self.node.pressed_ms.set(now_ms);
+        if held_back as f64 >= WITHHELD_OVERLOADS * candidates.len() as f64 {
+            self.node.overloaded_ms.set(now_ms);
         }
-        let spread = if pressed { PRESSED_SPREAD } else { usize::MAX };
+        let spread = if overloaded { OVERLOADED_SPREAD } else { usize::MAX };
         let memory = self.node.prefixes.borrow();
         let vms = self.node.view.borrow().roster.rows.len().max(1);
         let rate = memory.fleet_rate(&self.caller.prompt, vms, now_ms);
@@ -134,11 +134,11 @@
         for candidate in candidates {
             candidate.full = f64::from(candidate.load) + growth >= bound;
         }
-        let pressed = news.mean() >= PRESSED_PART * bound;
-        if pressed {
-            self.node.pressed_ms.set(self.node.now_ms());
+        let overloaded = news.mean() >= OVERLOADED_PART * bound;
+        if overloaded {
+            self.node.overloaded_ms.set(self.node.now_ms());
         }
-        pressed
+        overloaded
     }
 
     fn room_news(&self, candidates: &[UpstreamCandidate]) -> RoomNews {
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -11,7 +11,7 @@
 use super::wire_count::DATAGRAM_HEAD_BYTES;
 use crate::coordination::list_turn::UNTOLD_MS;
 use crate::coordination::vm_roster::{
-    pressed_renew_ms, seek_pause_ms, MANY_VMS, PRESSED_KEEP_MS, RENEW_MS,
+    overloaded_renew_ms, seek_pause_ms, MANY_VMS, OVERLOADED_KEEP_MS, RENEW_MS,
 };
 use crate::protocol::vm_wire::{decode, encode, vm_address, RenewalNote, VmDatagram, VmId};
 
@@ -82,8 +82,8 @@
     }
 
     fn renew_pause_ms(&self) -> u64 {
-        match self.pressed_ms.get() + PRESSED_KEEP_MS > self.now_ms() {
-            true => pressed_renew_ms(self.view.borrow().roster.rows.len()),
+        match self.overloaded_ms.get() + OVERLOADED_KEEP_MS > self.now_ms() {
+            true => overloaded_renew_ms(self.view.borrow().roster.rows.len()),
             false => RENEW_MS,
         }
     }
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -152,7 +152,7 @@
     /// How long requests are at upstreams of each plain service.
     pub plain_holds: RefCell<HashMap<String, PlainHold>>,
     /// When an engine was last nearly full.
-    pub pressed_ms: Cell<u64>,
+    pub overloaded_ms: Cell<u64>,
     /// Passive health checks.
     pub outliers: RefCell<OutlierTable>,
     /// What it has counted.
@@ -242,7 +242,7 @@
             in_flight: RefCell::default(),
             rooms: RefCell::default(),
             plain_holds: RefCell::default(),
-            pressed_ms: Cell::new(0),
+            overloaded_ms: Cell::new(0),
             outliers: RefCell::default(),
             figures: RefCell::default(),
             figures_path: RefCell::default(),
--- a/lib/src/transport/vm_quarantine.rs
+++ b/lib/src/transport/vm_quarantine.rs
@@ -9,7 +9,7 @@
 
 use super::vm_node::VmNode;
 use crate::coordination::crash_outbox::{CrashReport, SeenCrash};
-use crate::coordination::vm_roster::pressed_renew_ms;
+use crate::coordination::vm_roster::overloaded_renew_ms;
 use crate::protocol::vm_wire::VmDatagram;
 use crate::state::fleet_record::FleetCommand;
 use crate::state::ids::RequestMark;
@@ -31,7 +31,7 @@
     }
 
     fn renewal_pause_ms(&self) -> u64 {
-        pressed_renew_ms(self.view.borrow().roster.rows.len())
+        overloaded_renew_ms(self.view.borrow().roster.rows.len())
     }
 
     /// Renews after so many milliseconds, if that is due.
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -19,7 +19,7 @@
 use crate::coordination::rollout_lead::{ProposedStep, TargetStanding};
 use crate::coordination::rollout_share::{sharing_vms, ExposureBound};
 use crate::coordination::rollout_watch::{RolloutLane, RolloutNote, TrialTag, VersionRule};
-use crate::coordination::vm_roster::pressed_renew_ms;
+use crate::coordination::vm_roster::overloaded_renew_ms;
 use crate::protocol::vm_wire::{FleetOrder, OrderEnd, RolloutWish, VmDatagram, VmId};
 use crate::protocol::wire_adapter::RolloutCall;
 use crate::state::finding::Finding;
@@ -277,7 +277,7 @@
     /// A send has ended, as far as it tells of its version.
     pub(super) fn note_trial(&self, tag: &TrialTag, outcome: &TrialOutcome) {
         let now_ms = self.now_ms();
-        let pause_ms = pressed_renew_ms(self.view.borrow().roster.rows.len());
+        let pause_ms = overloaded_renew_ms(self.view.borrow().roster.rows.len());
         let soon = self.rollouts.borrow_mut().note_end(tag, outcome, pause_ms, now_ms);
         if soon {
             self.renew();
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -16,7 +16,7 @@
 use super::vm_pool::{ConnectFault, UpstreamApproach};
 use crate::coordination::silence::DarkMark;
 use crate::coordination::upstream_notice::ApproachPurpose;
-use crate::coordination::vm_roster::pressed_renew_ms;
+use crate::coordination::vm_roster::overloaded_renew_ms;
 use crate::protocol::vm_wire::{VmDatagram, VmId};
 use crate::state::ids::UpstreamKey;
 
@@ -89,7 +89,7 @@
                     // No more renewals than a leader takes; worked out, not shown: a day of 300 VMs with a
                     // zone lost gave 2.6 MB a second at the leader with 60 ms between them and 2.5 with this.
                     let vms = self.view.borrow().roster.rows.len();
-                    if desk.renewed_ms + pressed_renew_ms(vms) > now_ms {
+                    if desk.renewed_ms + overloaded_renew_ms(vms) > now_ms {
                         return;
                     }
                     desk.renewed_ms = now_ms;
