list_turn: only a long list is read less often

Cause: where 4 s are allowed a list of nine pages was read each second in place of 0.6 s. Change: the pause grows by 75 ms a page, 600 ms for eight of them, within the bound. Result: nine pages 675 ms, fifty 1.3 s where 5 s are allowed.

--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_turn.rs
@@ -14,6 +14,9 @@
 pub const READ_MS: u64 = 600;
 /// The longest, in milliseconds: new upstreams get no work before they are read.
 const MOST_READ_MS: u64 = 2000;
+/// What each page of a list adds to the pause, in milliseconds, so that calls don't grow with the pages
+/// where the bound on leaving upstreams allows it.
+const PAGE_PAUSE_MS: u64 = READ_MS / PAGES_AT_ONCE as u64;
 /// A VM whose list is older than this part of the time after which an upstream that leaves must get
 /// nothing looks for a newer one: the rest is for asking and reading. A leader that leads well keeps
 /// the list younger than 1.3 s.
@@ -53,11 +56,12 @@
 
 impl ListCost {
     /// How long the leader waits after a reading that took `reading_ms` until the next, in milliseconds,
-    /// where an upstream that leaves must get nothing after `drain_ms`. Calls are limited and cost, so
-    /// it waits as long as the list at every VM stays younger than [`ListCost::stale_ms`].
+    /// where an upstream that leaves must get nothing after `drain_ms`. It reads a long list less often,
+    /// while the list at every VM stays younger than [`ListCost::stale_ms`].
     pub fn leader_pause_ms(&self, drain_ms: u64, reading_ms: u64) -> u64 {
         let fresh_ms = stale_bound_ms(drain_ms).saturating_sub(EXCHANGE_MS + reading_ms);
-        self.least_pause_ms().max(fresh_ms.min(MOST_READ_MS))
+        let wanted_ms = (self.pages as u64 * PAGE_PAUSE_MS).min(MOST_READ_MS);
+        self.least_pause_ms().max(wanted_ms.min(fresh_ms))
     }
 
     fn least_pause_ms(&self) -> u64 {
