vm_list_news: large steps of the list go to the keepers, the others ask those of their zones

Cause: the leader sent every step to every VM. Change: a step of more than 100 rows goes to the keepers. The others hear of its mark with their next grant and ask a keeper of their zone, at each second attempt the leader. One frame is made of a step for all who ask.

--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -22,6 +22,9 @@
 const WANT_FIRST_MS: u64 = 300;
 /// The same while a large frame is being received, which may be the list.
 const WANT_LARGE_MS: u64 = 2000;
+/// A step of more rows isn't sent to every VM by the leader: its link and its processor carry copies to a
+/// few keepers, not to a thousand VMs.
+const MOST_PUSHED_ROWS: usize = 100;
 /// Questions are remembered this long for a later answer, in milliseconds; who asked asks again.
 const ASK_KEEP_MS: u64 = 2000;
 /// What is younger by less than this is no news, in milliseconds: two that wait for the same
@@ -151,8 +154,7 @@
     }
 
     /// Asks for a newer state of the list, unless that was done a moment ago or a large answer is on
-    /// its way. A VM that holds none takes the whole from a keeper, since after a common restart all
-    /// do; `holder` has it surely.
+    /// its way. A keeper of the own zone is asked first, since many ask at once; `holder` has it surely.
     pub(super) fn want_list(&self, holder: VmId, now_ms: u64) {
         let have = self.upstreams.borrow().mark;
         let held = self.upstreams.borrow().is_held();
@@ -170,8 +172,11 @@
             view.list_attempts = view.list_attempts.saturating_add(1);
             view.list_attempts - 1
         };
-        let source = self.news_source(attempt).filter(|_| !held);
-        self.links.send(source.unwrap_or(holder), &VmMessage::WantList { have });
+        let source = match held && attempt % 2 == 1 {
+            true => holder,
+            false => self.news_source(attempt).unwrap_or(holder),
+        };
+        self.links.send(source, &VmMessage::WantList { have });
     }
 
     /// Answers a VM that wants a newer state than it holds, now or once there is one.
@@ -182,7 +187,11 @@
             return;
         }
         match upstreams.step_since(have) {
-            Some(step) => self.links.send(to, &VmMessage::ListStep(step)),
+            Some(step) => {
+                let marks = (step.from, step.to);
+                let make = || VmMessage::ListStep(step);
+                self.links.send_shared(to, "list_step", marks, &self.step_frame, make);
+            }
             None => self.links.send_shared(to, "list", upstreams.mark, &self.list_frame, || {
                 VmMessage::List { mark: upstreams.mark, rows: upstreams.rows() }
             }),
@@ -207,22 +216,24 @@
         self.list_desk.borrow_mut().asking.extend(unanswered);
     }
 
-    /// Tells the others of a list that changed, or of a new leader's first. A list that starts from
-    /// nothing is sent whole to the keepers; the others hear of its mark and ask those.
+    /// Tells the others of a list that changed, or of a new leader's first. What is large goes to the
+    /// keepers alone: the others hear of its mark with their next grant and ask those of their zones.
     pub(super) fn tell_list(&self, step: ListStep) {
         let upstreams = self.upstreams.borrow().entries.len();
         let changed = step.change.rows.len() + step.change.gone.len();
         info!(target: "list", upstreams, changed, change = step.to.change, "changed");
         let view = self.view.borrow();
         let not_own = |id: &VmId| *id != self.id;
+        let keepers = view.keepers.iter().copied().filter(not_own);
         if step.from.change == 0 {
-            let keepers = view.keepers.iter().copied().filter(not_own);
             let whole = VmMessage::List { mark: step.to, rows: self.upstreams.borrow().rows() };
             self.links.send_all(keepers, &whole);
-            return;
+        } else if changed > MOST_PUSHED_ROWS {
+            self.links.send_all(keepers, &VmMessage::ListStep(step));
+        } else {
+            let others = view.roster.rows.iter().map(|row| row.id).filter(not_own);
+            self.links.send_all(others, &VmMessage::ListStep(step));
         }
-        let others = view.roster.rows.iter().map(|row| row.id).filter(not_own);
-        self.links.send_all(others, &VmMessage::ListStep(step));
     }
 
     /// Takes a step that another VM told; asks that VM if it doesn't fit what is here.
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -187,6 +187,8 @@
     pub wire: Rc<WireCount>,
     /// The list of upstreams as a frame, when VMs have asked for the whole.
     pub list_frame: RefCell<Option<(ListMark, Bytes)>>,
+    /// The last step that VMs have asked for as a frame, and from which state to which it leads.
+    pub step_frame: RefCell<Option<((ListMark, ListMark), Bytes)>>,
     /// Who asked for the list, or for news of it, in vain.
     pub list_desk: RefCell<ListDesk>,
     /// VMs that looked for a leader here while this VM was none, at a keeper.
@@ -260,6 +262,7 @@
             links,
             wire,
             list_frame: RefCell::default(),
+            step_frame: RefCell::default(),
             list_desk: RefCell::default(),
             seekers: RefCell::default(),
             document_askers: RefCell::default(),
