--- a/lib/src/coordination/holder_news.rs
+++ b/lib/src/coordination/holder_news.rs
@@ -1,11 +1,10 @@
 //! Which engine keeps a prompt's shared part where nobody would guess it.
 //!
 //! Every VM guesses the holder of a part by the order of engines. When engines die or are full, a
-//! part is read by another, and a VM that sees a 92nd of the traffic rarely knows by which: it then
+//! part is read by another, and a VM that sees a small part of the traffic rarely knows by which: it then
 //! names a wrong source, and the part is read again. So a VM tells the leader where it sent a part
-//! against the order, and the leader tells the others with its next answers. It brought 0.006 of
-//! worth on days with faults at 92 VMs, 0.004 at 10. What is lost on the way costs a reading, no
-//! more. See `docs/design/fleet-news.md`.
+//! against the order, and the leader tells the others with its next answers. What is lost on the
+//! way costs a reading, no more. See `docs/design/fleet-news.md`.
 
 use std::collections::{HashMap, VecDeque};
 
--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_turn.rs
@@ -2,10 +2,9 @@
 //!
 //! The platform takes so many calls a second from all VMs together, and a list comes in pages. The
 //! leader reads for all. While it tells nothing, few others read, in an order that all of them work
-//! out alike, and the rest ask those: had every VM read for itself, 300 of them would leave the
-//! leader no call, so that it could not tell a list, and all would go on reading. Measured at 300
-//! VMs on a day on which 113 restart at once: 11,000 to 12,100 calls and 9 s without a list of the
-//! leader. See `docs/design/fleet-news.md`.
+//! out alike, and the rest ask those: if every VM read for itself, a large fleet would leave the
+//! leader no call, so that it could not send a list, and all would go on reading. See
+//! `docs/design/fleet-news.md`.
 
 use super::vm_roster::RENEW_MS;
 use crate::state::rendezvous::rendezvous_score;
@@ -18,14 +17,13 @@
 /// where the bound on leaving upstreams allows it.
 const PAGE_PAUSE_MS: u64 = READ_MS / PAGES_AT_ONCE as u64;
 /// A VM whose list is older than this part of the time after which an upstream that leaves must get
-/// nothing looks for a newer one: the rest is for asking and reading. A leader that leads well keeps
-/// the list younger than 1.3 s.
+/// nothing looks for a newer one: the rest is for asking and reading.
 const STALE_PART: f64 = 0.5;
 /// The time from the end of a reading until every VM has confirmed it, in milliseconds: three renewals,
 /// so that two datagrams in a row may be lost.
 const EXCHANGE_MS: u64 = 3 * RENEW_MS;
 /// A VM that is in contact and holds no list reads one after this long, in milliseconds: its
-/// leader can't. A leader reads 60 pages in 2 s where 47 calls a second are taken.
+/// leader can't.
 pub const UNTOLD_MS: u64 = 6000;
 /// The part of the calls that the leader uses at most.
 const LEADER_PART: f64 = 0.7;
@@ -34,8 +32,8 @@
 /// Pages that are read without a pause between them.
 pub const PAGES_AT_ONCE: usize = 8;
 /// By how much later each next group of readers begins, in milliseconds: a reading of a few pages
-/// and its telling. Groups double, so that also where nobody reaches anybody all of 300 VMs have
-/// read within nine of these spans.
+/// and its distribution. Groups double, so that a large fleet in which nobody reaches anybody has
+/// read within a few of these spans.
 pub const READER_STEP_MS: u64 = 400;
 /// How often a VM without a fresh list asks, in milliseconds; those it asks answer again once they
 /// hold something newer.
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -14,10 +14,8 @@
 use crate::state::prompt_part::{shared_parts, PromptPart};
 use crate::state::rendezvous::rendezvous_score;
 
-/// The part of what a deployment allows an engine above the mean that is used: loads told are some
-/// 300 ms old. A prompt that leaves its engine for the bound alone is moved or read anew, so the
-/// rest counts: with 1.7 times the mean and 2.5 in place of 1.5 and 2, reading and moving cost 0.030
-/// of worth in place of 0.034 on days with faults, and 0.031 in place of 0.038 on a calm one.
+/// The part of what a deployment allows an engine above the mean that is used, since loads of other
+/// VMs are as old as a renewal.
 pub const USED_OF_LIMIT: f64 = 0.85;
 /// Requests above the multiple of the mean that a deployment allows an engine.
 const LIMIT_ABOVE: f64 = 3.0;
@@ -57,13 +55,10 @@
 }
 
 /// A part that many ask for at once fills so much of what the mean leaves below an engine's bound.
-/// Loads are told every 300 ms, so all VMs send such a part to one engine until they hear that it is
-/// over its bound, and then to the next: of 300 VMs' requests, a seventh of them for one part, 10.3 to
-/// 10.9% came to an engine over its limit, and 4.7 to 6.2% with this; of 10 VMs', a quarter of them
-/// for one part, 8.0 to 9.9% and 3.1 to 4.0%.
+/// All VMs would send such a part to one engine until they hear that it is over its bound, and then
+/// to the next.
 const HOT_FILL: f64 = 0.35;
-/// A part is hot from so many times that on. Below, loads that are told suffice: with 1 a site of 10
-/// VMs moved memory for 0.0148 of worth in place of 0.0119, and lost 0.006 on a day with faults.
+/// A part is hot from so many times that on. Below, the loads of a grant suffice.
 const HOT_FROM: f64 = 2.0;
 /// How long a VM remembers how often a part was asked for, in milliseconds: the time in which its
 /// count falls to a third.
@@ -248,8 +243,7 @@
 
 /// The bound for engines that are a part `used` of those which count in the mean. Their own mean is
 /// higher, and so many of them stand close below the bound, where what all VMs send before they hear
-/// of each other carries them over the deployment's limit: of requests sent while a third of 90 engines
-/// was emptied 3.3 and 7.1% came to one above its limit with the whole bound, where 3% are allowed.
+/// of each other carries them over the deployment's limit.
 fn bound_beside_withheld(bound: f64, mean: f64, used: f64) -> f64 {
     if used <= 0.0 {
         return bound;
@@ -281,8 +275,7 @@
     let mut awake = order.iter().filter(|candidate| candidate.rest_ms == 0);
     let known = awake.find(|candidate| memory.holds(part, candidate.key, now_ms));
     // Engines that were there before the first prompt are not new, however lately they came: they
-    // come to the list one after the other when everything starts. Taken for new, they cost 0.011
-    // of worth on days with faults at 92 VMs, since what they kept was sought elsewhere.
+    // come to the list one after the other when everything starts.
     let oldest = order.iter().map(|candidate| candidate.first_seen_ms).min()?;
     let since_ms = memory.since_ms.unwrap_or(oldest + NEW_ENGINE_MS / 20);
     let new = |candidate: &UpstreamCandidate| {
@@ -295,8 +288,7 @@
 
 /// Where a root may be had: one of the engines that surely keep it, drawn, since each engine hands
 /// out one part after the other; without any, whoever likely keeps it. While a fleet starts, the one
-/// that the order names mostly keeps no root yet: of 600 prompts on 90 engines 164 had their root read
-/// anew, 58 with this (`test_holder_news`); 0.0027 of worth in the mean of six days at 83 VMs.
+/// that the order names mostly keeps no root yet.
 fn root_source(
     usable: &[&UpstreamCandidate],
     root: u64,
--- a/lib/src/coordination/upstream_seats.rs
+++ b/lib/src/coordination/upstream_seats.rs
@@ -117,8 +117,7 @@
     }
 }
 
-/// The seats whose holders leave or are gone, found without a search: at 3,000 upstreams a search
-/// for each took a leader a second, and cost it its leadership before it had recorded any.
+/// The seats whose holders leave or are gone, found without a search for each upstream.
 struct VacantSeats {
     by_service: BTreeMap<String, BTreeSet<u64>>,
     by_place: BTreeMap<(String, SocketAddr), u64>,
--- a/lib/src/coordination/vm_roster.rs
+++ b/lib/src/coordination/vm_roster.rs
@@ -14,15 +14,13 @@
 /// How often a VM renews, in milliseconds; see `docs/design/platform.md`.
 pub const RENEW_MS: u64 = 300;
 /// Questions for a leader that keepers answer in a second, all VMs together, times the few that each
-/// VM asks at once; each answer costs some 40 µs.
+/// VM asks at once.
 const SEEKS_PER_S: u64 = 2000;
 /// The shortest time between two of one VM, in milliseconds.
 const SEEK_MS: u64 = 50;
-/// Renewals a second that a leader takes from VMs whose upstreams are nearly full, all together;
-/// each costs it some 40 µs.
+/// Renewals a second that a leader takes from VMs whose upstreams are nearly full, all together.
 const OVERLOADED_RENEWALS_PER_S: u64 = 600;
-/// The shortest time between two of them, in milliseconds. With 300 throughout, engines of 48 places
-/// were sent up to 79 requests in a burst, and its day earned 0.590 in place of 0.660.
+/// The shortest time between two of them, in milliseconds.
 const OVERLOADED_RENEW_MS: u64 = 50;
 /// Upstreams count as overloaded for this long after one of them was nearly full, in milliseconds.
 pub const OVERLOADED_KEEP_MS: u64 = 1000;
@@ -47,9 +45,7 @@
 /// short, so that a VM that stops is soon left alone.
 const FEW_TTL_S: f64 = 2.0;
 /// The same in a fleet of [`MANY_VMS`] or more. There one VM is a small part of an answer, and asking
-/// is what meets dead VMs: with a quarter of 300 VMs without power callers asked 26,521 times in 54 s, a
-/// second for each dead VM they asked first, and 15,772 times with this; the day earned 0.699 in place
-/// of 0.688.
+/// is what meets dead VMs.
 const MANY_TTL_S: f64 = 5.0;
 /// From so many VMs on a fleet is large.
 pub const MANY_VMS: usize = 30;
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -371,8 +371,7 @@
     pub from: VmId,
 }
 
-/// A frame: its length, its sender, the message. A list of 250 upstreams goes to 300 VMs
-/// when they start: 14,375 bytes each, packed 3,255.
+/// A frame: its length, its sender, the message; packed where that is shorter.
 pub fn encode_frame(from: VmId, message: &VmMessage) -> Bytes {
     let plain = encode(message);
     let packed = (plain.len() > PACKED_FROM).then(|| PackedText::pack(&plain).into_bytes());
--- a/lib/src/state/zero_runs.rs
+++ b/lib/src/state/zero_runs.rs
@@ -1,7 +1,6 @@
 //! Bytes most of which are zero, told short.
 //!
-//! A leader tells each VM one byte for each upstream three times a second. Before 3,000 upstreams that
-//! is 3 KB an answer and most of a leader's 4.4 MB a second at 300 VMs, though few of them have anything
+//! A leader tells each VM one byte for each upstream with each grant, though few of them have anything
 //! in flight. Here each byte that isn't zero comes with the number of zeros before it.
 
 /// The most zeros that one pair tells.
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -16,18 +16,13 @@
 /// From this part of the bound on an engine's load VMs tell each other of loads more often.
 const OVERLOADED_PART: f64 = 0.75;
 /// While this part of a service's engines is withheld, VMs tell each other of loads as often as under
-/// pressure: the others' mean is closer to the limit, which goes by the mean of all. With news each
-/// 300 ms 3.2 to 3.6% of requests came to an engine above it while a third of 90 was emptied, 8.6 to 9.6%
-/// with 23 more that had no seat; with news each 138 ms 0.8 to 1.5% and 2.6 to 3.3% (`test_hot_part`;
-/// 3% are allowed).
+/// overload: the others' mean is closer to the limit, which goes by the mean of all.
 const WITHHELD_OVERLOADS: f64 = 0.1;
 /// Upstreams that fail everybody are left alone for this long after the leader named them last, in
 /// milliseconds.
 const FAILING_KEEP_MS: u64 = 1000;
-/// Under pressure a prompt is sent to so many engines of its order at most: each further one
-/// reads or moves its shared parts anew, and pushes others out of its memory. In a burst of five
-/// times the usual traffic 3 gave 0.692 of worth and all engines 0.667, on engines with 12 places 0.553
-/// and 0.474.
+/// While all are overloaded a prompt is sent to so many engines of its order at most: each further one
+/// reads or moves its shared parts anew, and evicts others from its memory.
 const OVERLOADED_SPREAD: usize = 3;
 
 impl CallerTask {
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -265,8 +265,8 @@
         self.log_versions(&rows);
         let before = SeatTable::of(&seats);
         let mut seats = before.clone();
-        // While a zone is emptied the others can't wait for its seats to become vacant: 23 engines without
-        // one beside 60 that work for 113 took 0.4 to 0.5% above the limit to 2.6 to 3.3%.
+        // While a zone is emptied the others can't wait for its seats to become vacant: those without one
+        // would leave their part of the work to the rest.
         let patient = match self.zones.borrow().watch.any_emptied() {
             true => BTreeSet::new(),
             false => patient_services(&self.upstreams.borrow(), &loads, |name| self.places(name)),
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -479,8 +479,7 @@
     }
 
     /// Gives a VM the newest document. A keeper that has just started may not know yet what is
-    /// committed; it answers as soon as it does: four of ten VMs served 0.2 to 0.4 s later for want
-    /// of that after a common loss of power.
+    /// committed; it answers as soon as it does.
     fn give_document(&self, to: VmId) {
         let keeper = self.keeper.borrow();
         let Some(held) = keeper.as_ref().map(|keeper| &keeper.record.document) else { return };
