--- a/lib/tests/test_vm_links.rs
+++ b/lib/tests/test_vm_links.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
@@ -42,32 +43,54 @@
     VmMessage::List { mark: ListMark::default(), rows: (0..upstreams).map(row).collect() }
 }
 
-fn sent_lists(wire: &WireCount) -> u64 {
-    wire.rows().iter().filter(|row| row.kind == "list").map(|row| row.sent).sum()
+/// A VM that gives one whole list to another, whose end of the link a test reads by itself.
+struct GivingVm {
+    listener: TcpListener,
+    links: LinkTable,
+    wire: Rc<WireCount>,
+    shared: RefCell<Option<(u64, Bytes)>>,
 }
 
-#[test]
-fn a_shared_answer_that_is_still_being_sent_is_not_sent_again() {
-    play(async {
+impl GivingVm {
+    async fn start() -> GivingVm {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let wire = Rc::new(WireCount::default());
         let links = LinkTable::new(1, listener.local_addr().unwrap().port(), wire.clone());
-        let shared = RefCell::default();
-        let give = || links.send_shared(LOOPBACK, "list", 7, &shared, || whole_list(UPSTREAMS));
+        GivingVm { listener, links, wire, shared: RefCell::default() }
+    }
+
+    fn give(&self) {
+        let make = || whole_list(UPSTREAMS);
+        self.links.send_shared(LOOPBACK, "list", 7, &self.shared, make);
+    }
+
+    fn sent(&self) -> u64 {
+        let rows = self.wire.rows();
+        rows.iter().filter(|row| row.kind == "list").map(|row| row.sent).sum()
+    }
+
+    fn frame_bytes(&self) -> usize {
+        self.shared.borrow().as_ref().map_or(0, |(_, frame)| frame.len())
+    }
+}
 
-        give();
-        let (mut slow, _) = listener.accept().await.unwrap();
+#[test]
+fn a_shared_answer_that_is_still_being_sent_is_not_sent_again() {
+    play(async {
+        let vm = GivingVm::start().await;
+
+        vm.give();
+        let (mut slow, _) = vm.listener.accept().await.unwrap();
         for _ in 0..5 {
-            give();
+            vm.give();
             tokio::task::yield_now().await;
         }
-        assert_eq!(sent_lists(&wire), 1);
+        assert_eq!(vm.sent(), 1);
 
-        let length = shared.borrow().as_ref().map(|(_, frame)| frame.len()).unwrap();
-        let mut body = vec![0; length];
+        let mut body = vec![0; vm.frame_bytes()];
         tokio::time::timeout(PATIENCE, slow.read_exact(&mut body)).await.unwrap().unwrap();
-        while sent_lists(&wire) < 2 {
-            give();
+        while vm.sent() < 2 {
+            vm.give();
             tokio::task::yield_now().await;
         }
     });
@@ -76,17 +99,13 @@
 #[test]
 fn an_answer_over_a_broken_link_is_sent_again() {
     play(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let wire = Rc::new(WireCount::default());
-        let links = LinkTable::new(1, listener.local_addr().unwrap().port(), wire.clone());
-        let shared = RefCell::default();
-        let give = || links.send_shared(LOOPBACK, "list", 7, &shared, || whole_list(UPSTREAMS));
+        let vm = GivingVm::start().await;
 
-        give();
-        drop(listener.accept().await.unwrap());
+        vm.give();
+        drop(vm.listener.accept().await.unwrap());
         let again = async {
-            while sent_lists(&wire) < 2 {
-                give();
+            while vm.sent() < 2 {
+                vm.give();
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
