list_turn: a list's age spans two readings

Cause: its age counts from the beginning of a reading, and the next must have ended before VMs hear of it; the pause left room for one. At 10,000 upstreams VMs took the list for old now and then and asked others some 550 times a second (trial, 995 VMs). Change: the pause leaves two readings and two renewals.

--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_turn.rs
@@ -13,14 +13,17 @@
 pub const READ_MS: u64 = 600;
 /// The longest, in milliseconds: new upstreams get no work before they are read.
 const MOST_READ_MS: u64 = 2000;
+/// The time until every VM has confirmed a reading that has ended, in milliseconds: two renewals, so
+/// that one datagram may be lost.
+const CONFIRM_MS: u64 = 2 * RENEW_MS;
 /// What each page of a list adds to the pause, in milliseconds, so that calls don't grow with the pages
 /// where the bound on leaving upstreams allows it.
 const PAGE_PAUSE_MS: u64 = READ_MS / PAGES_AT_ONCE as u64;
 /// A VM whose list is older than this part of the time after which an upstream that leaves must get
 /// nothing looks for a newer one: the rest is for asking and reading.
 const STALE_PART: f64 = 0.5;
-/// The time from the end of a reading until every VM has confirmed it, in milliseconds: three renewals,
-/// so that two datagrams in a row may be lost.
+/// Kept for the exchange with the leader when a list is so long that reading it takes more than
+/// that, in milliseconds.
 const EXCHANGE_MS: u64 = 3 * RENEW_MS;
 /// A VM that is in contact and holds no list reads one after this long, in milliseconds: its
 /// leader can't.
@@ -55,9 +58,11 @@
 impl ListCost {
     /// How long the leader waits after a reading that took `reading_ms` until the next, in milliseconds,
     /// where an upstream that leaves must get nothing after `drain_ms`. It reads a long list less often,
-    /// while the list at every VM stays younger than [`ListCost::stale_ms`].
+    /// while the list at every VM stays younger than [`ListCost::stale_ms`]. Its age counts from the
+    /// beginning of one reading, and the next one must have ended by then.
     pub fn leader_pause_ms(&self, drain_ms: u64, reading_ms: u64) -> u64 {
-        let fresh_ms = stale_bound_ms(drain_ms).saturating_sub(EXCHANGE_MS + reading_ms);
+        let taken_ms = CONFIRM_MS + 2 * reading_ms;
+        let fresh_ms = stale_bound_ms(drain_ms).saturating_sub(taken_ms);
         let wanted_ms = (self.pages as u64 * PAGE_PAUSE_MS).min(MOST_READ_MS);
         self.least_pause_ms().max(wanted_ms.min(fresh_ms))
     }
