vm_list_news: a leader asks whoever holds a newer list

A frame that a full link dropped counted as sent. Change: a leader asks the VM that told it of the list. A link is opened in one function. Result: asks_holder has a test; frames count once a link has taken them.

--- a/lib/src/transport/vm_links.rs
+++ b/lib/src/transport/vm_links.rs
@@ -45,6 +45,15 @@
 }
 
 impl PeerLink {
+    /// Takes a frame to send, unless the link is full.
+    fn take(&self, frame: Bytes) -> bool {
+        let taken = self.frames.try_send(frame.clone()).is_ok();
+        if taken {
+            self.unsent.borrow_mut().push(frame);
+        }
+        taken
+    }
+
     /// Whether this very frame still waits for the link.
     fn is_sending(&self, frame: &Bytes) -> bool {
         self.unsent.borrow().iter().any(|waiting| waiting.as_ptr() == frame.as_ptr())
@@ -108,30 +117,31 @@
         }
     }
 
-    fn send_frame(&self, to: VmId, kind: &'static str, mut frame: Bytes) {
-        self.wire.sent(kind, frame.len() as u64);
+    fn send_frame(&self, to: VmId, kind: &'static str, frame: Bytes) {
+        let bytes = frame.len() as u64;
         let mut links = self.links.borrow_mut();
-        if let Some(link) = links.get(&to) {
-            let waiting = frame.clone();
-            match link.frames.try_send(frame) {
-                Ok(()) => {
-                    link.unsent.borrow_mut().push(waiting);
-                    return;
-                }
-                Err(tokio::sync::mpsc::error::TrySendError::Full(_)) => {
-                    debug!(target: "link", to, "full, a frame is dropped");
-                    return;
-                }
-                Err(tokio::sync::mpsc::error::TrySendError::Closed(back)) => frame = back,
+        let open = links.get(&to).filter(|link| !link.frames.is_closed());
+        let taken = match open {
+            Some(link) => link.take(frame),
+            None => {
+                let link = self.open_link(to);
+                let taken = link.take(frame);
+                links.insert(to, link);
+                taken
             }
+        };
+        match taken {
+            true => self.wire.sent(kind, bytes),
+            false => debug!(target: "link", to, "full, a frame is dropped"),
         }
-        let (sender, receiver) = channel(LINK_FRAMES);
-        let unsent: UnsentFrames = Rc::new(RefCell::new(vec![frame.clone()]));
-        // The channel was just made, so it has room.
-        let _ = sender.try_send(frame);
-        links.insert(to, PeerLink { frames: sender, unsent: unsent.clone() });
+    }
+
+    fn open_link(&self, to: VmId) -> PeerLink {
+        let (frames, receiver) = channel(LINK_FRAMES);
+        let unsent = UnsentFrames::default();
         let address = SocketAddr::from((vm_address(to), self.port));
-        spawn_local(run_link(address, receiver, unsent));
+        spawn_local(run_link(address, receiver, unsent.clone()));
+        PeerLink { frames, unsent }
     }
 
     /// Takes links of other VMs and hands their messages to `take`.
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -11,6 +11,7 @@
 use super::vm_disk::DiskJob;
 use super::vm_node::VmNode;
 use crate::coordination::list_turn::{reader_order, whom_to_ask, ASK_MS};
+use crate::coordination::news_source::asks_holder;
 use crate::protocol::vm_wire::{NewsAsk, PeerNote, VmDatagram, VmId, VmMessage};
 use crate::state::kept_list::KeptList;
 use crate::state::upstream_list::{ListMark, ListStep, UpstreamEntry};
@@ -154,7 +155,8 @@
     }
 
     /// Asks for a newer state of the list, unless that was done a moment ago or a large answer is on
-    /// its way. A keeper of the own zone is asked first, since many ask at once; `holder` has it surely.
+    /// its way. A keeper of the own zone is asked first, since many ask at once; `holder` has it surely, and
+    /// is asked by a leader, which nobody else can give anything newer.
     pub(super) fn want_list(&self, holder: VmId, now_ms: u64) {
         let have = self.upstreams.borrow().mark;
         let held = self.upstreams.borrow().is_held();
@@ -172,7 +174,8 @@
             view.list_attempts = view.list_attempts.saturating_add(1);
             view.list_attempts - 1
         };
-        let source = match held && attempt % 2 == 1 {
+        let leads = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.may_vouch(now_ms));
+        let source = match asks_holder(leads, held, attempt) {
             true => holder,
             false => self.news_source(attempt).unwrap_or(holder),
         };
--- a/lib/tests/test_fleet_size.rs
+++ b/lib/tests/test_fleet_size.rs
@@ -9,7 +9,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use testutils::engines::{candidate, RULES};
-use wingshed_lib::coordination::news_source::choose_source;
+use wingshed_lib::coordination::news_source::{asks_holder, choose_source};
 use wingshed_lib::coordination::upstream_candidate::{CandidateSet, UpstreamCandidate};
 use wingshed_lib::coordination::upstream_choice::{
     choose_engine, EngineRules, PrefixMemory, ROOT_HOLDERS_TOLD,
@@ -183,6 +183,15 @@
     assert_eq!(asked(&[own.id], 0), BTreeSet::new());
 }
 
+#[test]
+fn who_told_of_a_newer_list_is_asked_by_a_leader_and_when_a_keeper_has_not_answered() {
+    let (leads, follows, held, none) = (true, false, true, false);
+    assert!(asks_holder(leads, held, 0));
+    assert!(!asks_holder(follows, held, 0));
+    assert!(asks_holder(follows, held, 1));
+    assert!(!asks_holder(follows, none, 1), "all ask, the leader can't answer them");
+}
+
 /// The rows, and the VMs gone, that one VM is told when a third of all are lost at once.
 fn told_after_a_loss(vms: u32) -> (usize, usize) {
     let mut roster = roster_of(vms, 0);
