plain_choice: of few upstreams a VM takes all

Cause: a VM before two or three idle upstreams sent all to one. Change: a VM keeps to its own order among more than eight upstreams; of fewer it meets each again soon whichever it takes.

--- a/lib/src/coordination/plain_choice.rs
+++ b/lib/src/coordination/plain_choice.rs
@@ -91,16 +91,20 @@
     best.map(|candidate| candidate.key).ok_or_else(|| no_choice(taking().count(), candidates))
 }
 
-/// The same, but of a service that is nearly idle VM `vm` takes the first of an order of its own in
-/// place of one that is drawn. Among many upstreams it would hardly meet one again before the
-/// connection there has rested for its time, and would open one for each request.
+/// So many upstreams a VM meets again soon whichever of them it takes.
+const FEW_UPSTREAMS: usize = 8;
+
+/// The same, but of many upstreams that are nearly idle VM `vm` takes the first of an order of its own
+/// in place of one that is drawn. It would hardly meet one again before the connection there has
+/// rested for its time, and would open one for each request.
 pub fn choose_kept(
     candidates: &[UpstreamCandidate],
     vm: u32,
     draw: u64,
 ) -> Result<UpstreamKey, ChoiceFault> {
-    let taking = candidates.iter().filter(|candidate| candidate.takes_work());
-    match mean_load(taking) < NEARLY_IDLE_MEAN {
+    let taking = || candidates.iter().filter(|candidate| candidate.takes_work());
+    let keeps = taking().count() > FEW_UPSTREAMS && mean_load(taking()) < NEARLY_IDLE_MEAN;
+    match keeps {
         true => choose_by_own(candidates, u64::from(vm)),
         false => choose_by_own(candidates, draw),
     }
--- a/lib/tests/test_plain_spread.rs
+++ b/lib/tests/test_plain_spread.rs
@@ -2,7 +2,7 @@
 
 mod testutils;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -217,3 +217,16 @@
         assert!(most <= 6, "{vms} VMs: {most} at one upstream");
     }
 }
+
+#[test]
+fn of_few_upstreams_a_vm_takes_all_and_of_many_it_keeps_to_one_while_they_are_idle() {
+    let taken = |upstreams: u64, load| -> usize {
+        let all: Vec<UpstreamCandidate> = (1..=upstreams).map(|key| candidate(key, load)).collect();
+        let picks = (0..200).map(|draw| choose_kept(&all, 7, draw).unwrap());
+        picks.collect::<BTreeSet<UpstreamKey>>().len()
+    };
+
+    assert_eq!([2, 8].map(|upstreams| taken(upstreams, 0)), [2, 8]);
+    assert_eq!([9, 400].map(|upstreams| taken(upstreams, 0)), [1, 1]);
+    assert!(taken(400, 1) > 100, "under load they are drawn");
+}
