vm_node: whether this VM leads is asked in one place

Cause: the same calls told in three files whether this VM surely leads, twice in a row where a list is asked for; who asks a keeper was given as a row of the roster with a readiness that means nothing. Change: VmNode::leads; choose_source takes the asker's id and zone.

--- a/lib/src/coordination/news_source.rs
+++ b/lib/src/coordination/news_source.rs
@@ -6,21 +6,30 @@
 
 use super::vm_roster::RosterRow;
 
+/// Who asks.
+#[derive(Clone, Copy, Debug)]
+pub struct NewsAsker {
+    /// Its address as a number.
+    pub id: u32,
+    /// The hash of its availability zone's name.
+    pub zone: u64,
+}
+
 /// The keeper to ask. The first attempt goes to one of the own zone. Every second attempt goes to any,
 /// since the keepers of the zone may be lost or cut off. `rows` are in the order of their ids.
 pub fn choose_source(
     keepers: &[u32],
     rows: &[RosterRow],
-    own: &RosterRow,
+    asker: NewsAsker,
     attempt: u32,
     draw: u64,
 ) -> Option<u32> {
-    let others = || keepers.iter().copied().filter(|id| *id != own.id);
+    let others = || keepers.iter().copied().filter(|id| *id != asker.id);
     let zone_of = |id: &u32| {
         let at = rows.binary_search_by_key(id, |row| row.id).ok()?;
         Some(rows[at].zone)
     };
-    let near: Vec<u32> = others().filter(|id| zone_of(id) == Some(own.zone)).collect();
+    let near: Vec<u32> = others().filter(|id| zone_of(id) == Some(asker.zone)).collect();
     let asked = match near.is_empty() || attempt % 2 == 1 {
         true => others().collect(),
         false => near,
--- a/lib/src/transport/vm_grant.rs
+++ b/lib/src/transport/vm_grant.rs
@@ -11,11 +11,9 @@
 use super::vm_node::VmNode;
 use crate::coordination::fleet_health::{names_failing, HealthReport};
 use crate::coordination::holder_news::{HolderMark, HolderNote};
-use crate::coordination::news_source::choose_source;
+use crate::coordination::news_source::{choose_source, NewsAsker};
 use crate::coordination::upstream_load::LoadNews;
-use crate::coordination::vm_roster::{
-    loads_shared_ms, RosterMark, RosterNews, RosterRow, SETTLE_MS,
-};
+use crate::coordination::vm_roster::{loads_shared_ms, RosterMark, RosterNews, SETTLE_MS};
 use crate::protocol::vm_wire::{vm_address, GrantNote, RenewalNote, VmDatagram, VmId, VmMessage};
 use crate::state::ids::UpstreamKey;
 use crate::state::rollout_order::RolloutTable;
@@ -114,8 +112,7 @@
     /// own next one is above it.
     fn hear_of_list(&self, from: VmId, mark: ListMark, now_ms: u64) {
         self.upstreams.borrow_mut().hear(mark);
-        let leads = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.may_vouch(now_ms));
-        if leads && mark > self.upstreams.borrow().mark {
+        if self.leads(now_ms) && mark > self.upstreams.borrow().mark {
             self.want_list(from, now_ms);
         }
     }
@@ -245,9 +242,9 @@
 
     /// A keeper that has the whole list and configuration; see [`choose_source`].
     pub(super) fn news_source(&self, attempt: u32) -> Option<VmId> {
-        let own = RosterRow { id: self.id, zone: self.zone, ready: false };
         let view = self.view.borrow();
-        choose_source(&view.keepers, &view.roster.rows, &own, attempt, self.draw())
+        let asker = NewsAsker { id: self.id, zone: self.zone };
+        choose_source(&view.keepers, &view.roster.rows, asker, attempt, self.draw())
     }
 
     /// A leader is in contact with itself; true when this VM leads.
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -174,8 +174,7 @@
             view.list_attempts = view.list_attempts.saturating_add(1);
             view.list_attempts - 1
         };
-        let leads = self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.may_vouch(now_ms));
-        let source = match asks_holder(leads, held, attempt) {
+        let source = match asks_holder(self.leads(now_ms), held, attempt) {
             true => holder,
             false => self.news_source(attempt).unwrap_or(holder),
         };
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -167,9 +167,7 @@
                 keys.filter(|key| outliers.is_aside(**key, now_ms)).count() as u64
             }
             "wingshed_list_age_ms" => now_ms.saturating_sub(upstreams.news_ms),
-            "wingshed_leads" => {
-                keeper.as_ref().map_or(0, |keeper| u64::from(keeper.may_vouch(now_ms)))
-            }
+            "wingshed_leads" => u64::from(self.leads(now_ms)),
             "wingshed_term" => keeper.as_ref().map_or(0, |keeper| keeper.term()),
             "wingshed_voters" => keeper.as_ref().map_or(0, |keeper| keeper.voters() as u64),
             "wingshed_rollouts_known" => self.rollouts.borrow().watch().table().rows().len() as u64,
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -303,6 +303,11 @@
         }
     }
 
+    /// Whether this VM surely leads.
+    pub(super) fn leads(&self, now_ms: u64) -> bool {
+        self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.may_vouch(now_ms))
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let (bounds, now_ms) = (self.settings.borrow().bounds, self.now_ms());
--- a/lib/tests/test_fleet_size.rs
+++ b/lib/tests/test_fleet_size.rs
@@ -9,7 +9,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use testutils::engines::{candidate, RULES};
-use wingshed_lib::coordination::news_source::{asks_holder, choose_source};
+use wingshed_lib::coordination::news_source::{asks_holder, choose_source, NewsAsker};
 use wingshed_lib::coordination::upstream_candidate::{CandidateSet, UpstreamCandidate};
 use wingshed_lib::coordination::upstream_choice::{
     choose_engine, EngineRules, PrefixMemory, ROOT_HOLDERS_TOLD,
@@ -154,11 +154,15 @@
     }
 }
 
+fn asker(row: &RosterRow) -> NewsAsker {
+    NewsAsker { id: row.id, zone: row.zone }
+}
+
 /// Copies of a whole state that cross a zone's border when all VMs but the keepers ask for it.
 fn copies_between_zones(vms: u32) -> usize {
     let rows: Vec<RosterRow> = (0..vms).map(vm).collect();
     let keepers: Vec<u32> = (0..KEEPERS).collect();
-    let source = |row: &RosterRow| choose_source(&keepers, &rows, row, 0, u64::from(row.id));
+    let source = |row: &RosterRow| choose_source(&keepers, &rows, asker(row), 0, u64::from(row.id));
     let asking = rows.iter().filter(|row| row.id >= KEEPERS);
     asking.filter(|row| source(row).is_some_and(|id| vm(id).zone != row.zone)).count()
 }
@@ -174,7 +178,9 @@
     let own = vm(17);
     let keepers: Vec<u32> = (0..KEEPERS).collect();
     let asked = |keepers: &[u32], attempt| -> BTreeSet<u32> {
-        (0..100).filter_map(|draw| choose_source(keepers, &rows, &own, attempt, draw)).collect()
+        (0..100)
+            .filter_map(|draw| choose_source(keepers, &rows, asker(&own), attempt, draw))
+            .collect()
     };
 
     assert_eq!(asked(&keepers, 0), BTreeSet::from([2, 7]));
