daemons: a log that is not read, or whose disk has stalled, blocks nobody

Callers kept being sent to a router that had been told to stop and never ended. A router whose control thread blocked while logging renewed its lease no more, and refused callers with 401 by its old configuration. Cause: routers and keepers logged with std::io::stderr, which waits for whoever reads or stores the log and holds one lock for all threads. A drain starts with a log line, so a blocked log kept the main thread from draining at all. The VM's writer asked whether its output accepts a line, but files on a stalled disk say that they do. The threads then: main in the delayed write, control waiting for the lock of standard error, all others idle. Change: LogSink writes without waiting. Lines without room are dropped and counted. Panics are logged the same way. A daemon that ends waits for its log file for a second at most. A wait of the tests that runs out prints where each thread of the process waits.

--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the two daemons share: arguments, logs, signals.
 
+pub mod log_sink;
 pub mod log_writer;
 pub mod vm;
 
@@ -8,6 +9,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use log_writer::{LogStyle, LogWriter};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use wingshed_lib::state::finding::Finding;
@@ -45,81 +47,80 @@
 pub fn run_daemon(role: DaemonRole) -> ExitCode {
     std::env::set_var("RUST_MIN_STACK", STACK_BYTES);
     let arguments: Arguments = argh::from_env();
-    start_logs(&arguments);
-    // Registered before the node starts, so that no early signal is lost.
-    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
-        Ok(signals) => signals,
-        Err(error) => return fail(&format!("cannot take signals: {error}")),
-    };
-    let text = match std::fs::read_to_string(&arguments.settings) {
-        Ok(text) => text,
-        Err(error) => return fail(&format!("{}: {error}", arguments.settings.display())),
+    let logs = start_logs(&arguments);
+    let code = match run_role(role, &arguments.settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(lines) => {
+            lines.iter().for_each(|line| logs.write_line(line));
+            ExitCode::FAILURE
+        }
     };
-    match role {
-        DaemonRole::Router => run_router(&arguments.settings, &text, &mut signals),
-        DaemonRole::Keeper => run_keeper(&arguments.settings, &text, &mut signals),
-    }
+    logs.flush();
+    code
 }
 
-fn start_logs(arguments: &Arguments) {
+fn start_logs(arguments: &Arguments) -> LogWriter {
+    let style = if arguments.json_logs { LogStyle::Json } else { LogStyle::Text };
+    let writer = LogWriter::stderr(style);
     let filter = tracing_subscriber::EnvFilter::new(&arguments.log);
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer.clone());
     let logs = logs.with_target(false).with_ansi(false);
-    match arguments.json_logs {
-        true => logs.json().init(),
-        false => logs.init(),
+    match style {
+        LogStyle::Json => logs.json().init(),
+        LogStyle::Text => logs.init(),
     }
+    LogWriter::log_panics();
+    writer
 }
 
-fn run_router(path: &Path, text: &str, signals: &mut Signals) -> ExitCode {
-    let settings = match read_router_settings(text) {
-        Ok(settings) => settings,
-        Err(findings) => return fail_settings(path, &findings),
-    };
-    match RouterNode::start(settings) {
-        Err(error) => fail(&error.to_string()),
-        Ok(node) => {
-            wait_for_signal(signals, || node.is_told_to_leave());
-            match node.drain() {
-                true => ExitCode::SUCCESS,
-                false => fail("requests were in flight at the end of the drain"),
-            }
-        }
+/// Why a daemon failed, in lines for its operator.
+type FailureLines = Vec<String>;
+
+fn run_role(role: DaemonRole, path: &Path) -> Result<(), FailureLines> {
+    // Registered before the node starts, so that no early signal is lost.
+    let signals = Signals::new([SIGTERM, SIGINT]);
+    let mut signals = signals.map_err(|error| failure(&format!("cannot take signals: {error}")))?;
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|error| failure(&format!("{}: {error}", path.display())))?;
+    match role {
+        DaemonRole::Router => run_router(path, &text, &mut signals),
+        DaemonRole::Keeper => run_keeper(path, &text, &mut signals),
     }
 }
 
-fn run_keeper(path: &Path, text: &str, signals: &mut Signals) -> ExitCode {
-    let settings = match read_keeper_settings(text) {
-        Ok(settings) => settings,
-        Err(findings) => return fail_settings(path, &findings),
-    };
-    match KeeperNode::start(settings) {
-        Err(error) => fail(&error.to_string()),
-        Ok(node) => {
-            wait_for_signal(signals, || node.failure().is_some());
-            if let Some(text) = node.failure() {
-                return fail(&text);
-            }
-            node.stop_planned();
-            ExitCode::SUCCESS
-        }
+fn run_router(path: &Path, text: &str, signals: &mut Signals) -> Result<(), FailureLines> {
+    let settings =
+        read_router_settings(text).map_err(|findings| settings_lines(path, &findings))?;
+    let node = RouterNode::start(settings).map_err(|error| failure(&error.to_string()))?;
+    wait_for_signal(signals, || node.is_told_to_leave());
+    match node.drain() {
+        true => Ok(()),
+        false => Err(failure("requests were in flight at the end of the drain")),
     }
 }
 
+fn run_keeper(path: &Path, text: &str, signals: &mut Signals) -> Result<(), FailureLines> {
+    let settings =
+        read_keeper_settings(text).map_err(|findings| settings_lines(path, &findings))?;
+    let node = KeeperNode::start(settings).map_err(|error| failure(&error.to_string()))?;
+    wait_for_signal(signals, || node.failure().is_some());
+    if let Some(text) = node.failure() {
+        return Err(failure(&text));
+    }
+    node.stop_planned();
+    Ok(())
+}
+
 fn wait_for_signal(signals: &mut Signals, ended: impl Fn() -> bool) {
     while signals.pending().next().is_none() && !ended() {
         std::thread::sleep(Duration::from_millis(50));
     }
 }
 
-fn fail(text: &str) -> ExitCode {
-    eprintln!("wingshed: {text}");
-    ExitCode::FAILURE
+fn failure(text: &str) -> FailureLines {
+    vec![format!("wingshed: {text}")]
 }
 
-fn fail_settings(path: &Path, findings: &[Finding]) -> ExitCode {
-    for finding in findings {
-        eprintln!("{}: {finding}", path.display());
-    }
-    ExitCode::FAILURE
+fn settings_lines(path: &Path, findings: &[Finding]) -> FailureLines {
+    findings.iter().map(|finding| format!("{}: {finding}", path.display())).collect()
 }
--- a/daemons/src/log_writer.rs
+++ b/daemons/src/log_writer.rs
@@ -1,92 +1,101 @@
-//! Where a VM's log goes: standard output, bounded, and never waited for.
+//! Formats a daemon's log for [`LogSink`] and reports the lines that are missing from it.
 //!
-//! A pipe that its reader doesn't empty holds a writer up, and with it the one event loop of a VM.
-//! So a line is written only when the system says that it is taken at once; lines that aren't are
-//! counted, and the count is told with the next line.
+//! Lines that were not written are counted, and the count is written before the next line.
 
 use std::io::Write;
 use std::os::fd::{AsRawFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tracing::callsite::Identifier;
 use tracing::Metadata;
 use tracing_subscriber::fmt::MakeWriter;
 use wingshed_lib::coordination::line_budget::{LineBudget, LineVerdict};
 
-/// A pipe that can take something can take this many bytes whole (`PIPE_BUF` of Linux); a longer
-/// line is lost.
-pub const LONGEST_LINE: usize = 4096;
+use crate::log_sink::LogSink;
+pub use crate::log_sink::LONGEST_LINE;
+
+/// A daemon that ends waits this long for its last lines. The disk may have stalled.
+const FLUSH_WAIT: Duration = Duration::from_secs(1);
+
+/// How the count of missing lines is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogStyle {
+    /// As a JSON object.
+    Json,
+    /// As text.
+    Text,
+}
 
 /// Makes a writer for each line.
 #[derive(Clone)]
 pub struct LogWriter {
     budget: Arc<Mutex<LineBudget<Identifier>>>,
     started: Instant,
-    output: RawFd,
-    socket: bool,
+    sink: Arc<LogSink>,
+    style: LogStyle,
 }
 
 impl LogWriter {
-    /// Writes to standard output.
+    /// Writes JSON lines to standard output, within the limits of [`LineBudget`].
     pub fn stdout() -> LogWriter {
         LogWriter::to(std::io::stdout().as_raw_fd())
     }
 
-    /// Writes to a descriptor that stays open.
+    /// Writes to standard error, without a limit on how many lines there may be.
+    pub fn stderr(style: LogStyle) -> LogWriter {
+        let budget = LineBudget::unlimited();
+        LogWriter { style, ..LogWriter::with(budget, std::io::stderr().as_raw_fd()) }
+    }
+
+    /// Writes JSON lines to a descriptor that stays open, within the limits of [`LineBudget`].
     pub fn to(output: RawFd) -> LogWriter {
-        let socket = is_socket(output);
-        LogWriter { budget: Arc::default(), started: Instant::now(), output, socket }
+        LogWriter::with(LineBudget::default(), output)
+    }
+
+    fn with(budget: LineBudget<Identifier>, output: RawFd) -> LogWriter {
+        let (budget, sink) = (Arc::new(Mutex::new(budget)), Arc::new(LogSink::to(output)));
+        LogWriter { budget, started: Instant::now(), sink, style: LogStyle::Json }
+    }
+
+    /// Writes a line that is no log event, such as why the process ends.
+    pub fn write_line(&self, text: &str) {
+        self.sink.write(format!("{text}\n").as_bytes());
+    }
+
+    /// Waits for queued lines, for a bounded time. To be called before the process ends.
+    pub fn flush(&self) {
+        self.sink.flush(FLUSH_WAIT);
+    }
+
+    /// Logs panics. The default hook writes to standard error and waits for it.
+    pub fn log_panics() {
+        std::panic::set_hook(Box::new(|panic| tracing::error!("{panic}")));
     }
 
     fn verdict(&self, place: Identifier) -> LineVerdict {
         let now_ms = self.started.elapsed().as_millis() as u64;
-        self.budget().take(place, now_ms)
+        let failed = self.sink.take_failed();
+        let mut budget = self.budget();
+        budget.note_lost(failed);
+        budget.take(place, now_ms)
     }
 
     fn budget(&self) -> MutexGuard<'_, LineBudget<Identifier>> {
         self.budget.lock().unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Writes what fits without waiting; false when it didn't.
-    fn write_now(&self, bytes: &[u8]) -> bool {
-        if bytes.len() > LONGEST_LINE {
-            return false;
+    fn missing_note(&self, folded: u32, dropped: u32) -> String {
+        match self.style {
+            LogStyle::Json => format!(
+                "{{\"level\":\"WARN\",\"target\":\"log\",\"message\":\"lines are missing\",\
+                 \"like_the_next\":{folded},\"others\":{dropped}}}\n"
+            ),
+            LogStyle::Text => format!("WARN log: {} lines are missing.\n", folded + dropped),
         }
-        let (start, length) = (bytes.as_ptr().cast(), bytes.len());
-        let written = if self.socket {
-            let flags = libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL;
-            // SAFETY: the buffer is valid for its length.
-            unsafe { libc::send(self.output, start, length, flags) }
-        } else if takes_now(self.output) {
-            // SAFETY: the buffer is valid for its length.
-            unsafe { libc::write(self.output, start, length) }
-        } else {
-            return false;
-        };
-        written == length as isize
     }
 }
 
-/// Whether the descriptor takes [`LONGEST_LINE`] bytes now; of a socket this can't be asked.
-fn takes_now(output: RawFd) -> bool {
-    let mut poll = libc::pollfd { fd: output, events: libc::POLLOUT, revents: 0 };
-    // SAFETY: one valid entry, and no waiting.
-    let ready = unsafe { libc::poll(&mut poll, 1, 0) };
-    ready == 1 && poll.revents & libc::POLLOUT != 0
-}
-
-fn is_socket(output: RawFd) -> bool {
-    let mut kind = 0i32;
-    let mut length = size_of::<i32>() as libc::socklen_t;
-    let place: *mut i32 = &mut kind;
-    // SAFETY: the place is valid for the length that is told.
-    let asked = unsafe {
-        libc::getsockopt(output, libc::SOL_SOCKET, libc::SO_TYPE, place.cast(), &mut length)
-    };
-    asked == 0
-}
-
 impl<'a> MakeWriter<'a> for LogWriter {
     type Writer = LogLine;
 
@@ -126,14 +135,10 @@
         let LineVerdict::Write { folded, dropped } = self.verdict else { return };
         let mut bytes = Vec::new();
         if folded + dropped > 0 {
-            let text = format!(
-                "{{\"level\":\"WARN\",\"target\":\"log\",\"message\":\"lines are missing\",\
-                 \"like_the_next\":{folded},\"others\":{dropped}}}\n"
-            );
-            bytes.extend_from_slice(text.as_bytes());
+            bytes.extend_from_slice(self.writer.missing_note(folded, dropped).as_bytes());
         }
         bytes.extend_from_slice(&self.bytes);
-        if !self.writer.write_now(&bytes) {
+        if !self.writer.sink.write(&bytes) {
             self.writer.budget().note_lost(1 + folded + dropped);
         }
     }
--- a/daemons/src/vm.rs
+++ b/daemons/src/vm.rs
@@ -45,7 +45,13 @@
 /// Runs a VM to its end.
 pub fn run_vm() -> ExitCode {
     let arguments: VmArguments = argh::from_env();
-    start_logs();
+    let logs = start_logs();
+    let code = run_settings(arguments);
+    logs.flush();
+    code
+}
+
+fn run_settings(arguments: VmArguments) -> ExitCode {
     let Some(path) = settings_path() else {
         error!(target: "node", "the environment doesn't say where the settings are");
         return ExitCode::FAILURE;
@@ -69,15 +75,18 @@
     }
 }
 
-fn start_logs() {
+fn start_logs() -> LogWriter {
+    let writer = LogWriter::stdout();
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
         .with_max_level(tracing::Level::INFO)
-        .with_writer(LogWriter::stdout())
+        .with_writer(writer.clone())
         .init();
+    LogWriter::log_panics();
+    writer
 }
 
 fn load_settings(path: &Path) -> Option<VmSettings> {
--- a/daemons/tests/testutils/mod.rs
+++ b/daemons/tests/testutils/mod.rs
@@ -34,8 +34,25 @@
             }
             std::thread::sleep(Duration::from_millis(10));
         }
+        eprintln!("process {} still runs after {most:?}:\n{}", self.0.id(), self.threads());
         None
     }
+
+    /// Each thread's name, state and kernel function that it waits in, a line each.
+    fn threads(&self) -> String {
+        let tasks = PathBuf::from(format!("/proc/{}/task", self.0.id()));
+        let Ok(entries) = std::fs::read_dir(&tasks) else { return "it has ended".to_string() };
+        let line = |entry: std::io::Result<std::fs::DirEntry>| {
+            let task = entry.ok()?.path();
+            let text = |name: &str| std::fs::read_to_string(task.join(name)).unwrap_or_default();
+            let status = text("status");
+            let state =
+                status.lines().find(|line| line.starts_with("State:")).unwrap_or("State: ?");
+            let (name, place, call) = (text("comm"), text("wchan"), text("syscall"));
+            Some(format!("  {} {state} wchan {place} syscall {}", name.trim(), call.trim()))
+        };
+        entries.filter_map(line).collect::<Vec<_>>().join("\n")
+    }
 }
 
 impl Drop for Daemon {
@@ -50,12 +67,21 @@
     settings.with_extension("log")
 }
 
+fn command(program: &str, settings: &Path, log: Stdio) -> Command {
+    let mut command = Command::new(program);
+    command.arg("--settings").arg(settings).arg("--log").arg("info").stderr(log);
+    command
+}
+
+/// Starts a daemon that logs to `log`.
+pub fn spawn_logging(program: &str, settings: &Path, log: Stdio) -> Daemon {
+    Daemon(command(program, settings, log).spawn().unwrap())
+}
+
 /// Starts a daemon under a limit of the system, if one is given: the resource and its value.
 pub fn spawn(program: &str, settings: &Path, limit: Option<(u32, u64)>) -> Daemon {
-    let mut command = Command::new(program);
-    command.arg("--settings").arg(settings).arg("--log").arg("info");
     let log = std::fs::File::options().create(true).append(true).open(log_of(settings)).unwrap();
-    command.stderr(Stdio::from(log));
+    let mut command = command(program, settings, Stdio::from(log));
     if let Some((resource, most)) = limit {
         let limit = libc::rlimit { rlim_cur: most, rlim_max: most };
         // SAFETY: only system calls that are safe after fork.
--- a/lib/src/coordination/line_budget.rs
+++ b/lib/src/coordination/line_budget.rs
@@ -43,17 +43,28 @@
     span: u64,
     written: u32,
     dropped: u32,
+    unlimited: bool,
 }
 
 impl<P> Default for LineBudget<P> {
     fn default() -> LineBudget<P> {
-        LineBudget { places: HashMap::new(), span: 0, written: 0, dropped: 0 }
+        LineBudget { places: HashMap::new(), span: 0, written: 0, dropped: 0, unlimited: false }
+    }
+}
+
+impl<P> LineBudget<P> {
+    /// A budget that only counts lines that were lost.
+    pub fn unlimited() -> LineBudget<P> {
+        LineBudget { unlimited: true, ..LineBudget::default() }
     }
 }
 
 impl<P: Eq + Hash> LineBudget<P> {
     /// Decides on a line of `place`.
     pub fn take(&mut self, place: P, now_ms: u64) -> LineVerdict {
+        if self.unlimited {
+            return LineVerdict::Write { folded: 0, dropped: std::mem::take(&mut self.dropped) };
+        }
         let span = now_ms / SPAN_MS;
         if span != self.span {
             (self.span, self.written) = (span, 0);
