router_drain: a stop waits for its keepers once, and for a bounded time

Operators and callers saw a router end 16.7 s after SIGTERM when its five keepers were silent, and not within 20 s when there were seven; nothing was in flight. Cause: before it drained a router asked each keeper twice, one after the other, 1.5 s each, and its control thread could do the same again when it was joined. Only then did it count the time without requests. Change: the keepers are told on a thread beside the drain. A router that stops sends keepers nothing more, so that a thread which tries one after the other ends with its current try.

--- a/daemons/tests/test_processes.rs
+++ b/daemons/tests/test_processes.rs
@@ -134,6 +134,26 @@
     assert_eq!(code, Some(0));
 }
 
+// A stop asked each keeper twice, one after the other, before its drain and again after it.
+#[test]
+fn a_router_ends_after_sigterm_though_all_of_its_keepers_are_silent() {
+    let site = Site::new(7, 1);
+    let keepers: Vec<Daemon> =
+        (0..7).map(|at| keeper(&site.path(&format!("keeper-{at}")))).collect();
+    let engines = [EngineStandIn::start(EngineMake::default())];
+    site.configure(&engines);
+    let mut router = router(&site.path("router-0"), None);
+    site.wait_serving();
+
+    keepers.iter().for_each(|keeper| keeper.signal(libc::SIGSTOP));
+    router.signal(libc::SIGTERM);
+    let began = Instant::now();
+    let code = router.wait(Duration::from_secs(20));
+    eprintln!("ended after {:?}", began.elapsed());
+
+    assert_eq!(code, Some(0));
+}
+
 #[test]
 fn a_router_that_ran_out_of_descriptors_serves_again() {
     let site = Site::new(1, 1);
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -52,6 +52,7 @@
 pub mod rollout_share;
 pub mod rollout_verdict;
 pub mod rollout_watch;
+pub mod router_drain;
 pub mod router_lease;
 pub mod session_watch;
 pub mod silence;
--- a/lib/src/transport/keeper_client.rs
+++ b/lib/src/transport/keeper_client.rs
@@ -1,7 +1,7 @@
 //! How a router talks to the keepers: it finds the leader and asks again when that moves.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 use snafu::Snafu;
@@ -39,6 +39,7 @@
     maker: Arc<SealMaker>,
     client: HttpClient,
     times: CallTimes,
+    stopped: AtomicBool,
 }
 
 impl KeeperClient {
@@ -49,7 +50,13 @@
         client: HttpClient,
         times: CallTimes,
     ) -> KeeperClient {
-        KeeperClient { keepers, leader: AtomicUsize::new(0), maker, client, times }
+        let (leader, stopped) = (AtomicUsize::new(0), AtomicBool::new(false));
+        KeeperClient { keepers, leader, maker, client, times, stopped }
+    }
+
+    /// Sends nothing more, so that whoever tries one keeper after the other ends soon.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
     }
 
     /// Where the leader was last seen.
@@ -77,6 +84,9 @@
 
     /// Asks one keeper.
     pub fn ask(&self, address: SocketAddr, call: &KeeperCall) -> Result<KeeperReply, CallFailure> {
+        if self.stopped.load(Ordering::Relaxed) {
+            return Err(CallFailure::NotSent { text: "this process stops".to_string() });
+        }
         let body = encode(call);
         let seal = self.maker.header(CALL_PATH, &body, wall_ms());
         let http = HttpCall::post(CALL_PATH, body).with(SEAL_HEADER, seal);
--- a/lib/src/transport/router_node.rs
+++ b/lib/src/transport/router_node.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::unbounded;
+use crossbeam::channel::{bounded, unbounded, Receiver, TryRecvError};
 use snafu::ResultExt;
 
 use super::datagram::DatagramPort;
@@ -18,6 +18,7 @@
 use super::router_control::{run_control, ControlEvent};
 use super::router_serve::serve;
 use super::router_shared::RouterShared;
+use crate::coordination::router_drain::{DrainStep, DrainWatch};
 use crate::protocol::caller::CallerError;
 use crate::protocol::http::HttpReply;
 use crate::protocol::keeper_wire::{Datagram, KeeperCall};
@@ -25,8 +26,7 @@
 use crate::state::settings::RouterSettings;
 
 const CLAIM_THREADS: usize = 2;
-/// Callers keep an address for a while; a draining router serves them this much longer.
-const DRAIN_LINGER: Duration = Duration::from_millis(1500);
+const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// A running router.
 pub struct RouterNode {
@@ -127,24 +127,19 @@
     }
 
     /// Leaves the directory, passes newcomers to peers, and ends when the last request has:
-    /// true when nothing was cut.
+    /// true when nothing was cut. See [`DrainWatch`] for how long that takes.
     pub fn drain(mut self) -> bool {
         tracing::info!("router: {} drains.", self.shared.id());
         self.shared.draining.store(true, Ordering::Relaxed);
-        let leave = KeeperCall::Leave(self.shared.id(), self.shared.incarnation);
-        if let Err(failure) = self.shared.keepers.ask_leader(&leave) {
-            tracing::warn!("router: cannot tell the keepers of the drain: {failure}.");
-        }
-        let most = Duration::from_millis(self.shared.settings.limits.drain_ms);
-        let started = Instant::now();
-        let mut idle_since: Option<Instant> = None;
-        while started.elapsed() < most {
-            let busy = self.shared.in_flight.load(Ordering::Relaxed) > 0;
-            idle_since = if busy { None } else { idle_since.or(Some(Instant::now())) };
-            if idle_since.is_some_and(|since| since.elapsed() >= DRAIN_LINGER) {
-                break;
-            }
-            std::thread::sleep(Duration::from_millis(20));
+        let leave_sent = self.send_leave();
+        let clock = &self.shared.clock;
+        let mut watch = DrainWatch::new(clock.now_ms(), self.shared.settings.limits.drain_ms);
+        let mut next = DrainStep::Serve;
+        while next == DrainStep::Serve {
+            std::thread::sleep(DRAIN_POLL);
+            let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
+            let leave_ended = leave_sent.try_recv() == Err(TryRecvError::Disconnected);
+            next = watch.step(in_flight, leave_ended, clock.now_ms());
         }
         let left = self.shared.in_flight.load(Ordering::Relaxed);
         tracing::info!("router: {} stops with {left} in flight.", self.shared.id());
@@ -152,6 +147,26 @@
         left == 0
     }
 
+    /// Tells the keepers that this router leaves. The channel disconnects when they have
+    /// answered or cannot be reached.
+    fn send_leave(&mut self) -> Receiver<()> {
+        let (ended, leave_sent) = bounded::<()>(0);
+        let shared = self.shared.clone();
+        let run = move || {
+            let _ended = ended;
+            let leave = KeeperCall::Leave(shared.id(), shared.incarnation);
+            if let Err(failure) = shared.keepers.ask_leader(&leave) {
+                tracing::warn!("router: cannot tell the keepers of the drain: {failure}.");
+            }
+        };
+        let thread = std::thread::Builder::new().name("leave".to_string()).spawn(run);
+        match thread {
+            Ok(thread) => self.threads.push(thread),
+            Err(error) => tracing::warn!("router: no thread to tell the keepers: {error}."),
+        }
+        leave_sent
+    }
+
     /// Stops at once.
     pub fn stop_now(mut self) {
         self.shut();
@@ -159,6 +174,7 @@
 
     fn shut(&mut self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.keepers.stop();
         self.server.stop();
         for thread in self.threads.drain(..) {
             let _ = thread.join();
