durable_core: the queue of a keeper's disk is a part of its own

Cause: keepers of the product's own interface need what VMs' keepers have, a core that goes on while its disk works. Change: the queue of jobs, the messages that wait for them and the merging of batches move from KeeperDriver into DurableCore, with no change of behaviour. Messages are sorted before the job that holds their batch starts, not after. Result: schedules of faults over keepers and the consensus pass as before.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 pub mod crash_outbox;
 pub mod crash_table;
 pub mod directory;
+pub mod durable_core;
 pub mod engine_room;
 pub mod event_splice;
 pub mod fair_queue;
--- a/lib/src/transport/vm_disk.rs
+++ b/lib/src/transport/vm_disk.rs
@@ -12,28 +12,16 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tracing::{error, warn};
 
+pub use crate::coordination::durable_core::DiskJob;
 use crate::state::ids::{Incarnation, KeeperId};
 use crate::state::kept_list::{read_kept, write_kept, KeptList};
-use crate::state::log_store::{
-    HardState, LogBatch, LogEntry, LogSnapshot, LogStore, StoreError, StoredState,
-};
+use crate::state::log_store::{LogStore, StoreError, StoredState};
 
 /// The pause before a folder that can't be opened is tried again.
 const OPEN_RETRY: Duration = Duration::from_millis(500);
 /// The thread does nothing but encode and write.
 const STACK_BYTES: usize = 256 << 10;
 
-/// What the thread is asked to do.
-#[derive(Debug)]
-pub enum DiskJob {
-    /// Append and sync.
-    Append(LogBatch),
-    /// Write everything anew.
-    Install(Box<LogSnapshot>, HardState, Vec<LogEntry>),
-    /// Keep the list of upstreams for the next start; no part of the consensus.
-    KeepList(KeptList),
-}
-
 /// What the thread answers.
 #[derive(Debug)]
 pub enum DiskReport {
@@ -58,7 +46,7 @@
     std::thread::Builder::new().name("disk".to_string()).stack_size(STACK_BYTES).spawn(
         move || {
             let Some(store) = open_store(&folder, keeper, new_life, &reports) else { return };
-            run_jobs(&folder, store, &jobs, &reports);
+            run_jobs(&folder, store, &jobs, |report| reports.send(report).is_ok());
         },
     )?;
     Ok(sender)
@@ -111,21 +99,22 @@
     Ok(())
 }
 
-fn run_jobs(
+/// Carries out jobs until nobody asks for more, or `report` finds nobody who listens.
+pub(super) fn run_jobs(
     folder: &Path,
     mut store: LogStore,
     jobs: &Receiver<DiskJob>,
-    reports: &UnboundedSender<DiskReport>,
+    report: impl Fn(DiskReport) -> bool,
 ) {
-    let told = |done: Result<(), StoreError>| match done {
+    let to_report = |done: Result<(), StoreError>| match done {
         Ok(()) => DiskReport::Done,
         Err(error) => DiskReport::Failed(error.to_string()),
     };
     for job in jobs {
-        let report = match job {
-            DiskJob::Append(batch) => told(store.append(&batch)),
+        let end = match job {
+            DiskJob::Append(batch) => to_report(store.append(&batch)),
             DiskJob::Install(snapshot, hard_state, entries) => {
-                told(store.install(&snapshot, hard_state, &entries))
+                to_report(store.install(&snapshot, hard_state, &entries))
             }
             DiskJob::KeepList(list) => {
                 if let Err(error) = write_kept(folder, &list) {
@@ -134,7 +123,7 @@
                 DiskReport::ListKept
             }
         };
-        if reports.send(report).is_err() {
+        if !report(end) {
             return;
         }
     }
--- a/lib/src/transport/vm_keeper.rs
+++ b/lib/src/transport/vm_keeper.rs
@@ -11,9 +11,10 @@
 use tracing::{error, info, warn};
 
 use super::vm_disk::{DiskJob, DiskReport};
+use crate::coordination::durable_core::{DurableCore, DurableOutcome};
 use crate::coordination::group_plan::{next_change, voters_wanted};
 use crate::coordination::raft::RaftCore;
-use crate::coordination::raft_message::{RaftBody, RaftMessage, RaftOutput, RaftRole, WAKE_MS};
+use crate::coordination::raft_message::{RaftMessage, RaftOutput, RaftRole, WAKE_MS};
 use crate::coordination::vm_roster::VmRoster;
 use crate::state::fleet_record::{FleetCommand, FleetRecord, HeldDocument, RecordChange, SeatRow};
 use crate::state::ids::{Incarnation, KeeperId};
@@ -56,7 +57,7 @@
     id: KeeperId,
     peer_port: u16,
     wanted: usize,
-    core: RaftCore,
+    durable: DurableCore,
     /// The life of its disk.
     pub incarnation: Incarnation,
     /// What is known to be committed.
@@ -64,10 +65,6 @@
     /// The VMs that a leader hears.
     pub roster: VmRoster,
     disk: Sender<DiskJob>,
-    job_since_ms: Option<u64>,
-    waiting_jobs: Vec<DiskJob>,
-    broken_ms: Option<u64>,
-    held_back: Vec<(KeeperId, RaftMessage)>,
     waiters: Vec<PutWaiter>,
     log_bytes: usize,
     led_since_ms: Option<u64>,
@@ -97,12 +94,12 @@
         disk: Sender<DiskJob>,
         now_ms: u64,
     ) -> KeeperDriver {
-        let mut first_jobs = Vec::new();
+        let mut first_job = None;
         if stored.blank && identity.founder {
             let batch = found_group(&identity, incarnation);
             stored.hard_state = batch.hard_state.unwrap_or_default();
             stored.entries = batch.entries.clone();
-            first_jobs.push(DiskJob::Append(batch));
+            first_job = Some(DiskJob::Append(batch));
             info!(target: "keeper", "forms the first group");
         }
         let mut record = FleetRecord::default();
@@ -122,51 +119,52 @@
         );
         let mut core = RaftCore::new(identity.id, incarnation, stored, identity.seed, now_ms);
         core.wake_soon(WAKE_MS, now_ms);
+        let mut durable = DurableCore::new(core);
+        if let Some(job) = first_job {
+            durable.queue(job);
+        }
+        let job = durable.next_job(now_ms);
         let mut driver = KeeperDriver {
             id: identity.id,
             peer_port: identity.peer_port,
             wanted: voters_wanted(identity.tolerated_losses),
-            core,
+            durable,
             incarnation,
             record,
             roster: VmRoster::default(),
             disk,
-            job_since_ms: None,
-            waiting_jobs: first_jobs,
-            broken_ms: None,
-            held_back: Vec::new(),
             waiters: Vec::new(),
             log_bytes: 0,
             led_since_ms: None,
             refusals: BTreeMap::new(),
         };
-        driver.submit_jobs(now_ms);
+        driver.submit(job, now_ms);
         driver
     }
 
     /// The leader, as far as known.
     pub fn leader(&self) -> Option<KeeperId> {
-        self.core.leader()
+        self.durable.core.leader()
     }
 
     /// The term.
     pub fn term(&self) -> u64 {
-        self.core.term()
+        self.durable.core.term()
     }
 
     /// The members of the group.
     pub fn members(&self) -> Vec<KeeperId> {
-        self.core.membership().members.keys().copied().collect()
+        self.durable.core.membership().members.keys().copied().collect()
     }
 
     /// How many members vote.
     pub fn voters(&self) -> usize {
-        self.core.membership().members.values().filter(|member| member.votes).count()
+        self.durable.core.membership().members.values().filter(|member| member.votes).count()
     }
 
     /// Whether this keeper surely leads and has applied all that is committed.
     pub fn may_vouch(&self, now_ms: u64) -> bool {
-        self.core.has_lease(now_ms) && self.core.has_applied_all()
+        self.durable.core.has_lease(now_ms) && self.durable.core.has_applied_all()
     }
 
     /// How long it has led, in milliseconds.
@@ -177,15 +175,16 @@
     /// Time passes.
     pub fn tick(&mut self, now_ms: u64) -> KeeperOutcome {
         let mut outcome = KeeperOutcome::default();
-        if self.broken_ms.is_some_and(|broken| now_ms >= broken + REWRITE_MS) {
-            self.rewrite(now_ms);
+        if self.durable.failed_ms().is_some_and(|failed| now_ms >= failed + REWRITE_MS) {
+            let job = self.durable.rewrite(now_ms);
+            self.submit(job, now_ms);
         }
-        let stuck = self.job_since_ms.is_some_and(|since| now_ms >= since + STUCK_MS);
-        if stuck || self.broken_ms.is_some() {
+        let stuck = self.durable.is_stuck(STUCK_MS, now_ms);
+        if stuck || self.durable.failed_ms().is_some() {
             // It must neither stand for election nor lead: it can't hold what it would take.
-            if self.core.role() == RaftRole::Leader {
+            if self.durable.core.role() == RaftRole::Leader {
                 warn!(target: "keeper", stuck, "resigns, since its disk takes nothing");
-                self.core.resign(now_ms);
+                self.durable.core.resign(now_ms);
                 self.note_role(now_ms);
             }
             return outcome;
@@ -208,23 +207,13 @@
     /// The disk thread reports the end of its job.
     pub fn note_disk(&mut self, report: DiskReport, now_ms: u64) -> KeeperOutcome {
         let mut outcome = KeeperOutcome::default();
-        self.job_since_ms = None;
         if let DiskReport::Failed(error) = report {
             warn!(target: "disk", "a write failed, all is to be written anew: {error}");
-            self.broken_ms = Some(now_ms);
-            self.waiting_jobs.clear();
-            return outcome;
-        }
-        if self.broken_ms.is_some() {
-            return outcome;
-        }
-        if !self.waiting_jobs.is_empty() {
-            self.submit_jobs(now_ms);
+            self.durable.note_failed(now_ms);
             return outcome;
         }
-        outcome.messages.append(&mut self.held_back);
-        self.step(now_ms, &mut outcome, |core, output| core.note_synced(output));
-        self.step(now_ms, &mut outcome, |core, output| core.flush(now_ms, output));
+        let step = self.durable.note_written(now_ms);
+        self.take_step(step, &mut outcome, now_ms);
         outcome
     }
 
@@ -267,7 +256,7 @@
     ) -> oneshot::Receiver<bool> {
         let (reply, receiver) = oneshot::channel();
         let small = self.voters() < self.wanted && self.led_ms(now_ms) < SMALL_GROUP_MS;
-        if small || self.core.role() != RaftRole::Leader {
+        if small || self.durable.core.role() != RaftRole::Leader {
             let _ = reply.send(false);
             return receiver;
         }
@@ -311,7 +300,8 @@
     fn lead_on(&mut self, now_ms: u64, outcome: &mut KeeperOutcome) {
         self.roster.expire(now_ms);
         let known = self.roster.keepers();
-        let change = next_change(&self.core, self.id, &known, self.wanted, self.peer_port, now_ms);
+        let change =
+            next_change(&self.durable.core, self.id, &known, self.wanted, self.peer_port, now_ms);
         let Some(change) = change else { return };
         let text = format!("{change:?}");
         let mut refused = None;
@@ -331,28 +321,20 @@
         outcome: &mut KeeperOutcome,
         act: impl FnOnce(&mut RaftCore, &mut RaftOutput),
     ) {
-        let mut output = RaftOutput::default();
-        act(&mut self.core, &mut output);
-        if let Some(snapshot) = output.install.take() {
+        let step = self.durable.step(now_ms, act);
+        self.take_step(step, outcome, now_ms);
+    }
+
+    fn take_step(&mut self, mut step: DurableOutcome, outcome: &mut KeeperOutcome, now_ms: u64) {
+        if let Some(snapshot) = step.installed.take() {
             match self.record.restore(&snapshot.image) {
                 Ok(changed) => outcome.changed |= changed,
                 Err(error) => error!(target: "keeper", "a snapshot cannot be read: {error}"),
             }
-            let entries = self.core.entries().to_vec();
-            let job = DiskJob::Install(Box::new(snapshot), self.core.hard_state(), entries);
-            self.queue_job(job);
-        }
-        if !output.batch.is_empty() {
-            self.queue_job(DiskJob::Append(std::mem::take(&mut output.batch)));
         }
-        self.submit_jobs(now_ms);
-        for (to, message) in output.messages.drain(..) {
-            match self.must_wait(&message) {
-                true => self.held_back.push((to, message)),
-                false => outcome.messages.push((to, message)),
-            }
-        }
-        for entry in output.committed.drain(..) {
+        self.submit(step.job.take(), now_ms);
+        outcome.messages.append(&mut step.messages);
+        for entry in step.committed {
             let change = self.apply(&entry);
             outcome.changed |= change == RecordChange::Document;
             outcome.rollouts_changed |= change == RecordChange::Rollout;
@@ -361,53 +343,12 @@
         self.note_role(now_ms);
     }
 
-    /// Replies claim what is on disk, so they wait for it; so does a vote for itself.
-    fn must_wait(&self, message: &RaftMessage) -> bool {
-        let unsynced = self.job_since_ms.is_some()
-            || !self.waiting_jobs.is_empty()
-            || self.broken_ms.is_some();
-        let claims = match &message.body {
-            RaftBody::VoteReply { pre, granted } => !pre && *granted,
-            RaftBody::Vote { pre, .. } => !pre,
-            RaftBody::AppendReply { matched, index, .. } => {
-                *matched && *index > self.core.synced_index()
-            }
-            RaftBody::Append { .. } | RaftBody::Piece { .. } | RaftBody::StandNow => false,
-        };
-        unsynced && claims
-    }
-
-    fn queue_job(&mut self, job: DiskJob) {
-        if self.broken_ms.is_some() {
-            // Everything is written anew anyway.
-            return;
-        }
-        match (self.waiting_jobs.last_mut(), job) {
-            (Some(DiskJob::Append(before)), DiskJob::Append(batch)) => merge_batch(before, batch),
-            (_, job) => self.waiting_jobs.push(job),
-        }
-    }
-
-    fn submit_jobs(&mut self, now_ms: u64) {
-        if self.job_since_ms.is_some() || self.waiting_jobs.is_empty() {
-            return;
-        }
-        let job = self.waiting_jobs.remove(0);
+    fn submit(&mut self, job: Option<DiskJob>, now_ms: u64) {
+        let Some(job) = job else { return };
         if self.disk.send(job).is_err() {
             warn!(target: "disk", "the disk thread is gone");
-            self.broken_ms = Some(now_ms);
-            return;
+            self.durable.note_failed(now_ms);
         }
-        self.job_since_ms = Some(now_ms);
-    }
-
-    fn rewrite(&mut self, now_ms: u64) {
-        self.broken_ms = None;
-        self.waiting_jobs.clear();
-        let snapshot = Box::new(self.core.snapshot().clone());
-        let entries = self.core.entries().to_vec();
-        self.queue_job(DiskJob::Install(snapshot, self.core.hard_state(), entries));
-        self.submit_jobs(now_ms);
     }
 
     fn apply(&mut self, entry: &LogEntry) -> RecordChange {
@@ -433,13 +374,13 @@
     }
 
     fn note_role(&mut self, now_ms: u64) {
-        let leads = self.core.role() == RaftRole::Leader;
+        let leads = self.durable.core.role() == RaftRole::Leader;
         if leads && self.led_since_ms.is_none() {
-            info!(target: "keeper", term = self.core.term(), "leads");
+            info!(target: "keeper", term = self.durable.core.term(), "leads");
             self.led_since_ms = Some(now_ms);
             self.roster.clear();
         } else if !leads && self.led_since_ms.take().is_some() {
-            info!(target: "keeper", term = self.core.term(), "leads no more");
+            info!(target: "keeper", term = self.durable.core.term(), "leads no more");
             self.roster.clear();
             for waiter in self.waiters.drain(..) {
                 let _ = waiter.reply.send(false);
@@ -448,18 +389,17 @@
     }
 
     fn compact(&mut self, now_ms: u64) {
-        let large = self.log_bytes > COMPACT_BYTES || self.core.entries().len() > COMPACT_ENTRIES;
-        if !large || !self.core.has_applied_all() || self.job_since_ms.is_some() {
+        let large =
+            self.log_bytes > COMPACT_BYTES || self.durable.core.entries().len() > COMPACT_ENTRIES;
+        if !large || !self.durable.core.has_applied_all() || !self.durable.is_idle() {
             return;
         }
         let image = self.record.image();
-        let commit = self.core.commit();
-        let Some(snapshot) = self.core.compact(commit, image) else { return };
-        let snapshot = Box::new(snapshot.clone());
-        let entries = self.core.entries().to_vec();
-        self.log_bytes = 0;
-        self.queue_job(DiskJob::Install(snapshot, self.core.hard_state(), entries));
-        self.submit_jobs(now_ms);
+        let job = self.durable.compact(self.durable.core.commit(), image, now_ms);
+        if job.is_some() {
+            self.log_bytes = 0;
+        }
+        self.submit(job, now_ms);
     }
 }
 
@@ -476,14 +416,3 @@
         entries: vec![LogEntry { index: 1, term: 1, payload }],
     }
 }
-
-fn merge_batch(before: &mut LogBatch, batch: LogBatch) {
-    if batch.hard_state.is_some() {
-        before.hard_state = batch.hard_state;
-    }
-    if let Some(from) = batch.truncate_from {
-        before.entries.retain(|entry| entry.index < from);
-        before.truncate_from = Some(before.truncate_from.map_or(from, |other| other.min(from)));
-    }
-    before.entries.extend(batch.entries);
-}
