durable_core: the end of a write counts though another one waits

Operators got no acknowledgement of any change from a leader whose disk was slower than the changes came: each waited for a moment in which nothing was left to write. Cause: the end of a job was passed over while another waited, so entries counted as synced, and messages that claim so left, only when the queue ran empty. Change: each job knows the last entry that it holds, less what is truncated or replaced while it runs, and the messages that may leave with its end.

--- a/lib/src/coordination/durable_core.rs
+++ b/lib/src/coordination/durable_core.rs
@@ -6,7 +6,8 @@
 //! only messages that claim something is on disk wait until it is.
 //!
 //! Invariants: one job runs at a time, in order; a vote and an acknowledged entry leave only after
-//! the job that holds them; nothing counts as synced before the last job that was queued has ended.
+//! the job that holds them; a job's end counts for all that was queued before it began, so that a disk
+//! slower than the proposals still gets on.
 
 use super::raft::RaftCore;
 use super::raft_message::{RaftBody, RaftMessage, RaftOutput};
@@ -29,12 +30,23 @@
 pub struct DurableCore {
     /// The consensus. Whatever gives output goes through [`DurableCore::step`].
     pub core: RaftCore,
-    running_since_ms: Option<u64>,
+    running: Option<RunningJob>,
+    last_job_ms: u64,
     waiting: Vec<DiskJob>,
     failed_ms: Option<u64>,
     held_back: Vec<(KeeperId, RaftMessage)>,
 }
 
+/// The job that the disk works on.
+#[derive(Debug, Default)]
+struct RunningJob {
+    since_ms: u64,
+    /// The last entry that is on disk with its end, if no earlier job waits.
+    last_index: Option<u64>,
+    /// Messages that may leave with its end.
+    held_back: Vec<(KeeperId, RaftMessage)>,
+}
+
 /// What is to be done after a step, in this order.
 #[derive(Debug, Default)]
 pub struct DurableOutcome {
@@ -53,7 +65,8 @@
     pub fn new(core: RaftCore) -> DurableCore {
         DurableCore {
             core,
-            running_since_ms: None,
+            running: None,
+            last_job_ms: 0,
             waiting: Vec::new(),
             failed_ms: None,
             held_back: Vec::new(),
@@ -62,12 +75,17 @@
 
     /// Whether everything is on disk.
     pub fn is_idle(&self) -> bool {
-        self.running_since_ms.is_none() && self.waiting.is_empty()
+        self.running.is_none() && self.waiting.is_empty()
     }
 
     /// Whether the disk has worked on one job for `patience_ms`.
     pub fn is_stuck(&self, patience_ms: u64, now_ms: u64) -> bool {
-        self.running_since_ms.is_some_and(|since| now_ms >= since + patience_ms)
+        self.running.as_ref().is_some_and(|job| now_ms >= job.since_ms + patience_ms)
+    }
+
+    /// How long the last job took, in milliseconds.
+    pub fn last_job_ms(&self) -> u64 {
+        self.last_job_ms
     }
 
     /// When a job failed, until all is written anew.
@@ -109,17 +127,14 @@
 
     /// The running job is on disk.
     pub fn note_written(&mut self, now_ms: u64) -> DurableOutcome {
-        self.running_since_ms = None;
-        if self.failed_ms.is_some() {
-            return DurableOutcome::default();
-        }
-        if !self.waiting.is_empty() {
-            return DurableOutcome { job: self.next_job(now_ms), ..DurableOutcome::default() };
-        }
-        let mut messages = std::mem::take(&mut self.held_back);
+        let Some(ended) = self.running.take() else { return DurableOutcome::default() };
+        self.last_job_ms = now_ms.saturating_sub(ended.since_ms);
+        let mut messages = ended.held_back;
         let mut outcome = self.step(now_ms, |core, output| {
-            core.note_synced(output);
-            core.flush(now_ms, output);
+            if let Some(index) = ended.last_index {
+                core.note_synced_to(index, output);
+                core.flush(now_ms, output);
+            }
         });
         messages.append(&mut outcome.messages);
         DurableOutcome { messages, ..outcome }
@@ -127,7 +142,9 @@
 
     /// The running job failed: nothing is written until [`DurableCore::rewrite`].
     pub fn note_failed(&mut self, now_ms: u64) {
-        self.running_since_ms = None;
+        let mut held_back = self.running.take().unwrap_or_default().held_back;
+        held_back.append(&mut self.held_back);
+        self.held_back = held_back;
         self.failed_ms = Some(now_ms);
         self.waiting.clear();
     }
@@ -156,6 +173,7 @@
             // Everything is written anew anyway.
             return;
         }
+        self.forget_replaced(&job);
         match (self.waiting.last_mut(), job) {
             (Some(DiskJob::Append(before)), DiskJob::Append(batch)) => merge_batch(before, batch),
             (_, job) => self.waiting.push(job),
@@ -164,11 +182,30 @@
 
     /// Starts the next job if none runs.
     pub fn next_job(&mut self, now_ms: u64) -> Option<DiskJob> {
-        if self.running_since_ms.is_some() || self.waiting.is_empty() {
+        if self.running.is_some() || self.waiting.is_empty() {
             return None;
         }
-        self.running_since_ms = Some(now_ms);
-        Some(self.waiting.remove(0))
+        let job = self.waiting.remove(0);
+        let mut running = RunningJob { since_ms: now_ms, ..RunningJob::default() };
+        if self.waiting.is_empty() {
+            running.last_index = Some(self.core.last_index());
+            running.held_back = std::mem::take(&mut self.held_back);
+        }
+        self.running = Some(running);
+        Some(job)
+    }
+
+    /// What a newer job truncates or replaces doesn't count as written by the running one.
+    fn forget_replaced(&mut self, job: &DiskJob) {
+        let Some(running) = &mut self.running else { return };
+        running.last_index = match job {
+            DiskJob::Append(batch) => match (running.last_index, batch.truncate_from) {
+                (Some(last), Some(from)) => Some(last.min(from.saturating_sub(1))),
+                (last, _) => last,
+            },
+            DiskJob::Install(..) => None,
+            DiskJob::KeepList(_) => running.last_index,
+        };
     }
 
     fn queue_install(&mut self, snapshot: LogSnapshot) {
--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -252,7 +252,12 @@
 
     /// The batch of the last step is on disk.
     pub fn note_synced(&mut self, output: &mut RaftOutput) {
-        self.synced = self.last_index();
+        self.note_synced_to(self.last_index(), output);
+    }
+
+    /// Everything up to an entry is on disk.
+    pub fn note_synced_to(&mut self, index: u64, output: &mut RaftOutput) {
+        self.synced = self.synced.max(index.min(self.last_index()));
         if self.role == RaftRole::Leader {
             self.advance_commit();
         }
