keeper_loop: a keeper goes on while its disk syncs

Routers got no lease and callers no claims while disks were slow: a group of three whose every sync took 0.1 s had no leader at all, though nothing had failed. The test every_acknowledged_change_and_claim_survives_kill_9_of_the_leader was known to be red on such disks ('no keeper leads') and had been left so without a trace. Cause: a keeper's loop waited for each sync, and neither sent nor answered anything meanwhile. Leaders lost their lease by it, and candidates asked again before the votes for them were written, at the same time as all others. Change: the loop uses DurableCore and a thread for its files. Election timeouts grow with what the last write took, and a keeper enters no further term while its disk works. A leader whose disk writes nothing for 5 s makes way.

--- a/cli/src/bench_keeper.rs
+++ b/cli/src/bench_keeper.rs
@@ -146,7 +146,7 @@
     let single = KeeperGroup::start(3, 1)?;
     let mut rows = Vec::new();
     for (callers, size) in [(1, 1), (16, 1), (256, 1), (4, 128)] {
-        for (name, group) in [("batched syncs", &batched), ("one sync an entry", &single)] {
+        for (name, group) in [("batched syncs", &batched), ("one event a step", &single)] {
             let (rate, times, syncs) = claims_run(group, callers, size);
             rows.push(vec![
                 name.to_string(),
--- a/lib/src/coordination/durable_core.rs
+++ b/lib/src/coordination/durable_core.rs
@@ -1,19 +1,19 @@
 //! The consensus over a disk that takes its time.
 //!
-//! [`RaftCore`] expects that what it hands out is on disk before its messages leave. A sync may take
-//! seconds, and a keeper that waited for it would be taken for dead. So writes are jobs for a thread,
-//! and the core goes on meanwhile: heartbeats, empty replies and questions leave at once, and
-//! only messages that claim something is on disk wait until it is.
+//! [`RaftCore`] expects that what it hands out is on disk before its messages leave. A sync may
+//! take seconds, and a keeper that waited for it would be taken for dead. So writes are jobs for a
+//! thread, and the core goes on meanwhile: heartbeats, empty replies and questions leave at once,
+//! and only messages that claim something is on disk wait until it is.
 //!
 //! Invariants: one job runs at a time, in order; a vote and an acknowledged entry leave only after
-//! the job that holds them; a job's end counts for all that was queued before it began, so that a disk
-//! slower than the proposals still gets on.
+//! the job that holds them; a job's end counts for all that was queued before it began, so that a
+//! disk slower than the proposals still gets on.
 
 use super::raft::RaftCore;
 use super::raft_message::{RaftBody, RaftMessage, RaftOutput};
 use crate::state::ids::KeeperId;
 use crate::state::kept_list::KeptList;
-use crate::state::log_store::{HardState, LogBatch, LogEntry, LogSnapshot};
+use crate::state::log_store::{HardState, LogBatch, LogEntry, LogSnapshot, StoredState};
 
 /// What a disk thread is asked to do.
 #[derive(Debug)]
@@ -157,6 +157,19 @@
         self.next_job(now_ms)
     }
 
+    /// Makes a blank keeper a member of the first group, which starts from `snapshot`.
+    pub fn start_group(
+        &mut self,
+        snapshot: LogSnapshot,
+        seed: u64,
+        now_ms: u64,
+    ) -> Option<DiskJob> {
+        let (id, incarnation) = (self.core.id, self.core.incarnation);
+        let stored = StoredState { snapshot, ..StoredState::default() };
+        self.core = RaftCore::new(id, incarnation, stored, seed, now_ms);
+        self.rewrite(now_ms)
+    }
+
     /// Replaces the log up to `index` by the state machine's image, unless the disk is busy.
     pub fn compact(&mut self, index: u64, image: Vec<u8>, now_ms: u64) -> Option<DiskJob> {
         if !self.is_idle() {
--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -16,6 +16,9 @@
     EntryPayload, GroupMembership, HardState, LogEntry, LogSnapshot, StoredState,
 };
 
+/// Elections wait for no slower disk than this, in milliseconds.
+const LONGEST_SYNC_MS: u64 = 5000;
+
 #[derive(Clone, Debug, Default)]
 pub(super) struct FollowerProgress {
     pub(super) next: u64,
@@ -62,6 +65,8 @@
     pub(super) wake_ms: u64,
     /// How often this life has asked for a vote without hearing of a leader.
     pub(super) wakes: u32,
+    /// How long the disk takes for a sync, in milliseconds.
+    pub(super) sync_ms: u64,
 }
 
 impl RaftCore {
@@ -100,6 +105,7 @@
             woken: false,
             wake_ms: ELECTION_MS,
             wakes: 0,
+            sync_ms: 0,
         };
         core.read_membership();
         core.reset_deadline(now_ms);
@@ -120,6 +126,12 @@
         }
     }
 
+    /// Leaves time for slow disks in elections: a candidate's vote and the answers to it each wait
+    /// for a sync. `job_ms` is how long the last write took.
+    pub fn allow_for_syncs(&mut self, job_ms: u64) {
+        self.sync_ms = job_ms.max(self.sync_ms / 2).min(LONGEST_SYNC_MS);
+    }
+
     /// This keeper's role.
     pub fn role(&self) -> RaftRole {
         self.role
--- a/lib/src/coordination/raft_election.rs
+++ b/lib/src/coordination/raft_election.rs
@@ -5,13 +5,17 @@
 use crate::state::ids::KeeperId;
 use crate::state::log_store::{EntryPayload, HardState, LogEntry};
 
+/// The candidate's own and that of whoever grants its vote.
+const SYNCS_A_VOTE: u64 = 2;
+
 impl RaftCore {
     pub(super) fn reset_deadline(&mut self, now_ms: u64) {
         self.jitter ^= self.jitter << 13;
         self.jitter ^= self.jitter >> 7;
         self.jitter ^= self.jitter << 17;
         if self.woken || self.wake_ms >= ELECTION_MS {
-            self.deadline_ms = now_ms + ELECTION_MS + self.jitter % ELECTION_MS;
+            let patience_ms = ELECTION_MS + SYNCS_A_VOTE * self.sync_ms;
+            self.deadline_ms = now_ms + patience_ms + self.jitter % patience_ms;
             return;
         }
         // Keepers that return together take turns by their place in the group: when one of three
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -1,19 +1,22 @@
-//! The keeper's one loop: it alone owns the consensus, the files and the state machine.
+//! The keeper's one loop: it alone owns the consensus and the state machine.
 //!
-//! Events that came together are stepped together, written with one sync, and only
-//! then answered: that is the group commit. Nothing else in a keeper holds state.
+//! A thread writes the files, since a sync may take longer than a leader may be silent. Events that
+//! come while it works are written with the next sync and only then answered: that is the group
+//! commit. Nothing else in a keeper holds state.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, Sender};
+use crossbeam::channel::{select, Receiver, Sender};
 
 use super::clock::{wall_ms, NodeClock};
 use super::datagram::DatagramPort;
 pub use super::keeper_waiter::OperateReply;
 use super::keeper_waiter::Waiter;
+use super::vm_disk::{DiskJob, DiskReport};
+use crate::coordination::durable_core::{DurableCore, DurableOutcome};
 use crate::coordination::leaving::LeavingMark;
 use crate::coordination::load_spread::LoadTable;
 use crate::coordination::order_pace::orders_to_send;
@@ -34,14 +37,14 @@
     KeeperAnswer, KeeperCommand, KeeperMachine, KeeperOperation, OrderAction, OrderRecord,
     OrderState,
 };
-use crate::state::log_store::{
-    EntryPayload, GroupMember, GroupMembership, LogEntry, LogSnapshot, LogStore, StoreError,
-};
+use crate::state::log_store::{EntryPayload, GroupMember, GroupMembership, LogEntry, LogSnapshot};
 
 /// A snapshot is taken after this many entries.
 pub const COMPACT_ENTRIES: u64 = 4096;
 const POLL: Duration = Duration::from_millis(10);
-/// Events that one sync covers, unless a bench asks for less.
+/// A leader whose disk works on one job for this long makes way for another, in milliseconds.
+const DISK_PATIENCE_MS: u64 = 5000;
+/// Events that one step takes, unless a bench asks for less.
 pub const MOST_EVENTS: usize = 512;
 const MARK_KEEP_MS: u64 = 10_000;
 const ORDER_RETRY_MS: u64 = 1000;
@@ -97,8 +100,10 @@
     pub core: RaftCore,
     /// The state machine, as of the snapshot.
     pub machine: KeeperMachine,
-    /// The open data folder.
-    pub store: LogStore,
+    /// The thread that writes the data folder.
+    pub disk: LoopDisk,
+    /// The life of the data folder.
+    pub incarnation: Incarnation,
     /// The clock of this process.
     pub clock: NodeClock,
     /// Spreads the election timers.
@@ -107,19 +112,45 @@
     pub most_loads: usize,
     /// The keepers that the settings name.
     pub named: BTreeMap<KeeperId, SocketAddr>,
-    /// Events that one sync may cover.
+    /// Events that one step may take.
     pub most_events: usize,
 }
 
+/// A loop's ends of the channels to its disk thread.
+pub struct LoopDisk {
+    /// Takes jobs, which are carried out in order.
+    pub jobs: Sender<DiskJob>,
+    /// Reports the end of each job.
+    pub reports: Receiver<DiskReport>,
+}
+
+/// Why a loop ended: a keeper that cannot write must not answer.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+pub enum LoopFailure {
+    /// The disk thread could not carry out a job.
+    #[snafu(display("{text}"))]
+    Disk {
+        /// What it said.
+        text: String,
+    },
+    /// The state machine cannot start from the leader's snapshot.
+    #[snafu(display("the snapshot that the leader sent cannot be read: {text}"))]
+    Image {
+        /// What is wrong with it.
+        text: String,
+    },
+}
+
 /// See the module.
 pub struct KeeperLoop {
     /// This keeper's number.
     pub id: KeeperId,
-    /// The consensus.
-    pub core: RaftCore,
+    durable: DurableCore,
     /// The replicated state, as far as it is applied here.
     pub machine: KeeperMachine,
-    store: LogStore,
+    disk: LoopDisk,
+    incarnation: Incarnation,
+    syncs: u64,
     clock: NodeClock,
     seed: u64,
     outlets: LoopOutlets,
@@ -140,14 +171,16 @@
 impl KeeperLoop {
     /// A loop over what the disk held.
     pub fn new(start: LoopStart, outlets: LoopOutlets) -> KeeperLoop {
-        let LoopStart { id, core, machine, store, clock, seed, most_loads, named, most_events } =
-            start;
+        let LoopStart { id, core, machine, disk, incarnation, clock, seed, .. } = start;
+        let (most_loads, named, most_events) = (start.most_loads, start.named, start.most_events);
         let applied = core.snapshot_index();
         KeeperLoop {
             id,
-            core,
+            durable: DurableCore::new(core),
             machine,
-            store,
+            disk,
+            incarnation,
+            syncs: 0,
             clock,
             seed,
             outlets,
@@ -166,39 +199,87 @@
         }
     }
 
-    /// Runs until stopped, or until the disk fails: a keeper that cannot write must not answer.
-    pub fn run(mut self, events: Receiver<KeeperEvent>) -> Result<(), StoreError> {
-        loop {
+    /// The consensus.
+    pub fn core(&self) -> &RaftCore {
+        &self.durable.core
+    }
+
+    /// Runs until stopped.
+    ///
+    /// # Errors
+    ///
+    /// The disk fails, or a leader sent what cannot be read.
+    pub fn run(mut self, events: Receiver<KeeperEvent>) -> Result<(), LoopFailure> {
+        let reports = self.disk.reports.clone();
+        let mut running = true;
+        while running {
             let mut output = RaftOutput::default();
-            let mut running = true;
-            if let Ok(event) = events.recv_timeout(POLL) {
-                running = self.take(event, &mut output);
-                for event in events.try_iter().take(self.most_events - 1) {
-                    running &= self.take(event, &mut output);
-                }
+            select! {
+                recv(reports) -> report => self.take_report(report.ok())?,
+                recv(events) -> event => match event {
+                    Ok(event) => running = self.take_all(event, &events, &mut output),
+                    Err(_) => running = false,
+                },
+                default(POLL) => {}
             }
             let now_ms = self.clock.now_ms();
-            self.core.tick(now_ms, &mut output);
+            self.tick(now_ms, &mut output);
             self.lead(now_ms, &mut output);
-            self.core.flush(now_ms, &mut output);
-            self.write(&mut output)?;
-            self.send(&mut output);
-            self.apply(output.committed);
-            self.compact()?;
-            if !running {
-                break;
-            }
+            self.durable.core.flush(now_ms, &mut output);
+            let outcome = self.durable.settle(output, now_ms);
+            self.carry_out(outcome)?;
+            self.compact(now_ms)?;
         }
         self.waiters.drain().for_each(|(_, (_, waiter))| waiter.unsure());
         Ok(())
     }
 
+    /// Enters no further term while the disk works: a vote that is not written counts for nobody.
+    fn tick(&mut self, now_ms: u64, output: &mut RaftOutput) {
+        let leads = self.durable.core.role() == RaftRole::Leader;
+        if leads && self.durable.is_stuck(DISK_PATIENCE_MS, now_ms) {
+            tracing::warn!("keeper: resigns, since its disk writes nothing.");
+            self.durable.core.resign(now_ms);
+        } else if leads || self.durable.is_idle() {
+            self.durable.core.tick(now_ms, output);
+        }
+    }
+
+    fn take_report(&mut self, report: Option<DiskReport>) -> Result<(), LoopFailure> {
+        let now_ms = self.clock.now_ms();
+        match report {
+            Some(DiskReport::Done) => {
+                self.syncs += 1;
+                let outcome = self.durable.note_written(now_ms);
+                self.durable.core.allow_for_syncs(self.durable.last_job_ms());
+                self.carry_out(outcome)
+            }
+            Some(DiskReport::Failed(text)) => Err(LoopFailure::Disk { text }),
+            Some(DiskReport::Opened(..) | DiskReport::ListKept) => Ok(()),
+            None => Err(LoopFailure::Disk { text: "the disk thread has ended".to_string() }),
+        }
+    }
+
     // ---- events ----
 
+    /// Takes an event and those that wait behind it; false when one of them ends the loop.
+    fn take_all(
+        &mut self,
+        first: KeeperEvent,
+        events: &Receiver<KeeperEvent>,
+        output: &mut RaftOutput,
+    ) -> bool {
+        let mut running = self.take(first, output);
+        for event in events.try_iter().take(self.most_events - 1) {
+            running &= self.take(event, output);
+        }
+        running
+    }
+
     fn take(&mut self, event: KeeperEvent, output: &mut RaftOutput) -> bool {
         let now_ms = self.clock.now_ms();
         match event {
-            KeeperEvent::Raft(message) => self.core.receive(message, now_ms, output),
+            KeeperEvent::Raft(message) => self.durable.core.receive(message, now_ms, output),
             KeeperEvent::Call(call, sender) => self.take_call(call, sender, output),
             KeeperEvent::Renew(from, renewal) => self.take_renewal(from, renewal, now_ms),
             KeeperEvent::Claims(from, number, claims, reports) => {
@@ -209,17 +290,17 @@
                 self.propose(operation, Waiter::Operate(sender), output);
             }
             KeeperEvent::Member(change, sender) => {
-                let place = self.core.change_member(change, now_ms, output);
+                let place = self.durable.core.change_member(change, now_ms, output);
                 self.wait_for(place, Waiter::Operate(sender));
             }
             KeeperEvent::Transfer(sender) => {
-                let reply = match self.core.transfer(None, now_ms, output) {
+                let reply = match self.durable.core.transfer(None, now_ms, output) {
                     Ok(_) => OperateReply::Done(KeeperAnswer::Done),
                     Err(refusal) => OperateReply::Refused(refusal),
                 };
                 let _ = sender.send(reply);
             }
-            KeeperEvent::Read(read) => read(self, self.core.has_lease(now_ms)),
+            KeeperEvent::Read(read) => read(self, self.core().has_lease(now_ms)),
             KeeperEvent::OrderSent(number, end) => self.end_order(number, end, now_ms, output),
             KeeperEvent::StoreLimit(limit) => self.most_loads = limit.max(1),
             KeeperEvent::Form(membership) => self.form(membership),
@@ -272,7 +353,7 @@
         let at_ms = wall_ms().max(self.machine.now_ms);
         let command = KeeperCommand { at_ms, operation };
         let payload = EntryPayload::Command(encode(&command));
-        let place = self.core.propose(payload, output);
+        let place = self.durable.core.propose(payload, output);
         self.wait_for(place, waiter);
     }
 
@@ -291,7 +372,7 @@
                 port.send(from, &Datagram::ClaimAnswers { number, answers: None });
             }
             (Err(_), Waiter::Call(sender)) => {
-                let hint = self.core.leader().filter(|leader| *leader != self.id);
+                let hint = self.core().leader().filter(|leader| *leader != self.id);
                 let _ = sender.send(KeeperReply::NotLeader(hint));
             }
         }
@@ -299,11 +380,11 @@
 
     /// Who this keeper is.
     pub fn identity(&self) -> KeeperIdentity {
-        let members = self.core.membership().members.iter();
+        let members = self.core().membership().members.iter();
         let members: BTreeMap<KeeperId, Incarnation> =
             members.map(|(id, member)| (*id, member.incarnation)).collect();
         let blank = members.is_empty();
-        KeeperIdentity { id: self.id, incarnation: self.store.incarnation, blank, members }
+        KeeperIdentity { id: self.id, incarnation: self.incarnation, blank, members }
     }
 
     fn changes_after(&self, after: u64) -> KeeperReply {
@@ -319,25 +400,22 @@
 
     /// The first group begins with equal snapshots on all its keepers.
     fn form(&mut self, membership: GroupMembership) {
-        if !self.core.membership().members.is_empty() {
+        if !self.core().membership().members.is_empty() {
             return;
         }
         let image = KeeperMachine::default().to_image();
         let snapshot = LogSnapshot { index: 0, term: 0, membership, image };
-        if let Err(error) = self.store.install(&snapshot, self.core.hard_state(), &[]) {
-            tracing::error!("keeper: cannot form the group: {error}.");
-            return;
-        }
-        let stored = crate::state::log_store::StoredState { snapshot, ..Default::default() };
-        let (id, incarnation) = (self.id, self.store.incarnation);
-        self.core = RaftCore::new(id, incarnation, stored, self.seed, self.clock.now_ms());
-        tracing::info!("keeper: formed a group of {}.", self.core.membership().members.len());
+        let now_ms = self.clock.now_ms();
+        let job = self.durable.start_group(snapshot, self.seed, now_ms);
+        tracing::info!("keeper: forms a group of {}.", self.core().membership().members.len());
+        // Without a disk thread the loop ends with its next look at the reports.
+        let _ = self.submit(job);
     }
 
     // ---- leading ----
 
     fn lead(&mut self, now_ms: u64, output: &mut RaftOutput) {
-        let leads = self.core.role() == RaftRole::Leader;
+        let leads = self.core().role() == RaftRole::Leader;
         if !leads {
             if self.leads_term.take().is_some() {
                 tracing::info!("keeper: leads no more.");
@@ -346,15 +424,15 @@
             }
             return;
         }
-        if self.leads_term.map(|(term, _)| term) != Some(self.core.term()) {
-            tracing::info!("keeper: leads term {}.", self.core.term());
-            self.leads_term = Some((self.core.term(), now_ms));
+        if self.leads_term.map(|(term, _)| term) != Some(self.core().term()) {
+            tracing::info!("keeper: leads term {}.", self.core().term());
+            self.leads_term = Some((self.core().term(), now_ms));
             self.watch = SessionWatch::new(now_ms);
             self.loads = LoadTable::default();
             self.lapsing.clear();
             self.sending.clear();
         }
-        if !self.core.has_lease(now_ms) {
+        if !self.core().has_lease(now_ms) {
             return;
         }
         self.lapse_sessions(now_ms, output);
@@ -372,7 +450,7 @@
     }
 
     fn take_renewal(&mut self, from: SocketAddr, renewal: LeaseRenewal, now_ms: u64) {
-        if !self.core.has_lease(now_ms) {
+        if !self.core().has_lease(now_ms) {
             return;
         }
         let roster = &self.machine.roster;
@@ -438,27 +516,27 @@
 
     // ---- after a step ----
 
-    fn write(&mut self, output: &mut RaftOutput) -> Result<(), StoreError> {
-        if let Some(snapshot) = &output.install {
-            self.store.install(snapshot, self.core.hard_state(), self.core.entries())?;
-            match KeeperMachine::from_image(&snapshot.image) {
-                Ok(machine) => self.machine = machine,
-                Err(what) => {
-                    let path = "the snapshot that the leader sent".into();
-                    return Err(StoreError::Damaged { path, offset: 0, what });
-                }
-            }
+    fn carry_out(&mut self, outcome: DurableOutcome) -> Result<(), LoopFailure> {
+        if let Some(snapshot) = outcome.installed {
+            let machine = KeeperMachine::from_image(&snapshot.image);
+            self.machine = machine.map_err(|text| LoopFailure::Image { text })?;
             self.applied = snapshot.index;
-        } else if !output.batch.is_empty() {
-            self.store.append(&output.batch)?;
         }
-        self.core.note_synced(output);
+        self.submit(outcome.job)?;
+        self.send(outcome.messages);
+        self.apply(outcome.committed);
         Ok(())
     }
 
-    fn send(&mut self, output: &mut RaftOutput) {
-        for (to, message) in output.messages.drain(..) {
-            let member = self.core.membership().members.get(&to);
+    fn submit(&mut self, job: Option<DiskJob>) -> Result<(), LoopFailure> {
+        let Some(job) = job else { return Ok(()) };
+        let ended = |_| LoopFailure::Disk { text: "the disk thread has ended".to_string() };
+        self.disk.jobs.send(job).map_err(ended)
+    }
+
+    fn send(&self, messages: Vec<(KeeperId, RaftMessage)>) {
+        for (to, message) in messages {
+            let member = self.core().membership().members.get(&to);
             // A keeper that is being brought in knows no members yet, but must answer its leader.
             let address = member.map(|member| member.address);
             let Some(address) = address.or_else(|| self.named.get(&to).copied()) else { continue };
@@ -482,11 +560,11 @@
                 None => {}
             }
         }
-        if self.core.role() != RaftRole::Leader {
+        if self.core().role() != RaftRole::Leader {
             self.waiters.drain().for_each(|(_, (_, waiter))| waiter.unsure());
         }
         let after = (self.machine.configuration.version, self.machine.roster.epoch);
-        if before != after && self.core.role() == RaftRole::Leader {
+        if before != after && self.core().role() == RaftRole::Leader {
             self.notify(after.0, after.1);
         }
     }
@@ -514,17 +592,16 @@
         }
     }
 
-    fn compact(&mut self) -> Result<(), StoreError> {
-        if self.applied < self.core.snapshot_index() + COMPACT_ENTRIES {
+    fn compact(&mut self, now_ms: u64) -> Result<(), LoopFailure> {
+        let enough = self.applied >= self.core().snapshot_index() + COMPACT_ENTRIES;
+        if !enough || !self.durable.is_idle() {
             return Ok(());
         }
-        let image = self.machine.to_image();
-        let hard_state = self.core.hard_state();
-        if let Some(snapshot) = self.core.compact(self.applied, image).cloned() {
-            self.store.install(&snapshot, hard_state, self.core.entries())?;
-            tracing::info!("keeper: took a snapshot at {}.", snapshot.index);
+        let job = self.durable.compact(self.applied, self.machine.to_image(), now_ms);
+        if job.is_some() {
+            tracing::info!("keeper: takes a snapshot at {}.", self.applied);
         }
-        Ok(())
+        self.submit(job)
     }
 
     // ---- reading ----
@@ -537,14 +614,14 @@
     /// All that a status page shows.
     pub fn status(&self) -> KeeperStatus {
         let now_ms = self.clock.now_ms();
-        let members = self.core.membership().members.iter();
+        let members = self.core().membership().members.iter();
         let to_status = |(id, member): (&KeeperId, &GroupMember)| MemberStatus {
             id: *id,
             incarnation: member.incarnation,
             address: member.address,
             votes: member.votes,
-            held: self.core.member_match(*id),
-            age_ms: self.core.member_age_ms(*id, now_ms),
+            held: self.core().member_match(*id),
+            age_ms: self.core().member_age_ms(*id, now_ms),
         };
         let versions = self.watch.versions(&self.machine.roster);
         let routers = versions.into_iter().filter_map(|(id, version)| {
@@ -554,17 +631,17 @@
         });
         KeeperStatus {
             id: self.id,
-            role: self.core.role(),
-            leader: self.core.leader(),
-            term: self.core.term(),
-            commit: self.core.commit(),
-            last: self.core.last_index(),
+            role: self.core().role(),
+            leader: self.core().leader(),
+            term: self.core().term(),
+            commit: self.core().commit(),
+            last: self.core().last_index(),
             members: members.map(to_status).collect(),
             version: self.machine.configuration.version,
             epoch: self.machine.roster.epoch,
             routers: routers.collect(),
             claims: self.machine.claims.len(),
-            syncs: self.store.syncs,
+            syncs: self.syncs,
             wire: (self.outlets.wire)(),
         }
     }
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -17,9 +18,11 @@
 use super::http_server::{listen, HttpExchange, HttpServer, ServerLimits, ServerRefusal};
 use super::keeper_client::KeeperClient;
 use super::keeper_loop::{
-    KeeperEvent, KeeperLoop, LoopOutlets, LoopStart, OperateReply, MOST_EVENTS,
+    KeeperEvent, KeeperLoop, LoopDisk, LoopFailure, LoopOutlets, LoopStart, OperateReply,
+    MOST_EVENTS,
 };
 use super::keeper_operator::{operator_reply, send_order};
+use super::vm_disk::run_jobs;
 use super::wire_count::WireCount;
 use super::worker_pool::WorkerPool;
 use crate::coordination::raft::RaftCore;
@@ -102,7 +105,7 @@
     server: HttpServer,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
-    failure: Arc<Mutex<Option<StoreError>>>,
+    failure: Arc<Mutex<Option<LoopFailure>>>,
     /// Where it listens.
     pub address: SocketAddr,
 }
@@ -145,6 +148,7 @@
         let blank = stored.blank;
         let incarnation = store.incarnation;
         let seed: u64 = rand::random();
+        let (disk, disk_thread) = start_loop_disk(settings.data_folder.clone(), store);
         let core = RaftCore::new(settings.id, incarnation, stored, seed, clock.now_ms());
         let (events, receiver) = unbounded();
         let http = HttpClient { wire: wire.clone() };
@@ -157,12 +161,23 @@
         let most_loads = settings.weight_loads;
         let named = settings.keepers.iter().map(|keeper| (keeper.id, keeper.address)).collect();
         let id = settings.id;
-        let start =
-            LoopStart { id, core, machine, store, clock, seed, most_loads, named, most_events };
+        let start = LoopStart {
+            id,
+            core,
+            machine,
+            disk,
+            incarnation,
+            clock,
+            seed,
+            most_loads,
+            named,
+            most_events,
+        };
         let keeper = KeeperLoop::new(start, outlets);
         let failure = Arc::new(Mutex::new(None));
         let stop = Arc::new(AtomicBool::new(false));
-        let mut threads = vec![spawn_loop(keeper, receiver, failure.clone(), stop.clone())];
+        let running = spawn_loop(keeper, receiver, failure.clone(), stop.clone());
+        let mut threads = vec![running, disk_thread];
         let checker = Arc::new(Mutex::new(SealChecker::new(&settings.fleet_key, wall_ms())));
         threads.extend(receive_datagrams(&port, &events, &checker, &stop));
         let client =
@@ -242,7 +257,7 @@
 fn spawn_loop(
     keeper: KeeperLoop,
     receiver: crossbeam::channel::Receiver<KeeperEvent>,
-    failure: Arc<Mutex<Option<StoreError>>>,
+    failure: Arc<Mutex<Option<LoopFailure>>>,
     stop: Arc<AtomicBool>,
 ) -> JoinHandle<()> {
     spawn_named("keeper-loop", move || {
@@ -254,6 +269,14 @@
     })
 }
 
+/// Starts the thread that writes the files; it ends with the loop.
+fn start_loop_disk(folder: PathBuf, store: LogStore) -> (LoopDisk, JoinHandle<()>) {
+    let (jobs, to_do) = unbounded();
+    let (done, reports) = unbounded();
+    let run = move || run_jobs(&folder, store, &to_do, |report| done.send(report).is_ok());
+    (LoopDisk { jobs, reports }, spawn_named("keeper-disk", run))
+}
+
 fn spawn_named(name: &str, run: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
     let thread = std::thread::Builder::new().name(name.to_string()).spawn(run);
     thread.expect("the system has room for a thread at the start")
--- a/lib/src/transport/keeper_operator.rs
+++ b/lib/src/transport/keeper_operator.rs
@@ -62,8 +62,8 @@
 }
 
 fn leader_address(keeper: &KeeperLoop) -> Option<SocketAddr> {
-    let leader = keeper.core.leader().filter(|leader| *leader != keeper.id)?;
-    keeper.core.membership().members.get(&leader).map(|member| member.address)
+    let leader = keeper.core().leader().filter(|leader| *leader != keeper.id)?;
+    keeper.core().membership().members.get(&leader).map(|member| member.address)
 }
 
 fn failure(status: u16, code: &str, message: &str) -> HttpReply {
