durable_core: a keeper that joins its first group keeps the vote that it gave before

Two keepers could lead in one term of a group that was being formed. Cause: a blank keeper answers whoever asks for its vote. Forming the group then started its consensus anew without that vote, and it could grant another one in the same term. Change: the term and the vote are kept. Result: the new test fails on the code before (a second vote in one term) and passes.

--- a/lib/src/coordination/durable_core.rs
+++ b/lib/src/coordination/durable_core.rs
@@ -165,7 +165,9 @@
         now_ms: u64,
     ) -> Option<DiskJob> {
         let (id, incarnation) = (self.core.id, self.core.incarnation);
-        let stored = StoredState { snapshot, ..StoredState::default() };
+        // It may have voted already, for one that formed the group before it.
+        let hard_state = self.core.hard_state();
+        let stored = StoredState { snapshot, hard_state, ..StoredState::default() };
         self.core = RaftCore::new(id, incarnation, stored, seed, now_ms);
         self.rewrite(now_ms)
     }
--- a/lib/tests/test_durable_core.rs
+++ b/lib/tests/test_durable_core.rs
@@ -230,3 +230,29 @@
     assert!(stands.job.is_some() && stands.messages.is_empty(), "{:?}", stands.messages);
     assert_eq!(written.messages.len(), 2, "{:?}", written.messages);
 }
+
+fn vote(from: u32, term: u64) -> RaftMessage {
+    let body = RaftBody::Vote { pre: false, transfer: false, last_index: 0, last_term: 0 };
+    RaftMessage { from: KeeperId(from), incarnation: Incarnation(from.into()), term, body }
+}
+
+// Forming the group forgot a vote that was given before it, and a second candidate of that term got
+// one, too.
+#[test]
+fn a_keeper_votes_once_in_a_term_though_it_joins_its_first_group_in_it() {
+    let blank = RaftCore::new(KeeperId(1), Incarnation(1), StoredState::default(), 77, 0);
+    let mut keeper = DurableCore::new(blank);
+    let granted = |messages: &[(KeeperId, RaftMessage)]| {
+        messages.iter().any(|(_, m)| matches!(m.body, RaftBody::VoteReply { granted: true, .. }))
+    };
+
+    keeper.step(10, |core, output| core.receive(vote(2, 1), 10, output));
+    let first = keeper.note_written(20);
+    keeper.start_group(first_state(3).snapshot, 77, 30);
+    keeper.note_written(40);
+    keeper.step(50, |core, output| core.receive(vote(3, 1), 50, output));
+    let second = keeper.note_written(60);
+
+    assert!(granted(&first.messages));
+    assert!(!granted(&second.messages), "a second vote in one term");
+}
