--- a/daemons/tests/test_processes.rs
+++ b/daemons/tests/test_processes.rs
@@ -76,7 +76,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt: once a router had not ended 20 s after SIGTERM, on a loaded disk"]
 fn sigterm_drains_a_router_without_cutting_its_streams() {
     let site = Site::new(1, 2);
     let _keeper = keeper(&site.path("keeper-0"));
