--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -142,7 +142,7 @@
 #[test]
 fn explain_tells_the_story_of_a_request() {
     let log = r#"
-  -1.0000 vm-a {"level":"INFO","message":"in force","version":4,"routes":2,"target":"book"}
+  -1.0000 vm-a {"level":"INFO","message":"in force","version":4,"routes":2,"target":"routes"}
    4.0000 vm-b {"level":"INFO","message":"broken","life":"i-1","attempt":"x2","aside":false,"target":"upstream"}
    4.5000 vm-a {"level":"INFO","message":"leads no more","term":3,"target":"keeper"}
    5.0000 vm-a {"level":"INFO","message":"broken","life":"i-1","attempt":"x1","aside":true,"target":"upstream"}
--- a/lib/src/coordination/attempt_plan.rs
+++ b/lib/src/coordination/attempt_plan.rs
@@ -3,7 +3,7 @@
 //! The one rule behind all cases: "not run" is said only when it is true of every
 //! send, and nothing that may have run is sent again unless it may repeat.
 
-use crate::state::route_book::RequestKind;
+use crate::state::route_table::RequestKind;
 
 /// What came of one send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/lib/src/coordination/log_story.rs
+++ b/lib/src/coordination/log_story.rs
@@ -16,7 +16,7 @@
 /// Lines of one kind beside the request's own; more would bury it.
 const MOST_BESIDE: usize = 12;
 /// Parts whose last line tells what a VM believes.
-const BELIEFS: [&str; 5] = ["node", "book", "contact", "list", "keeper"];
+const BELIEFS: [&str; 5] = ["node", "routes", "contact", "list", "keeper"];
 
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq, Serialize)]
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -14,7 +14,7 @@
 use crate::state::list_reading::ListReading;
 use crate::state::prompt_part::PromptPart;
 use crate::state::rollout_order::RolloutRow;
-use crate::state::route_book::RouteBook;
+use crate::state::route_table::RouteTable;
 
 /// A caller's request, as far as its head tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -168,7 +168,7 @@
     /// The headers under which an upstream's answer goes back to the caller.
     fn write_answer(&self, head: &response::Parts) -> HeaderMap;
     /// Reads a configuration; all findings in one go.
-    fn read_document(&self, bytes: &[u8]) -> Result<RouteBook, Vec<Finding>>;
+    fn read_document(&self, bytes: &[u8]) -> Result<RouteTable, Vec<Finding>>;
     /// The call for a page of the list of upstreams.
     fn list_call(&self, page: Option<&str>) -> String;
     /// Reads a page of the list of upstreams.
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -18,7 +18,7 @@
 pub mod rendezvous;
 pub mod rollout_order;
 pub mod roster;
-pub mod route_book;
+pub mod route_table;
 pub mod settings;
 pub mod upstream_list;
 pub mod vm_figures;
--- a/lib/src/state/route_book.rs
+++ b/lib/src/state/route_table.rs
@@ -1,6 +1,6 @@
 //! The routes, services and workspaces that callers are served by, at one version.
 //!
-//! A book is immutable: a new version is a new book, and a VM exchanges the whole.
+//! A table is immutable: a new version is a new table, and a VM exchanges the whole.
 //! Where it came from and in which words is the adapter's business; see
 //! `docs/design/platform.md`.
 
@@ -36,7 +36,7 @@
 /// A part of a route's traffic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceShare {
-    /// The service, by its place in the book; `None` while its name is unknown.
+    /// The service, by its place in the table; `None` while its name is unknown.
     pub service: Option<usize>,
     /// The service's name.
     pub name: String,
@@ -120,7 +120,7 @@
 
 /// Everything of one version.
 #[derive(Clone, Debug)]
-pub struct RouteBook {
+pub struct RouteTable {
     /// The version; the highest holds.
     pub version: u64,
     /// The routes.
@@ -135,7 +135,7 @@
     keys: HashMap<String, usize>,
 }
 
-/// What a caller's request is by the book.
+/// What a caller's request is by the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteDecision {
     /// There is no such route.
@@ -144,15 +144,15 @@
     NoKey,
     /// It is served: the route and, if a key counts, the workspace.
     Served {
-        /// The route's place in the book.
+        /// The route's place in the table.
         route: usize,
-        /// The workspace's place in the book.
+        /// The workspace's place in the table.
         workspace: Option<usize>,
     },
 }
 
-impl RouteBook {
-    /// Joins the parts to a book and tells everything that is wrong with it.
+impl RouteTable {
+    /// Joins the parts to a table and tells everything that is wrong with it.
     ///
     /// Paths of findings start at `$` and use this project's words.
     pub fn build(
@@ -162,7 +162,7 @@
         workspaces: Option<Vec<WorkspaceEntry>>,
         limits: CallerLimits,
         list: &mut FindingList,
-    ) -> RouteBook {
+    ) -> RouteTable {
         let names: HashMap<&str, usize> =
             services.iter().enumerate().map(|(at, service)| (service.name.as_str(), at)).collect();
         let mut places = HashMap::new();
@@ -181,7 +181,7 @@
             }
         }
         let keys = index_keys(workspaces.as_deref().unwrap_or_default(), list);
-        RouteBook { version, routes, services, workspaces, limits, places, keys }
+        RouteTable { version, routes, services, workspaces, limits, places, keys }
     }
 
     /// The route with the longest prefix of `path` at `host`.
@@ -213,7 +213,7 @@
         RouteDecision::Served { route, workspace }
     }
 
-    /// The workspace at a place that [`RouteBook::decide`] gave.
+    /// The workspace at a place that [`RouteTable::decide`] gave.
     pub fn workspace(&self, at: usize) -> Option<&WorkspaceEntry> {
         self.workspaces.as_ref().and_then(|workspaces| workspaces.get(at))
     }
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -10,7 +10,7 @@
 };
 use crate::coordination::upstream_choice::{choose_engine, EngineRules, UpstreamPick};
 use crate::state::ids::UpstreamKey;
-use crate::state::route_book::{RouteRule, ServiceEntry};
+use crate::state::route_table::{RouteRule, ServiceEntry};
 use crate::state::upstream_list::{EntryDoubt, UpstreamEntry};
 
 /// From this part of the bound on an engine's load VMs tell each other of loads more often.
--- a/lib/src/transport/vm_connection.rs
+++ b/lib/src/transport/vm_connection.rs
@@ -29,12 +29,12 @@
 use super::vm_relay::AnswerBody;
 use super::vm_request_record::ConnectionRecord;
 
-/// A caller's connection may rest this much longer than the book says, in milliseconds, so
+/// A caller's connection may rest this much longer than the configuration says, in milliseconds, so
 /// that a caller who keeps the bound never meets a closing connection.
 const REST_SLACK_MS: u64 = 1500;
-/// The rest allowed before any book is known, in milliseconds.
+/// The rest allowed before any configuration is known, in milliseconds.
 const USUAL_REST_MS: u64 = 15_000;
-/// The largest head before any book is known, and the least that the library takes.
+/// The largest head before any configuration is known, and the least that the library takes.
 const USUAL_HEAD_BYTES: usize = 16_384;
 const LEAST_BUFFER_BYTES: usize = 8192;
 
@@ -68,8 +68,8 @@
 }
 
 fn rest_ms(node: &VmNode) -> u64 {
-    let book = node.book.borrow();
-    book.as_ref().map_or(USUAL_REST_MS, |book| book.book.limits.idle_ms) + REST_SLACK_MS
+    let routes = node.routes.borrow();
+    routes.as_ref().map_or(USUAL_REST_MS, |routes| routes.table.limits.idle_ms) + REST_SLACK_MS
 }
 
 /// Serves requests until the connection rests, and gives it back then.
@@ -85,7 +85,7 @@
     F: Fn(Rc<VmNode>, Request<Incoming>) -> R + Clone + Unpin + 'static,
     R: Future<Output = Response<AnswerBody>> + 'static,
 {
-    let limits = node.book.borrow().as_ref().map(|book| book.book.limits);
+    let limits = node.routes.borrow().as_ref().map(|routes| routes.table.limits);
     let head_bytes = limits.map_or(USUAL_HEAD_BYTES, |limits| limits.head_bytes);
     pulse.begin_run();
     let service = {
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -34,8 +34,8 @@
         loop {
             self.renew();
             let silent = self.view.borrow().heard_ms + LEADER_SILENT_MS <= self.now_ms();
-            // A VM without a list or a book can't serve; the leader may have them by now.
-            let lacks = !self.upstreams.borrow().is_held() || self.book.borrow().is_none();
+            // A VM without a list or routes can't serve; the leader may have them by now.
+            let lacks = !self.upstreams.borrow().is_held() || self.routes.borrow().is_none();
             let untold = lacks && self.clock.age_ms() < UNTOLD_MS;
             let pause = match silent || untold {
                 true => seek_pause_ms(self.view.borrow().vms),
@@ -257,7 +257,7 @@
         }
     }
 
-    /// Waits until the book in force is surely the newest as of `since_ms`; false when it
+    /// Waits until the configuration in force is surely the newest as of `since_ms`; false when it
     /// can't be told in time.
     pub async fn confirm(&self, since_ms: u64, patience: Duration) -> bool {
         self.wait_for_proof(patience, || self.contact.borrow().confirmed_ms() >= since_ms).await
--- a/lib/src/transport/vm_control.rs
+++ b/lib/src/transport/vm_control.rs
@@ -45,7 +45,7 @@
         Err(error) => return own_answer(StatusCode::BAD_REQUEST, error.to_string()),
     };
     let version = match node.adapter.read_document(&body) {
-        Ok(book) => book.version,
+        Ok(routes) => routes.version,
         Err(findings) => {
             info!(target: "control", findings = findings.len(), "refuses a document");
             return own_answer(StatusCode::BAD_REQUEST, node.adapter.write_findings(&findings));
@@ -67,10 +67,10 @@
     if !node.confirm(since_ms, ANSWER_TIME).await {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, "not sure to hold the newest", 300);
     }
-    let Some(book) = node.book.borrow().clone() else {
+    let Some(routes) = node.routes.borrow().clone() else {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, "there is none yet", 300);
     };
-    json_answer(book.document.clone())
+    json_answer(routes.document.clone())
 }
 
 impl VmNode {
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -1,6 +1,6 @@
 //! A caller's request on its way to an upstream, and the answer on its way back.
 //!
-//! Invariants: what was decided by a book is decided anew before each send, so that no
+//! Invariants: what was decided by one route table is decided anew before each send, so that no
 //! request goes by an older version than the one in force; a request in flight is
 //! counted by a guard, and dropping a send closes its connection.
 
@@ -18,7 +18,7 @@
 
 use super::vm_answer::{close_after, own_answer, refusal};
 use super::vm_guard::ServingGuard;
-use super::vm_node::{BookInForce, VmNode};
+use super::vm_node::{RoutesInForce, VmNode};
 use super::vm_relay::AnswerBody;
 use super::vm_reply::SendResult;
 use super::vm_request_record::{ConnectionRecord, RecordWatch, RequestRecord};
@@ -28,7 +28,7 @@
 use crate::coordination::engine_room::RoomRequest;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::upstream_candidate::ChoiceFault;
-use crate::state::route_book::{pick_share, RequestKind, RouteDecision, RouteRule, ServiceEntry};
+use crate::state::route_table::{pick_share, RequestKind, RouteDecision, RouteRule, ServiceEntry};
 use crate::state::vm_figures::RequestEnd;
 
 /// A VM that has just started holds requests until it is ready, this long at most, in
@@ -57,9 +57,9 @@
         }
     };
     wake(&node, arrived).await;
-    let limit = match node.book.borrow().as_ref() {
-        Some(book) => book.book.limits.body_bytes,
-        None => return close_after(deny(&Denial::NoBook)),
+    let limit = match node.routes.borrow().as_ref() {
+        Some(routes) => routes.table.limits.body_bytes,
+        None => return close_after(deny(&Denial::NoRoutes)),
     };
     if body.size_hint().lower() > limit as u64 {
         return close_after(own_answer(StatusCode::PAYLOAD_TOO_LARGE, ""));
@@ -114,7 +114,7 @@
 fn deny(denial: &Denial) -> Response<AnswerBody> {
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     match denial {
-        Denial::NoBook => refusal(unavailable, "no configuration is known yet", RETRY_MS),
+        Denial::NoRoutes => refusal(unavailable, "no configuration is known yet", RETRY_MS),
         Denial::OldContact => refusal(unavailable, "the configuration may be old", RETRY_MS),
         Denial::NoRoute => own_answer(StatusCode::NOT_FOUND, "no such route"),
         Denial::NoKey => own_answer(StatusCode::UNAUTHORIZED, "no such key"),
@@ -128,7 +128,7 @@
     /// would write on for nobody.
     fn must_end(&self) -> bool {
         match self.decide() {
-            Ok((book, route, _)) => book.book.routes[route].kind == RequestKind::Once,
+            Ok((routes, route, _)) => routes.table.routes[route].kind == RequestKind::Once,
             Err(_) => false,
         }
     }
@@ -153,20 +153,20 @@
         let draw = self.draw;
         let mut noted = false;
         loop {
-            let (book, route, workspace) = match self.decide() {
+            let (routes, route, workspace) = match self.decide() {
                 Ok(decided) => decided,
                 // A request that may have run can't be refused as not run any more.
                 Err(_) if count.may_have_run => return self.fail(&count, "withdrawn"),
                 Err(denial) => return self.deny(&denial),
             };
-            let rule = &book.book.routes[route];
+            let rule = &routes.table.routes[route];
             let deadline_ms = self.deadline_ms(rule);
             let Some(service) = pick_share(&rule.shares, draw) else {
                 return self.refuse(&count, "no service");
             };
             let at = (route, service);
-            let service = &book.book.services[service];
-            let named = workspace.and_then(|at| book.book.workspace(at));
+            let service = &routes.table.services[service];
+            let named = workspace.and_then(|at| routes.table.workspace(at));
             let room = service.engine.as_ref().map(|_| RoomRequest {
                 rank: rule.priority,
                 workspace: named.map(|workspace| workspace.name.as_str()),
@@ -195,7 +195,7 @@
                 self.node.with_room(&service.name, |known| known.note_taken(room));
             }
             tried.push(pick.upstream);
-            let Some(place) = self.place(&book, at, workspace, pick, left, None) else {
+            let Some(place) = self.place(&routes, at, workspace, pick, left, None) else {
                 continue;
             };
             if count.sent > 0 {
@@ -229,10 +229,10 @@
         }
     }
 
-    /// What the book in force says of this request now.
-    pub(super) fn decide(&self) -> Result<(Rc<BookInForce>, usize, Option<usize>), Denial> {
+    /// What the routes in force say of this request now.
+    pub(super) fn decide(&self) -> Result<(Rc<RoutesInForce>, usize, Option<usize>), Denial> {
         let now_ms = self.node.now_ms();
-        let Some(book) = self.node.book.borrow().clone() else { return Err(Denial::NoBook) };
+        let Some(routes) = self.node.routes.borrow().clone() else { return Err(Denial::NoRoutes) };
         let contact = self.node.contact.borrow();
         let bounds = self.node.settings.borrow().bounds;
         if contact.is_behind(bounds.apply_ms, now_ms) {
@@ -241,19 +241,19 @@
         let sure = contact.age_ms(now_ms) < DENY_AGE_MS;
         let denied = |denial| Err(if sure { denial } else { Denial::OldContact });
         let caller = &self.caller;
-        match book.book.decide(&caller.host, &caller.path, caller.key.as_deref()) {
+        match routes.table.decide(&caller.host, &caller.path, caller.key.as_deref()) {
             RouteDecision::NoRoute => denied(Denial::NoRoute),
             RouteDecision::NoKey => denied(Denial::NoKey),
             RouteDecision::Served { route, workspace } => {
-                let keyed = book.book.workspaces.is_some() && !book.book.routes[route].public;
+                let keyed = routes.table.workspaces.is_some() && !routes.table.routes[route].public;
                 if keyed && !contact.may_serve_keys(bounds.revoke_ms, now_ms) {
                     return Err(Denial::OldContact);
                 }
                 drop(contact);
-                let name = workspace.and_then(|at| book.book.workspace(at));
+                let name = workspace.and_then(|at| routes.table.workspace(at));
                 match self.is_held(name.map(|workspace| workspace.name.as_str())) {
                     true => Err(Denial::Held),
-                    false => Ok((book, route, workspace)),
+                    false => Ok((routes, route, workspace)),
                 }
             }
         }
@@ -301,7 +301,7 @@
 
     fn deny(&self, denial: &Denial) -> Response<AnswerBody> {
         self.note_end(match denial {
-            Denial::NoBook | Denial::OldContact | Denial::Held => RequestEnd::Refused,
+            Denial::NoRoutes | Denial::OldContact | Denial::Held => RequestEnd::Refused,
             Denial::NoRoute | Denial::NoKey => RequestEnd::Denied,
         });
         deny(denial)
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -300,8 +300,8 @@
 
     /// How many requests one engine of a service runs at once; none for other services.
     pub(super) fn places(&self, service: &str) -> Option<u32> {
-        let book = self.book.borrow().clone()?;
-        let entry = book.book.services.iter().find(|entry| entry.name == service)?;
+        let routes = self.routes.borrow().clone()?;
+        let entry = routes.table.services.iter().find(|entry| entry.name == service)?;
         entry.engine.as_ref().map(|engine| engine.slots)
     }
 
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -47,7 +47,7 @@
 use crate::state::fleet_record::HeldDocument;
 use crate::state::ids::{Incarnation, KeeperId, UpstreamKey};
 use crate::state::packed_text::PackedText;
-use crate::state::route_book::RouteBook;
+use crate::state::route_table::RouteTable;
 use crate::state::upstream_list::{ListMark, UpstreamList};
 use crate::state::vm_figures::VmFigures;
 use crate::state::vm_settings::VmSettings;
@@ -55,10 +55,10 @@
 /// The loop's own pace; heartbeats are the shortest thing that it must keep.
 const TICK: Duration = Duration::from_millis(HEARTBEAT_MS / 2);
 
-/// A book in force, and the document that it was read from.
-pub struct BookInForce {
-    /// The book.
-    pub book: RouteBook,
+/// The routes in force, and the document that they were read from.
+pub struct RoutesInForce {
+    /// The routes.
+    pub table: RouteTable,
     /// The document, byte for byte.
     pub document: Vec<u8>,
 }
@@ -131,11 +131,11 @@
     pub id: VmId,
     /// The hash of its zone's name.
     pub zone: u64,
-    /// The book in force.
-    pub book: RefCell<Option<Rc<BookInForce>>>,
+    /// The routes in force.
+    pub routes: RefCell<Option<Rc<RoutesInForce>>>,
     /// How fresh that is.
     pub contact: RefCell<LeaderContact>,
-    /// Told when the contact or the book changes.
+    /// Told when the contact or the routes change.
     pub contact_changed: Notify,
     /// The upstreams.
     pub upstreams: RefCell<UpstreamList>,
@@ -234,7 +234,7 @@
             clock: NodeClock::default(),
             id,
             zone,
-            book: RefCell::default(),
+            routes: RefCell::default(),
             contact: RefCell::default(),
             contact_changed: Notify::new(),
             upstreams: RefCell::default(),
@@ -313,7 +313,7 @@
         let (bounds, now_ms) = (self.settings.borrow().bounds, self.now_ms());
         let contact = self.contact.borrow();
         self.stopping_ms.get().is_none()
-            && self.book.borrow().is_some()
+            && self.routes.borrow().is_some()
             && contact.may_serve_keys(bounds.revoke_ms, now_ms)
             && !contact.is_behind(bounds.apply_ms, now_ms)
     }
@@ -348,17 +348,17 @@
             return;
         }
         match self.adapter.read_document(document) {
-            Ok(book) => {
-                info!(target: "book", version, routes = book.routes.len(), "in force");
-                let in_force = BookInForce { book, document: document.to_vec() };
-                *self.book.borrow_mut() = Some(Rc::new(in_force));
+            Ok(table) => {
+                info!(target: "routes", version, routes = table.routes.len(), "in force");
+                let in_force = RoutesInForce { table, document: document.to_vec() };
+                *self.routes.borrow_mut() = Some(Rc::new(in_force));
                 self.contact.borrow_mut().note_applied(version);
                 self.view.borrow_mut().document_attempts = 0;
                 self.contact_changed.notify_waiters();
                 self.tell_if_changed();
             }
             // Every document was checked before it was proposed.
-            Err(findings) => error!(target: "book", version, "cannot be read: {findings:?}"),
+            Err(findings) => error!(target: "routes", version, "cannot be read: {findings:?}"),
         }
     }
 
@@ -369,7 +369,7 @@
         }
         match document.unpack() {
             Ok(document) => self.apply_document(version, &document),
-            Err(error) => error!(target: "book", version, "cannot be unpacked: {error}"),
+            Err(error) => error!(target: "routes", version, "cannot be unpacked: {error}"),
         }
     }
 
@@ -392,7 +392,7 @@
             Some(keeper) => (keeper.record.document.clone(), keeper.may_vouch(now_ms)),
             None => return,
         };
-        let before = self.book.borrow().clone();
+        let before = self.routes.borrow().clone();
         self.apply_packed(held.version, &held.text);
         for asker in std::mem::take(&mut *self.document_askers.borrow_mut()) {
             self.give_document(asker);
@@ -404,15 +404,15 @@
 
     /// Tells the VMs that are no keepers of a new document, against the one before if there was
     /// one; keepers hear of it by the consensus itself.
-    fn tell_document(&self, before: Option<&BookInForce>, held: HeldDocument) {
+    fn tell_document(&self, before: Option<&RoutesInForce>, held: HeldDocument) {
         let view = self.view.borrow();
         let others = view.roster.rows.iter().map(|row| row.id);
         let others = others.filter(|id| *id != self.id && !view.keepers.contains(id));
-        let book = self.book.borrow().clone();
-        let after = book.filter(|book| book.book.version == held.version);
+        let routes = self.routes.borrow().clone();
+        let after = routes.filter(|routes| routes.table.version == held.version);
         let change = before.zip(after).map(|(before, after)| {
             let change = DocumentChange::between(&before.document, &after.document);
-            (before.book.version, change)
+            (before.table.version, change)
         });
         let packed = held.text.packed_bytes();
         let small = change.filter(|(_, change)| change.new_bytes() * 2 < packed);
@@ -431,8 +431,8 @@
         if version <= self.contact.borrow().applied() {
             return;
         }
-        let book = self.book.borrow().clone().filter(|book| book.book.version == before);
-        match book.and_then(|book| change.apply(&book.document)) {
+        let routes = self.routes.borrow().clone().filter(|routes| routes.table.version == before);
+        match routes.and_then(|routes| change.apply(&routes.document)) {
             Some(document) => self.apply_document(version, &document),
             None => self.ask_document(from),
         }
--- a/lib/src/transport/vm_place.rs
+++ b/lib/src/transport/vm_place.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use super::vm_node::BookInForce;
+use super::vm_node::RoutesInForce;
 use super::vm_task::CallerTask;
 use super::vm_trial::TrialGuard;
 use crate::coordination::upstream_choice::UpstreamPick;
@@ -13,7 +13,7 @@
 
 /// One send's place.
 pub(super) struct SendPlace {
-    pub(super) book: Rc<BookInForce>,
+    pub(super) routes: Rc<RoutesInForce>,
     pub(super) route: usize,
     pub(super) service: usize,
     pub(super) upstream: UpstreamKey,
@@ -34,20 +34,20 @@
 impl CallerTask {
     pub(super) fn place(
         &self,
-        book: &Rc<BookInForce>,
+        routes: &Rc<RoutesInForce>,
         (route, service): (usize, usize),
         workspace: Option<usize>,
         pick: UpstreamPick,
         left_ms: u64,
         resume_after: Option<String>,
     ) -> Option<SendPlace> {
-        let rule = &book.book.routes[route];
+        let rule = &routes.table.routes[route];
         let upstreams = self.node.upstreams.borrow();
         let entry = upstreams.entries.get(&pick.upstream)?;
-        self.node.note_send(entry, book.book.services[service].cold_per_s);
+        self.node.note_send(entry, routes.table.services[service].cold_per_s);
         self.node.pool.notices().borrow_mut().note_sent(pick.upstream, self.node.now_ms());
         let source = pick.fetch_from.and_then(|key| upstreams.entries.get(&key));
-        let workspace = workspace.and_then(|at| book.book.workspace(at));
+        let workspace = workspace.and_then(|at| routes.table.workspace(at));
         let rank = workspace.map_or(0, |workspace| workspace.priority);
         let engine_priority = rule.prompt_parts.then(|| engine_rank(rank, rule.priority));
         let send = UpstreamSend {
@@ -58,12 +58,12 @@
             fetch_from: source.map(|entry| entry.address),
             resume_after,
         };
-        let name = &book.book.services[service].name;
+        let name = &routes.table.services[service].name;
         let tag = self.node.note_rollout_send(name, rule, entry, &self.caller.attempt);
         let held = tag.is_some() && self.is_held_at(pick.upstream);
         let stream = rule.kind.is_stream();
         Some(SendPlace {
-            book: book.clone(),
+            routes: routes.clone(),
             route,
             service,
             upstream: pick.upstream,
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -81,7 +81,7 @@
             (true, None) => place.trial.end_bad(),
             (false, _) => {}
         }
-        let rule = &place.book.book.routes[place.route];
+        let rule = &place.routes.table.routes[place.route];
         let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
         if rule.kind.is_stream() || !short {
             let asks_rest = told.rest_ms.is_some();
@@ -155,7 +155,7 @@
     /// Counts an answer's first byte, and logs one that comes after its goal with what decided
     /// its way.
     pub(super) fn note_first_byte(&self, place: &SendPlace, what: &'static str) {
-        let rule = &place.book.book.routes[place.route];
+        let rule = &place.routes.table.routes[place.route];
         let took_ms = self.node.now_ms().saturating_sub(self.arrived_ms);
         let late = rule.goal_ms > 0 && took_ms > rule.goal_ms;
         {
@@ -165,7 +165,7 @@
         }
         let own = self.node.in_flight.borrow().get(&place.upstream).copied().unwrap_or(0);
         let others = self.node.view.borrow().told.others(place.upstream);
-        let service = &place.book.book.services[place.service];
+        let service = &place.routes.table.services[place.service];
         if let Some(engine) = &service.engine {
             self.node.with_room(&service.name, |room| {
                 room.note_first_event(late, own + others, engine.slots);
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -27,7 +27,7 @@
 use crate::state::rollout_order::{
     RolloutCommand, RolloutOrder, RolloutPhase, RolloutRow, RolloutTable, VersionKey,
 };
-use crate::state::route_book::RouteRule;
+use crate::state::route_table::RouteRule;
 use crate::state::upstream_list::UpstreamEntry;
 
 /// The largest body of an order, in bytes.
@@ -102,8 +102,10 @@
 
 impl VmNode {
     fn has_service(&self, service: &str) -> bool {
-        let book = self.book.borrow();
-        book.as_ref().is_some_and(|book| book.book.services.iter().any(|s| s.name == service))
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .is_some_and(|routes| routes.table.services.iter().any(|s| s.name == service))
     }
 
     fn wish_of(&self, call: &RolloutCall) -> RolloutWish {
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -22,14 +22,14 @@
 impl CallerTask {
     /// Sends once and reads the head of the answer.
     pub(super) async fn send(&self, place: &SendPlace, deadline_ms: u64) -> SendResult {
-        let service = &place.book.book.services[place.service];
+        let service = &place.routes.table.services[place.service];
         let held = HeldPlace {
             service: service.name.clone(),
             engine: service.engine.is_some(),
             workspace: place.send.workspace.clone(),
         };
         let guard = FlightGuard::new(&self.node, place.upstream, held);
-        let may_repeat = place.book.book.routes[place.route].kind.may_repeat();
+        let may_repeat = place.routes.table.routes[place.route].kind.may_repeat();
         let pool = &self.node.pool;
         let mut fresh = false;
         for _ in 0..STALE_CONNECTIONS {
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -17,7 +17,7 @@
 use crate::coordination::event_splice::EventSplice;
 use crate::coordination::holder_news::HolderNote;
 use crate::state::ids::UpstreamKey;
-use crate::state::route_book::{pick_share, RequestKind};
+use crate::state::route_table::{pick_share, RequestKind};
 use crate::state::vm_figures::RequestEnd;
 
 enum RunEnd {
@@ -36,7 +36,7 @@
         deadline_ms: u64,
         count: &mut AttemptCount,
     ) -> Response<AnswerBody> {
-        let rule = &place.book.book.routes[place.route];
+        let rule = &place.routes.table.routes[place.route];
         if answer.head.status.is_success() {
             self.node.outliers.borrow_mut().note_success(place.upstream);
             if !self.caller.prompt.is_empty() {
@@ -143,10 +143,10 @@
         count: &mut AttemptCount,
     ) -> Option<(SendPlace, Box<ComingBody>)> {
         loop {
-            let (book, route, workspace) = self.decide().ok()?;
-            let rule = &book.book.routes[route];
+            let (routes, route, workspace) = self.decide().ok()?;
+            let rule = &routes.table.routes[route];
             let service = pick_share(&rule.shares, self.draw)?;
-            let entry = &book.book.services[service];
+            let entry = &routes.table.services[service];
             let left = deadline_ms.saturating_sub(self.node.now_ms());
             if count.sent >= rule.most_upstreams || left < LEAST_LEFT_MS {
                 return None;
@@ -158,7 +158,7 @@
             }
             tried.push(pick.upstream);
             let at = (route, service);
-            let place = self.place(&book, at, workspace, pick, left, after.clone())?;
+            let place = self.place(&routes, at, workspace, pick, left, after.clone())?;
             match self.send(&place, deadline_ms).await {
                 SendResult::Answer(answer) => {
                     count.note(SendOutcome::Failed);
--- a/lib/src/transport/vm_task.rs
+++ b/lib/src/transport/vm_task.rs
@@ -36,7 +36,7 @@
 
 /// Why a request gets no send.
 pub(super) enum Denial {
-    NoBook,
+    NoRoutes,
     OldContact,
     NoRoute,
     NoKey,
--- a/lib/tests/test_explaining.rs
+++ b/lib/tests/test_explaining.rs
@@ -79,8 +79,8 @@
 }
 
 const LOG: &str = r#"
-  -9.5000 vm-a {"timestamp":"2026-01-01T00:00:00.5Z","level":"INFO","message":"in force","version":3,"target":"book"}
-  -1.0000 vm-a {"timestamp":"2026-01-01T00:00:09Z","level":"INFO","message":"in force","version":4,"target":"book"}
+  -9.5000 vm-a {"timestamp":"2026-01-01T00:00:00.5Z","level":"INFO","message":"in force","version":3,"target":"routes"}
+  -1.0000 vm-a {"timestamp":"2026-01-01T00:00:09Z","level":"INFO","message":"in force","version":4,"target":"routes"}
    4.0000 vm-b {"timestamp":"2026-01-01T00:00:14Z","level":"INFO","message":"broken","life":"i-1","attempt":"x2","target":"upstream"}
    4.5000 vm-a {"timestamp":"2026-01-01T00:00:14.5Z","level":"INFO","message":"renewed","leader":"10.0.0.1","target":"contact"}
    5.0000 vm-a {"timestamp":"2026-01-01T00:00:15Z","level":"INFO","message":"broken","life":"i-1","attempt":"x1","target":"upstream"}
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -32,7 +32,7 @@
 use wingshed_lib::state::packed_text::PackedText;
 use wingshed_lib::state::prompt_part::PromptPart;
 use wingshed_lib::state::rollout_order::VersionKey;
-use wingshed_lib::state::route_book::{pick_share, RequestKind, ServiceShare};
+use wingshed_lib::state::route_table::{pick_share, RequestKind, ServiceShare};
 use wingshed_lib::state::upstream_list::{EntryDoubt, UpstreamEntry, UpstreamList};
 
 const LATE: u64 = 10 * NEW_ENGINE_MS;
