--- a/lib/src/coordination/list_turn.rs
+++ b/lib/src/coordination/list_reader.rs
@@ -1,4 +1,4 @@
-//! Whose turn it is to read the platform's list of upstreams, and how often.
+//! Which VMs read the platform's list of upstreams, and how often.
 //!
 //! The platform takes so many calls a second from all VMs together, and a list comes in pages. The
 //! leader reads for all. While it tells nothing, few others read, in an order that all of them work
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -21,7 +21,7 @@
 pub mod leader_contact;
 pub mod leaving;
 pub mod line_budget;
-pub mod list_turn;
+pub mod list_reader;
 pub mod load_spread;
 pub mod log_story;
 pub mod news_source;
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -9,7 +9,7 @@
 
 use super::vm_node::VmNode;
 use super::wire_count::DATAGRAM_HEAD_BYTES;
-use crate::coordination::list_turn::UNTOLD_MS;
+use crate::coordination::list_reader::UNTOLD_MS;
 use crate::coordination::vm_roster::{
     overloaded_renew_ms, seek_pause_ms, MANY_VMS, OVERLOADED_KEEP_MS, RENEW_MS,
 };
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -1,6 +1,6 @@
 //! Reads the platform's list of upstreams, by the leader, or by a few in its place.
 //!
-//! One VM reads, since calls cost and are limited; `list_turn` decides whose turn it is. How a list
+//! One VM reads, since calls cost and are limited; `list_reader` decides which. How a list
 //! comes to those who don't read is in `vm_list_news`.
 
 use std::collections::BTreeSet;
@@ -17,7 +17,7 @@
 use super::vm_node::VmNode;
 use super::vm_pool::UpstreamApproach;
 use crate::coordination::line_budget::LINES_A_PLACE;
-use crate::coordination::list_turn::{list_action, ListAction, ListCost, ListStanding};
+use crate::coordination::list_reader::{list_action, ListAction, ListCost, ListStanding};
 use crate::coordination::upstream_notice::ApproachPurpose;
 use crate::coordination::upstream_seats::{patient_services, SeatTable};
 use crate::protocol::wire_adapter::UpstreamPage;
@@ -31,7 +31,7 @@
 const FAIL_MS: u64 = 200;
 /// How often a VM closes and forgets what it needs no more, in milliseconds.
 const SWEEP_MS: u64 = 1000;
-/// How often a VM looks whether it is its turn.
+/// How often a VM looks whether it has to read.
 const LOOK_TIME: Duration = Duration::from_millis(50);
 /// How long one call may take.
 const CALL_TIME: Duration = Duration::from_millis(1000);
@@ -69,7 +69,7 @@
 
 /// Why a reading is made, and what is remembered from one to the next.
 #[derive(Default)]
-struct ReadingTurn {
+struct ReaderState {
     /// The term in which it last read as the leader.
     read_term: u64,
     /// Whether it reads without a leader.
@@ -81,9 +81,9 @@
 }
 
 impl VmNode {
-    /// Reads the list when it is this VM's turn, and asks others when nobody tells it, for ever.
+    /// Reads the list when that is up to this VM, and asks others when nobody tells it, for ever.
     pub async fn keep_list(self: Rc<Self>) {
-        let mut turn = ReadingTurn::default();
+        let mut reader = ReaderState::default();
         let mut swept_ms = 0;
         loop {
             let now_ms = self.now_ms();
@@ -99,48 +99,48 @@
                 self.ask_news(now_ms);
             }
             let alone = term.is_none() && action == ListAction::Read;
-            if alone && !turn.alone {
+            if alone && !reader.alone {
                 self.note_stale(now_ms);
-                turn.refusals = 0;
+                reader.refusals = 0;
                 self.set_list_due(0);
             }
-            turn.alone = alone;
-            let new_leader = term.is_some_and(|term| term != turn.read_term);
+            reader.alone = alone;
+            let new_leader = term.is_some_and(|term| term != reader.read_term);
             let due = now_ms >= self.view.borrow().list_due_ms;
             if !(new_leader || due && (alone || term.is_some())) {
                 tokio::time::sleep(LOOK_TIME).await;
                 continue;
             }
-            turn.read_term = term.unwrap_or(turn.read_term);
-            self.take_turn(&mut turn).await;
+            reader.read_term = term.unwrap_or(reader.read_term);
+            self.read_when_due(&mut reader).await;
         }
     }
 
-    /// Reads once, and sets when the next turn is.
-    async fn take_turn(&self, turn: &mut ReadingTurn) {
+    /// Reads once, and sets when the list is due again.
+    async fn read_when_due(&self, reader: &mut ReaderState) {
         let began_ms = self.now_ms();
-        let reading = self.read_list(turn.alone, turn.refusals).await;
+        let reading = self.read_list(reader.alone, reader.refusals).await;
         match reading.and_then(|reading| self.settle_reading(&reading)) {
             Ok(rows) => {
-                (turn.fails, turn.refusals) = (0, 0);
-                self.take_reading(rows, turn.alone, began_ms);
+                (reader.fails, reader.refusals) = (0, 0);
+                self.take_reading(rows, reader.alone, began_ms);
                 self.note_replaced();
                 self.contact_changed.notify_waiters();
                 self.tell_askers();
                 self.set_list_due(self.leader_pause_ms(began_ms) + self.draw() % 50);
             }
-            Err(ListFault::TooMany) if turn.alone => {
-                turn.refusals += 1;
-                let pause_ms = self.list_cost().alone_pause_ms(turn.refusals);
+            Err(ListFault::TooMany) if reader.alone => {
+                reader.refusals += 1;
+                let pause_ms = self.list_cost().alone_pause_ms(reader.refusals);
                 self.set_list_due(pause_ms / 2 + self.draw() % pause_ms);
             }
             Err(ListFault::Told) => self.set_list_due(self.leader_pause_ms(began_ms)),
             Err(error) => {
-                if turn.fails == 0 {
+                if reader.fails == 0 {
                     warn!(target: "list", "cannot be read: {error}");
                 }
-                turn.fails += 1;
-                self.set_list_due(turn.fails.min(5) * FAIL_MS + self.draw() % FAIL_MS);
+                reader.fails += 1;
+                self.set_list_due(reader.fails.min(5) * FAIL_MS + self.draw() % FAIL_MS);
             }
         }
     }
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -10,7 +10,7 @@
 
 use super::vm_disk::DiskJob;
 use super::vm_node::VmNode;
-use crate::coordination::list_turn::{reader_order, whom_to_ask, ASK_MS};
+use crate::coordination::list_reader::{reader_order, whom_to_ask, ASK_MS};
 use crate::coordination::news_source::asks_holder;
 use crate::protocol::vm_wire::{NewsAsk, PeerNote, VmDatagram, VmId, VmMessage};
 use crate::state::kept_list::KeptList;
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
-use wingshed_lib::coordination::list_turn::{
+use wingshed_lib::coordination::list_reader::{
     list_action, reader_delay_ms, reader_order, whom_to_ask, ListAction, ListCost, ListStanding,
     PAGES_AT_ONCE, UNTOLD_MS,
 };
