router_serve: without a lease no key is called wrong

Callers of a workspace that had just been added took a final 401 from a router that was cut off from its keepers. Cause: a key was checked by the configuration that the router has, before its lease was looked at. Change: a key that isn't known is refused with 503 no_lease and Retry-After while the lease doesn't hold.

--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -79,10 +79,11 @@
 ) {
     shared.seen.count("requests");
     // The lease first: the view that is read after it holds all that the lease vouches for.
-    let serves = shared.may_serve();
+    let leased = lock(&shared.lease).may_serve(shared.clock.now_ms());
+    let serves = leased && !shared.draining.load(Ordering::Relaxed);
     let view = shared.view();
     let echo = echo_id(&call);
-    match read_caller(shared, &view, call) {
+    match read_caller(shared, &view, leased, call) {
         Err(error) => {
             shared.seen.count("requests.refused");
             let _ = writer.send(&error.to_reply(&echo));
@@ -99,10 +100,12 @@
     }
 }
 
-/// Reads a request and checks its key.
+/// Reads a request and checks its key. A key that is not known is refused for good only while the
+/// lease proves that no newer configuration has it.
 fn read_caller(
     shared: &RouterShared,
     view: &RouterView,
+    leased: bool,
     call: HttpCall,
 ) -> Result<CallerRequest, CallerError> {
     let key_hash = caller_key(&call).map(hash_key);
@@ -112,8 +115,10 @@
     if lock(&shared.lease).applied_version().is_none() {
         return Err(no_lease_error());
     }
-    check_key(view, &request.workspace, key_hash.as_deref())?;
-    Ok(request)
+    match check_key(view, &request.workspace, key_hash.as_deref()) {
+        Err(_) if !leased => Err(no_lease_error()),
+        checked => checked.map(|()| request),
+    }
 }
 
 fn check_key(
--- a/lib/tests/test_promises.rs
+++ b/lib/tests/test_promises.rs
@@ -358,6 +358,24 @@
     assert!(later.whole, "{later:?}");
 }
 
+// Callers of a workspace that was just added took 401 from a router that had not heard of it for final.
+#[test]
+fn a_router_without_a_lease_calls_no_key_wrong() {
+    let mut fixture = system_with(|_| {});
+    let system = &mut fixture.system;
+    let router = system.router_addresses()[0];
+    let unknown = ChatAsk { key: "k-new".to_string(), ..returning_chat("new", "chat") };
+
+    let leased = send(&system.client, router, &chat_call(&unknown), None);
+    system.keepers[0].take().unwrap().stop_now();
+    std::thread::sleep(Duration::from_millis(3500));
+    let lapsed = send(&system.client, router, &chat_call(&unknown), None);
+
+    assert_eq!((leased.status, leased.code().as_str()), (401, "bad_key"), "{leased:?}");
+    assert_eq!((lapsed.status, lapsed.ran), (503, Some(RanMark::No)), "{lapsed:?}");
+    assert_eq!(lapsed.code(), "no_lease");
+}
+
 #[test]
 fn a_router_that_dies_with_a_stream_is_survived_by_the_caller() {
     let mut fixture = system_with(|make| make.engine.piece_ms = 10);
