rollout_verdict: what VMs counted before a leader took over is no single moment

Callers of a service got a version that fails a third of its answers: it was called complete, though 21 of its 58 answers were bad and 9 of 561 elsewhere. Cause: a new leader is told at once what all VMs counted since the order began. Its first slice lasts as long as it has looked, and says no more than that time allows, 0.3 s, so a whole trial weighed as one moment. Orders that a leader took over shortly before the move were moved whatever their answers showed. Change: for the question at the move the first slice weighs what it was gathered over, the time that the order had run, within the longest slice. To find a version unsound at any moment it weighs as before. Result: the new test fails on the code before (moved with a third and a fifth of the answers bad) and passes; sound versions in it are moved to, also with one answer of 50 bad.

--- a/lib/src/coordination/rollout_lead.rs
+++ b/lib/src/coordination/rollout_lead.rs
@@ -105,6 +105,12 @@
         self.spent_ms + now_ms.saturating_sub(self.at_ms)
     }
 
+    /// What a leader knows that has heard of it from nobody.
+    fn unheard(&self, now_ms: u64) -> HeardOrder {
+        let verdict = VerdictState::of_order(self.elapsed_ms(now_ms));
+        HeardOrder { verdict, ..HeardOrder::default() }
+    }
+
     /// Whether each of these VMs tells that it knows the last step and has nothing in flight at
     /// upstreams of other versions.
     fn all_confirm(&self, step: u64, vms: &BTreeSet<u32>, now_ms: u64) -> bool {
@@ -158,7 +164,7 @@
     pub fn take(&mut self, term: u64, vm: u32, life: u64, notes: Vec<RolloutNote>, now_ms: u64) {
         if term != self.term {
             self.term = term;
-            self.orders.values_mut().for_each(|order| order.heard = HeardOrder::default());
+            self.orders.values_mut().for_each(|order| order.heard = order.unheard(now_ms));
         }
         for note in notes {
             let named = self.orders.iter_mut();
--- a/lib/src/coordination/rollout_verdict.rs
+++ b/lib/src/coordination/rollout_verdict.rs
@@ -128,6 +128,8 @@
 struct RouteTrial {
     /// When its slice began, and the sums at that time.
     since_ms: u64,
+    /// How long the order had run before that, unseen by this leader, in milliseconds.
+    unseen_ms: u64,
     seen: RouteSums,
     failures: FaultReference,
     late: FaultReference,
@@ -137,12 +139,13 @@
 }
 
 impl RouteTrial {
-    /// How long its slice has lasted, in lengths of the shortest, if it ends now.
-    fn ripe(&self, slice: &RouteSums, now_ms: u64) -> Option<f64> {
+    /// How long its slice has lasted if it ends now.
+    fn ripe(&self, slice: &RouteSums, now_ms: u64) -> Option<SliceSpan> {
         let age_ms = now_ms.saturating_sub(self.since_ms);
         let answers = slice.base.all().max(slice.target.all());
         let ripe = age_ms >= LONGEST_SLICE_MS || (age_ms >= SLICE_MS && answers >= SLICE_ANSWERS);
-        ripe.then(|| to_lengths(age_ms))
+        let over = to_lengths(age_ms + self.unseen_ms);
+        ripe.then(|| SliceSpan { lengths: to_lengths(age_ms), over })
     }
 
     /// Takes what the other versions answered in a slice.
@@ -174,6 +177,15 @@
     }
 }
 
+/// How long a slice is, in lengths of the shortest.
+#[derive(Clone, Copy, Debug)]
+struct SliceSpan {
+    /// As this leader saw it.
+    lengths: f64,
+    /// With what VMs counted before this leader asked them.
+    over: f64,
+}
+
 /// What is known of the other versions on all routes together; stands in where a route has little.
 struct SharedReference {
     failing: f64,
@@ -194,8 +206,8 @@
 }
 
 impl CommonOdds {
-    fn add(&mut self, logs: &SignLogs, lengths: f64) {
-        self.over = self.over.max(lengths);
+    fn add(&mut self, logs: &SignLogs, over: f64) {
+        self.over = self.over.max(over);
         let added = self.added.get_or_insert([[0.0; DEGREES]; SIGNS]);
         added.iter_mut().flatten().zip(logs.iter().flatten()).for_each(|(sum, log)| *sum += log);
     }
@@ -249,41 +261,49 @@
     flow_seen: (u32, u32),
     flow_ms: u64,
     begun_ms: Option<u64>,
+    unseen_ms: u64,
 }
 
 impl VerdictState {
+    /// The verdict of a leader that takes over an order which has run for `elapsed_ms`. VMs tell it at
+    /// once what they counted since the order began, which is more than a moment shows.
+    pub fn of_order(elapsed_ms: u64) -> VerdictState {
+        VerdictState { unseen_ms: elapsed_ms, ..VerdictState::default() }
+    }
+
     /// Looks at the sums over all VMs since the order; asked a few times a second.
     pub fn judge(&mut self, sums: &[RouteSums], now_ms: u64) -> Option<UnsoundFinding> {
         self.watch_flow(sums, now_ms);
         let slices = self.end_slices(sums, now_ms);
         let shared = self.shared();
         let after = self.flow.is_moved();
-        for (slice, lengths) in &slices {
+        for (slice, span) in &slices {
             let Some(trial) = self.routes.get_mut(&slice.route) else { continue };
             let logs = trial.logs(slice, &shared, after);
-            trial.odds.take(&logs, *lengths, *lengths);
-            self.all.add(&logs, *lengths);
+            trial.odds.take(&logs, span.lengths, span.over);
+            self.all.add(&logs, span.over);
         }
         self.all.end_slice(now_ms);
         self.finding(sums)
     }
 
     /// The slices that end now, and how long each has lasted.
-    fn end_slices(&mut self, sums: &[RouteSums], now_ms: u64) -> Vec<(RouteSums, f64)> {
+    fn end_slices(&mut self, sums: &[RouteSums], now_ms: u64) -> Vec<(RouteSums, SliceSpan)> {
         let mut ended = Vec::new();
         let begun_ms = *self.begun_ms.get_or_insert(now_ms);
         let answers: u32 = sums.iter().map(|row| row.base.all()).sum();
         let waits = answers < FIRST_ANSWERS && now_ms.saturating_sub(begun_ms) < LONGEST_WAIT_MS;
+        let unseen_ms = self.unseen_ms;
         for row in sums {
-            let begun = RouteTrial { since_ms: now_ms, ..RouteTrial::default() };
+            let begun = RouteTrial { since_ms: now_ms, unseen_ms, ..RouteTrial::default() };
             let trial = self.routes.entry(row.route).or_insert(begun);
             let slice = row.since(&trial.seen);
-            if let Some(lengths) = trial.ripe(&slice, now_ms).filter(|_| !waits) {
-                (trial.since_ms, trial.seen) = (now_ms, *row);
+            if let Some(span) = trial.ripe(&slice, now_ms).filter(|_| !waits) {
+                (trial.since_ms, trial.unseen_ms, trial.seen) = (now_ms, 0, *row);
                 trial.take_base(&slice);
                 self.failures.take(FaultCount::of_failures(&slice.base));
                 self.late.take(FaultCount::of_late(&slice.base));
-                ended.push((slice, lengths));
+                ended.push((slice, span));
             }
         }
         ended
--- a/lib/tests/test_rollout_lead.rs
+++ b/lib/tests/test_rollout_lead.rs
@@ -36,8 +36,8 @@
         LedFleet { lead, table: table(&[]), standing, vms: BTreeSet::from([1, 2]) }
     }
 
-    /// Both VMs tell that they know the last step, have `in_flight` at the old upstreams, and that the
-    /// target answered well.
+    /// Both VMs tell that they know the last step, have `in_flight` at the old upstreams, and that
+    /// the target answered well.
     fn tell(&mut self, in_flight: [u32; 2], now_ms: u64) {
         self.lead.observe(self.table.rows(), now_ms);
         let row = &self.table.rows()[0];
@@ -127,7 +127,8 @@
     assert!((10_000..11_000).contains(&ended_ms), "{ended_ms}");
 }
 
-/// What both VMs tell of a quiet service with so many answers of the old version in a tenth of a second.
+/// What both VMs tell of a quiet service with so many answers of the old version in a tenth of a
+/// second.
 struct QuietService {
     ledger: EvidenceLedger,
     base: u32,
@@ -151,11 +152,20 @@
     }
 
     /// How an order of 10 s leaves its trial.
-    fn trial_end(mut self) -> RolloutPhase {
+    fn trial_end(self) -> RolloutPhase {
+        self.trial_end_taken_over(0)
+    }
+
+    /// The same with a leader that hears of it first after so many tenths of a second.
+    fn trial_end_taken_over(mut self, first_heard: u64) -> RolloutPhase {
         let mut fleet = LedFleet::new();
         for tenth in 0..100 {
             self.answer(tenth);
             let now_ms = 1000 + 100 * tenth;
+            if tenth < first_heard {
+                fleet.lead.observe(fleet.table.rows(), now_ms);
+                continue;
+            }
             let note = |step| RolloutNote {
                 service: VersionKey::of("s1"),
                 number: 1,
@@ -174,12 +184,13 @@
     }
 }
 
-/// The story: a version that failed three answers of ten was rolled out for a service with ten requests a
-/// second. It was called complete, its old upstreams ended, and each caller met the failures from then on.
-/// The cause: what shows a version unsound at any moment of an order must be rare in a sound one, so it takes more
-/// answers than such a service gives; and without that traffic was moved, which can't be taken back. The evidence:
-/// the log of such an order said "nothing shows that it is unsound" when it was moved, and so ends the play below
-/// with four of sixteen answers bad.
+/// The story: a version that failed three answers of ten was rolled out for a service with ten
+/// requests a second. It was called complete, its old upstreams ended, and each caller met the
+/// failures from then on. The cause: what shows a version unsound at any moment of an order must be
+/// rare in a sound one, so it takes more answers than such a service gives; and without that
+/// traffic was moved, which can't be taken back. The evidence: the log of such an order said
+/// "nothing shows that it is unsound" when it was moved, and so ends the play below with four of
+/// sixteen answers bad.
 #[test]
 fn a_quiet_service_is_not_moved_to_what_fails_many_of_few_answers() {
     let quiet = |bad_each| QuietService {
@@ -196,8 +207,8 @@
     assert_eq!(quiet(16).trial_end(), RolloutPhase::Shift, "one failure is chance");
 }
 
-/// All VMs were killed in the middle of a trial, and with them what they had counted: the few answers after
-/// that say nothing of a version that fails three of ten.
+/// All VMs were killed in the middle of a trial, and with them what they had counted: the few
+/// answers after that say nothing of a version that fails three of ten.
 #[test]
 fn a_version_that_hardly_answered_since_all_was_lost_is_not_moved_to() {
     let few = QuietService {
@@ -211,6 +222,24 @@
     assert_eq!(few.trial_end(), RolloutPhase::RolledBack);
 }
 
+// A new leader took what VMs had counted in the whole trial for what showed in a moment, and moved
+// a service to a version with 21 of 58 answers bad.
+#[test]
+fn a_leader_that_takes_over_late_in_a_trial_does_not_move_to_what_failed_in_all_of_it() {
+    let trial = |bad_each| QuietService {
+        ledger: EvidenceLedger::new(1),
+        base: 8,
+        target_each: 1,
+        bad_each,
+        answered: 0,
+    };
+
+    assert_eq!(trial(3).trial_end_taken_over(75), RolloutPhase::RolledBack, "a third");
+    assert_eq!(trial(5).trial_end_taken_over(75), RolloutPhase::RolledBack, "a fifth");
+    assert_eq!(trial(0).trial_end_taken_over(75), RolloutPhase::Shift, "sound");
+    assert_eq!(trial(50).trial_end_taken_over(75), RolloutPhase::Shift, "one failure is chance");
+}
+
 #[test]
 fn a_new_leader_counts_the_time_rather_too_long_than_too_short() {
     let mut follower = RolloutLead::default();
