router_shared: whether the lease holds is asked in one place

Cause: three places read the lease and the clock by the same line, two of them to tell a lease apart from a drain. Change: RouterShared::is_leased, which may_serve uses, too. Result: no behaviour changes.

--- a/lib/src/transport/router_forward.rs
+++ b/lib/src/transport/router_forward.rs
@@ -188,7 +188,7 @@
         facts.stream = true;
     }
     // The lease first: the view that is read after it holds all that the lease vouches for.
-    let leased = lock(&shared.lease).may_serve(shared.clock.now_ms());
+    let leased = shared.is_leased();
     let cx = ServeContext { shared: shared.clone(), view: shared.view(), arrived, hops };
     let mut sink = AnswerSink::new(writer, true, &request.request_id, hops);
     if hops > MOST_HOPS {
--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -79,7 +79,7 @@
 ) {
     shared.seen.count("requests");
     // The lease first: the view that is read after it holds all that the lease vouches for.
-    let leased = lock(&shared.lease).may_serve(shared.clock.now_ms());
+    let leased = shared.is_leased();
     let serves = leased && !shared.draining.load(Ordering::Relaxed);
     let view = shared.view();
     let echo = echo_id(&call);
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -268,10 +268,14 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Whether the lease proves that what is applied here is in force.
+    pub(super) fn is_leased(&self) -> bool {
+        lock(&self.lease).may_serve(self.clock.now_ms())
+    }
+
     /// Whether new work may be taken here.
     pub fn may_serve(&self) -> bool {
-        let leased = lock(&self.lease).may_serve(self.clock.now_ms());
-        leased && !self.draining.load(Ordering::Relaxed)
+        self.is_leased() && !self.draining.load(Ordering::Relaxed)
     }
 
     /// Replaces the view after a change of configuration, roster or leaving lives.
