keeper_loop: no limit of events that a bench alone sets

Cause: since writes have a thread, events are written together while it works, whatever a step takes. The limit of one event a step, the bench's row for a sync an entry, measured nothing any more, and LogStore counted syncs for nobody. Change: the limit is a constant; start_batched, the bench's second row and LogStore::syncs are gone. The loop's count, which the status shows, stays. Result: no behaviour of a keeper changes; wingshed bench keeper prints one row for each load.

--- a/cli/src/bench_keeper.rs
+++ b/cli/src/bench_keeper.rs
@@ -21,7 +21,6 @@
 use wingshed_lib::transport::clock::wall_ms;
 use wingshed_lib::transport::http_client::{CallTimes, HttpClient};
 use wingshed_lib::transport::keeper_client::KeeperClient;
-use wingshed_lib::transport::keeper_loop::MOST_EVENTS;
 use wingshed_lib::transport::keeper_node::KeeperNode;
 use wingshed_standin::address::free_address;
 use wingshed_standin::system::{SystemMake, SystemStandIn, FLEET_KEY};
@@ -54,7 +53,7 @@
 }
 
 impl KeeperGroup {
-    fn start(size: u32, most_events: usize) -> Result<KeeperGroup, String> {
+    fn start(size: u32) -> Result<KeeperGroup, String> {
         let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
         let list: Vec<KeeperAddress> = (1..=size)
             .map(|id| KeeperAddress { id: KeeperId(id), address: free_address() })
@@ -62,7 +61,7 @@
         let mut nodes = Vec::new();
         for id in 1..=size {
             let settings = settings(id, &list, folder.path());
-            let node = KeeperNode::start_batched(settings, most_events);
+            let node = KeeperNode::start(settings);
             nodes.push(node.map_err(|error| error.to_string())?);
         }
         let group = KeeperGroup { nodes, list, _folder: folder };
@@ -142,24 +141,20 @@
 }
 
 fn claims() -> Result<(), String> {
-    let batched = KeeperGroup::start(3, MOST_EVENTS)?;
-    let single = KeeperGroup::start(3, 1)?;
+    let group = KeeperGroup::start(3)?;
     let mut rows = Vec::new();
     for (callers, size) in [(1, 1), (16, 1), (256, 1), (4, 128)] {
-        for (name, group) in [("batched syncs", &batched), ("one event a step", &single)] {
-            let (rate, times, syncs) = claims_run(group, callers, size);
-            rows.push(vec![
-                name.to_string(),
-                callers.to_string(),
-                size.to_string(),
-                format!("{rate:.0}"),
-                format!("{:.2}", percentile(&times, 0.5)),
-                format!("{:.2}", percentile(&times, 0.99)),
-                format!("{syncs:.0}"),
-            ]);
-        }
+        let (rate, times, syncs) = claims_run(&group, callers, size);
+        rows.push(vec![
+            callers.to_string(),
+            size.to_string(),
+            format!("{rate:.0}"),
+            format!("{:.2}", percentile(&times, 0.5)),
+            format!("{:.2}", percentile(&times, 0.99)),
+            format!("{syncs:.0}"),
+        ]);
     }
-    let head = ["keepers", "callers", "claims a call", "claims/s", "p50 ms", "p99 ms", "syncs/s"];
+    let head = ["callers", "claims a call", "claims/s", "p50 ms", "p99 ms", "syncs/s"];
     println!("{}\n", to_text(&head, &rows));
     Ok(())
 }
--- a/lib/src/coordination/durable_core.rs
+++ b/lib/src/coordination/durable_core.rs
@@ -28,7 +28,7 @@
 
 /// A core and what its disk has yet to write.
 pub struct DurableCore {
-    /// The consensus. Whatever gives output goes through [`DurableCore::step`].
+    /// The consensus. Output of an act on it goes to [`DurableCore::settle`].
     pub core: RaftCore,
     running: Option<RunningJob>,
     last_job_ms: u64,
--- a/lib/src/state/log_store.rs
+++ b/lib/src/state/log_store.rs
@@ -169,8 +169,6 @@
     _lock: File,
     /// The life of this disk.
     pub incarnation: Incarnation,
-    /// Syncs of the log since the start, for metrics.
-    pub syncs: u64,
 }
 
 impl LogStore {
@@ -199,14 +197,8 @@
             blank || (state.snapshot.membership.members.is_empty() && state.entries.is_empty());
         let log = open_log(&log_path(folder, generation))?;
         sync_folder(folder)?;
-        let store = LogStore {
-            folder: folder.to_path_buf(),
-            generation,
-            log,
-            _lock: lock,
-            incarnation,
-            syncs: 0,
-        };
+        let store =
+            LogStore { folder: folder.to_path_buf(), generation, log, _lock: lock, incarnation };
         Ok((store, state))
     }
 
@@ -217,7 +209,6 @@
         let record = encode_record(batch);
         self.log.write_all(&record).context(IoSnafu { what: "append to", path: &path })?;
         self.log.sync_data().context(IoSnafu { what: "sync", path: &path })?;
-        self.syncs += 1;
         Ok(())
     }
 
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -44,8 +44,8 @@
 const POLL: Duration = Duration::from_millis(10);
 /// A leader whose disk works on one job for this long makes way for another, in milliseconds.
 const DISK_PATIENCE_MS: u64 = 5000;
-/// Events that one step takes, unless a bench asks for less.
-pub const MOST_EVENTS: usize = 512;
+/// Events that one step takes.
+const MOST_EVENTS: usize = 512;
 const MARK_KEEP_MS: u64 = 10_000;
 const ORDER_RETRY_MS: u64 = 1000;
 
@@ -112,8 +112,6 @@
     pub most_loads: usize,
     /// The keepers that the settings name.
     pub named: BTreeMap<KeeperId, SocketAddr>,
-    /// Events that one step may take.
-    pub most_events: usize,
 }
 
 /// A loop's ends of the channels to its disk thread.
@@ -164,15 +162,14 @@
     order_retry_ms: BTreeMap<u64, u64>,
     most_loads: usize,
     named: BTreeMap<KeeperId, SocketAddr>,
-    most_events: usize,
     applied: u64,
 }
 
 impl KeeperLoop {
     /// A loop over what the disk held.
     pub fn new(start: LoopStart, outlets: LoopOutlets) -> KeeperLoop {
-        let LoopStart { id, core, machine, disk, incarnation, clock, seed, .. } = start;
-        let (most_loads, named, most_events) = (start.most_loads, start.named, start.most_events);
+        let LoopStart { id, core, machine, disk, incarnation, clock, seed, most_loads, named } =
+            start;
         let applied = core.snapshot_index();
         KeeperLoop {
             id,
@@ -194,7 +191,6 @@
             order_retry_ms: BTreeMap::new(),
             most_loads,
             named,
-            most_events,
             applied,
         }
     }
@@ -270,7 +266,7 @@
         output: &mut RaftOutput,
     ) -> bool {
         let mut running = self.take(first, output);
-        for event in events.try_iter().take(self.most_events - 1) {
+        for event in events.try_iter().take(MOST_EVENTS - 1) {
             running &= self.take(event, output);
         }
         running
--- a/lib/src/transport/keeper_node.rs
+++ b/lib/src/transport/keeper_node.rs
@@ -19,7 +19,6 @@
 use super::keeper_client::KeeperClient;
 use super::keeper_loop::{
     KeeperEvent, KeeperLoop, LoopDisk, LoopFailure, LoopOutlets, LoopStart, OperateReply,
-    MOST_EVENTS,
 };
 use super::keeper_operator::{operator_reply, send_order};
 use super::vm_disk::run_jobs;
@@ -113,14 +112,6 @@
 impl KeeperNode {
     /// Opens the data folder and starts.
     pub fn start(settings: KeeperSettings) -> Result<KeeperNode, NodeError> {
-        KeeperNode::start_batched(settings, MOST_EVENTS)
-    }
-
-    /// Starts with another limit of events for one sync; 1 is the baseline of the bench.
-    pub fn start_batched(
-        settings: KeeperSettings,
-        most_events: usize,
-    ) -> Result<KeeperNode, NodeError> {
         let clock = NodeClock::default();
         let new_life = Incarnation(rand::random::<u64>() | 1);
         let opened = LogStore::open(&settings.data_folder, settings.id, new_life);
@@ -161,18 +152,8 @@
         let most_loads = settings.weight_loads;
         let named = settings.keepers.iter().map(|keeper| (keeper.id, keeper.address)).collect();
         let id = settings.id;
-        let start = LoopStart {
-            id,
-            core,
-            machine,
-            disk,
-            incarnation,
-            clock,
-            seed,
-            most_loads,
-            named,
-            most_events,
-        };
+        let start =
+            LoopStart { id, core, machine, disk, incarnation, clock, seed, most_loads, named };
         let keeper = KeeperLoop::new(start, outlets);
         let failure = Arc::new(Mutex::new(None));
         let stop = Arc::new(AtomicBool::new(false));
