vm_stream: where a relayed body stopped is logged and counted

Cause: a stream that its framing calls complete wrote nothing, and one that broke off only "cut stream", without framing or place. Change: EventScanner finds the ends of events, BodyTracker follows a relayed body; wingshed_body_ends_total by framing and end, "stream ended" where that is inside an event or before the first, "stream broke off" with the error.

--- /dev/null
+++ b/lib/src/coordination/event_scanner.rs
@@ -0,0 +1,78 @@
+//! Finds where the events of a stream end, however its bytes are split.
+//!
+//! Lines end in LF, CRLF or CR, and a blank line ends an event. In a stream whose lines end in CRLF, an event
+//! isn't complete before the LF of its blank line.
+
+/// Reads one stream of events, byte by byte.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EventScanner {
+    /// Something of an event came whose blank line hasn't come.
+    inside: bool,
+    /// The present line has bytes.
+    in_line: bool,
+    after_cr: bool,
+    /// A CR ended a blank line, and its LF is expected.
+    blank_cr: bool,
+    /// Lines of this stream end in CRLF.
+    crlf: bool,
+    events: u64,
+}
+
+impl EventScanner {
+    /// Reads `bytes` from `at` on, up to the end of an event, and returns that position; `None` where no event
+    /// ends in them.
+    pub fn next_end(&mut self, bytes: &[u8], mut at: usize) -> Option<usize> {
+        while at < bytes.len() {
+            if self.blank_cr && bytes[at] != b'\n' {
+                // The CR stood alone, so the event ended before this byte.
+                self.after_cr = false;
+                return Some(self.complete(at));
+            }
+            let ends = self.take(bytes[at]);
+            at += 1;
+            if ends {
+                return Some(self.complete(at));
+            }
+        }
+        None
+    }
+
+    /// Whether the stream stops here inside an event, a blank line's CRLF included.
+    pub fn is_inside(&self) -> bool {
+        self.inside
+    }
+
+    /// How many events were complete.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    fn complete(&mut self, at: usize) -> usize {
+        self.events += u64::from(self.inside);
+        self.inside = false;
+        self.blank_cr = false;
+        at
+    }
+
+    /// Whether the byte ends an event.
+    fn take(&mut self, byte: u8) -> bool {
+        let after_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        match byte {
+            b'\n' if after_cr => {
+                self.crlf = true;
+                self.blank_cr
+            }
+            b'\n' | b'\r' if std::mem::take(&mut self.in_line) => false,
+            b'\n' => true,
+            b'\r' => {
+                self.blank_cr = self.crlf;
+                !self.crlf
+            }
+            _ => {
+                self.in_line = true;
+                self.inside = true;
+                false
+            }
+        }
+    }
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod attempt_plan;
+pub mod body_tracker;
 pub mod check;
 pub mod claim_batch;
 pub mod cold_share;
@@ -11,6 +12,7 @@
 pub mod directory;
 pub mod durable_core;
 pub mod engine_room;
+pub mod event_scanner;
 pub mod event_splice;
 pub mod fair_queue;
 pub mod fleet_health;
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! The lowest layer: tables, the configuration, and files. No sockets, no clocks.
 
+pub mod body_end;
 pub mod chat_memory;
 pub mod claim_table;
 pub mod configuration;
--- a/lib/src/state/vm_figures.rs
+++ b/lib/src/state/vm_figures.rs
@@ -4,6 +4,8 @@
 
 use std::collections::BTreeMap;
 
+use super::body_end::{BodyEnd, BodyFraming};
+
 /// Workspaces with a histogram of their own.
 pub const MOST_WORKSPACES: usize = 32;
 /// The workspace of requests without a key, and of all beyond the bound.
@@ -79,6 +81,7 @@
 pub struct VmFigures {
     ends: [u64; RequestEnd::ALL.len()],
     first_byte: BTreeMap<String, DelayHistogram>,
+    body_ends: [[u64; BodyEnd::ALL.len()]; BodyFraming::ALL.len()],
     /// Sends beyond the first of each request.
     pub repeats: u64,
     /// Streams taken up at another upstream.
@@ -108,6 +111,16 @@
         self.ends[end as usize]
     }
 
+    /// A body that came piece by piece stopped where its framing ends.
+    pub fn note_body_end(&mut self, framing: BodyFraming, end: BodyEnd) {
+        self.body_ends[framing as usize][end as usize] += 1;
+    }
+
+    /// How many bodies with this framing stopped so.
+    pub fn body_ends(&self, framing: BodyFraming, end: BodyEnd) -> u64 {
+        self.body_ends[framing as usize][end as usize]
+    }
+
     /// An answer's first byte came.
     pub fn note_first_byte(&mut self, workspace: Option<&str>, took_ms: u64) {
         let named = workspace.unwrap_or(OTHER_WORKSPACES);
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -16,6 +16,7 @@
 use super::wire_count::WireCount;
 use crate::coordination::engine_room::ServiceRoom;
 use crate::protocol::operator::WireRow;
+use crate::state::body_end::{BodyEnd, BodyFraming};
 use crate::state::connect_count::{ConnectCause, ConnectCount};
 use crate::state::rollout_order::{RolloutPhase, RolloutRow};
 use crate::state::vm_figures::{RequestEnd, VmFigures, BUCKETS_MS};
@@ -24,12 +25,13 @@
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
 /// Every figure, in the order in which they are told.
-pub const FIGURES: [FigureEntry; 45] = [
+pub const FIGURES: [FigureEntry; 46] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
     ("wingshed_resumed_total", "counter", "Streams taken up at another upstream."),
     ("wingshed_cut_total", "counter", "Streams that ended before their end."),
+    ("wingshed_body_ends_total", "counter", "Relayed bodies by framing and where they stopped."),
     ("wingshed_late_total", "counter", "Answers whose first byte came after their goal."),
     ("wingshed_left_total", "counter", "Callers that left before the whole answer."),
     ("wingshed_signs_total", "counter", "Signs against upstreams."),
@@ -108,6 +110,7 @@
         let figures = self.figures.borrow();
         match name {
             "wingshed_requests_total" => write_ends(text, &figures),
+            "wingshed_body_ends_total" => write_body_ends(text, &figures),
             "wingshed_connects_total" => write_connects(text, self.pool.opened()),
             "wingshed_first_byte_ms" => write_first_bytes(text, &figures),
             "wingshed_peer_bytes_total" => {
@@ -243,6 +246,16 @@
     }
 }
 
+fn write_body_ends(text: &mut String, figures: &VmFigures) {
+    for framing in BodyFraming::ALL {
+        for end in BodyEnd::ALL {
+            let label = format!("framing=\"{}\",end=\"{}\"", framing.name(), end.name());
+            let count = figures.body_ends(framing, end);
+            let _ = writeln!(text, "wingshed_body_ends_total{{{label}}} {count}");
+        }
+    }
+}
+
 fn write_connects(text: &mut String, opened: ConnectCount) {
     for cause in ConnectCause::ALL {
         let (name, count) = (cause.name(), opened.opened(cause));
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use hyper::Response;
 use tracing::info;
@@ -16,7 +16,9 @@
 use super::vm_silence::Waited;
 use super::vm_task::CallerTask;
 use crate::coordination::attempt_plan::SendOutcome;
+use crate::coordination::body_tracker::BodyTracker;
 use crate::protocol::wire_adapter::UpstreamAnswer;
+use crate::state::body_end::BodyFraming;
 
 /// A plain answer up to this length is taken whole before it is passed on, so that one that
 /// breaks off can still be asked for again.
@@ -45,13 +47,24 @@
 
 pub(super) struct ComingBody {
     pub(super) told: UpstreamAnswer,
-    /// Whether its end is told by its framing, not by the end of the connection.
-    pub(super) framed: bool,
+    pub(super) tracker: BodyTracker,
     pub(super) body: Incoming,
     pub(super) lease: ConnectionLease,
     pub(super) guard: FlightGuard,
 }
 
+/// What delimits the body. A transfer coding other than chunked leaves that to the connection's end.
+fn body_framing(head: &response::Parts, body: &Incoming) -> BodyFraming {
+    let codings = head.headers.get_all(TRANSFER_ENCODING).into_iter().next_back();
+    let last = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    let is_chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    match (body.size_hint().exact(), is_chunked) {
+        (Some(_), _) => BodyFraming::Length,
+        (None, true) => BodyFraming::Chunked,
+        (None, false) => BodyFraming::Connection,
+    }
+}
+
 impl CallerTask {
     /// Whose answer it is, what it says of its upstream, and whether the request ran.
     pub(super) async fn check_answer(
@@ -85,9 +98,9 @@
         let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
         if rule.kind.is_stream() || !short {
             let asks_rest = told.rest_ms.is_some();
-            let framed = head.headers.contains_key(CONTENT_LENGTH)
-                || head.headers.contains_key(TRANSFER_ENCODING);
-            let body = GoodBody::Coming(Box::new(ComingBody { told, framed, body, lease, guard }));
+            let is_events = rule.kind.is_stream() && head.status.is_success();
+            let tracker = BodyTracker::new(body_framing(&head, &body), is_events);
+            let body = GoodBody::Coming(Box::new(ComingBody { told, tracker, body, lease, guard }));
             return SendResult::Answer(Box::new(GoodAnswer { head, body, asks_rest }));
         }
         self.take_whole(place, &told, head, body, lease, deadline_ms).await
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -14,8 +14,10 @@
 use super::vm_silence::Waited;
 use super::vm_task::{CallerTask, LEAST_LEFT_MS};
 use crate::coordination::attempt_plan::{AttemptCount, RunKnowledge, SendOutcome};
+use crate::coordination::body_tracker::BodyTracker;
 use crate::coordination::event_splice::EventSplice;
 use crate::coordination::holder_news::HolderNote;
+use crate::state::body_end::{BodyEnd, BodyFraming};
 use crate::state::ids::UpstreamKey;
 use crate::state::route_table::{pick_share, RequestKind};
 use crate::state::vm_figures::RequestEnd;
@@ -184,7 +186,7 @@
         pieces: &Sender<Result<Bytes, CutShort>>,
         mut splice: Option<&mut EventSplice>,
     ) -> RunEnd {
-        let ComingBody { told, framed, mut body, lease, guard } = coming;
+        let ComingBody { told, mut tracker, mut body, lease, guard } = coming;
         let _guard = guard;
         let at = (place.upstream, place.address);
         let may_leave = splice.is_some();
@@ -197,7 +199,11 @@
             };
             let data = match frame {
                 Waited::TimedOut => return RunEnd::TimedOut,
-                Waited::Dark | Waited::Done(Some(Err(_))) => return RunEnd::Broken,
+                Waited::Dark => return RunEnd::Broken,
+                Waited::Done(Some(Err(error))) => {
+                    self.log_broken_body(place, &tracker, &error);
+                    return RunEnd::Broken;
+                }
                 Waited::Done(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
@@ -207,6 +213,7 @@
             if std::mem::take(&mut first) {
                 self.note_first_byte(place, "first piece");
             }
+            tracker.note_bytes(&data);
             place.trial.note_piece(&data);
             let data = match splice.as_mut() {
                 Some(splice) => Bytes::from(splice.feed(&data)),
@@ -216,6 +223,7 @@
                 return RunEnd::CallerLeft;
             }
         }
+        self.note_body_end(place, &tracker);
         if let Some(splice) = splice {
             let rest = splice.finish();
             if !rest.is_empty() && pieces.send(Ok(Bytes::from(rest))).await.is_err() {
@@ -223,10 +231,29 @@
             }
         }
         place.trial.end_well();
-        self.note_ran(place, framed);
+        self.note_ran(place, tracker.framing() != BodyFraming::Connection);
         self.node.outliers.borrow_mut().note_success(place.upstream);
         self.note_outcome(place.upstream, true);
         lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
         RunEnd::Complete
     }
+
+    /// Counts where a body stopped that its framing calls complete.
+    fn note_body_end(&self, place: &SendPlace, tracker: &BodyTracker) {
+        let (framing, end) = (tracker.framing(), tracker.end());
+        self.node.figures.borrow_mut().note_body_end(framing, end);
+        if end != BodyEnd::Boundary {
+            info!(
+                target: "upstream", life = place.send.life, attempt = self.caller.attempt,
+                framing = framing.name(), end = end.name(), "stream ended",
+            );
+        }
+    }
+
+    fn log_broken_body(&self, place: &SendPlace, tracker: &BodyTracker, error: &hyper::Error) {
+        info!(
+            target: "upstream", life = place.send.life, attempt = self.caller.attempt,
+            framing = tracker.framing().name(), end = tracker.end().name(), %error, "stream broke off",
+        );
+    }
 }
