vm_stream: a stream is complete only on a boundary of its events

Cause: the end of the transport was taken for the end of the message. A clean end of the connection ends an unframed body as well as a crash does, and the VM wrote the last chunk on it, or passed the rest of an event on as the end of a resumable stream. The same held for a length or a last chunk that is reached inside an event. Change: BodyTracker decides: a success on a route of streams is whole only between events, and an unframed one only with an event; otherwise it broke off, so it is resumed where that is allowed and cut elsewhere, and nothing that hears of its end (outliers, evidence, quarantine, pool) takes it for a good one. Such answers pass no length on, since it would make them complete. EventSplice finds events by the same scanner, so events whose lines end in CR are passed on as they come instead of at the end. Why it works: what decides is the message, and no framing can make a stream whole that stops inside it.

--- a/lib/src/coordination/body_tracker.rs
+++ b/lib/src/coordination/body_tracker.rs
@@ -30,6 +30,16 @@
         }
     }
 
+    /// Whether the body is whole if its framing ends it now. A clean end of the connection proves nothing of a
+    /// stream that brought no event.
+    pub fn is_whole(&self) -> bool {
+        match self.end() {
+            BodyEnd::Boundary => true,
+            BodyEnd::InsideEvent => false,
+            BodyEnd::NoEvent => self.framing != BodyFraming::Connection,
+        }
+    }
+
     /// Where the body stops, if it stops now.
     pub fn end(&self) -> BodyEnd {
         match self.events {
--- a/lib/src/coordination/event_splice.rs
+++ b/lib/src/coordination/event_splice.rs
@@ -3,10 +3,15 @@
 //! Only whole events are let through, since an upstream may stop partway through one;
 //! what a later run repeats is dropped by its id.
 
+use super::event_scanner::EventScanner;
+
 /// What has been passed on of one stream.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplice {
     partial: Vec<u8>,
+    /// How far `partial` has been scanned.
+    scanned: usize,
+    scanner: EventScanner,
     last_id: Option<String>,
     later_run: bool,
 }
@@ -25,6 +30,8 @@
     /// Another run begins; what came of an event that was not whole is dropped.
     pub fn begin_run(&mut self) {
         self.partial.clear();
+        self.scanned = 0;
+        self.scanner = EventScanner::default();
         self.later_run = true;
     }
 
@@ -33,7 +40,8 @@
         self.partial.extend_from_slice(bytes);
         let mut whole = Vec::new();
         let mut start = 0;
-        while let Some(end) = event_end(&self.partial, start) {
+        while let Some(end) = self.scanner.next_end(&self.partial, self.scanned) {
+            self.scanned = end;
             let event = &self.partial[start..end];
             let id = event_id(event);
             if !self.later_run || self.is_news(id.as_deref()) {
@@ -45,10 +53,11 @@
             start = end;
         }
         self.partial.drain(..start);
+        self.scanned = self.partial.len();
         whole
     }
 
-    /// The run ended as complete: what is left belongs to the answer.
+    /// The run ended on a boundary of events: what is left belongs to the answer.
     pub fn finish(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.partial)
     }
@@ -62,22 +71,8 @@
     }
 }
 
-/// Where the event that begins at `start` ends, its blank line included.
-fn event_end(bytes: &[u8], start: usize) -> Option<usize> {
-    let mut line = start;
-    while let Some(length) = bytes[line..].iter().position(|byte| *byte == b'\n') {
-        let end = line + length;
-        let blank = end == line || bytes[line..end] == *b"\r";
-        line = end + 1;
-        if blank {
-            return Some(line);
-        }
-    }
-    None
-}
-
 fn event_id(event: &[u8]) -> Option<String> {
-    let lines = event.split(|byte| *byte == b'\n');
+    let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
     let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
     let id = std::str::from_utf8(id).ok()?.trim();
     (!id.is_empty()).then(|| id.to_string())
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -83,7 +83,8 @@
         let (pieces, body) = AnswerBody::pieces();
         let mut response = respond(body, headers);
         let resumable = rule.kind == RequestKind::ResumableStream && response.status().is_success();
-        if resumable {
+        // A length would make a stream complete that stops inside an event.
+        if rule.kind.is_stream() && response.status().is_success() {
             response.headers_mut().remove(CONTENT_LENGTH);
         }
         count.note(SendOutcome::Failed);
@@ -224,6 +225,9 @@
             }
         }
         self.note_body_end(place, &tracker);
+        if !tracker.is_whole() {
+            return RunEnd::Broken;
+        }
         if let Some(splice) = splice {
             let rest = splice.finish();
             if !rest.is_empty() && pieces.send(Ok(Bytes::from(rest))).await.is_err() {
@@ -234,7 +238,8 @@
         self.note_ran(place, tracker.framing() != BodyFraming::Connection);
         self.node.outliers.borrow_mut().note_success(place.upstream);
         self.note_outcome(place.upstream, true);
-        lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
+        let closes = told.closes || tracker.framing() == BodyFraming::Connection;
+        lease.finish(closes, told.idle_ms, self.node.now_ms()).await;
         RunEnd::Complete
     }
 
