vm_relay: an answer ends as complete only if its relay says so

Had a relay's task ended by a panic or been dropped, its caller would have got the pieces so far and the last chunk. Cause: the end of the channel between relay and connection was the answer's end, and a cut was a message. So whoever forgot to send that, or couldn't, completed the answer. Change: PieceSender::complete states the end; a channel that closes without it cuts the answer. Why it works: the default of each way out of the relay is the cut, and one line in one place completes.

--- a/lib/src/transport/vm_relay.rs
+++ b/lib/src/transport/vm_relay.rs
@@ -1,7 +1,10 @@
 //! The body of an answer on its way to the caller.
+//!
+//! Invariant: an answer that comes piece by piece is complete only if its relay says so. However a relay ends
+//! otherwise, its caller gets an answer that is cut.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -26,8 +29,57 @@
 pub enum AnswerBody {
     /// All of it is here.
     Whole(Option<Bytes>),
-    /// It comes piece by piece; the channel's end without an error is its end.
-    Pieces(Receiver<Result<Bytes, CutShort>>),
+    /// It comes piece by piece.
+    Pieces(PieceReceiver),
+}
+
+enum AnswerPiece {
+    Data(Bytes),
+    End,
+}
+
+/// The relay's side of an answer that comes piece by piece. Dropping it cuts the answer.
+pub struct PieceSender(Sender<AnswerPiece>);
+
+impl PieceSender {
+    /// Passes a piece on; false once the caller has left.
+    pub async fn send(&self, data: Bytes) -> bool {
+        self.0.send(AnswerPiece::Data(data)).await.is_ok()
+    }
+
+    /// The answer is complete.
+    pub async fn complete(self) {
+        let _ = self.0.send(AnswerPiece::End).await;
+    }
+
+    /// Returns once the caller has left.
+    pub async fn closed(&self) {
+        self.0.closed().await;
+    }
+}
+
+/// The caller's side of an answer that comes piece by piece.
+pub struct PieceReceiver {
+    pieces: Receiver<AnswerPiece>,
+    ended: bool,
+}
+
+impl PieceReceiver {
+    fn poll_piece(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutShort>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let piece = ready!(self.pieces.poll_recv(context));
+        self.ended = !matches!(piece, Some(AnswerPiece::Data(_)));
+        Poll::Ready(match piece {
+            Some(AnswerPiece::Data(data)) => Some(Ok(Frame::data(data))),
+            Some(AnswerPiece::End) => None,
+            None => Some(Err(CutShort)),
+        })
+    }
 }
 
 impl AnswerBody {
@@ -37,9 +89,9 @@
     }
 
     /// A body that comes piece by piece.
-    pub fn pieces() -> (Sender<Result<Bytes, CutShort>>, AnswerBody) {
-        let (sender, receiver) = channel(PIECES_WAITING);
-        (sender, AnswerBody::Pieces(receiver))
+    pub fn pieces() -> (PieceSender, AnswerBody) {
+        let (sender, pieces) = channel(PIECES_WAITING);
+        (PieceSender(sender), AnswerBody::Pieces(PieceReceiver { pieces, ended: false }))
     }
 }
 
@@ -56,9 +108,7 @@
                 let piece = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(piece.map(|bytes| Ok(Frame::data(bytes))))
             }
-            AnswerBody::Pieces(receiver) => {
-                receiver.poll_recv(context).map(|piece| piece.map(|p| p.map(Frame::data)))
-            }
+            AnswerBody::Pieces(receiver) => receiver.poll_piece(context),
         }
     }
 
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -4,12 +4,11 @@
 use http_body_util::BodyExt;
 use hyper::header::CONTENT_LENGTH;
 use hyper::Response;
-use tokio::sync::mpsc::Sender;
 use tokio::task::spawn_local;
 use tracing::info;
 
 use super::vm_place::SendPlace;
-use super::vm_relay::{AnswerBody, CutShort};
+use super::vm_relay::{AnswerBody, PieceSender};
 use super::vm_reply::{ComingBody, GoodAnswer, GoodBody, SendResult};
 use super::vm_silence::Waited;
 use super::vm_task::{CallerTask, LEAST_LEFT_MS};
@@ -99,7 +98,7 @@
         place: SendPlace,
         coming: Box<ComingBody>,
         deadline_ms: u64,
-        pieces: Sender<Result<Bytes, CutShort>>,
+        pieces: PieceSender,
         resumable: bool,
         mut count: AttemptCount,
     ) {
@@ -111,7 +110,7 @@
             match self.relay_run(&place, *coming, deadline_ms, &pieces, splice.as_mut()).await {
                 RunEnd::Complete => {
                     self.connection.note_answer(&self.caller.attempt, self.node.now_ms());
-                    return;
+                    return pieces.complete().await;
                 }
                 RunEnd::CallerLeft => return self.record.tell_left(),
                 RunEnd::TimedOut => {
@@ -135,7 +134,6 @@
         }
         self.node.figures.borrow_mut().cut += 1;
         info!(target: "request", attempt = self.caller.attempt, "a stream is cut short");
-        let _ = pieces.send(Err(CutShort)).await;
     }
 
     async fn resume(
@@ -184,7 +182,7 @@
         place: &SendPlace,
         coming: ComingBody,
         deadline_ms: u64,
-        pieces: &Sender<Result<Bytes, CutShort>>,
+        pieces: &PieceSender,
         mut splice: Option<&mut EventSplice>,
     ) -> RunEnd {
         let ComingBody { told, mut tracker, mut body, lease, guard } = coming;
@@ -220,7 +218,7 @@
                 Some(splice) => Bytes::from(splice.feed(&data)),
                 None => data,
             };
-            if !data.is_empty() && pieces.send(Ok(data)).await.is_err() {
+            if !data.is_empty() && !pieces.send(data).await {
                 return RunEnd::CallerLeft;
             }
         }
@@ -230,7 +228,7 @@
         }
         if let Some(splice) = splice {
             let rest = splice.finish();
-            if !rest.is_empty() && pieces.send(Ok(Bytes::from(rest))).await.is_err() {
+            if !rest.is_empty() && !pieces.send(Bytes::from(rest)).await {
                 return RunEnd::CallerLeft;
             }
         }
