vm_pulse: a broken answer without a length resets its HTTP/1.0 caller

Cause: to a caller of HTTP/1.0 the end of the connection is the end of the answer. The VM cut broken ones by closing the connection, which such a caller takes for their end; so does the system when the process is killed. Change: while such an answer is under way, closing its connection resets it; the end of its body takes that back. Why it works: the reset is the default, held by the system, and only a body that ended well changes it.

--- a/lib/src/transport/vm_connection.rs
+++ b/lib/src/transport/vm_connection.rs
@@ -13,10 +13,11 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::header::CONTENT_LENGTH;
 use hyper::server::conn::http1::{self, Connection};
 use hyper::service::{service_fn, HttpService};
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 use tokio::sync::futures::Notified;
@@ -92,11 +93,16 @@
         let (node, pulse) = (node.clone(), pulse.clone());
         service_fn(move |mut request: Request<Incoming>| -> ServedAnswer {
             pulse.begin_request();
+            let version = request.version();
             request.extensions_mut().insert(record.clone());
             let (node, pulse) = (node.clone(), pulse.clone());
             let answer = serve(node.clone(), request);
             Box::pin(async move {
-                let answer = answer.await.map(|body| pulse.watch_body(body));
+                let answer = answer.await;
+                if is_open_ended(version, &answer) {
+                    pulse.note_open_ended();
+                }
+                let answer = answer.map(|body| pulse.watch_body(body));
                 let stopping = node.stopping_ms.get().is_some();
                 Ok(if stopping { close_after(answer) } else { answer })
             })
@@ -123,6 +129,13 @@
     })
 }
 
+/// Whether nothing but the end of the connection delimits the answer: callers of HTTP/1.0 read no chunks.
+fn is_open_ended(version: Version, answer: &Response<AnswerBody>) -> bool {
+    version == Version::HTTP_10
+        && answer.body().size_hint().exact().is_none()
+        && !answer.headers().contains_key(CONTENT_LENGTH)
+}
+
 /// Ready with whether the connection rests, or else has ended.
 ///
 /// A connection that seems to rest is polled once more: only then has the server seen that nobody
--- a/lib/src/transport/vm_pulse.rs
+++ b/lib/src/transport/vm_pulse.rs
@@ -8,9 +8,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -22,6 +24,8 @@
     answered: Cell<bool>,
     unwritten: Cell<bool>,
     broken: Cell<bool>,
+    /// The end of the connection would complete an answer that isn't complete.
+    open_ended: Cell<bool>,
 }
 
 /// The state of one connection.
@@ -50,6 +54,12 @@
         self.0.broken.get()
     }
 
+    /// The answer to the request that came last is delimited by the end of the connection: until its body has
+    /// ended, whatever ends the connection resets it.
+    pub fn note_open_ended(&self) {
+        self.0.open_ended.set(true);
+    }
+
     /// The body of the answer to the request that came last; its end is told.
     pub fn watch_body(&self, body: AnswerBody) -> WatchedBody {
         WatchedBody { body, pulse: self.clone() }
@@ -85,7 +95,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CutShort>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) {
+            self.pulse.0.open_ended.set(false);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -102,12 +116,14 @@
     stream: TcpStream,
     pulse: ConnectionPulse,
     ahead: Bytes,
+    /// Closing the stream resets it.
+    resets: bool,
 }
 
 impl WatchedStream {
     /// Watches a stream.
     pub fn new(stream: TcpStream, pulse: ConnectionPulse) -> WatchedStream {
-        WatchedStream { stream, pulse, ahead: Bytes::new() }
+        WatchedStream { stream, pulse, ahead: Bytes::new(), resets: false }
     }
 
     /// Gives back what was read ahead. Empty bytes may still hold the buffer that they were cut from.
@@ -115,6 +131,16 @@
         self.ahead = if ahead.is_empty() { Bytes::new() } else { ahead };
     }
 
+    /// The system resets the stream at whatever closes it, the end of the process included, as long as that would
+    /// complete an answer.
+    fn set_reset(&mut self) {
+        let resets = self.pulse.0.open_ended.get();
+        if resets != self.resets {
+            let linger = resets.then_some(Duration::ZERO);
+            self.resets = SockRef::from(&self.stream).set_linger(linger).is_ok() && resets;
+        }
+    }
+
     /// Returns once there is something to read, or the stream has ended.
     pub async fn wait(&self) {
         if self.ahead.is_empty() {
@@ -150,6 +176,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.pulse.0.unwritten.set(true);
+        self.set_reset();
         let done = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.pulse.note(done)
     }
@@ -160,6 +187,7 @@
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.pulse.0.unwritten.set(true);
+        self.set_reset();
         let done = Pin::new(&mut self.stream).poll_write_vectored(context, pieces);
         self.pulse.note(done)
     }
@@ -178,6 +206,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.set_reset();
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
