vm_stream: an upstream that breaks off its streams has no success at their heads

Cause: the head of a stream counted as a success, which ended the row of failures, though a head says nothing of the end. A failure that was relayed to its end counted as good, too, after it had counted as bad. Evidence: an_upstream_that_breaks_off_all_its_streams_is_set_aside, red before: none of four set aside after 16 streams. Change: an answer counts as good once it has ended well, and only if it is a success. Why it works: each answer is counted once, at its end.

--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -47,6 +47,8 @@
 
 pub(super) struct ComingBody {
     pub(super) told: UpstreamAnswer,
+    /// The status is one of success.
+    pub(super) success: bool,
     pub(super) tracker: BodyTracker,
     pub(super) body: Incoming,
     pub(super) lease: ConnectionLease,
@@ -98,9 +100,11 @@
         let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
         if rule.kind.is_stream() || !short {
             let asks_rest = told.rest_ms.is_some();
-            let is_events = rule.kind.is_stream() && head.status.is_success();
-            let tracker = BodyTracker::new(body_framing(&head, &body), is_events);
-            let body = GoodBody::Coming(Box::new(ComingBody { told, tracker, body, lease, guard }));
+            let success = head.status.is_success();
+            let framing = body_framing(&head, &body);
+            let tracker = BodyTracker::new(framing, rule.kind.is_stream() && success);
+            let coming = ComingBody { told, success, tracker, body, lease, guard };
+            let body = GoodBody::Coming(Box::new(coming));
             return SendResult::Answer(Box::new(GoodAnswer { head, body, asks_rest }));
         }
         self.take_whole(place, &told, head, body, lease, deadline_ms).await
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -39,7 +39,6 @@
     ) -> Response<AnswerBody> {
         let rule = &place.routes.table.routes[place.route];
         if answer.head.status.is_success() {
-            self.node.outliers.borrow_mut().note_success(place.upstream);
             if !self.caller.prompt.is_empty() {
                 let now_ms = self.node.now_ms();
                 let mut prefixes = self.node.prefixes.borrow_mut();
@@ -73,6 +72,7 @@
             GoodBody::Whole(bytes) => {
                 if head.status.is_success() {
                     place.trial.end_well();
+                    self.node.outliers.borrow_mut().note_success(place.upstream);
                 }
                 self.connection.note_answer(&self.caller.attempt, self.node.now_ms());
                 return respond(AnswerBody::whole(bytes), headers);
@@ -185,7 +185,7 @@
         pieces: &PieceSender,
         mut splice: Option<&mut EventSplice>,
     ) -> RunEnd {
-        let ComingBody { told, mut tracker, mut body, lease, guard } = coming;
+        let ComingBody { told, success, mut tracker, mut body, lease, guard } = coming;
         let _guard = guard;
         let at = (place.upstream, place.address);
         let may_leave = splice.is_some();
@@ -232,10 +232,12 @@
                 return RunEnd::CallerLeft;
             }
         }
-        place.trial.end_well();
+        if success {
+            place.trial.end_well();
+            self.node.outliers.borrow_mut().note_success(place.upstream);
+            self.note_outcome(place.upstream, true);
+        }
         self.note_ran(place, tracker.framing() != BodyFraming::Connection);
-        self.node.outliers.borrow_mut().note_success(place.upstream);
-        self.note_outcome(place.upstream, true);
         let closes = told.closes || tracker.framing() == BodyFraming::Connection;
         lease.finish(closes, told.idle_ms, self.node.now_ms()).await;
         RunEnd::Complete
