vm_trial: events of a stream are counted by its scanner

Seen: nothing by callers; found while looking for who reads events besides the relay. Cause: a roll-out's evidence counted blank lines as two LF in one piece, so that streams whose lines end in CRLF or CR, or whose blank line is split between pieces, showed no pace. Evidence: test_event_ends counts them under all three line ends and any split; the former count of the same bytes is 0 for CRLF and CR by its pattern. Change: BodyTracker returns how many events a piece completes.

--- a/lib/src/coordination/body_tracker.rs
+++ b/lib/src/coordination/body_tracker.rs
@@ -21,13 +21,15 @@
         self.framing
     }
 
-    /// Bytes of the body came.
-    pub fn note_bytes(&mut self, bytes: &[u8]) {
-        let Some(events) = &mut self.events else { return };
+    /// Bytes of the body came; returns how many events they complete.
+    pub fn note_bytes(&mut self, bytes: &[u8]) -> u64 {
+        let Some(events) = &mut self.events else { return 0 };
+        let before = events.events();
         let mut at = 0;
         while let Some(end) = events.next_end(bytes, at) {
             at = end;
         }
+        events.events() - before
     }
 
     /// Whether the body is whole if its framing ends it now. A clean end of the connection proves nothing of a
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -212,8 +212,7 @@
             if std::mem::take(&mut first) {
                 self.note_first_byte(place, "first piece");
             }
-            tracker.note_bytes(&data);
-            place.trial.note_piece(&data);
+            place.trial.note_piece(tracker.note_bytes(&data));
             let data = match splice.as_mut() {
                 Some(splice) => Bytes::from(splice.feed(&data)),
                 None => data,
--- a/lib/src/transport/vm_trial.rs
+++ b/lib/src/transport/vm_trial.rs
@@ -51,16 +51,15 @@
         }
     }
 
-    /// A piece of a stream came.
-    pub(super) fn note_piece(&self, piece: &[u8]) {
+    /// A piece of a stream came, which completes this many events.
+    pub(super) fn note_piece(&self, events: u64) {
         if self.tag.borrow().is_none() {
             return;
         }
         let now = Instant::now();
         self.first.set(self.first.get().or(Some(now)));
         self.last.set(Some(now));
-        let ends = piece.windows(2).filter(|pair| pair == b"\n\n").count();
-        self.events.set(self.events.get() + ends as u32);
+        self.events.set(self.events.get() + events as u32);
     }
 
     /// The whole answer came, and is a success.
