daemons: a VM's log reaches collectors that take it from its standard output

Nothing that a VM logged was seen by a collector that takes what is written through the VM's standard output. Cause: since standard output that is a file is written by a thread through a duplicate of the descriptor. Such a collector sees writes on the descriptor itself only. The duplicate's writes succeed, so nothing was dropped or counted; that they end in the file is inferred. Standard output is a regular file that accepts lines. Lines written to it were seen, by the main thread and by another one; lines through the clone reported success and were not seen, from either thread. Reopening through /proc failed (read-only file system). Change: the thread writes through the descriptor that was given. Pipes, sockets and terminals are as before, and so are the queue, its bounds, its counts and the wait at a stop. No thread or memory is added; one descriptor fewer is held. Result: lines_for_a_file_are_written_through_the_descriptor_itself fails on the code before (the collected file is empty) and passes now, as do all other tests of daemons, unchanged.

--- a/daemons/src/log_sink.rs
+++ b/daemons/src/log_sink.rs
@@ -4,10 +4,14 @@
 //! may stop a daemon from serving or from ending. Pipes, sockets and terminals report whether they
 //! accept a line at once. Files always report that they do, so a thread writes to them from a
 //! bounded queue. Lines that would wait are dropped, never written in part.
+//!
+//! Files are written through the descriptor that was given, not a duplicate: collectors may replace
+//! it or see only what is written through it.
 
-use std::fs::{File, OpenOptions};
+use std::fs::{File, FileType, OpenOptions};
 use std::io::{self, Write};
-use std::os::fd::{AsRawFd, BorrowedFd, RawFd};
+use std::mem::ManuallyDrop;
+use std::os::fd::{FromRawFd, RawFd};
 use std::os::unix::fs::{FileTypeExt, OpenOptionsExt};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -37,7 +41,7 @@
 }
 
 impl LogSink {
-    /// A sink for a descriptor that stays open.
+    /// A sink for a descriptor that stays open as long as lines are written or queued.
     pub fn to(output: RawFd) -> LogSink {
         LogSink { output: SinkOutput::of(output) }
     }
@@ -93,22 +97,42 @@
             return SinkOutput::Socket(output);
         }
         let polled = || SinkOutput::Polled(Mutex::new(output));
-        // SAFETY: the caller keeps the descriptor open.
-        let owned = unsafe { BorrowedFd::borrow_raw(output) }.try_clone_to_owned();
-        let Ok(file) = owned.map(File::from) else { return polled() };
-        let Ok(kind) = file.metadata().map(|about| about.file_type()) else { return polled() };
+        let Ok(kind) = kind_of(output) else { return polled() };
         if kind.is_file() {
-            return LineQueue::start(file).map_or_else(|_| polled(), SinkOutput::Queue);
+            let queue = LineQueue::start(KeptDescriptor(output));
+            return queue.map_or_else(|_| polled(), SinkOutput::Queue);
         }
-        match kind.is_fifo().then(|| reopen_nonblocking(&file)) {
+        match kind.is_fifo().then(|| reopen_nonblocking(output)) {
             Some(Ok(pipe)) => SinkOutput::Pipe(pipe),
             _ => polled(),
         }
     }
 }
 
-fn reopen_nonblocking(pipe: &File) -> io::Result<File> {
-    let path = format!("/proc/self/fd/{}", pipe.as_raw_fd());
+/// A descriptor that stays open and is not closed here.
+struct KeptDescriptor(RawFd);
+
+impl Write for KeptDescriptor {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        borrowed(self.0).write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn borrowed(output: RawFd) -> ManuallyDrop<File> {
+    // SAFETY: the caller of `LogSink::to` keeps the descriptor open, and this does not close it.
+    ManuallyDrop::new(unsafe { File::from_raw_fd(output) })
+}
+
+fn kind_of(output: RawFd) -> io::Result<FileType> {
+    Ok(borrowed(output).metadata()?.file_type())
+}
+
+fn reopen_nonblocking(pipe: RawFd) -> io::Result<File> {
+    let path = format!("/proc/self/fd/{pipe}");
     OpenOptions::new().write(true).custom_flags(libc::O_NONBLOCK).open(path)
 }
 
--- a/daemons/tests/test_stalled_logs.rs
+++ b/daemons/tests/test_stalled_logs.rs
@@ -198,6 +198,25 @@
     assert_eq!(text, "first\nsecond\n");
 }
 
+// A collector that takes what is written through standard output sees nothing of a duplicate.
+#[test]
+fn lines_for_a_file_are_written_through_the_descriptor_itself() {
+    let file = tempfile::tempfile().unwrap();
+    let mut collected = tempfile::tempfile().unwrap();
+    let sink = LogSink::to(file.as_raw_fd());
+
+    // SAFETY: both descriptors are open.
+    let replaced = unsafe { libc::dup2(collected.as_raw_fd(), file.as_raw_fd()) };
+    assert_eq!(replaced, file.as_raw_fd());
+    assert!(sink.write(b"first\n") && sink.write(b"second\n"));
+    sink.flush(PATIENCE);
+
+    let mut text = String::new();
+    std::io::Seek::rewind(&mut collected).unwrap();
+    collected.read_to_string(&mut text).unwrap();
+    assert_eq!(text, "first\nsecond\n");
+}
+
 // Two processes often share the pipe of their supervisor; room that one sees the other may take.
 #[test]
 fn a_pipe_is_left_blocking_for_the_processes_that_share_it() {
