--- a/daemons/src/log_sink.rs
+++ b/daemons/src/log_sink.rs
@@ -1,4 +1,4 @@
-//! Writes lines of a log without waiting for whoever reads or stores them.
+//! Writes lines of a log without waiting for the process that reads or the disk that stores them.
 //!
 //! A pipe whose reader stopped blocks its writers, and so does a file on a stalled disk. Neither
 //! may stop a daemon from serving or from ending. Pipes, sockets and terminals report whether they
--- a/lib/src/coordination/claim_batch.rs
+++ b/lib/src/coordination/claim_batch.rs
@@ -1,4 +1,4 @@
-//! Claims are sent to the keepers in batches: whoever asks while a batch is under way
+//! Claims are sent to the keepers in batches: claims that come while a batch is under way
 //! joins the next, so that one sync serves many.
 
 use crate::state::claim_table::{ClaimReport, ClaimRequest};
--- a/lib/src/coordination/cold_share.rs
+++ b/lib/src/coordination/cold_share.rs
@@ -2,7 +2,7 @@
 //!
 //! A cold upstream bears a few requests a second from all VMs together, and falls over above that.
 //! Each VM decides alone, by a roster that may be a second old, so the shares are such that their
-//! sum keeps the bound whoever is missing from whose roster: `members` VMs, named by a rendezvous
+//! sum keeps the bound whichever VMs are missing from which roster: `members` VMs, named by a rendezvous
 //! order, send `each` requests in any second, and `members` x `each` is at most what the upstream
 //! bears. Should the fleet be cut into two halves that each name their own members, the sum is
 //! twice that, where deployments allow one and a half times it and five more. A VM that has just
--- a/lib/src/coordination/engine_room.rs
+++ b/lib/src/coordination/engine_room.rs
@@ -275,7 +275,7 @@
         present > 1 && own * present > 2 * total
     }
 
-    /// When a refused caller should come back, in milliseconds from now: when a place that nobody
+    /// When a refused caller should come back, in milliseconds from now: when a place that no caller
     /// was told of yet will likely be free. Callers are told one after the other, so that they
     /// don't come back as one crowd.
     pub fn return_ms(&mut self, now_ms: u64) -> u64 {
--- a/lib/src/coordination/fair_queue.rs
+++ b/lib/src/coordination/fair_queue.rs
@@ -108,7 +108,7 @@
         self.length
     }
 
-    /// Whether nobody waits.
+    /// Whether the queue is empty.
     pub fn is_empty(&self) -> bool {
         self.length == 0
     }
@@ -236,7 +236,7 @@
         if admit(request) {
             return Some(at);
         }
-        // A plain head keeps its turn: nobody behind it goes first.
+        // A plain head keeps its turn: none behind it goes first.
         request.only?;
     }
     None
--- a/lib/src/coordination/fleet_health.rs
+++ b/lib/src/coordination/fleet_health.rs
@@ -1,4 +1,4 @@
-//! Which upstreams fail whoever sends to them, as all VMs together see it.
+//! Which upstreams fail all VMs that send to them, by the outcomes of all VMs together.
 //!
 //! A VM sets an upstream aside after some failures in a row. Where 300 VMs share 240 engines, each
 //! sends to one of them every minute or so, and an engine that breaks every request is never set
--- a/lib/src/coordination/holder_news.rs
+++ b/lib/src/coordination/holder_news.rs
@@ -1,4 +1,4 @@
-//! Which engine keeps a prompt's shared part where nobody would guess it.
+//! Which engine keeps a prompt's shared part where rendezvous would not place it.
 //!
 //! Every VM guesses the holder of a part by the order of engines. When engines die or are full, a
 //! part is read by another, and a VM that sees a small part of the traffic rarely knows by which: it then
--- a/lib/src/coordination/home.rs
+++ b/lib/src/coordination/home.rs
@@ -211,7 +211,7 @@
     /// The mean is one of those engines alone. What a dead engine had is gone from the true mean
     /// at once, while its requests may be counted here until their callers give up.
     pub fn fleet_work(&self, fleet: FleetKey) -> u64 {
-        // Foreign work is counted by whoever admitted it; counting it here too would raise the
+        // Foreign work is counted by the router that admitted it; counting it here too would raise the
         // mean, and with it the bound.
         let slots = self.slots.values().filter(|slot| slot.fleet == fleet && !slot.closed);
         slots.map(|slot| slot.work).sum()
--- a/lib/src/coordination/leaving.rs
+++ b/lib/src/coordination/leaving.rs
@@ -1,6 +1,6 @@
 //! Which lives of which VMs are leaving.
 //!
-//! Leaving is sticky for a life: whoever first knows tells the others, and no list
+//! Leaving is sticky for a life: the first VM to know publishes it, and no list
 //! that lags can take it back. Only a new life of the same upstream opens it again.
 //! See `docs/design/leaving.md`.
 
--- a/lib/src/coordination/list_reader.rs
+++ b/lib/src/coordination/list_reader.rs
@@ -35,7 +35,7 @@
 /// Pages that are read without a pause between them.
 pub const PAGES_AT_ONCE: usize = 8;
 /// By how much later each next group of readers begins, in milliseconds: a reading of a few pages
-/// and its distribution. Groups double, so that a large fleet in which nobody reaches anybody has
+/// and its distribution. Groups double, so that a large fleet in which no VM reaches another has
 /// read within a few of these spans.
 pub const READER_STEP_MS: u64 = 400;
 /// How often a VM without a fresh list asks, in milliseconds; those it asks answer again once they
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -41,7 +41,7 @@
 /// Which rules are in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementRule {
-    /// For chats that nobody holds.
+    /// For chats that no engine holds.
     pub fresh: FreshRule,
     /// Whether more than the latest holder is looked at.
     pub every_holder: bool,
@@ -117,7 +117,7 @@
     pub memory: &'a ChatMemory,
     /// Light engines of other homes.
     pub hints: &'a [EngineHint],
-    /// Whether hints were told at all; then none means that nobody has room.
+    /// Whether hints were told at all; then none means that no engine has room.
     pub hints_known: bool,
     /// The fleet's load.
     pub load: FleetLoad,
--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -110,7 +110,7 @@
         core.read_membership();
         core.reset_deadline(now_ms);
         if core.voters() == [id] {
-            // Nobody else can lead, so there is nobody to wait for.
+            // No other keeper can lead, so there is none to wait for.
             core.deadline_ms = now_ms;
         }
         core
@@ -400,7 +400,7 @@
         !counted || member.is_some_and(|member| member.incarnation == message.incarnation)
     }
 
-    /// While a leader is heard, or leads here, nobody is helped to unseat it.
+    /// While a leader is heard, or leads here, no vote is granted to unseat it.
     pub(super) fn defends_leader(&self, message: &RaftMessage, now_ms: u64) -> bool {
         let RaftBody::Vote { transfer, .. } = message.body else { return false };
         let heard = self.leader.is_some() && now_ms < self.heard_ms + ELECTION_MS;
--- a/lib/src/coordination/raft_election.rs
+++ b/lib/src/coordination/raft_election.rs
@@ -5,7 +5,7 @@
 use crate::state::ids::KeeperId;
 use crate::state::log_store::{EntryPayload, HardState, LogEntry};
 
-/// The candidate's own and that of whoever grants its vote.
+/// The candidate's own and that of the voter.
 const SYNCS_A_VOTE: u64 = 2;
 
 impl RaftCore {
@@ -89,7 +89,7 @@
     ) {
         let fresh = term > self.term()
             || (term == self.term() && self.hard_state.voted_for.is_none_or(|id| id == from));
-        // Whoever is asked answers, whatever its own log says of the group: the asker counts
+        // Every keeper answers, whatever its own log says of the group: the candidate counts
         // only members of the group that it knows, by their lives.
         let granted = fresh && last_place >= self.last_place();
         if granted && !pre {
--- a/lib/src/coordination/raft_message.rs
+++ b/lib/src/coordination/raft_message.rs
@@ -12,7 +12,7 @@
 /// A fleet's keeper that heard no leader since its start asks this soon, and up to twice as
 /// late; then twice as long each time, so that slow keepers don't ask across each other.
 ///
-/// After all keepers were killed together nobody leads, and callers wait; where a leader
+/// After all keepers were killed together none leads, and callers wait; where a leader
 /// does live, it is defended against the question. See `docs/design/platform.md`.
 pub const WAKE_MS: u64 = 50;
 /// A leader's lease lasts this long from the sending of a heartbeat that a quorum answered.
--- a/lib/src/coordination/rollout_counts.rs
+++ b/lib/src/coordination/rollout_counts.rs
@@ -1,7 +1,7 @@
 //! What one VM sent while a service is rolled out, and what came back badly, for operators.
 //!
 //! Invariant: the counts begin with the order and stay after its end until the next one begins, so
-//! that whoever looks after a roll-back still sees what this VM's part of it was.
+//! that an operator who looks after a roll-back still sees what this VM's part of it was.
 
 use super::rollout_evidence::RolloutArm;
 
--- a/lib/src/coordination/rollout_lead.rs
+++ b/lib/src/coordination/rollout_lead.rs
@@ -1,6 +1,6 @@
 //! Which step a roll-out takes next, as the leader decides from what VMs tell.
 //!
-//! Every keeper notes when it first knew of an order, so that whoever leads next knows how long it
+//! Every keeper notes when it first knew of an order, so that the next leader can tell how long it
 //! has run. Invariants: a step follows from the row in the log alone, so that two leaders can't take two
 //! ways; the time spent is rather counted too long than too short, so that an order never outlasts what
 //! its operator granted. See `docs/design/rollouts.md`.
@@ -105,7 +105,7 @@
         self.spent_ms + now_ms.saturating_sub(self.at_ms)
     }
 
-    /// What a leader knows that has heard of it from nobody.
+    /// The evidence of a leader that has received none.
     fn unheard(&self, now_ms: u64) -> HeardOrder {
         let verdict = VerdictState::of_order(self.elapsed_ms(now_ms));
         HeardOrder { verdict, ..HeardOrder::default() }
--- a/lib/src/coordination/rollout_share.rs
+++ b/lib/src/coordination/rollout_share.rs
@@ -5,7 +5,7 @@
 //! knows what the others send, or even who they are. So each counts for itself: of the `n`
 //! requests that it sent on a route since it knew of the order, `floor(share * n + u)` go to the
 //! target, with `u` drawn evenly from 0 to 1 for each route and each life of the process. The sum over
-//! VMs is `share * n` in the mean at every moment, whoever starts, stops or is missing from whose
+//! VMs is `share * n` in the mean at every moment, whichever VMs start, stop or are missing from which
 //! roster, and deviates by less than half the root of VMs times routes. See `docs/design/rollouts.md`.
 
 use std::collections::HashMap;
--- a/lib/src/coordination/rollout_watch.rs
+++ b/lib/src/coordination/rollout_watch.rs
@@ -19,7 +19,7 @@
 use crate::state::upstream_list::UpstreamEntry;
 
 /// A proof of what orders there are holds for so long, in milliseconds: four renewals. It is part of
-/// the time that a roll-back may take to reach a VM that hears nobody, 5,000 ms on the deployments
+/// the time that a roll-back may take to reach a VM that receives nothing, 5,000 ms on the deployments
 /// known.
 pub const PROOF_MS: u64 = 1500;
 
--- a/lib/src/coordination/silence.rs
+++ b/lib/src/coordination/silence.rs
@@ -1,9 +1,9 @@
 //! Upstreams that are silent: found by few VMs, known to all.
 //!
-//! A machine without power, or behind a cut, says nothing: whoever connects to it, or waits for it on
+//! A machine without power, or behind a cut, says nothing: a VM that connects to it, or waits for it on
 //! an open connection, learns that only by waiting. A VM that waited longer than connecting takes
 //! there doubts the upstream and tells the leader; the leader tries by itself, and calls the upstream
-//! dark when two VMs, itself included, cannot reach it and nobody is answered by it any more. It tries
+//! dark when two VMs, itself included, cannot reach it and no VM is answered by it any more. It tries
 //! again and again, and takes the name back as soon as it reaches it or others are answered. A failure
 //! detector by counts, after two ways that were weighed: see `docs/design/silence.md`.
 
@@ -18,7 +18,7 @@
 const DOUBT_KEEP_MS: u64 = 1500;
 /// VMs that must fail to reach an upstream, the leader included.
 const DOUBTERS: usize = 2;
-/// The leader tries an upstream again after this long, in milliseconds; a connection that nobody
+/// The leader tries an upstream again after this long, in milliseconds; a connection that no process
 /// answers costs a packet.
 const TRY_AGAIN_MS: u64 = 300;
 /// What others told of being answered counts half after this long, in milliseconds: what they tell is
--- a/lib/src/coordination/upstream_candidate.rs
+++ b/lib/src/coordination/upstream_candidate.rs
@@ -119,7 +119,7 @@
 }
 
 /// How long it is until the first upstream has rested, in milliseconds, where all that this VM might send
-/// work to rest. Whoever comes sooner is refused again, at any attempt.
+/// work to rest. A caller that comes sooner is refused again, at any attempt.
 pub fn earliest_return(candidates: &[UpstreamCandidate]) -> Option<u64> {
     let mut staying = candidates.iter().filter(|c| !c.leaving && !c.withheld).peekable();
     staying.peek()?;
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -287,7 +287,7 @@
 }
 
 /// Where a root may be had: one of the engines that surely keep it, drawn, since each engine hands
-/// out one part after the other; without any, whoever likely keeps it. While a fleet starts, the one
+/// out one part after the other; without any, the one that likely keeps it. While a fleet starts, the one
 /// that the order names mostly keeps no root yet.
 fn root_source(
     usable: &[&UpstreamCandidate],
--- a/lib/src/coordination/upstream_load.rs
+++ b/lib/src/coordination/upstream_load.rs
@@ -52,7 +52,7 @@
 }
 
 /// The loads that change a VM's choice. Where a service's upstreams are nearly idle, one request at an
-/// upstream keeps nobody from sending it another, so it is left out: what is told grows with the
+/// upstream prevents no VM from sending it another, so it is left out: what is told grows with the
 /// upstreams that are in use, not with all requests in flight.
 pub fn loads_that_matter(loads: Vec<UpstreamLoad>, list: &UpstreamList) -> Vec<UpstreamLoad> {
     let service_of = |load: &UpstreamLoad| {
--- a/lib/src/coordination/upstream_notice.rs
+++ b/lib/src/coordination/upstream_notice.rs
@@ -1,6 +1,6 @@
 //! What upstreams say of themselves in their answers: that they want rest, or that they leave.
 //!
-//! Nobody else tells a VM of either: rest is asked of the VM that was turned away, and the list of
+//! A VM receives neither from others: rest is asked of the VM that was turned away, and the list of
 //! upstreams lags by seconds. Invariants: a notice holds for the incarnation that gave it (its key), whatever
 //! becomes of connections and of the list meanwhile; leaving is never taken back, and rest only grows.
 //! Neither says that the upstream fails. See `docs/design/upstream-notices.md`.
@@ -29,7 +29,7 @@
 pub const FIRST_SPARED_MS: u64 = 1000;
 const MOST_DOUBLINGS: u32 = 2;
 /// The part of the time for which an upstream serves on once it leaves (a deployment's bound) in which it still
-/// gets requests that nobody else would serve: who comes in its place is seconds later on the list.
+/// gets requests that no other upstream would serve: what comes in its place is seconds later on the list.
 pub const LAST_RESORT_PART: f64 = 1.0 / 3.0;
 /// What an incarnation said is kept for this long after it was last listed or heard, in milliseconds: a list
 /// that lags, or is read in part, may name it again.
@@ -54,7 +54,7 @@
     spared_until_ms: u64,
     /// How often it turned requests away since it took one.
     turned_away: u32,
-    /// Until when it gets what nobody else would serve, since it leaves.
+    /// Until when it gets what no other upstream would serve, since it leaves.
     leaving: Option<u64>,
     /// When it last said something, or was on the list.
     heard_ms: u64,
@@ -101,7 +101,7 @@
         self.rest_ms(upstream, now_ms) == 0 && (purpose == ApproachPurpose::Trial || open)
     }
 
-    /// Whether an upstream that leaves may still get what nobody else would serve.
+    /// Whether an upstream that leaves may still get what no other upstream would serve.
     pub fn is_last_resort(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
         let last_ms = self.rows.get(&upstream).and_then(|row| row.leaving);
         last_ms.is_some_and(|last_ms| last_ms > now_ms)
--- a/lib/src/coordination/upstream_seats.rs
+++ b/lib/src/coordination/upstream_seats.rs
@@ -107,7 +107,7 @@
     }
 
     /// A seat of its own: named by its address, so that a VM that knows nothing of earlier
-    /// seats gives the same ones to all whose place nobody took.
+    /// seats gives the same ones to all whose place is free.
     fn fresh_seat(&self, row: &UpstreamEntry) -> u64 {
         let mut seat = xxh3_64(row.address.to_string().as_bytes());
         while self.seats.contains_key(&seat) {
--- a/lib/src/coordination/zone_watch.rs
+++ b/lib/src/coordination/zone_watch.rs
@@ -1,6 +1,6 @@
 //! Which zones one VM leaves alone, and which upstreams it takes for cold after a zone came back.
 //!
-//! Orders are told with the leader's grants. While nobody tells, what was told last holds: a VM
+//! Orders are told with the leader's grants. Without a grant, the last one received holds: a VM
 //! that hears no leader doesn't say that it is ready, and one that is asked all the same sends
 //! nothing to a zone that was emptied as far as it knows. See `docs/design/zones.md`.
 
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -86,7 +86,7 @@
 pub struct OrderVerdict {
     /// What became of it.
     pub end: OrderEnd,
-    /// The last orders of zones, as whoever answers holds them.
+    /// The last orders of zones, as the answering VM holds them.
     pub zones: ZoneOrders,
     /// The last roll-outs, likewise.
     pub rollouts: RolloutTable,
@@ -336,7 +336,7 @@
     pub holders: Vec<HolderNote>,
     /// What was heard of that with this answer.
     pub holders_heard: HolderMark,
-    /// Upstreams that fail whoever sends to them.
+    /// Upstreams that fail all VMs that send to them.
     pub failing: Vec<UpstreamKey>,
     /// The last orders of zones, unless the asker knows of as many.
     pub zones: Option<ZoneOrders>,
--- a/lib/src/state/list_reading.rs
+++ b/lib/src/state/list_reading.rs
@@ -98,7 +98,7 @@
     }
 
     /// Known upstreams that are named by entries which can't be read, and by no other. They stay as
-    /// they were known if their service has nobody else who takes work: refusing would serve nobody.
+    /// they were known if their service has no other that takes work: refusing would serve no caller.
     fn held(&self, rows: &[UpstreamEntry], known: &UpstreamList) -> Vec<UpstreamEntry> {
         if self.unread.is_empty() {
             return Vec::new();
--- a/lib/src/state/quarantine.rs
+++ b/lib/src/state/quarantine.rs
@@ -86,7 +86,7 @@
         true
     }
 
-    /// The table, for whoever knows of `known` changes; `None` when that is all.
+    /// The table, for a reader that holds `known` changes; `None` when that is all.
     pub fn news(&self, known: u64) -> Option<QuarantineTable> {
         (self.changes != known).then(|| self.clone())
     }
--- a/lib/src/state/rollout_order.rs
+++ b/lib/src/state/rollout_order.rs
@@ -203,7 +203,7 @@
         true
     }
 
-    /// The table, for whoever knows of `known` changes; `None` when that is all.
+    /// The table, for a reader that holds `known` changes; `None` when that is all.
     pub fn news(&self, known: u64) -> Option<RolloutTable> {
         (self.changes != known).then(|| self.clone())
     }
--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -4,7 +4,7 @@
 //! is another incarnation with another key, so that nothing known of the earlier one is said of it;
 //! see `docs/design/identity.md`. Each state of the list has a
 //! mark, and VMs with the same mark hold the same rows; so a change can be told without the rest.
-//! Marks have one order, whoever read the state, and nothing is replaced by a lower one. How old a
+//! Marks have one order, whichever VM read the state, and nothing is replaced by a lower one. How old a
 //! state is tells [`UpstreamList::news_ms`], which only a reading or a proof by exchange raises.
 //! See `docs/design/fleet-news.md`.
 
@@ -74,7 +74,7 @@
 /// read wins, then what was read after more changes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ListMark {
-    /// The term of the leader that read it, or of the state from which a lone reader went on.
+    /// The term of the leader that read it, or of the state from which a single reader went on.
     pub term: u64,
     /// Rises with each change; 0 before the first.
     pub change: u64,
--- a/lib/src/state/zone_order.rs
+++ b/lib/src/state/zone_order.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: the orders of a zone are numbered without a gap, and an order is taken only if it
 //! carries the number after the last one. So an order that was on its way while another was taken
-//! changes nothing, however late it comes; whoever sent it looks at what holds and decides anew.
+//! changes nothing, however late it comes; its sender looks at what holds and decides anew.
 //! See `docs/design/zones.md`.
 
 use serde::{Deserialize, Serialize};
@@ -59,7 +59,7 @@
         true
     }
 
-    /// The orders, for whoever knows of `known` of them; `None` when that is all.
+    /// The orders, for a reader that holds `known` of them; `None` when that is all.
     pub fn news(&self, known: u64) -> Option<ZoneOrders> {
         (self.taken() != known).then(|| self.clone())
     }
--- a/lib/src/transport/keeper_client.rs
+++ b/lib/src/transport/keeper_client.rs
@@ -54,7 +54,7 @@
         KeeperClient { keepers, leader, maker, client, times, stopped }
     }
 
-    /// Sends nothing more, so that whoever tries one keeper after the other ends soon.
+    /// Sends nothing more, so that a caller that tries one keeper after the other ends soon.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Relaxed);
     }
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -230,7 +230,7 @@
         Ok(())
     }
 
-    /// Enters no further term while the disk works: a vote that is not written counts for nobody.
+    /// Enters no further term while the disk works: a vote that is not written does not count.
     fn tick(&mut self, now_ms: u64, output: &mut RaftOutput) {
         let leads = self.durable.core.role() == RaftRole::Leader;
         if leads && self.durable.is_stuck(DISK_PATIENCE_MS, now_ms) {
@@ -340,7 +340,7 @@
     ) {
         if !reports.is_empty() {
             let operation = KeeperOperation::Report(reports);
-            self.propose(operation, Waiter::Nobody, output);
+            self.propose(operation, Waiter::Detached, output);
         }
         self.propose(KeeperOperation::Claim(claims), waiter, output);
     }
@@ -363,7 +363,7 @@
             (Err(refusal), Waiter::Operate(sender)) => {
                 let _ = sender.send(OperateReply::Refused(refusal));
             }
-            (Err(_), Waiter::Nobody) => {}
+            (Err(_), Waiter::Detached) => {}
             (Err(_), Waiter::Datagram(port, from, number)) => {
                 port.send(from, &Datagram::ClaimAnswers { number, answers: None });
             }
@@ -440,7 +440,7 @@
             if self.lapsing.insert((id, incarnation)) {
                 tracing::warn!("keeper: router {id} lapsed.");
                 let operation = KeeperOperation::Lapse(id, incarnation);
-                self.propose(operation, Waiter::Nobody, output);
+                self.propose(operation, Waiter::Detached, output);
             }
         }
     }
@@ -507,7 +507,7 @@
             return;
         };
         self.order_retry_ms.remove(&number);
-        self.propose(KeeperOperation::OrderEnd(number, end), Waiter::Nobody, output);
+        self.propose(KeeperOperation::OrderEnd(number, end), Waiter::Detached, output);
     }
 
     // ---- after a step ----
--- a/lib/src/transport/keeper_waiter.rs
+++ b/lib/src/transport/keeper_waiter.rs
@@ -28,8 +28,8 @@
     Call(Sender<KeeperReply>),
     /// A router, by datagram: the port to answer from, its address, its number.
     Datagram(DatagramPort, SocketAddr, u64),
-    /// Nobody.
-    Nobody,
+    /// No caller waits.
+    Detached,
 }
 
 impl Waiter {
@@ -44,7 +44,7 @@
                 };
                 drop(sender.send(reply));
             }
-            Waiter::Nobody => {}
+            Waiter::Detached => {}
             Waiter::Datagram(port, from, number) => {
                 if let KeeperAnswer::Claim(answers) = answer {
                     port.send(from, &Datagram::ClaimAnswers { number, answers: Some(answers) });
@@ -59,7 +59,7 @@
             Waiter::Operate(sender) => drop(sender.send(OperateReply::Unsure)),
             Waiter::Call(sender) => drop(sender.send(KeeperReply::Unsure)),
             // It asks again, perhaps elsewhere: claims carry their attempt.
-            Waiter::Datagram(..) | Waiter::Nobody => {}
+            Waiter::Datagram(..) | Waiter::Detached => {}
         }
     }
 }
--- a/lib/src/transport/router_forward.rs
+++ b/lib/src/transport/router_forward.rs
@@ -46,7 +46,7 @@
 }
 
 /// Passes a request on and relays the answer. Sending it again elsewhere is safe also after
-/// bytes were sent: a run-once request is claimed by whoever dispatches it, and another may
+/// bytes were sent: a run-once request is claimed by the router that dispatches it, and another may
 /// be repeated.
 pub(super) fn forward(
     cx: &ServeContext,
--- a/lib/src/transport/router_place.rs
+++ b/lib/src/transport/router_place.rs
@@ -158,7 +158,7 @@
     }
 }
 
-/// Nobody has room: queues at this home, and meanwhile looks again elsewhere now and then, since
+/// No engine has room: queues at this home, and meanwhile looks again elsewhere now and then, since
 /// engines of other homes grow light and homes and leases move; until the policy's wait is over.
 fn wait_and_serve(
     cx: &ServeContext,
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -225,7 +225,7 @@
         let view = self.node.view.borrow();
         let outliers = self.node.outliers.borrow();
         let silence = self.node.silence.borrow();
-        // What was told a while ago says nothing: nobody would try them again.
+        // What was told a while ago says nothing: no VM would try them again.
         let told = view.heard_ms + FAILING_KEEP_MS > now_ms;
         let failing = view.failing.iter().copied().filter(|_| told);
         let aside = outliers.known().filter(|key| outliers.is_aside(*key, now_ms));
--- a/lib/src/transport/vm_connection.rs
+++ b/lib/src/transport/vm_connection.rs
@@ -138,7 +138,7 @@
 
 /// Ready with whether the connection rests, or else has ended.
 ///
-/// A connection that seems to rest is polled once more: only then has the server seen that nobody
+/// A connection that seems to rest is polled once more: only then has the server seen that nothing
 /// reads the rest of a request's body, reads that to its end, or closes. Else the rest would be taken
 /// for the next request.
 fn poll_run<S>(
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -88,7 +88,7 @@
         }
     }
 
-    /// Renews once, with the leader or with whoever may know it.
+    /// Renews once, with the leader or a VM that may know it.
     pub fn renew(&self) {
         let now_ms = self.now_ms();
         if self.grant_to_itself(now_ms) {
--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -1,6 +1,6 @@
 //! Whether an upstream has ended under a request, or only their connection broke.
 //!
-//! Invariant: an upstream counts as ended only where its address answers that nobody listens; a reset,
+//! Invariant: an upstream counts as ended only where its address refuses connections; a reset,
 //! an answer that is cut, or silence on the way says nothing of that. See
 //! `docs/design/quarantine.md`.
 
--- a/lib/src/transport/vm_disk.rs
+++ b/lib/src/transport/vm_disk.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Moves the damaged files into a folder beside the new ones, for whoever wants to look.
+/// Moves the damaged files into a folder beside the new ones, for inspection.
 fn set_folder_aside(folder: &PathBuf) -> std::io::Result<()> {
     let aside = folder.join("damaged");
     let _ = std::fs::remove_dir_all(&aside);
@@ -99,7 +99,7 @@
     Ok(())
 }
 
-/// Carries out jobs until nobody asks for more, or `report` finds nobody who listens.
+/// Carries out jobs until the queue is closed, or `report` finds its receiver gone.
 pub(super) fn run_jobs(
     folder: &Path,
     mut store: LogStore,
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -124,8 +124,8 @@
 
 impl CallerTask {
     /// Whether the request is brought to its end although its caller leaves: it may run once, and a
-    /// run that is cut leaves nobody able to say whether it took effect. Streams are not: an engine
-    /// would write on for nobody.
+    /// run that is cut leaves unknown whether it took effect. Streams are not: an engine
+    /// would generate for no reader.
     fn must_end(&self) -> bool {
         match self.decide() {
             Ok((routes, route, _)) => routes.table.routes[route].kind == RequestKind::Once,
@@ -206,7 +206,7 @@
                 SendResult::Answer(answer) => {
                     self.record.note(RunKnowledge::Ran);
                     let failed = answer.head.status.is_server_error();
-                    // With nobody left for a repeat its caller gets the upstream's own failure, not ours.
+                    // Without an upstream left for a repeat its caller gets the upstream's own failure, not ours.
                     let repeats = failed
                         && count.repeats_failure(rule.kind, rule.most_upstreams)
                         && self.may_spend_repeat(&service.name)
--- a/lib/src/transport/vm_grant.rs
+++ b/lib/src/transport/vm_grant.rs
@@ -1,6 +1,6 @@
 //! What a leader answers to renewals, and what a VM takes from such an answer.
 //!
-//! Invariant: a leader grants only while it surely leads; whoever else is asked says where the leader is, as
+//! Invariant: a leader grants only while it surely leads; any other VM returns where the leader is, as
 //! far as it knows.
 
 use tracing::{debug, info};
@@ -136,7 +136,7 @@
         let mut desk = self.health.borrow_mut();
         for key in desk.table.take(term, notes, fleet, now_ms) {
             let life = upstreams.entries.get(&key).map_or("", |entry| entry.life.as_str());
-            info!(target: "upstream", life, "fails whoever sends to it");
+            info!(target: "upstream", life, "fails for all VMs");
         }
         desk.table.named(now_ms)
     }
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -81,7 +81,7 @@
 }
 
 impl VmNode {
-    /// Reads the list when that is up to this VM, and asks others when nobody tells it, for ever.
+    /// Reads the list when that is up to this VM, and requests it from others when none sends it, for ever.
     pub async fn keep_list(self: Rc<Self>) {
         let mut reader = ReaderState::default();
         let mut swept_ms = 0;
@@ -271,7 +271,7 @@
             true => BTreeSet::new(),
             false => patient_services(&self.upstreams.borrow(), &loads, |name| self.places(name)),
         };
-        // Engines of a version that is rolled out replace nobody yet, and need seats before all traffic
+        // Engines of a version that is rolled out replace none yet, and need seats before all traffic
         // comes: without seats all prompts would go to the first of them.
         let runs = |service: &String| self.rollouts.borrow().watch().is_running(service);
         let patient = patient.into_iter().filter(|service| !runs(service)).collect();
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -1,6 +1,6 @@
 //! How the list of upstreams, and what is known of its age, comes from VM to VM.
 //!
-//! A leader tells steps to all. Whoever lacks a state asks one VM that holds it, and is answered at
+//! A leader tells steps to all. A VM that lacks a state requests it from one that holds it, and is answered at
 //! once or as soon as that VM holds it. A VM that was told nothing for too long asks a few others
 //! what they know, whether there is a leader or not: what is known anywhere outlives the leader.
 //! Invariant: an answer to a question proves only what was so when the question was sent. See
@@ -156,7 +156,7 @@
 
     /// Asks for a newer state of the list, unless that was done a moment ago or a large answer is on
     /// its way. A keeper of the own zone is asked first, since many ask at once; `holder` has it surely, and
-    /// is asked by a leader, which nobody else can give anything newer.
+    /// is asked by a leader, which no other VM can give anything newer.
     pub(super) fn want_list(&self, holder: VmId, now_ms: u64) {
         let have = self.upstreams.borrow().mark;
         let held = self.upstreams.borrow().is_held();
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -63,7 +63,7 @@
     ("wingshed_upstreams", "gauge", "Upstreams on the list, those that leave included."),
     ("wingshed_upstreams_replaced_total", "counter", "Upstreams that started again by name."),
     ("wingshed_upstreams_aside", "gauge", "Upstreams that this VM has set aside."),
-    ("wingshed_upstreams_dark", "gauge", "Upstreams that nobody reaches, as the leader tells."),
+    ("wingshed_upstreams_dark", "gauge", "Upstreams that no VM reaches, as the leader reports."),
     ("wingshed_zones_emptied", "gauge", "Zones to which nothing more is sent."),
     ("wingshed_list_age_ms", "gauge", "Milliseconds since the list was surely the platform's."),
     ("wingshed_list_unread", "gauge", "Entries not read in full when this VM last read the list."),
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -98,7 +98,7 @@
     pub heard_ms: u64,
     /// What others have in flight.
     pub told: ToldLoad,
-    /// Upstreams that fail whoever sends to them, as the leader last told.
+    /// Upstreams that fail all VMs that send to them, by the last grant.
     pub failing: Vec<UpstreamKey>,
     /// What this VM told of its own, by the time of telling.
     pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
@@ -108,9 +108,9 @@
     pub term: u64,
     /// The last term in which this VM told the others that it leads.
     pub told_term: u64,
-    /// How many VMs there are, as whoever answered last knew.
+    /// How many VMs there are, by the last answer.
     pub vms: usize,
-    /// When the list of upstreams should be read again, by whoever reads it.
+    /// When the list of upstreams should be read again, by its reader.
     pub list_due_ms: u64,
     /// When the list was last asked for, so that it isn't asked for with each grant.
     pub wanted_ms: u64,
--- a/lib/src/transport/vm_orders.rs
+++ b/lib/src/transport/vm_orders.rs
@@ -126,7 +126,7 @@
     /// The leader answers.
     pub(super) fn take_order_reply(&self, question: u64, verdict: OrderVerdict) {
         if let Some(asker) = self.orders.borrow_mut().asked.remove(&question) {
-            // Whoever asked may have given up by now.
+            // The operator may have given up by now.
             let _ = asker.send(verdict);
         }
     }
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams, kept while both ends allow it.
 //!
-//! A connection serves one request at a time. Whoever drops a lease without finishing
+//! A connection serves one request at a time. Dropping a lease without finishing
 //! it closes the connection at once, which is how an upstream learns that its caller
 //! has left. A connection that rests is a socket and nothing else: the client and its
 //! buffers, some 17 KB, are made for one request and given back after it; see
@@ -41,7 +41,7 @@
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectFault {
-    /// The address answers that nobody listens there: that process has ended.
+    /// The address refuses connections: that process has ended.
     NobodyListens,
     /// Nothing came, or nothing usable.
     NoAnswer,
@@ -263,7 +263,7 @@
     let (sender, connection) =
         builder.handshake(TokioIo::new(stream)).await.map_err(|_| ConnectFault::NoAnswer)?;
     let task = spawn_local(async move {
-        // What goes wrong on a connection is told to whoever waits for its answer. Bytes beyond
+        // What goes wrong on a connection is reported to the request that waits for its answer. Bytes beyond
         // the answer belong to no request.
         let parts = connection.without_shutdown().await.ok()?;
         parts.read_buf.is_empty().then(|| parts.io.into_inner())
--- a/lib/src/transport/vm_pulse.rs
+++ b/lib/src/transport/vm_pulse.rs
@@ -144,7 +144,7 @@
     /// Returns once there is something to read, or the stream has ended.
     pub async fn wait(&self) {
         if self.ahead.is_empty() {
-            // A reset is told once: whoever reads the stream afterwards sees its end alone.
+            // A reset is reported once: later reads see the end of the stream alone.
             let seen = self.stream.peek(&mut [0]).await;
             let _ = self.pulse.note(Poll::Ready(seen));
         }
--- a/lib/src/transport/vm_request_record.rs
+++ b/lib/src/transport/vm_request_record.rs
@@ -3,7 +3,7 @@
 //! A caller whose connection is reset can't tell whether its request went through, and may send it
 //! again. The VM knows most of the truth and says it in one line: not run, run, begun, or that it
 //! may have run; nothing is said that isn't surely so. A request that must not repeat is brought to
-//! its end although nobody waits, since a run that is cut can't be told from one that never was. See
+//! its end although its caller has left, since a run that is cut can't be told from one that never was. See
 //! `docs/OPERATIONS.md`.
 
 use std::cell::Cell;
--- a/lib/src/transport/vm_signs.rs
+++ b/lib/src/transport/vm_signs.rs
@@ -22,7 +22,7 @@
     pub(super) fn note_fault(&self, upstream: UpstreamKey, fault: ConnectFault) {
         match fault {
             ConnectFault::NobodyListens => {
-                self.note_health_fault(upstream, HealthFault::Gone, "nobody listens there");
+                self.note_health_fault(upstream, HealthFault::Gone, "connection refused");
             }
             ConnectFault::NoAnswer => {
                 self.note_health_fault(upstream, HealthFault::Silent, "cannot be reached");
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -167,7 +167,7 @@
         let table = &mut self.silence.borrow_mut().table;
         match fault {
             Some(ConnectFault::Unwanted) => table.left_alone(upstream, now_ms),
-            // What answers that nobody listens is a machine that can be reached.
+            // A machine that refuses connections can be reached.
             None | Some(ConnectFault::NobodyListens) => {
                 table.tried(upstream, self.id, true, now_ms);
             }
--- a/lib/src/transport/vm_sockets.rs
+++ b/lib/src/transport/vm_sockets.rs
@@ -43,7 +43,7 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Whether a stream on which nothing is due is open and silent: its end or bytes that nobody asked
+/// Whether a stream on which nothing is due is open and silent: its end or bytes that were not requested
 /// for make it unusable.
 pub fn is_silent(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
