vm_forward: a request whose caller has left goes to no further upstream

Seen: nothing by a caller; found by the inventory of the contract. Cause: a request that may run once goes on without its caller, so that a run isn't cut. It also went to a second upstream after the first had refused it: work that began for nobody, and that its caller may have sent again by then. Evidence: a_request_that_was_not_run_goes_to_no_other_upstream_once_its_caller_has_left, red before (two upstreams on once2). Change: before each choice of an upstream a request whose caller has left ends.

--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -181,6 +181,10 @@
             if left < LEAST_LEFT_MS {
                 return self.time_out(&count);
             }
+            // Where it has run it is at its end; where it hasn't, no answer would reach its caller.
+            if self.record.has_left() {
+                return self.refuse(&count, "its caller left");
+            }
             let pick = match self.choose(service, rule, room.as_ref(), &tried) {
                 Ok(pick) => pick,
                 Err(fault) => return self.refuse_unplaced(&count, &service.name, fault),
--- a/lib/src/transport/vm_request_record.rs
+++ b/lib/src/transport/vm_request_record.rs
@@ -25,6 +25,7 @@
     attempt: String,
     ran: Cell<RunKnowledge>,
     answered: Cell<bool>,
+    left: Cell<bool>,
 }
 
 impl RequestRecord {
@@ -34,6 +35,7 @@
             attempt: attempt.to_string(),
             ran: Cell::new(RunKnowledge::NotRun),
             answered: Cell::new(false),
+            left: Cell::new(false),
         })
     }
 
@@ -47,8 +49,14 @@
         self.answered.set(true);
     }
 
+    /// Whether the caller left before it had the whole answer.
+    pub(super) fn has_left(&self) -> bool {
+        self.left.get()
+    }
+
     /// Tells that the caller left before it had the whole answer.
     pub(super) fn tell_left(&self) {
+        self.left.set(true);
         self.node.figures.borrow_mut().left += 1;
         let ran = self.ran.get().name();
         info!(target: "request", attempt = self.attempt, ran, "its caller left");
