vm_stream: a length beside another framing is not passed on

Seen: an answer with a length and chunks reached its caller cut to the length, complete by it; with a longer one a whole answer looked broken. Cause: the hop-by-hop Transfer-Encoding was taken out and the length, which it overrides, stayed. Evidence: an_answer_with_a_length_and_chunks_is_not_cut_to_the_length and its neighbour, red before. Change: a relayed answer keeps its length only where that delimits its body.

--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -82,8 +82,9 @@
         let (pieces, body) = AnswerBody::pieces();
         let mut response = respond(body, headers);
         let resumable = rule.kind == RequestKind::ResumableStream && response.status().is_success();
-        // A length would make a stream complete that stops inside an event.
-        if rule.kind.is_stream() && response.status().is_success() {
+        // A length beside another framing isn't that of the body, and one of a stream would make it complete inside an event.
+        let is_stream = rule.kind.is_stream() && response.status().is_success();
+        if is_stream || coming.tracker.framing() != BodyFraming::Length {
             response.headers_mut().remove(CONTENT_LENGTH);
         }
         count.note(SendOutcome::Failed);
