event_splice: a later run completes a stream only with what the broken one began

Seen: a resumable stream that stopped inside an event was complete without that event if the run that went on brought none: 204, a last chunk alone, or old events alone. Cause: each run was judged by itself; that an event had begun was forgotten with the run that began it. Evidence: an_empty_resumed_run_does_not_complete_a_stream_that_stopped_inside_an_event, red before. An empty run still completes a stream that broke off between two events. Change: the splice owes an event from a stop inside one until a new one is passed on.

--- a/lib/src/coordination/event_splice.rs
+++ b/lib/src/coordination/event_splice.rs
@@ -14,6 +14,8 @@
     scanner: EventScanner,
     last_id: Option<String>,
     later_run: bool,
+    /// A run stopped inside an event, and no new event has come since.
+    owes_event: bool,
 }
 
 impl EventSplice {
@@ -29,6 +31,7 @@
 
     /// Another run begins; what came of an event that was not whole is dropped.
     pub fn begin_run(&mut self) {
+        self.owes_event |= self.scanner.is_inside();
         self.partial.clear();
         self.scanned = 0;
         self.scanner = EventScanner::default();
@@ -46,6 +49,7 @@
             let id = event_id(event);
             if !self.later_run || self.is_news(id.as_deref()) {
                 whole.extend_from_slice(event);
+                self.owes_event = false;
                 if id.is_some() {
                     self.last_id = id;
                 }
@@ -57,6 +61,11 @@
         whole
     }
 
+    /// Whether an event is known to be missing: whatever ends the present run doesn't complete the stream.
+    pub fn owes_event(&self) -> bool {
+        self.owes_event
+    }
+
     /// The run ended on a boundary of events: what is left belongs to the answer.
     pub fn finish(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.partial)
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -223,7 +223,8 @@
             }
         }
         self.note_body_end(place, &tracker);
-        if !tracker.is_whole() {
+        let is_owing = splice.as_ref().is_some_and(|splice| splice.owes_event());
+        if is_owing || !tracker.is_whole() {
             return RunEnd::Broken;
         }
         if let Some(splice) = splice {
