http_client: an answer short of its length is no answer

Seen: an upstream that closed its connection short of the length of its answer: the caller got 200, ran "yes" and the first part of the body with a length of its own, so a whole answer. The same part was accepted from keepers and peers, and `wingshed keeper backup` wrote it as a backup and reported success. Cause: attohttpc reads a body with a length by `take(length)`, which ends as well where the connection is closed. Evidence: of the 15 ways to break off in test_http_client, each at once and byte by byte, the two short of the length were taken for whole; test_broken_answers got (200, "half") in place of (502, upstream_failed) and no repeat of a GET; test_backup found the file written. All are green here. Change: OpenReply's body counts what its length leaves, and an end before that is an error, for calls that are read whole and for streams. Answers to HEAD, 204 and 304 have no body whatever their length says, so nothing is read for them; that also ends the wait for an upstream that keeps such a connection open, which failed at the read time-out. Why it works: every call of the project goes through OpenReply, and whatever hears of the end (outliers, claims, the repeat of repeatable requests) decides by the error that a cut chunk gave before.

--- a/lib/src/transport/http_client.rs
+++ b/lib/src/transport/http_client.rs
@@ -50,7 +50,47 @@
     /// Names in lower case, with values.
     pub headers: Vec<(String, String)>,
     /// The body.
-    pub body: attohttpc::ResponseReader,
+    pub body: ReplyBody,
+}
+
+/// A body that ends well only where its framing ends it.
+pub struct ReplyBody {
+    reader: attohttpc::ResponseReader,
+    /// Bytes that must still come, where a length was given.
+    left: Option<u64>,
+    /// The kind of call or the status rules a body out, whatever the headers say.
+    none: bool,
+}
+
+impl ReplyBody {
+    fn new(method: &str, response: attohttpc::Response) -> ReplyBody {
+        let status = response.status().as_u16();
+        let none = method == "HEAD" || matches!(status, 204 | 304);
+        let length = response.headers().get(attohttpc::header::CONTENT_LENGTH);
+        let left = length.and_then(|length| length.to_str().ok()?.parse().ok());
+        let (_, _, reader) = response.split();
+        ReplyBody { reader, left, none }
+    }
+}
+
+impl Read for ReplyBody {
+    fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
+        if self.none || bytes.is_empty() {
+            return Ok(0);
+        }
+        let read = self.reader.read(bytes)?;
+        let Some(left) = &mut self.left else { return Ok(read) };
+        // `attohttpc` ends a body at its length, and as well where the connection is closed before that.
+        if read == 0 && *left > 0 {
+            let text = format!("the connection ended {left} bytes short of the length");
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, text));
+        }
+        let rest = left.checked_sub(read as u64);
+        *left = rest.ok_or_else(|| {
+            io::Error::new(io::ErrorKind::InvalidData, "the body is longer than its length")
+        })?;
+        Ok(read)
+    }
 }
 
 /// Makes calls and counts them.
@@ -89,14 +129,14 @@
         }
         self.wire.sent(kind, bytes as u64);
         let response = request.bytes(call.body.clone()).send().map_err(to_failure)?;
-        let (status, headers, body) = response.split();
-        let pairs = headers.iter().map(|(name, value)| {
+        let status = response.status().as_u16();
+        let pairs = response.headers().iter().map(|(name, value)| {
             (name.as_str().to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned())
         });
         let headers: Vec<(String, String)> = pairs.collect();
         let head: usize = headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
         self.wire.received(kind, (head + 20) as u64 + CONNECTION_BYTES);
-        Ok(OpenReply { status: status.as_u16(), headers, body })
+        Ok(OpenReply { status, headers, body: ReplyBody::new(&call.method, response) })
     }
 
     /// Sends a call and reads the whole answer, of at most `most` bytes.
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -4,6 +4,7 @@
 pub mod engines;
 pub mod keeper_bench;
 pub mod raft_bench;
+pub mod raw_answer;
 pub mod rollouts;
 
 use wingshed_standin::caller::ChatAsk;
