router: a refusal or a peer's answer that breaks off isn't passed on as whole

Seen: a plain answer of 200,000 bytes that passed two routers (the first drains or has no lease) reached its caller as 200 with 65,536 bytes and a length that says so. An engine's refusal that was closed short of its length reached the caller with the engine's status and the first part of its body, also as whole. Cause: both were read by `take(64 KiB).read_to_end` with its result dropped, so that a broken body as well as the reader's own limit counted as the end. What a peer passes on whole isn't only a refusal: plain answers are too. Change: OpenReply::whole reads the rest or says why not, and HttpClient::call uses it too. A refusal that breaks off is tried elsewhere, since its head has said that it didn't run, and counts as a failure of its engine. A peer's answer may be as long as one from an upstream; if it breaks off, the caller gets an explicit error with the head's word on running. Why it works: no reader is left that drops a read's error and passes on what it got.

--- a/lib/src/transport/http_client.rs
+++ b/lib/src/transport/http_client.rs
@@ -53,6 +53,19 @@
     pub body: ReplyBody,
 }
 
+impl OpenReply {
+    /// Reads the rest: a body that breaks off, or that is longer than `most` bytes, makes no answer.
+    pub fn whole(self, most: usize) -> Result<HttpReply, CallFailure> {
+        let mut body = Vec::new();
+        let read = self.body.take(most as u64 + 1).read_to_end(&mut body);
+        read.map_err(|error| CallFailure::Broken { text: error.to_string() })?;
+        if body.len() > most {
+            return Err(CallFailure::Broken { text: "the answer is too long".to_string() });
+        }
+        Ok(HttpReply { status: self.status, headers: self.headers, body })
+    }
+}
+
 /// A body that ends well only where its framing ends it.
 pub struct ReplyBody {
     reader: attohttpc::ResponseReader,
@@ -148,15 +161,9 @@
         most: usize,
         kind: &'static str,
     ) -> Result<HttpReply, CallFailure> {
-        let open = self.open(address, call, times, kind)?;
-        let mut body = Vec::new();
-        let read = open.body.take(most as u64 + 1).read_to_end(&mut body);
-        read.map_err(|error| CallFailure::Broken { text: error.to_string() })?;
-        if body.len() > most {
-            return Err(CallFailure::Broken { text: "the answer is too long".to_string() });
-        }
-        self.wire.received(kind, body.len() as u64);
-        Ok(HttpReply { status: open.status, headers: open.headers, body })
+        let reply = self.open(address, call, times, kind)?.whole(most)?;
+        self.wire.received(kind, reply.body.len() as u64);
+        Ok(reply)
     }
 }
 
--- a/lib/src/transport/router_engines.rs
+++ b/lib/src/transport/router_engines.rs
@@ -16,7 +16,6 @@
 use crate::coordination::retry::may_retry;
 use crate::protocol::caller::{CallerError, CallerRequest, RanMark, ResumePlace};
 use crate::protocol::engine::{self, EngineHead};
-use crate::protocol::http::HttpReply;
 use crate::state::claim_table::ClaimEnd;
 use crate::state::ids::{Incarnation, UpstreamKey};
 
@@ -140,7 +139,6 @@
 
     /// An engine's refusal is its word that the request did not run.
     fn refused(&mut self, reply: OpenReply, held: &mut Option<HeldClaim>) -> RunEnd {
-        use std::io::Read;
         let head = engine::read_head(&reply.headers);
         self.note_head(&head);
         if reply.status >= 500 || reply.status == 429 {
@@ -149,9 +147,14 @@
             }
             return RunEnd::TryElsewhere(self.not_run(&format!("status {}", reply.status)));
         }
-        let mut body = Vec::new();
-        let _ = reply.body.take(LONGEST_REFUSAL as u64).read_to_end(&mut body);
-        let answer = HttpReply { status: reply.status, headers: reply.headers, body };
+        let answer = match reply.whole(LONGEST_REFUSAL) {
+            Ok(answer) => answer,
+            // Its head has said that the request did not run.
+            Err(failure) => {
+                self.note_failure();
+                return RunEnd::TryElsewhere(self.not_run(&failure.to_string()));
+            }
+        };
         self.sink.pass(answer, RanMark::No);
         end_claim(held, ClaimEnd::NotDispatched);
         RunEnd::Answered
--- a/lib/src/transport/router_forward.rs
+++ b/lib/src/transport/router_forward.rs
@@ -10,6 +10,7 @@
 use super::http_server::ResponseWriter;
 use super::router_engines::{resume_for_caller, REFUSED_CODE, UNREACHABLE_CODE};
 use super::router_place::{serve_at_engine, serve_at_home, EngineTarget};
+use super::router_plain::LONGEST_ANSWER;
 use super::router_relay::{relay_stream, AnswerSink, StreamEnd};
 use super::router_serve::{no_lease_error, serve_entry, ServeContext};
 use super::router_shared::{lock, RouterShared};
@@ -27,7 +28,6 @@
 use crate::protocol::seal::SEAL_HEADER;
 
 const FORWARD_READ_MS: u64 = 120_000;
-const LONGEST_PEER_ERROR: usize = 64 << 10;
 
 /// What became of a request that was passed on.
 pub(super) enum ForwardEnd {
@@ -84,7 +84,7 @@
         relay_from_peer(cx, &request, open, &upstream, sink);
         return ForwardEnd::Answered;
     }
-    take_peer_error(open, sink)
+    take_peer_reply(open, sink)
 }
 
 /// Relays a peer's stream; if the peer dies, the engine is asked directly for the rest.
@@ -113,14 +113,18 @@
     }
 }
 
-fn take_peer_error(open: OpenReply, sink: &mut AnswerSink<'_>) -> ForwardEnd {
-    use std::io::Read;
-    let (status, headers) = (open.status, open.headers);
-    let mut body = Vec::new();
-    let _ = open.body.take(LONGEST_PEER_ERROR as u64).read_to_end(&mut body);
+/// Takes a peer's refusal, or an answer that it passes on whole.
+fn take_peer_reply(open: OpenReply, sink: &mut AnswerSink<'_>) -> ForwardEnd {
+    let ran = RanMark::of(find_header(&open.headers, RAN_HEADER));
+    let HttpReply { status, headers, body } = match open.whole(LONGEST_ANSWER) {
+        Ok(reply) => reply,
+        Err(failure) => {
+            let error = CallerError::not_run(502, "peer_failed", failure.to_string());
+            return ForwardEnd::TryElsewhere(error.with_ran(ran));
+        }
+    };
     let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
     let code = value.pointer("/error/code").and_then(|code| code.as_str()).unwrap_or("");
-    let ran = RanMark::of(find_header(&headers, RAN_HEADER));
     let elsewhere = [NO_ROOM_CODE, "no_lease", "too_many_hops", REFUSED_CODE, UNREACHABLE_CODE];
     let not_taken = status == 401 && code.is_empty();
     if ran == RanMark::No && elsewhere.contains(&code) || not_taken {
--- a/lib/src/transport/router_plain.rs
+++ b/lib/src/transport/router_plain.rs
@@ -19,7 +19,8 @@
 use crate::state::claim_table::ClaimEnd;
 use crate::state::ids::{FleetKey, UpstreamKey};
 
-const LONGEST_ANSWER: usize = 64 << 20;
+/// The longest answer that is passed on whole, in bytes.
+pub(super) const LONGEST_ANSWER: usize = 64 << 20;
 const TRIES: usize = 3;
 
 /// Serves a plain request from one of its fleet.
