http_server: an HTTP/1.0 caller sees that its answer was cut

Seen: an HTTP/1.0 caller of a stream whose handler ended before the stream did read 200, the pieces so far and a clean end of the connection, which is how its whole answers end. Cause: without chunks the end of the connection ends the answer, and the server closed the connection in the same way after a cut as after the last byte. An HTTP/1.1 caller sees the missing last chunk. Evidence: test_http_server, red before: read_to_end ended well after "some"; now it's an error, and an answer of 1 MB that is finished still arrives whole with a clean end. Change: a streamed answer to HTTP/1.0 sets the socket to reset on close; only hyper's shutdown after the last byte takes that back. Why it works: what must be shown is the good end, so every other way out (a handler that ends, a write that times out, a silent caller that is given up) resets without being listed. By the same option the end of the process should, which no test holds yet.

--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -223,13 +223,21 @@
     }
 
     fn serve(self: &Arc<Self>, stream: TcpStream, peer: SocketAddr) {
-        let this = self.clone();
-        let service = service_fn(move |request| {
-            let this = this.clone();
-            async move { this.answer(request, peer).await }
+        let Ok(waited) = stream.try_clone() else { return };
+        let waited = Arc::new(waited);
+        let (this, socket) = (self.clone(), waited.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (this, socket) = (this.clone(), socket.clone());
+            async move {
+                let old = request.version() == hyper::Version::HTTP_10;
+                let response = this.answer(request, peer).await?;
+                if old && response.body().parts.is_some() {
+                    reset_unless_shut(&socket)?;
+                }
+                Ok::<_, io::Error>(response)
+            }
         });
         let buffer = (self.limits.header_bytes * 2).max(SMALLEST_READ_BUFFER);
-        let Ok(waited) = stream.try_clone() else { return };
         let connection = hyper::server::conn::http1::Builder::new()
             .max_buf_size(buffer)
             .serve_connection(BlockingStream(stream), service);
@@ -398,6 +406,12 @@
     }
 }
 
+/// Without chunks or a length the end of the connection ends an answer, so it's reset wherever it isn't shut after
+/// the last byte, also by the end of this process.
+fn reset_unless_shut(socket: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO))
+}
+
 fn wait_readable(socket: &TcpStream, most: Duration) -> bool {
     let mut wanted = libc::pollfd { fd: socket.as_raw_fd(), events: libc::POLLIN, revents: 0 };
     // SAFETY: one descriptor, open for as long as `socket` lives.
@@ -447,7 +461,8 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.0.shutdown(std::net::Shutdown::Write))
+        let shut = socket2::SockRef::from(&self.0).set_linger(None);
+        Poll::Ready(shut.and_then(|()| self.0.shutdown(std::net::Shutdown::Write)))
     }
 }
 
--- a/lib/tests/test_http_server.rs
+++ b/lib/tests/test_http_server.rs
@@ -186,3 +186,38 @@
         assert!(call(server.address, &HttpCall::get("/")).is_err(), "{case}");
     }
 }
+
+/// What an HTTP/1.0 caller reads of an answer, and how its connection ends.
+fn read_by_old_caller(handler: ExchangeHandler) -> (String, std::io::Result<usize>) {
+    let server = server(handler);
+    let mut caller = TcpStream::connect(server.address).unwrap();
+    caller.write_all(b"GET / HTTP/1.0\r\nhost: x\r\n\r\n").unwrap();
+    let mut answer = Vec::new();
+    let end = caller.read_to_end(&mut answer);
+    (String::from_utf8_lossy(&answer).into_owned(), end)
+}
+
+#[test]
+fn a_caller_without_chunks_sees_that_its_answer_was_cut() {
+    let (answer, end) = read_by_old_caller(Arc::new(|mut exchange: HttpExchange| {
+        exchange.writer.begin(200, &[]).unwrap();
+        exchange.writer.chunk(b"some").unwrap();
+        std::thread::sleep(Duration::from_millis(100));
+    }));
+
+    assert!(end.is_err(), "the connection ended well after {answer:?}");
+}
+
+#[test]
+fn a_caller_without_chunks_gets_its_answer_whole() {
+    let (answer, end) = read_by_old_caller(Arc::new(|mut exchange: HttpExchange| {
+        exchange.writer.begin(200, &[]).unwrap();
+        for _ in 0..100 {
+            exchange.writer.chunk(&[b'x'; 10_000]).unwrap();
+        }
+        exchange.writer.finish().unwrap();
+    }));
+
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert_eq!((end.is_ok(), body.len()), (true, 1_000_000));
+}
