http_server: calls that break off are held by a test for each framing

Until now only a body short of its length was. Seven ways to break off (within the head, between headers, none and part of the length, within a chunk, without and within the last chunk) reach no handler; all were green without a change.

--- a/lib/tests/test_http_server.rs
+++ b/lib/tests/test_http_server.rs
@@ -221,3 +221,39 @@
     let (_, body) = answer.split_once("\r\n\r\n").unwrap();
     assert_eq!((end.is_ok(), body.len()), (true, 1_000_000));
 }
+
+#[test]
+fn a_call_that_breaks_off_reaches_no_handler_however_it_is_framed() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = calls.clone();
+    let server = server(Arc::new(move |mut exchange: HttpExchange| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        let _ = exchange.writer.send(&HttpReply { status: 200, ..HttpReply::default() });
+    }));
+    let rows: [(&str, &str); 7] = [
+        ("within the head", "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1"),
+        ("between headers", "POST / HTTP/1.1\r\nhost: x\r\n"),
+        ("none of the length", "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n"),
+        ("short of the length", "POST / HTTP/1.0\r\ncontent-length: 10\r\n\r\nhalf"),
+        (
+            "within a chunk",
+            "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nha",
+        ),
+        (
+            "without the last chunk",
+            "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nha\r\n",
+        ),
+        (
+            "within the last chunk",
+            "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nha\r\n0\r\n",
+        ),
+    ];
+
+    for (case, call) in rows {
+        let mut caller = TcpStream::connect(server.address).unwrap();
+        caller.write_all(call.as_bytes()).unwrap();
+        caller.shutdown(std::net::Shutdown::Write).unwrap();
+        let _ = caller.read_to_end(&mut Vec::new());
+        assert_eq!(calls.load(Ordering::Relaxed), 0, "{case}");
+    }
+}
