cli: a refusal is not written as a backup

Seen: `wingshed keeper backup` with a key that isn't known wrote the keeper's refusal into the file, named its size and succeeded. Cause: the call hands back every answer but 421 and 503, and the backup alone didn't look at the status. Evidence: test_backup, red before: the command succeeded after a 401. Change: any status but 200 is an error with the keeper's sentence, and nothing is written.

--- a/cli/src/operate.rs
+++ b/cli/src/operate.rs
@@ -15,7 +15,7 @@
 use wingshed_lib::transport::keeper_node::restore_backup;
 
 use crate::config::{in_force, leader_status, submit};
-use crate::operator_client::{read_connection, Connection};
+use crate::operator_client::{message_of, read_connection, Connection};
 use crate::table::to_text;
 
 fn default_connect() -> PathBuf {
@@ -287,6 +287,9 @@
         }
         KeeperAction::Backup(backup) => {
             let reply = connection.call("GET", "/operator/backup", None)?;
+            if reply.status != 200 {
+                return Err(message_of(&reply));
+            }
             std::fs::write(&backup.file, &reply.body).map_err(|error| error.to_string())?;
             println!("{}: {} bytes.", backup.file.display(), reply.body.len());
             Ok(true)
--- a/cli/tests/test_backup.rs
+++ b/cli/tests/test_backup.rs
@@ -35,3 +35,11 @@
 
     assert!(!success && !written, "{said}");
 }
+
+#[test]
+fn a_refusal_is_not_written_as_a_backup() {
+    let (success, said, written) =
+        backup_of("HTTP/1.1 401 Unauthorized\r\ncontent-length: 2\r\n\r\n{}");
+
+    assert!(!success && !written && said.contains("401"), "{said}");
+}
