event_scanner: comments are no events, and each line end counts by itself

Seen: a whole stream with a comment behind its last event was cut, one with nothing but a comment was complete, and one whose last event ended in CR CR after others in CRLF was cut. Evidence: comments_neither_make_nor_begin_an_event and a_line_end_that_differs_from_those_before_ends_its_event, red before. Change: lines that begin with a colon neither begin nor make an event; the latest line end tells whether an LF is expected.

--- a/lib/src/coordination/event_scanner.rs
+++ b/lib/src/coordination/event_scanner.rs
@@ -3,29 +3,31 @@
 //! Lines end in LF, CRLF or CR, and a blank line ends an event. In a stream whose lines end in CRLF, an event
 //! isn't complete before the LF of its blank line.
 
-/// Reads one stream of events, byte by byte.
+/// Reads one stream of events, byte by byte. Comments are no part of an event.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EventScanner {
     /// Something of an event came whose blank line hasn't come.
     inside: bool,
     /// The present line has bytes.
     in_line: bool,
+    in_comment: bool,
     after_cr: bool,
     /// A CR ended a blank line, and its LF is expected.
     blank_cr: bool,
-    /// Lines of this stream end in CRLF.
+    /// The last line that ended did so in CRLF.
     crlf: bool,
     events: u64,
 }
 
 impl EventScanner {
-    /// Reads `bytes` from `at` on, up to the end of an event, and returns that position; `None` where no event
-    /// ends in them.
+    /// Reads `bytes` from `at` on, up to a blank line's end, and returns that position; `None` where there is none
+    /// in them.
     pub fn next_end(&mut self, bytes: &[u8], mut at: usize) -> Option<usize> {
         while at < bytes.len() {
             if self.blank_cr && bytes[at] != b'\n' {
                 // The CR stood alone, so the event ended before this byte.
                 self.after_cr = false;
+                self.crlf = false;
                 return Some(self.complete(at));
             }
             let ends = self.take(bytes[at]);
@@ -54,23 +56,28 @@
         at
     }
 
-    /// Whether the byte ends an event.
+    /// Whether the byte ends a blank line.
     fn take(&mut self, byte: u8) -> bool {
         let after_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        if after_cr {
+            self.crlf = byte == b'\n';
+        }
         match byte {
-            b'\n' if after_cr => {
-                self.crlf = true;
-                self.blank_cr
+            b'\n' if after_cr => self.blank_cr,
+            b'\n' => {
+                self.crlf = false;
+                !std::mem::take(&mut self.in_line)
             }
-            b'\n' | b'\r' if std::mem::take(&mut self.in_line) => false,
-            b'\n' => true,
+            b'\r' if std::mem::take(&mut self.in_line) => false,
             b'\r' => {
                 self.blank_cr = self.crlf;
                 !self.crlf
             }
             _ => {
-                self.in_line = true;
-                self.inside = true;
+                if !std::mem::replace(&mut self.in_line, true) {
+                    self.in_comment = byte == b':';
+                }
+                self.inside |= !self.in_comment;
                 false
             }
         }
--- a/lib/tests/test_event_ends.rs
+++ b/lib/tests/test_event_ends.rs
@@ -81,6 +81,29 @@
     }
 }
 
+/// Whether a stream that is delimited by its connection is whole, and how many events it had.
+fn read_unframed(stream: &str) -> (bool, u64) {
+    let mut tracker = BodyTracker::new(BodyFraming::Connection, true);
+    let events = stream.as_bytes().iter().map(|byte| tracker.note_bytes(&[*byte])).sum();
+    (tracker.is_whole(), events)
+}
+
+#[test]
+fn comments_neither_make_nor_begin_an_event() {
+    assert_eq!(read_unframed(":ok\n\n"), (false, 0));
+    assert_eq!(read_unframed("data: 1\n\n: as you were"), (true, 1));
+    assert_eq!(read_unframed("data: 1\r\n\r\n:a\r\n:b\r\n"), (true, 1));
+    assert_eq!(read_unframed(":a\ndata: 1\n"), (false, 0));
+}
+
+#[test]
+fn a_line_end_that_differs_from_those_before_ends_its_event() {
+    assert_eq!(read_unframed("data: 1\r\n\r\ndata: 2\r\r"), (true, 2));
+    assert_eq!(read_unframed("data: 1\r\n\r\ndata: 2\n\n"), (true, 2));
+    assert_eq!(read_unframed("data: 1\n\ndata: 2\r\n\r\n"), (true, 2));
+    assert_eq!(read_unframed("data: 1\r\rdata: 2\r\n\r"), (false, 1));
+}
+
 #[test]
 fn a_stream_without_an_event_is_whole_only_by_a_length_or_chunks() {
     let whole = |framing| BodyTracker::new(framing, true).is_whole();
