event_splice: the bytes held of one event have a bound

Cause: on routes that resume, events are held until they are whole, however long that takes: a stream that never ends an event grew in the VM's memory, as nothing held its upstream up. Change: beyond 1 MiB the run is broken, and resumed elsewhere.

--- a/lib/src/coordination/event_splice.rs
+++ b/lib/src/coordination/event_splice.rs
@@ -5,6 +5,9 @@
 
 use super::event_scanner::EventScanner;
 
+/// The longest event that is held, in bytes.
+pub const LONGEST_EVENT_BYTES: usize = 1 << 20;
+
 /// What has been passed on of one stream.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplice {
@@ -61,6 +64,11 @@
         whole
     }
 
+    /// Whether the present event is too long to be held: the run is to be given up.
+    pub fn is_overlong(&self) -> bool {
+        self.partial.len() > LONGEST_EVENT_BYTES
+    }
+
     /// Whether an event is known to be missing: whatever ends the present run doesn't complete the stream.
     pub fn owes_event(&self) -> bool {
         self.owes_event
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -221,6 +221,9 @@
             if !data.is_empty() && !pieces.send(data).await {
                 return RunEnd::CallerLeft;
             }
+            if splice.as_ref().is_some_and(|splice| splice.is_overlong()) {
+                return RunEnd::Broken;
+            }
         }
         self.note_body_end(place, &tracker);
         let is_owing = splice.as_ref().is_some_and(|splice| splice.owes_event());
