vm_stream: a stream is resumed only while its route allows it

Seen: nothing by callers; found by the review of the incident's fix. Cause: a broken stream goes on by the routes in force at that time, whose kind was not looked at: a stream could be sent again on a route that resumes none any more, and be judged as a plain answer on one that is plain. Evidence: a_stream_goes_on_nowhere_once_its_route_resumes_none, red before. Change: a resumed run needs a resumable route.

--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -147,6 +147,9 @@
         loop {
             let (routes, route, workspace) = self.decide().ok()?;
             let rule = &routes.table.routes[route];
+            if rule.kind != RequestKind::ResumableStream {
+                return None;
+            }
             let service = pick_share(&rule.shares, self.draw)?;
             let entry = &routes.table.services[service];
             let left = deadline_ms.saturating_sub(self.node.now_ms());
