vm_reply: a refusal counts by its head, its body holds nothing up

Seen: a refusal as not run whose body didn't come held its request past its time, with another upstream free. Cause: the body was read to its end, without a limit, before the refusal counted. Evidence: a_refusal_whose_body_does_not_come_holds_up_no_repeat, red before: no answer within 8 s of a 3 s deadline. Change: the body is read beside, for one second at most, and only decides whether the connection is kept.

--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -2,12 +2,16 @@
 //!
 //! Invariant: nothing is believed of an answer before it is known to be the one to this request.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use hyper::Response;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
 use tracing::info;
 
 use super::vm_guard::FlightGuard;
@@ -24,6 +28,9 @@
 /// breaks off can still be asked for again.
 const HELD_BYTES: u64 = 64 << 10;
 
+/// How long the body of a refusal may take before its connection is closed.
+const REFUSAL_BODY_WAIT: Duration = Duration::from_secs(1);
+
 /// What a send brought.
 pub(super) enum SendResult {
     Answer(Box<GoodAnswer>),
@@ -86,7 +93,7 @@
         }
         self.hear_notices(place, &told);
         if told.not_run {
-            return self.take_refusal(place, &told, &head, body, lease).await;
+            return self.take_refusal(place, &told, &head, body, lease);
         }
         if own.is_none() || (head.status.is_success() && !told.stamped) {
             return self.take_foreign(place);
@@ -118,7 +125,7 @@
     }
 
     /// The upstream says that it did not run the request.
-    async fn take_refusal(
+    fn take_refusal(
         &self,
         place: &SendPlace,
         told: &UpstreamAnswer,
@@ -131,10 +138,14 @@
             true => self.note_gone(place.upstream, "another life listens there"),
             false => self.log_turned_away(place, told, head, lease.is_kept()),
         }
-        let read = Limited::new(body, HELD_BYTES as usize).collect().await;
-        if read.is_ok() {
-            lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
-        }
+        // The head says all. The body is read for the connection's sake, which the request doesn't wait for.
+        let (node, closes, idle_ms) = (self.node.clone(), told.closes, told.idle_ms);
+        spawn_local(async move {
+            let read = Limited::new(body, HELD_BYTES as usize).collect();
+            if matches!(timeout(REFUSAL_BODY_WAIT, read).await, Ok(Ok(_))) {
+                lease.finish(closes, idle_ms, node.now_ms()).await;
+            }
+        });
         SendResult::Bad(SendOutcome::NotRun)
     }
 
