--- a/lib/tests/test_document_news.rs
+++ b/lib/tests/test_document_news.rs
@@ -76,3 +76,14 @@
         prop_assert_eq!(PackedText::pack(&text).unpack().unwrap(), text);
     }
 }
+
+#[test]
+fn a_packed_text_that_is_cut_anywhere_is_an_error() {
+    for text in [document(20), b"{}".to_vec(), Vec::new()] {
+        let packed = PackedText::pack(&text).into_bytes();
+        for cut in 1..packed.len() {
+            let read = PackedText::from_bytes(packed[..cut].to_vec()).unpack();
+            assert!(read.is_err(), "{cut} of {} bytes: {:?}", packed.len(), read.map(|t| t.len()));
+        }
+    }
+}
--- a/lib/tests/test_vm_links.rs
+++ b/lib/tests/test_vm_links.rs
@@ -148,3 +148,48 @@
         receiving(false).await;
     });
 }
+
+#[test]
+fn a_frame_that_is_cut_anywhere_says_nothing() {
+    play(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let links = LinkTable::new(1, address.port(), Rc::default());
+        let came = Rc::new(RefCell::new(Vec::new()));
+        let taken = came.clone();
+        let take = Rc::new(move |from, message: VmMessage| {
+            taken.borrow_mut().push((from, message.kind()));
+        });
+        spawn_local(links.clone().accept(listener, take));
+        // One that travels packed, and one that doesn't.
+        for message in [whole_list(40), VmMessage::WantDocument] {
+            let frame = encode_frame(2, &message);
+            for cut in 0..frame.len() {
+                let mut sender = TcpStream::connect(address).await.unwrap();
+                sender.write_all(&frame[..cut]).await.unwrap();
+                if cut % 2 == 0 {
+                    let socket = socket2::SockRef::from(&sender);
+                    socket.set_linger(Some(Duration::ZERO)).unwrap();
+                }
+                drop(sender);
+                // What follows on a link of its own isn't read as the rest of it.
+                if cut % 16 == 0 {
+                    let mut next = TcpStream::connect(address).await.unwrap();
+                    next.write_all(&frame[cut..]).await.unwrap();
+                }
+            }
+        }
+        let mut whole = TcpStream::connect(address).await.unwrap();
+        whole.write_all(&encode_frame(3, &VmMessage::WantDocument)).await.unwrap();
+        let told = async {
+            while !came.borrow().iter().any(|(from, _)| *from == 3) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, told).await.unwrap();
+
+        let from_cut: Vec<_> =
+            came.borrow().iter().filter(|(from, _)| *from != 3).cloned().collect();
+        assert_eq!(from_cut.len(), 2, "the two whole frames of `cut == 0`: {from_cut:?}");
+    });
+}
