vm_pool: a whole answer does not wait for its request to be read

Seen (would be): an upstream that answers before it has read a long body, and reads on later, held its caller's answer back by that time, or until its connection was given up. Cause: the end of the connection's work was taken for the end of the answer: it was handed on only after the connection had come to rest, which takes the rest of the request's body, too. Why it works: a connection that has not come to rest 10 ms after its answer is waited for by a task of its own, and rests once its request has been read; the test sees the whole body, nothing in its place, and the next request on the same connection.

--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -35,6 +35,8 @@
 const USUAL_REST_MS: u64 = 4000;
 /// A connection is left alone this long before the upstream would close it, in milliseconds.
 const REST_MARGIN_MS: u64 = 700;
+/// A connection whose request has been written rests within this time after its answer.
+const FINISH_TIME: Duration = Duration::from_millis(10);
 /// The buffer of a connection, in bytes; the least that the library takes.
 const BUFFER_BYTES: usize = 8192;
 
@@ -282,19 +284,31 @@
         self.kept
     }
 
-    /// The whole answer came: the connection may rest for `idle_ms`, or is closed.
+    /// The whole answer came: the connection may rest for `idle_ms`, or is closed. An upstream may answer
+    /// before it has read the request; then the connection rests once it has, and nobody waits for that.
     pub async fn finish(mut self, closes: bool, idle_ms: Option<u64>, now_ms: u64) {
-        // Without its sender the connection's task ends once it has seen the end of the answer.
+        // Without its sender the connection's task ends once it has seen the end of the answer and has
+        // written the request.
         drop(self.sender.take());
-        let stream = match closes {
-            true => None,
-            false => (&mut self.task).await.ok().flatten(),
-        };
         let rest_ms = idle_ms.unwrap_or(USUAL_REST_MS).saturating_sub(REST_MARGIN_MS);
-        self.in_use.note(|had| match stream {
-            Some(stream) => {
-                had.resting.push(RestingConnection { stream, until_ms: now_ms + rest_ms });
+        let until_ms = now_ms + rest_ms;
+        if closes {
+            return self.rest(None, until_ms);
+        }
+        match timeout(FINISH_TIME, &mut self.task).await {
+            Ok(ended) => self.rest(ended.ok().flatten(), until_ms),
+            Err(_) => {
+                spawn_local(async move {
+                    let ended = (&mut self.task).await;
+                    self.rest(ended.ok().flatten(), until_ms);
+                });
             }
+        }
+    }
+
+    fn rest(&self, stream: Option<TcpStream>, until_ms: u64) {
+        self.in_use.note(|had| match stream {
+            Some(stream) => had.resting.push(RestingConnection { stream, until_ms }),
             None => had.ended = Some(ConnectCause::Closed),
         });
     }
