--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -285,7 +285,7 @@
     }
 
     /// The whole answer came: the connection may rest for `idle_ms`, or is closed. An upstream may answer
-    /// before it has read the request; then the connection rests once it has, and nobody waits for that.
+    /// before it has read the request; then the connection rests once it has, if that is within the same time.
     pub async fn finish(mut self, closes: bool, idle_ms: Option<u64>, now_ms: u64) {
         // Without its sender the connection's task ends once it has seen the end of the answer and has
         // written the request.
@@ -299,8 +299,8 @@
             Ok(ended) => self.rest(ended.ok().flatten(), until_ms),
             Err(_) => {
                 spawn_local(async move {
-                    let ended = (&mut self.task).await;
-                    self.rest(ended.ok().flatten(), until_ms);
+                    let ended = timeout(Duration::from_millis(rest_ms), &mut self.task).await;
+                    self.rest(ended.ok().and_then(|ended| ended.ok().flatten()), until_ms);
                 });
             }
         }
