event_splice: a byte order mark hides no id

Seen: a stream that begins with a byte order mark and is resumed had its first event twice, framed as complete. Cause: the mark stood before "id:", so the first event had no id: the run that went on was asked from the beginning, and nothing told its first event from a new one. Evidence: a_byte_order_mark_hides_no_id_and_comes_once, red before. Change: ids are read behind a mark at a run's beginning, and later runs bring none.

--- a/lib/src/coordination/event_splice.rs
+++ b/lib/src/coordination/event_splice.rs
@@ -7,6 +7,8 @@
 
 /// The longest event that is held, in bytes.
 pub const LONGEST_EVENT_BYTES: usize = 1 << 20;
+/// Streams may begin with it; it belongs to no line.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 /// What has been passed on of one stream.
 #[derive(Clone, Debug, Default)]
@@ -17,6 +19,8 @@
     scanner: EventScanner,
     last_id: Option<String>,
     later_run: bool,
+    /// No event of the present run has come.
+    run_begins: bool,
     /// A run stopped inside an event, and no new event has come since.
     owes_event: bool,
 }
@@ -24,7 +28,7 @@
 impl EventSplice {
     /// A splice for a caller that has seen events up to `last_id` already.
     pub fn after(last_id: Option<String>) -> EventSplice {
-        EventSplice { last_id, ..EventSplice::default() }
+        EventSplice { last_id, run_begins: true, ..EventSplice::default() }
     }
 
     /// The id of the last whole event that was passed on.
@@ -39,6 +43,7 @@
         self.scanned = 0;
         self.scanner = EventScanner::default();
         self.later_run = true;
+        self.run_begins = true;
     }
 
     /// Takes bytes of the present run and gives the whole events that they complete.
@@ -49,7 +54,12 @@
         while let Some(end) = self.scanner.next_end(&self.partial, self.scanned) {
             self.scanned = end;
             let event = &self.partial[start..end];
-            let id = event_id(event);
+            let unmarked = match std::mem::take(&mut self.run_begins) {
+                true => event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event),
+                false => event,
+            };
+            let event = if self.later_run { unmarked } else { event };
+            let id = event_id(unmarked);
             if !self.later_run || self.is_news(id.as_deref()) {
                 whole.extend_from_slice(event);
                 self.owes_event = false;
--- a/lib/tests/test_event_ends.rs
+++ b/lib/tests/test_event_ends.rs
@@ -88,6 +88,23 @@
     (tracker.is_whole(), events)
 }
 
+#[test]
+fn a_byte_order_mark_hides_no_id_and_comes_once() {
+    let mut splice = EventSplice::after(None);
+    let first = splice.feed("\u{feff}id: 1\ndata: 1\n\nid: 2\nda".as_bytes());
+    let last_id = splice.last_id().map(str::to_string);
+
+    splice.begin_run();
+    let later = splice.feed("\u{feff}id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n".as_bytes());
+    splice.begin_run();
+    let last = splice.feed("\u{feff}id: 3\ndata: 3\n\n".as_bytes());
+
+    assert_eq!(last_id.as_deref(), Some("1"));
+    assert_eq!(String::from_utf8(first).unwrap(), "\u{feff}id: 1\ndata: 1\n\n");
+    assert_eq!(String::from_utf8(later).unwrap(), "id: 2\ndata: 2\n\n");
+    assert_eq!(String::from_utf8(last).unwrap(), "id: 3\ndata: 3\n\n");
+}
+
 #[test]
 fn comments_neither_make_nor_begin_an_event() {
     assert_eq!(read_unframed(":ok\n\n"), (false, 0));
