outlier: a head ends a row of failures, not one of broken answers

Evidence: the_head_of_an_answer_ends_a_row_of_failures_but_not_one_of_broken_answers; test_stream_ends still sets aside who breaks off all streams. Change: broken answers are a row of their own, which only an answer that ended well ends; a head ends the others.

--- a/lib/src/coordination/outlier.rs
+++ b/lib/src/coordination/outlier.rs
@@ -15,6 +15,8 @@
 struct UpstreamHealth {
     gone: bool,
     failures: u32,
+    /// Answers that it broke off since one that ended well.
+    cuts: u32,
     times_aside: u32,
     aside_until_ms: u64,
     trial_running: bool,
@@ -34,6 +36,28 @@
         }
     }
 
+    /// The head of an answer came that goes on: it answers, but whether its answers end well is open.
+    pub fn note_begun(&mut self, upstream: UpstreamKey) {
+        match self.health.get_mut(&upstream) {
+            Some(health) if health.cuts > 0 => health.failures = 0,
+            _ => self.note_success(upstream),
+        }
+    }
+
+    /// An answer broke off after its head: a failure, of which the heads of others say nothing.
+    pub fn note_cut(
+        &mut self,
+        upstream: UpstreamKey,
+        fleet: impl Iterator<Item = UpstreamKey>,
+        share: f64,
+        now_ms: u64,
+    ) {
+        let health = self.health.entry(upstream).or_default();
+        health.cuts += 1;
+        health.failures = health.failures.max(health.cuts - 1);
+        self.note_failure(upstream, fleet, share, now_ms);
+    }
+
     /// A request failed; sets the upstream aside after enough failures, unless so many of the
     /// `fleet_size` upstreams are aside already that `share` would be passed.
     pub fn note_failure(
--- a/lib/src/transport/vm_signs.rs
+++ b/lib/src/transport/vm_signs.rs
@@ -16,6 +16,8 @@
     Silent,
     /// It failed a request.
     Failure,
+    /// It broke an answer off after its head.
+    Cut,
 }
 
 impl CallerTask {
@@ -40,6 +42,10 @@
         self.note_health_fault(upstream, HealthFault::Failure, what);
     }
 
+    pub(super) fn note_cut(&self, upstream: UpstreamKey, what: &'static str) {
+        self.note_health_fault(upstream, HealthFault::Cut, what);
+    }
+
     fn note_health_fault(&self, upstream: UpstreamKey, fault: HealthFault, what: &'static str) {
         let now_ms = self.node.now_ms();
         let upstreams = self.node.upstreams.borrow();
@@ -50,6 +56,7 @@
         match fault {
             HealthFault::Gone => outliers.note_gone(upstream),
             HealthFault::Silent => outliers.note_dead(upstream, fleet, ASIDE_SHARE, now_ms),
+            HealthFault::Cut => outliers.note_cut(upstream, fleet, ASIDE_SHARE, now_ms),
             HealthFault::Failure => outliers.note_failure(upstream, fleet, ASIDE_SHARE, now_ms),
         }
         self.note_outcome(upstream, false);
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -39,6 +39,7 @@
     ) -> Response<AnswerBody> {
         let rule = &place.routes.table.routes[place.route];
         if answer.head.status.is_success() {
+            self.node.outliers.borrow_mut().note_begun(place.upstream);
             if !self.caller.prompt.is_empty() {
                 let now_ms = self.node.now_ms();
                 let mut prefixes = self.node.prefixes.borrow_mut();
@@ -124,7 +125,7 @@
                 }
                 RunEnd::Broken => {
                     place.trial.end_unsaid();
-                    self.note_failure(place.upstream, "cut stream");
+                    self.note_cut(place.upstream, "cut stream");
                     self.look_after_break(&place);
                     let Some(splice) = splice.as_mut() else { break };
                     splice.begin_run();
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -544,3 +544,25 @@
     assert!(open(5999).is_ok());
     assert_eq!(open(6), Err(SealRefusal::Replayed), "too far behind to be told from a replay");
 }
+
+#[test]
+fn the_head_of_an_answer_ends_a_row_of_failures_but_not_one_of_broken_answers() {
+    let fleet: Vec<UpstreamKey> = (0..4).map(UpstreamKey).collect();
+    let keys = || fleet.iter().copied();
+    let mut table = OutlierTable::default();
+
+    for _ in 0..2 * FAILURES_IN_A_ROW {
+        table.note_failure(fleet[0], keys(), 0.5, 1000);
+        table.note_begun(fleet[0]);
+        table.note_begun(fleet[1]);
+        table.note_cut(fleet[1], keys(), 0.5, 1000);
+    }
+    let aside = [table.is_aside(fleet[0], 1000), table.is_aside(fleet[1], 1000)];
+    table.note_begun(fleet[1]);
+    let aside_after_a_head = table.is_aside(fleet[1], 1000);
+    table.note_success(fleet[1]);
+
+    assert_eq!(aside, [false, true]);
+    assert!(aside_after_a_head);
+    assert!(!table.is_aside(fleet[1], 1000));
+}
