vm_connection: an answer without a body is not delimited by its connection

Cause: answers to HEAD, and 204 and 304, to callers of HTTP/1.0 left the reset of their connection armed, since a body that can't come is never read to its end. By the review no caller saw it: the shutdown's FIN comes first. Change: they aren't taken for open-ended.

--- a/lib/src/transport/vm_connection.rs
+++ b/lib/src/transport/vm_connection.rs
@@ -17,7 +17,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::server::conn::http1::{self, Connection};
 use hyper::service::{service_fn, HttpService};
-use hyper::{Request, Response, Version};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 use tokio::sync::futures::Notified;
@@ -93,13 +93,14 @@
         let (node, pulse) = (node.clone(), pulse.clone());
         service_fn(move |mut request: Request<Incoming>| -> ServedAnswer {
             pulse.begin_request();
-            let version = request.version();
+            let may_be_open_ended =
+                request.version() == Version::HTTP_10 && request.method() != Method::HEAD;
             request.extensions_mut().insert(record.clone());
             let (node, pulse) = (node.clone(), pulse.clone());
             let answer = serve(node.clone(), request);
             Box::pin(async move {
                 let answer = answer.await;
-                if is_open_ended(version, &answer) {
+                if may_be_open_ended && is_open_ended(&answer) {
                     pulse.note_open_ended();
                 }
                 let answer = answer.map(|body| pulse.watch_body(body));
@@ -129,9 +130,9 @@
     })
 }
 
-/// Whether nothing but the end of the connection delimits the answer: callers of HTTP/1.0 read no chunks.
-fn is_open_ended(version: Version, answer: &Response<AnswerBody>) -> bool {
-    version == Version::HTTP_10
+/// Whether nothing but the end of the connection delimits the answer to a caller that reads no chunks.
+fn is_open_ended(answer: &Response<AnswerBody>) -> bool {
+    !matches!(answer.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
         && answer.body().size_hint().exact().is_none()
         && !answer.headers().contains_key(CONTENT_LENGTH)
 }
