soak: a stream that stops inside its last event is not whole

Cause: the check of a stream split its text at blank lines and asked nothing of what followed the last one, so a last event without its blank line, or without the end of its line, passed as whole. Change: stream_fault tells a text that doesn't end in a blank line.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -182,6 +182,9 @@
 
 /// What is wrong with a stream that ended as complete.
 pub fn stream_fault(text: &str, attempt: &str, joins: bool) -> Option<String> {
+    if !text.is_empty() && !text.ends_with("\n\n") {
+        return Some(format!("complete inside an event, after {} bytes", text.len()));
+    }
     let mut first_run = None;
     let mut next = 1;
     for event in text.split_terminator("\n\n") {
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -201,6 +201,19 @@
     assert!(fault.is_some_and(|fault| fault.contains("event 2 expected")));
 }
 
+#[test]
+fn a_stream_that_stops_inside_its_last_event_is_told() {
+    let whole: String = (1..=24).map(|id| format!("id: {id}\ndata: a {id} 7\n\n")).collect();
+    assert_eq!(stream_fault(&whole, "a", true), None);
+
+    let begin = whole.len() - "id: 24\ndata: a 24 7\n\n".len();
+    let complete = (begin + 1..whole.len()).filter(|at| {
+        let stopped = &whole[..*at];
+        stream_fault(stopped, "a", true).is_none() || stream_fault(stopped, "a", false).is_none()
+    });
+    assert_eq!(complete.collect::<Vec<usize>>(), Vec::<usize>::new(), "of {}", whole.len());
+}
+
 /// A request under which upstreams ended at 20, 21 and 22 s, and that was sent on at these times.
 fn fatal(sent_ms: &[u64]) -> LedgerRows {
     let mut rows = LedgerRows::default();
