standin: a stream whose framing breaks off after its last event is not whole

Cause: the stand-ins' caller took a stream for whole at its [DONE] event, whatever became of the rest of the body; a missing last chunk or a reset was noted as a failure of an answer that stayed whole. Change: a failure takes it back. Tests of what the caller reads: breaks within a chunk, without the last chunk, by reset, and streams that stop inside an event, under each framing. Result: a_stream_whose_framing_breaks_off_after_its_end_is_not_whole failed before and passes; the others held before.

--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -196,6 +196,7 @@
             Ok(0) => return,
             Ok(_) => {}
             Err(error) => {
+                answer.whole = false;
                 answer.failure = Some(error.to_string());
                 return;
             }
