standin: an answer short of its length is not whole

Change: the caller counts the body against its length itself, since a judge must not lean on what it judges. Result: a_plain_answer_that_is_short_of_its_length_is_not_whole failed before and passes.

--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -158,16 +158,37 @@
     let hops = find_header(&open.headers, HOPS_HEADER).and_then(|text| text.parse().ok());
     answer.hops = hops.unwrap_or(0);
     answer.next = find_header(&open.headers, USE_HEADER).and_then(|text| text.parse().ok());
+    let length = find_header(&open.headers, "content-length").and_then(|text| text.parse().ok());
+    let body = LengthReader { inner: open.body, left: length };
     let kind = find_header(&open.headers, "content-type").unwrap_or("").to_string();
     if kind.starts_with("text/event-stream") {
-        read_stream(open.body, started, stop_after, &mut answer);
+        read_stream(body, started, stop_after, &mut answer);
     } else {
-        read_whole(open.body, &mut answer);
+        read_whole(body, &mut answer);
     }
     answer.whole_us = started.elapsed().as_micros() as u64;
     answer
 }
 
+/// A body that fails when it ends short of its length, which the client's own reader takes for its end.
+struct LengthReader<R> {
+    inner: R,
+    /// What is to come; none without a length.
+    left: Option<u64>,
+}
+
+impl<R: Read> Read for LengthReader<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let count = self.inner.read(buffer)?;
+        let short = count == 0 && !buffer.is_empty() && self.left.is_some_and(|left| left > 0);
+        if short {
+            return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof));
+        }
+        self.left = self.left.map(|left| left.saturating_sub(count as u64));
+        Ok(count)
+    }
+}
+
 fn read_whole(mut body: impl Read, answer: &mut CallerAnswer) {
     match body.read_to_string(&mut answer.body) {
         Ok(_) => answer.whole = answer.status == 200,
--- a/standin/tests/test_short_answers.rs
+++ b/standin/tests/test_short_answers.rs
@@ -46,6 +46,20 @@
 const PIECE: &str = "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"abc\"}}]}\n\n";
 const DONE: &str = "id: 2\ndata: [DONE]\n\n";
 
+#[test]
+fn a_plain_answer_that_is_short_of_its_length_is_not_whole() {
+    let whole = got(&format!("{JSON}content-length: 9\r\n"), "{\"a\":123}", false);
+    let short = got(&format!("{JSON}content-length: 9\r\n"), "{\"a\":12", false);
+
+    assert!(whole.whole, "{whole:?}");
+    assert!(!short.whole, "{short:?}");
+    assert!(short.failure.is_some(), "{short:?}");
+
+    let body = format!("{PIECE}{DONE}");
+    let short = got(&format!("{EVENTS}content-length: {}\r\n", body.len() + 5), &body, false);
+    assert!(!short.whole, "{short:?}");
+}
+
 #[test]
 fn a_plain_answer_that_breaks_off_otherwise_is_not_whole() {
     let body = "{\"a\":123}";
