standin: a plain answer counts as whole only as a whole echo of its request

Cause: the verdict looked for the target anywhere in the body, so a body that was cut after it, and the answer to a target that begins with it, counted as whole. Change: the body must be readable as a whole and echo the target itself. Result: a_plain_answer_that_is_cut_or_another_is_not_whole failed before and passes.

--- a/standin/src/verdict.rs
+++ b/standin/src/verdict.rs
@@ -24,9 +24,9 @@
 /// One request as its caller saw it.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestView<'a> {
-    /// What a whole answer holds, and all it holds where `exact`.
+    /// The whole text of a whole answer, or the target that it echoes where it isn't `exact`.
     pub expected: &'a str,
-    /// A whole answer is `expected` and nothing else.
+    /// A whole answer is `expected` and nothing else; another is a whole echo.
     pub exact: bool,
     /// The answer to the first send.
     pub first: &'a CallerAnswer,
@@ -68,7 +68,10 @@
         answer.whole
             && match self.exact {
                 true => answer.text == self.expected,
-                false => answer.body.contains(self.expected),
+                false => {
+                    let echo = serde_json::from_str::<serde_json::Value>(&answer.body);
+                    echo.is_ok_and(|echo| echo["target"] == self.expected)
+                }
             }
     }
 
--- a/standin/tests/test_verdict.rs
+++ b/standin/tests/test_verdict.rs
@@ -66,3 +66,17 @@
     assert_eq!(view(&cut, None, 1).verdict(), AnswerVerdict::Wrong);
     assert_eq!(view(&told, None, 1).verdict(), AnswerVerdict::Failed);
 }
+
+#[test]
+fn a_plain_answer_that_is_cut_or_another_is_not_whole() {
+    let verdict = |body: &str| {
+        let (body, ran) = (body.to_string(), Some(RanMark::Yes));
+        let first = CallerAnswer { status: 200, body, whole: true, ran, ..CallerAnswer::default() };
+        let view = RequestView { expected: "/x/3", exact: false, ..view(&first, None, 1) };
+        view.verdict()
+    };
+
+    assert_eq!(verdict(r#"{"body":"","target":"/x/3"}"#), AnswerVerdict::Whole);
+    assert_eq!(verdict(r#"{"body":"","target":"/x/3"#), AnswerVerdict::Wrong);
+    assert_eq!(verdict(r#"{"body":"","target":"/x/30"}"#), AnswerVerdict::Wrong);
+}
