soak: a link passes a reset on as a reset

Cause: each half of a connection was dropped on its own, and a half that is dropped closes its side cleanly first; so a reset by an upstream, and a link that is reset itself, reached VMs and callers as a clean end. Framed answers look broken either way, but one without framing looks complete. Change: a link that breaks resets both sides without a close. Where a link is dropped with its upstream, connections that stand end as the upstream's own do. Result: both tests of test_link failed before (a clean end where a reset was due) and pass.

--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -77,9 +77,10 @@
 }
 
 impl Drop for LinkProxy {
+    /// Connections that stand end as their far ends do.
     fn drop(&mut self) {
         self.accepting.abort();
-        self.state.reset.notify_waiters();
+        self.state.mode.set(LinkMode::Open);
     }
 }
 
@@ -89,17 +90,24 @@
     }
     let Ok(far) = TcpStream::connect(to).await else { return reset(&near) };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
+    let (near_read, mut near_write) = near.into_split();
+    let (far_read, mut far_write) = far.into_split();
     let both = async {
-        tokio::join!(
-            pass(near_read, far_write, &state, true),
-            pass(far_read, near_write, &state, false)
+        tokio::try_join!(
+            pass(near_read, &mut far_write, &state, true),
+            pass(far_read, &mut near_write, &state, false)
         )
     };
-    tokio::select! {
-        _ = both => {}
-        () = state.reset.notified() => {}
+    let broken = tokio::select! {
+        ended = both => ended.is_err(),
+        () = state.reset.notified() => true,
+    };
+    if broken {
+        for write in [near_write, far_write] {
+            reset(write.as_ref());
+            // Dropped as it is, a half first closes its side cleanly.
+            write.forget();
+        }
     }
 }
 
@@ -107,32 +115,36 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-async fn pass(mut read: OwnedReadHalf, mut write: OwnedWriteHalf, state: &LinkState, on: bool) {
+/// A connection of the link is to be reset on both sides.
+struct LinkBroken;
+
+async fn pass(
+    mut read: OwnedReadHalf,
+    write: &mut OwnedWriteHalf,
+    state: &LinkState,
+    on: bool,
+) -> Result<(), LinkBroken> {
     let mut piece = [0; 8192];
     loop {
         let count = read.read(&mut piece).await;
         if held(state, on).await {
-            return state.reset_one(&write);
+            return Err(LinkBroken);
         }
         match count {
-            Ok(0) => return drop(write.shutdown().await),
-            // A reset is passed on by ending both halves.
-            Err(_) => return state.reset_one(&write),
+            Ok(0) => {
+                let _ = write.shutdown().await;
+                return Ok(());
+            }
+            Err(_) => return Err(LinkBroken),
             Ok(count) => {
                 if write.write_all(&piece[..count]).await.is_err() {
-                    return;
+                    return Err(LinkBroken);
                 }
             }
         }
     }
 }
 
-impl LinkState {
-    fn reset_one(&self, write: &OwnedWriteHalf) {
-        reset(write.as_ref());
-    }
-}
-
 /// Waits while the link holds what goes this way; true when it was held for too long.
 async fn held(state: &LinkState, on: bool) -> bool {
     let since = std::time::Instant::now();
