soak: answers under each framing that break off anywhere, judged byte for byte

Cause: the soak never found streams that end inside an event, since its upstreams were served by a library that frames every answer by chunks or a length and ends it properly; none came without framing, stopped early with its framing complete, or had lines that end otherwise than in LF. Change: upstreams write their answers by hand. The seed, the request and the upstream draw framing, line ends, splits and, while EndEarly lasts, where and how three in four answers break off. A caller notes what it can take as complete; the judge makes each run's answer again and compares byte for byte.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -7,15 +7,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use crate::http::{connect, CallSender};
-use crate::ledger::{AskEnd, AskKind, AskRow, RunLedger};
-use crate::platform::ATTEMPT;
+use crate::ledger::{AskEnd, AskKind, AskRow, RunLedger, SeenAnswer};
+use crate::platform::{ATTEMPT, STAMP};
 use crate::process::VmPlace;
-use crate::upstream::{plain_body, STREAM_EVENTS};
 
 /// How long a caller waits for a connection.
 const CONNECT_WAIT: Duration = Duration::from_secs(1);
@@ -56,6 +55,7 @@
     random: StdRng,
     sender: Option<CallSender>,
     steady: bool,
+    old: bool,
 }
 
 impl SoakCaller {
@@ -67,6 +67,7 @@
             random: StdRng::seed_from_u64(seed),
             sender: None,
             steady: false,
+            old: false,
         }
     }
 
@@ -75,6 +76,11 @@
         SoakCaller { steady: true, ..self }
     }
 
+    /// The same, by HTTP/1.0 if `old`.
+    pub fn old(self, old: bool) -> SoakCaller {
+        SoakCaller { old, ..self }
+    }
+
     /// Asks until callers shall stop.
     pub async fn ask_on(mut self) {
         while self.shared.asking.get() {
@@ -102,7 +108,8 @@
         let key = self.draw_key();
         let sent_ms = self.shared.ledger.now_ms();
         let sent = self.send(route, attempt, &key, body);
-        let end = tokio::time::timeout(ANSWER_WAIT, sent).await.unwrap_or(AskEnd::Late);
+        let sent = tokio::time::timeout(ANSWER_WAIT, sent).await;
+        let (end, answer) = sent.unwrap_or((AskEnd::Late, None));
         if !matches!(end, AskEnd::Whole | AskEnd::Status(_)) {
             self.sender = None;
         }
@@ -116,6 +123,8 @@
             sent_ms,
             ended_ms,
             end: end.clone(),
+            answer,
+            old: self.old,
         };
         self.shared.ledger.rows.borrow_mut().asks.push(row);
         end
@@ -131,19 +140,26 @@
         keys.get(keys.len().saturating_sub(back)).cloned().unwrap_or_default()
     }
 
-    async fn send(&mut self, route: &str, attempt: &str, key: &str, body: &str) -> AskEnd {
+    async fn send(
+        &mut self,
+        route: &str,
+        attempt: &str,
+        key: &str,
+        body: &str,
+    ) -> (AskEnd, Option<SeenAnswer>) {
         let mut sender = match self.sender.take().filter(|sender| !sender.is_closed()) {
             Some(sender) => sender,
             None => match connect(self.place.front_link(), CONNECT_WAIT).await {
                 Some(sender) => sender,
-                None => return AskEnd::Unreached,
+                None => return (AskEnd::Unreached, None),
             },
         };
         if sender.ready().await.is_err() {
-            return AskEnd::Unreached;
+            return (AskEnd::Unreached, None);
         }
         let request = Request::builder()
             .method("POST")
+            .version(if self.old { Version::HTTP_10 } else { Version::HTTP_11 })
             .uri(format!("/{route}/x"))
             .header("host", "a.example")
             .header(ATTEMPT, attempt)
@@ -151,55 +167,29 @@
             .header("x-deadline-ms", DEADLINE_MS)
             .body(Full::new(Bytes::from(body.to_string())))
             .expect("a plain head");
-        let Ok(answer) = sender.send_request(request).await else { return AskEnd::Cut };
-        let end = read_answer(answer, route, attempt).await;
-        self.sender = Some(sender);
-        end
+        let Ok(answer) = sender.send_request(request).await else { return (AskEnd::Cut, None) };
+        let read = read_answer(answer, attempt).await;
+        if !self.old {
+            self.sender = Some(sender);
+        }
+        read
     }
 }
 
-async fn read_answer(answer: Response<Incoming>, route: &str, attempt: &str) -> AskEnd {
+async fn read_answer(answer: Response<Incoming>, attempt: &str) -> (AskEnd, Option<SeenAnswer>) {
     let status = answer.status().as_u16();
+    let stamped = answer.headers().contains_key(STAMP);
     let named = answer.headers().get(ATTEMPT).and_then(|id| id.to_str().ok());
     let named = named.map(str::to_string);
     let body = match answer.into_body().collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return AskEnd::Cut,
+        Ok(body) => body.to_bytes().to_vec(),
+        Err(_) => return (AskEnd::Cut, None),
     };
-    if status != 200 {
-        return AskEnd::Status(status);
-    }
-    let text = String::from_utf8_lossy(&body);
-    if named.as_deref() != Some(attempt) {
-        return AskEnd::Wrong(format!("the answer names {named:?}"));
-    }
-    let fault = match route {
-        "stream" | "resume" => stream_fault(&text, attempt, route == "resume"),
-        _ => (text != plain_body(attempt)).then(|| format!("a body of {} bytes", text.len())),
+    let seen = SeenAnswer { status, stamped, body };
+    let end = match status {
+        200 if named.as_deref() == Some(attempt) => AskEnd::Whole,
+        200 => AskEnd::Wrong(format!("the answer names {named:?}")),
+        status => AskEnd::Status(status),
     };
-    fault.map_or(AskEnd::Whole, AskEnd::Wrong)
-}
-
-/// What is wrong with a stream that ended as complete.
-pub fn stream_fault(text: &str, attempt: &str, joins: bool) -> Option<String> {
-    if !text.is_empty() && !text.ends_with("\n\n") {
-        return Some(format!("complete inside an event, after {} bytes", text.len()));
-    }
-    let mut first_run = None;
-    let mut next = 1;
-    for event in text.split_terminator("\n\n") {
-        let Some((id, data)) = event.split_once('\n') else {
-            return Some(format!("an event that can't be read: {event:?}"));
-        };
-        let wanted = format!("data: {attempt} {next} ");
-        let run = data.strip_prefix(&wanted);
-        if id != format!("id: {next}") || run.is_none() {
-            return Some(format!("event {next} expected, {event:?} read"));
-        }
-        if !joins && *first_run.get_or_insert(run) != run {
-            return Some(format!("event {next} is of another run"));
-        }
-        next += 1;
-    }
-    (next != STREAM_EVENTS + 1).then(|| format!("complete after {} events", next - 1))
+    (end, Some(seen))
 }
--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -88,6 +88,11 @@
                 })
                 .collect(),
         },
+        SoakCase {
+            name: "answers-that-break-off",
+            cause: "the end of the transport is taken for the end of the message",
+            steps: vec![step(500, Disturbance::EndEarly(0, 6, 15_000))],
+        },
         SoakCase {
             name: "roll-outs-in-calm",
             cause: "an unsound version gets too much, or a sound one is rolled back",
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 
+use crate::judge_answers::answer_fault;
 use crate::ledger::{
     ArrivalRow, AskEnd, AskKind, AskRow, DocumentRow, LedgerRows, OrderRow, OrderWhat, RollOutRow,
     RunRow, SpanRow, Touched,
@@ -110,8 +111,8 @@
             if matches!(ask.end, AskEnd::Status(408 | 421 | 429 | 503)) && runs > 0 && !repeats {
                 self.add("not run", format!("{runs} runs: {ask:?}"));
             }
-            if ask.end == AskEnd::Whole && runs == 0 {
-                self.add("whole answers", format!("an answer that nobody gave: {ask:?}"));
+            if let Some(how) = answer_fault(self.rows, ask, self.runs_of(ask)) {
+                self.add("whole answers", format!("{how}: {ask:?}"));
             }
         }
     }
--- /dev/null
+++ b/soak/src/judge_answers.rs
@@ -0,0 +1,135 @@
+//! Whether what a caller can take as complete is what upstreams sent as whole, byte for byte.
+
+use crate::answer_make::{AnswerKind, AnswerMake, EarlyEnd, Framing, STREAM_EVENTS};
+use crate::ledger::{AskKind, AskRow, LedgerRows, RunRow, SentEnd, Touched};
+
+/// What is wrong with an answer that ended as complete.
+pub fn answer_fault(rows: &LedgerRows, ask: &AskRow, runs: &[&RunRow]) -> Option<String> {
+    let seen = ask.answer.as_ref()?;
+    if (200..300).contains(&seen.status) && !seen.stamped {
+        return Some("a success without a stamp".to_string());
+    }
+    // A VM's own refusals carry none.
+    if !seen.stamped || (ask.old && is_ended_vm(rows, ask)) {
+        return None;
+    }
+    if runs.is_empty() {
+        return Some("an answer that nobody gave".to_string());
+    }
+    let ends: Vec<RunEnd> = runs.iter().map(|run| run_end(rows, run)).collect();
+    let of = runs.iter().zip(&ends);
+    let whole = of.clone().any(|(run, end)| {
+        let made = run.make.pieces(&ask.attempt).concat();
+        run.make.status() == seen.status && *end == RunEnd::Whole && made == seen.body
+    });
+    if whole {
+        return None;
+    }
+    let streams = matches!(ask.kind, AskKind::Stream | AskKind::Resume) && seen.status == 200;
+    if !streams {
+        return Some(format!("complete, but of {:?}", makes(runs, &ends)));
+    }
+    let mut joined = JoinedRuns { rest: &seen.body, next: 1, ended: false };
+    for (run, end) in of {
+        if joined.next == 1 || ask.kind == AskKind::Resume {
+            joined.take(&ask.attempt, &run.make, *end);
+        }
+    }
+    match (joined.rest.is_empty(), joined.ended) {
+        (true, true) => None,
+        (true, false) => {
+            Some(format!("complete after {} events, of {:?}", joined.next - 1, makes(runs, &ends)))
+        }
+        (false, _) => Some(format!(
+            "{} bytes after event {} are none of its runs', of {:?}",
+            joined.rest.len(),
+            joined.next - 1,
+            makes(runs, &ends)
+        )),
+    }
+}
+
+/// By HTTP/1.0 an answer ends with its connection, which the end of a VM's process closes too.
+fn is_ended_vm(rows: &LedgerRows, ask: &AskRow) -> bool {
+    rows.spans.iter().any(|span| {
+        span.touched == Touched::Vm(ask.vm)
+            && span.from_ms <= ask.ended_ms
+            && span.until_ms.is_none_or(|until_ms| until_ms >= ask.sent_ms)
+    })
+}
+
+fn makes(runs: &[&RunRow], ends: &[RunEnd]) -> Vec<(AnswerMake, RunEnd)> {
+    runs.iter().zip(ends).map(|(run, end)| (run.make, *end)).collect()
+}
+
+/// What is to be known of a run's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunEnd {
+    /// All of it was sent, and its framing ended it.
+    Whole,
+    /// It has no framing and was closed cleanly after so many events, between two of them. Nothing tells it
+    /// from a whole one, so a VM that takes it as complete does what it can.
+    LooksWhole(u64),
+    /// It broke off.
+    Broken,
+}
+
+fn run_end(rows: &LedgerRows, run: &RunRow) -> RunEnd {
+    let make = &run.make;
+    let sent = match rows.sent.iter().find(|sent| sent.run == make.run).map(|sent| sent.end) {
+        Some(SentEnd::AsMade) => match make.early {
+            None => return RunEnd::Whole,
+            Some(early) if early.end == EarlyEnd::Reset => return RunEnd::Broken,
+            Some(early) => early.sent,
+        },
+        Some(SentEnd::Closed(sent)) => sent,
+        None => return RunEnd::Broken,
+    };
+    if make.framing != Framing::Connection || !matches!(make.kind, AnswerKind::Stream(_)) {
+        return RunEnd::Broken;
+    }
+    let (mut bytes, mut events) = (0, 0);
+    for piece in make.pieces(&run.attempt) {
+        if bytes == sent {
+            break;
+        }
+        bytes += piece.len();
+        events += 1;
+    }
+    match bytes == sent && events > 0 {
+        true => RunEnd::LooksWhole(events),
+        false => RunEnd::Broken,
+    }
+}
+
+/// A stream as far as it was found to be made of events of its runs, in their order.
+struct JoinedRuns<'a> {
+    rest: &'a [u8],
+    next: u64,
+    /// Whether the last of them ended there in a way that can be taken as complete.
+    ended: bool,
+}
+
+impl JoinedRuns<'_> {
+    fn take(&mut self, attempt: &str, make: &AnswerMake, end: RunEnd) {
+        let AnswerKind::Stream(after) = make.kind else { return };
+        if make.status() != 200 || after >= self.next {
+            return;
+        }
+        let before = self.next - 1;
+        let skipped = (self.next - 1 - after) as usize;
+        for event in make.pieces(attempt).iter().skip(skipped) {
+            let Some(rest) = self.rest.strip_prefix(event.as_slice()) else { break };
+            self.rest = rest;
+            self.next += 1;
+        }
+        let reached = self.next - 1;
+        let ended = match end {
+            RunEnd::Whole => reached == STREAM_EVENTS,
+            RunEnd::LooksWhole(events) => reached == after + events,
+            RunEnd::Broken => false,
+        };
+        // A later run that brought nothing new may still say that this is the end.
+        self.ended = ended || (self.ended && reached == before);
+    }
+}
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -6,6 +6,8 @@
 use std::cell::RefCell;
 use std::time::Instant;
 
+use crate::answer_make::AnswerMake;
+
 /// What a route promises about being run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AskKind {
@@ -22,7 +24,7 @@
 /// How an attempt ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AskEnd {
-    /// A whole answer that is the one to this request.
+    /// An answer to this request that ended as complete.
     Whole,
     /// An answer without success.
     Status(u16),
@@ -36,6 +38,43 @@
     Wrong(String),
 }
 
+/// An answer that its caller can take as complete.
+#[derive(Clone, PartialEq, Eq)]
+pub struct SeenAnswer {
+    /// Its status.
+    pub status: u16,
+    /// Whether it carries an upstream's stamp.
+    pub stamped: bool,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl std::fmt::Debug for SeenAnswer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let from = self.body.len().saturating_sub(60);
+        let end = String::from_utf8_lossy(&self.body[from..]);
+        write!(f, "{} of {} bytes that end in {end:?}", self.status, self.body.len())
+    }
+}
+
+/// How the upstream ended an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SentEnd {
+    /// As it was made: whole, or broken off by its own draw.
+    AsMade,
+    /// Its life ended meanwhile, and the connection was closed cleanly after so many bytes behind the head.
+    Closed(usize),
+}
+
+/// The end of an answer that an upstream sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentRow {
+    /// The run.
+    pub run: u64,
+    /// How it ended.
+    pub end: SentEnd,
+}
+
 /// One attempt of a caller.
 #[derive(Clone, Debug)]
 pub struct AskRow {
@@ -55,6 +94,10 @@
     pub ended_ms: u64,
     /// How it ended.
     pub end: AskEnd,
+    /// What came, if it ended as complete.
+    pub answer: Option<SeenAnswer>,
+    /// Whether the caller spoke HTTP/1.0 and read to the end of the connection.
+    pub old: bool,
 }
 
 /// One run at an upstream.
@@ -82,6 +125,8 @@
     pub life: u64,
     /// Whether its answer says that the upstream leaves.
     pub leaving: bool,
+    /// What it answers.
+    pub make: AnswerMake,
 }
 
 /// One request that reached an upstream, run or not.
@@ -238,6 +283,8 @@
     pub asks: Vec<AskRow>,
     /// Runs.
     pub runs: Vec<RunRow>,
+    /// Ends of answers.
+    pub sent: Vec<SentRow>,
     /// Requests at upstreams.
     pub arrivals: Vec<ArrivalRow>,
     /// Orders.
@@ -259,17 +306,18 @@
 /// The rows and the clock of a run.
 pub struct RunLedger {
     started: Instant,
+    /// The seed of the run.
+    pub seed: u64,
     /// All rows.
     pub rows: RefCell<LedgerRows>,
 }
 
-impl Default for RunLedger {
-    fn default() -> RunLedger {
-        RunLedger { started: Instant::now(), rows: RefCell::default() }
+impl RunLedger {
+    /// The ledger of a run of this seed.
+    pub fn new(seed: u64) -> RunLedger {
+        RunLedger { started: Instant::now(), seed, rows: RefCell::default() }
     }
-}
 
-impl RunLedger {
     /// Milliseconds since the start.
     pub fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,11 +3,13 @@
 //!
 //! The soak knows nothing of the product but its programs and the platform's wire.
 
+pub mod answer_make;
 pub mod caller;
 pub mod cases;
 pub mod fatal_request;
 pub mod http;
 pub mod judge;
+pub mod judge_answers;
 pub mod ledger;
 pub mod link;
 pub mod list;
@@ -21,3 +23,4 @@
 pub mod site;
 pub mod steps;
 pub mod upstream;
+pub mod upstream_wire;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -40,6 +40,8 @@
     pub folder: PathBuf,
     /// The program of a VM.
     pub program: PathBuf,
+    /// Whether each fourth caller speaks HTTP/1.0.
+    pub old_callers: bool,
 }
 
 /// What a run showed.
@@ -65,7 +67,7 @@
 
 async fn play_local(plan: &RunPlan, steps: Vec<PlannedStep>) -> std::io::Result<RunVerdict> {
     fresh_folder(&plan.folder)?;
-    let site = SoakSite::start(&plan.network, plan.size, &plan.folder, &plan.program).await?;
+    let site = SoakSite::start(plan).await?;
     let shared = Rc::new(CallerShared {
         ledger: site.ledger.clone(),
         keys: RefCell::new(vec!["steady".to_string(), "key-0".to_string()]),
@@ -112,6 +114,7 @@
         for at in 0..plan.size.callers {
             let seed = plan.seed ^ ((vm.place.index as u64 + 1) << 32) ^ ((at as u64 + 1) << 48);
             let caller = SoakCaller::new(shared.clone(), vm.place.clone(), seed);
+            let caller = caller.old(plan.old_callers && at % 4 == 3);
             callers.push(spawn_local(caller.ask_on()));
         }
     }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -60,6 +60,9 @@
     TireUpstreams(usize, usize, u64, u64),
     /// An upstream fails, cuts or mixes up part of its answers.
     FaultyUpstream(usize, u64),
+    /// Three in four answers of upstreams from this one on, so many of them, break off, for so many
+    /// milliseconds.
+    EndEarly(usize, usize, u64),
     /// The link of VMs to an upstream.
     UpstreamLink(usize, LinkMode, u64),
     /// The links between a VM and all others: what it is sent, and what it sends.
@@ -130,6 +133,9 @@
 /// Sets the draw of what upstreams say of themselves apart from the others.
 const NOTICE_DRAW: u64 = 0x7e57;
 
+/// Sets the draw of answers that break off apart from the others.
+const EARLY_DRAW: u64 = 0xea51;
+
 /// The schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
     let mut random = StdRng::seed_from_u64(seed);
@@ -146,6 +152,7 @@
     }
     if !planned {
         add_fatal(&mut steps, seed, size);
+        add_early(&mut steps, seed, size);
     }
     add_notices(&mut steps, seed, size);
     steps
@@ -171,6 +178,18 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds upstreams whose answers break off, likewise by a draw of its own.
+fn add_early(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(seed ^ EARLY_DRAW);
+    for _ in 0..random.gen_range(1..4) {
+        let at_ms = random.gen_range(500..size.disturbed_ms);
+        let (upstream, count) = (random.gen_range(0..size.upstreams), random.gen_range(1..4));
+        let ms = random.gen_range(1_000..6_000);
+        steps.push(PlannedStep { at_ms, disturbance: Disturbance::EndEarly(upstream, count, ms) });
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Adds a request that ends upstreams to every second schedule, by a draw of its own: so a seed's other
 /// steps stay what they were.
 fn add_fatal(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -13,6 +13,7 @@
 use crate::operator::SoakOperator;
 use crate::peer_link::PeerLink;
 use crate::process::{VmPlace, VmProcess};
+use crate::run::RunPlan;
 use crate::schedule::{RunSize, VersionFault};
 use crate::upstream::{UpstreamLife, UpstreamPlace};
 
@@ -107,14 +108,11 @@
 }
 
 impl SoakSite {
-    /// Starts all of it on a network of its own, as `127.20.7`.
-    pub async fn start(
-        network: &str,
-        size: RunSize,
-        folder: &Path,
-        program: &Path,
-    ) -> std::io::Result<Rc<SoakSite>> {
-        let ledger = Rc::new(RunLedger::default());
+    /// Starts all of it on the plan's network.
+    pub async fn start(plan: &RunPlan) -> std::io::Result<Rc<SoakSite>> {
+        let RunPlan { network, size, folder, program, .. } = plan;
+        let size = *size;
+        let ledger = Rc::new(RunLedger::new(plan.seed));
         let list = Rc::new(RefCell::new(ListRows::default()));
         list.borrow_mut().rows.resize(2 * size.upstreams, None);
         let list_link =
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -42,6 +42,7 @@
         Disturbance::TireUpstreams(from, count, ms, rest_ms) => {
             tire_upstreams(&site, from, count, ms, rest_ms).await;
         }
+        Disturbance::EndEarly(from, count, ms) => end_early(&site, from, count, ms).await,
         Disturbance::FaultyUpstream(at, ms) => faulty_upstream(&site, at, ms).await,
         Disturbance::UpstreamLink(at, mode, ms) => upstream_link(&site, at, mode, ms).await,
         Disturbance::PeerLinks(vm, comes, goes, ms) => {
@@ -230,6 +231,22 @@
     site.ledger.calm(span);
 }
 
+async fn end_early(site: &SoakSite, from: usize, count: usize, ms: u64) {
+    let places = || (0..count).map(|at| (from + at) % site.upstreams.len());
+    let set = |early: bool| {
+        for at in places() {
+            if let Some(life) = site.upstreams[at].life.borrow().as_ref() {
+                life.set_early(early);
+            }
+        }
+    };
+    let spans: Vec<usize> = places().map(|at| site.disturb(Touched::Upstream(at))).collect();
+    set(true);
+    pause(ms).await;
+    set(false);
+    spans.into_iter().for_each(|span| site.ledger.calm(span));
+}
+
 async fn upstream_link(site: &SoakSite, at: usize, mode: LinkMode, ms: u64) {
     let set = |mode: LinkMode| {
         if let Some(life) = site.upstreams[at].life.borrow().as_ref() {
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -3,39 +3,24 @@
 //! A run is noted before it is worked on, so that an answer which is lost still counts as run.
 
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, Incoming};
-use hyper::http::response::Builder;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, Notify};
+use rand::Rng;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle};
 
-use crate::ledger::{ArrivalRow, RunLedger, RunRow};
+use crate::answer_make::{draw_of, AnswerKind, AnswerMake, Framing, FOREIGN_ATTEMPT};
+use crate::ledger::{ArrivalRow, RunLedger, RunRow, SentEnd, SentRow};
 use crate::link::LinkProxy;
 use crate::platform::{ATTEMPT, EXPECTED_LIFE, LEAVING, NOT_RUN, REST, STAMP};
 use crate::schedule::VersionFault;
+use crate::upstream_wire::{split, AfterAnswer, OpenAnswer, WireRequest, WireWriter};
 
 /// Requests at which an upstream says that it is full.
 const UPSTREAM_PLACES: u32 = 32;
-/// Events of a stream.
-pub const STREAM_EVENTS: u64 = 24;
-/// The pause before each event.
-const EVENT_PAUSE: Duration = Duration::from_millis(40);
-/// The pause between the pieces of an event.
-const PIECE_PAUSE: Duration = Duration::from_millis(4);
 /// What an unsound version of the slow kind takes longer.
 const SLOW_WORK: Duration = Duration::from_millis(700);
 /// The work of a plain request.
@@ -66,6 +51,7 @@
     running: Cell<u32>,
     leaving: Cell<bool>,
     faulty: Cell<bool>,
+    early: Cell<bool>,
     version: String,
     fault: VersionFault,
     started: Instant,
@@ -97,11 +83,6 @@
     })
 }
 
-/// The body of a plain answer.
-pub fn plain_body(attempt: &str) -> String {
-    format!("{attempt};").repeat(48)
-}
-
 impl UpstreamLife {
     /// Starts a life.
     pub async fn start(
@@ -120,6 +101,7 @@
             running: Cell::new(0),
             leaving: Cell::new(false),
             faulty: Cell::new(false),
+            early: Cell::new(false),
             version: version.to_string(),
             fault,
             started: Instant::now(),
@@ -130,8 +112,7 @@
         let shared = state.clone();
         let accepting = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let _ = stream.set_nodelay(true);
-                spawn_local(serve(TokioIo::new(stream), shared.clone()));
+                spawn_local(serve(stream, shared.clone()));
             }
         });
         Ok(UpstreamLife { state, link, accepting })
@@ -158,6 +139,11 @@
         self.state.fatal.get()
     }
 
+    /// Whether three in four answers break off.
+    pub fn set_early(&self, early: bool) {
+        self.state.early.set(early);
+    }
+
     /// Whether three in four plain answers fail, are cut, or are those to another request.
     pub fn set_faulty(&self, faulty: bool) {
         self.state.faulty.set(faulty);
@@ -171,16 +157,45 @@
     }
 }
 
-async fn serve(io: TokioIo<tokio::net::TcpStream>, state: Rc<LifeState>) {
-    let shared = state.clone();
-    let service = service_fn(move |request| answer(request, shared.clone()));
-    let connection = http1::Builder::new().half_close(false).serve_connection(io, service);
-    tokio::select! {
-        _ = connection => {}
-        () = state.crash.notified() => {}
+async fn serve(stream: TcpStream, state: Rc<LifeState>) {
+    let (mut reader, mut writer) = split(stream);
+    let exchanges = async {
+        while let Some(request) = reader.next().await {
+            let after = tokio::select! {
+                after = answer(&request, &state, &mut writer) => after.unwrap_or(AfterAnswer::Closed),
+                () = reader.gone() => AfterAnswer::Closed,
+            };
+            writer.open = None;
+            if after != AfterAnswer::Kept {
+                return after;
+            }
+        }
+        AfterAnswer::Closed
+    };
+    let after = tokio::select! {
+        after = exchanges => after,
+        () = state.crash.notified() => after_crash(&state, writer.open),
+    };
+    match after {
+        AfterAnswer::Reset => writer.reset(),
+        AfterAnswer::Kept | AfterAnswer::Closed => {}
     }
 }
 
+/// A process that ends has its connections closed cleanly. A plain answer without framing is reset, since
+/// nothing would tell it from a whole one.
+fn after_crash(state: &LifeState, open: Option<OpenAnswer>) -> AfterAnswer {
+    let Some(OpenAnswer { make, sent }) = open else { return AfterAnswer::Closed };
+    if make.framing == Framing::Connection && !matches!(make.kind, AnswerKind::Stream(_)) {
+        return AfterAnswer::Reset;
+    }
+    if let Some(sent) = sent {
+        let row = SentRow { run: make.run, end: SentEnd::Closed(sent) };
+        state.ledger.rows.borrow_mut().sent.push(row);
+    }
+    AfterAnswer::Closed
+}
+
 /// Counts a request while it is worked on.
 struct RunningGuard(Rc<LifeState>);
 
@@ -197,22 +212,8 @@
     }
 }
 
-type AnswerBody = BoxBody<Bytes, Infallible>;
-
-fn full(text: String) -> AnswerBody {
-    Full::new(Bytes::from(text)).boxed()
-}
-
-fn not_run(status: u16) -> Response<AnswerBody> {
-    empty(Response::builder().status(status).header(NOT_RUN, "1"))
-}
-
-fn empty(answer: Builder) -> Response<AnswerBody> {
-    answer.body(full(String::new())).expect("a plain head")
-}
-
-/// Notes a request that arrived, and turns it away while rest is asked for.
-fn turn_away(state: &LifeState, attempt: &str) -> Option<Response<AnswerBody>> {
+/// Notes a request that arrived, and tells the headers that turn it away while rest is asked for.
+fn turn_away(state: &LifeState, attempt: &str) -> Option<String> {
     let rest_ms = state.rest_ms.get();
     state.ledger.rows.borrow_mut().arrivals.push(ArrivalRow {
         attempt: attempt.to_string(),
@@ -221,42 +222,44 @@
         at_ms: state.ledger.now_ms(),
         rest_ms,
     });
-    let answer = Response::builder().status(503).header(NOT_RUN, "1").header(ATTEMPT, attempt);
-    let answer = answer.header(REST, format!("{:.3}", rest_ms as f64 / 1000.0));
-    (rest_ms > 0).then(|| empty(answer))
+    let rest_s = rest_ms as f64 / 1000.0;
+    let headers = format!("{NOT_RUN}: 1\r\n{ATTEMPT}: {attempt}\r\n{REST}: {rest_s:.3}\r\n");
+    (rest_ms > 0).then_some(headers)
 }
 
-async fn answer(
-    request: Request<Incoming>,
-    state: Rc<LifeState>,
-) -> Result<Response<AnswerBody>, hyper::Error> {
-    let (head, body) = request.into_parts();
-    let named = |name: &str| -> String {
-        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_string()
+/// What is answered to a run, and how.
+fn make_answer(
+    state: &LifeState,
+    request: &WireRequest,
+    attempt: &str,
+    after_event: u64,
+    bad: bool,
+) -> AnswerMake {
+    let run = next_run();
+    let mut random = draw_of((state.ledger.seed, attempt, state.place.index, after_event));
+    let is_stream = request.path.starts_with("/stream/") || request.path.starts_with("/resume/");
+    let failure = bad && state.fault != VersionFault::Slow;
+    let faulty = if state.faulty.get() && !is_stream { run % 4 } else { 3 };
+    let kind = match (failure, is_stream, faulty) {
+        (true, ..) | (_, _, 0) => AnswerKind::Failure,
+        (_, true, _) => AnswerKind::Stream(after_event),
+        (_, _, 2) => AnswerKind::Foreign,
+        _ => AnswerKind::Plain,
     };
-    if head.uri.path() == "/health" {
-        let status = if state.leaving.get() { 503 } else { 200 };
-        let answer = Response::builder().status(status).header("x-instance-id", &state.id);
-        return Ok(answer.body(full(String::new())).expect("a plain head"));
-    }
-    let body = body.collect().await?.to_bytes();
-    let expected = named(EXPECTED_LIFE);
-    if !expected.is_empty() && expected != state.id {
-        return Ok(not_run(421));
-    }
-    let attempt = named(ATTEMPT);
-    if let Some(answer) = turn_away(&state, &attempt) {
-        return Ok(answer);
+    let make = AnswerMake::draw(&mut random, run, kind);
+    let early = state.early.get() && random.gen_ratio(3, 4);
+    match early || (kind == AnswerKind::Plain && faulty == 1) {
+        true => make.broken_off(&mut random, attempt),
+        false => make,
     }
-    if state.running.get() >= UPSTREAM_PLACES {
-        return Ok(not_run(503));
-    }
-    let after_event = named("last-event-id").parse().unwrap_or(0);
-    let guard = RunningGuard::new(&state);
+}
+
+fn note_run(state: &Rc<LifeState>, request: &WireRequest, attempt: &str) -> (RunRow, RunningGuard) {
+    let after_event = request.named("last-event-id").parse().unwrap_or(0);
+    let guard = RunningGuard::new(state);
     let bad = state.fault.is_bad(next_run(), state.started.elapsed().as_millis());
-    state.ledger.rows.borrow_mut().runs.push(RunRow {
-        attempt: attempt.clone(),
+    let row = RunRow {
+        attempt: attempt.to_string(),
         upstream: state.place.index,
         service: state.place.service.clone(),
         zone: state.place.zone.clone(),
@@ -264,92 +267,66 @@
         version: state.version.clone(),
         bad,
         after_event,
-        workspace: named("x-tenant"),
+        workspace: request.named("x-tenant").to_string(),
         life: state.number,
         leaving: state.leaving.get(),
+        make: make_answer(state, request, attempt, after_event, bad),
+    };
+    state.ledger.rows.borrow_mut().runs.push(row.clone());
+    (row, guard)
+}
+
+async fn answer(
+    request: &WireRequest,
+    state: &Rc<LifeState>,
+    writer: &mut WireWriter,
+) -> std::io::Result<AfterAnswer> {
+    if request.path == "/health" {
+        let status = if state.leaving.get() { 503 } else { 200 };
+        writer.send_short(status, &format!("x-instance-id: {}\r\n", state.id)).await?;
+        return Ok(AfterAnswer::Kept);
+    }
+    let expected = request.named(EXPECTED_LIFE);
+    if !expected.is_empty() && expected != state.id {
+        writer.send_short(421, &format!("{NOT_RUN}: 1\r\n")).await?;
+        return Ok(AfterAnswer::Kept);
+    }
+    let attempt = request.named(ATTEMPT);
+    let turned_away = turn_away(state, attempt).or_else(|| {
+        let full = state.running.get() >= UPSTREAM_PLACES;
+        full.then(|| format!("{NOT_RUN}: 1\r\n"))
     });
-    if body.starts_with(FATAL_BODY.as_bytes()) {
+    if let Some(headers) = turned_away {
+        writer.send_short(503, &headers).await?;
+        return Ok(AfterAnswer::Kept);
+    }
+    let (row, guard) = note_run(state, request, attempt);
+    if request.body.starts_with(FATAL_BODY.as_bytes()) {
         state.fatal.set(true);
         // Whoever watches ends this life, and with it this connection.
         std::future::pending::<()>().await;
     }
-    let mut answer = Response::builder()
-        .header(ATTEMPT, &attempt)
-        .header(STAMP, &state.id)
-        .header("x-server-load", format!("{},0,{UPSTREAM_PLACES}", state.running.get()));
-    if state.leaving.get() {
-        answer = answer.header("connection", "close").header(LEAVING, "1");
+    let make = row.make;
+    let (named, stamp) = match make.kind {
+        AnswerKind::Foreign => (FOREIGN_ATTEMPT, "late"),
+        _ => (attempt, state.id.as_str()),
+    };
+    let mut headers = format!("{ATTEMPT}: {named}\r\n{STAMP}: {stamp}\r\n");
+    headers += &format!("x-server-load: {},0,{UPSTREAM_PLACES}\r\n", state.running.get());
+    if row.leaving {
+        headers += &format!("connection: close\r\n{LEAVING}: 1\r\n");
     }
-    if bad && state.fault == VersionFault::Slow {
+    if row.bad && state.fault == VersionFault::Slow {
         tokio::time::sleep(SLOW_WORK).await;
     }
-    if bad && state.fault != VersionFault::Slow {
-        return Ok(answer.status(500).body(full("failed".to_string())).expect("a plain head"));
-    }
-    let path = head.uri.path();
-    if path.starts_with("/stream/") || path.starts_with("/resume/") {
-        let answer = answer.header("content-type", "text/event-stream");
-        let body = stream_body(attempt, after_event, guard);
-        return Ok(answer.body(body.boxed()).expect("a plain head"));
+    if matches!(make.kind, AnswerKind::Stream(_)) {
+        headers += "content-type: text/event-stream\r\n";
+    } else if !row.bad || state.fault == VersionFault::Slow {
+        tokio::time::sleep(PLAIN_WORK).await;
     }
-    tokio::time::sleep(PLAIN_WORK).await;
+    let after = writer.send(make, attempt, &headers).await?;
     drop(guard);
-    if state.faulty.get() {
-        return Ok(faulty_answer(answer, &attempt));
-    }
-    Ok(answer.body(full(plain_body(&attempt))).expect("a plain head"))
-}
-
-fn faulty_answer(answer: Builder, attempt: &str) -> Response<AnswerBody> {
-    let body = plain_body(attempt);
-    let answer = match next_run() % 4 {
-        0 => answer.status(500).body(full("failed".to_string())),
-        1 => {
-            let (pieces, receiver) = mpsc::channel(1);
-            let _ = pieces.try_send(Bytes::copy_from_slice(&body.as_bytes()[..body.len() / 2]));
-            answer.header("content-length", body.len()).body(PieceBody(receiver).boxed())
-        }
-        2 => {
-            let other = "00000000000000ff";
-            let answer = Response::builder().header(ATTEMPT, other);
-            answer.header(STAMP, "late").body(full(plain_body(other)))
-        }
-        _ => answer.body(full(body)),
-    };
-    answer.expect("a plain head")
-}
-
-/// Pieces as they are made.
-struct PieceBody(mpsc::Receiver<Bytes>);
-
-impl Body for PieceBody {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.0.poll_recv(context).map(|piece| piece.map(|piece| Ok(Frame::data(piece))))
-    }
-}
-
-fn stream_body(attempt: String, after_event: u64, guard: RunningGuard) -> PieceBody {
-    let (sender, receiver) = mpsc::channel(1);
-    let run = next_run();
-    spawn_local(async move {
-        let _guard = guard;
-        for event in after_event + 1..=STREAM_EVENTS {
-            tokio::time::sleep(EVENT_PAUSE).await;
-            // In two pieces, since an upstream may stop partway through an event.
-            let pieces = [format!("id: {event}\ndata: {attempt} "), format!("{event} {run}\n\n")];
-            for piece in pieces {
-                if sender.send(Bytes::from(piece)).await.is_err() {
-                    return;
-                }
-                tokio::time::sleep(PIECE_PAUSE).await;
-            }
-        }
-    });
-    PieceBody(receiver)
+    let sent = SentRow { run: make.run, end: SentEnd::AsMade };
+    state.ledger.rows.borrow_mut().sent.push(sent);
+    Ok(if row.leaving && after == AfterAnswer::Kept { AfterAnswer::Closed } else { after })
 }
--- /dev/null
+++ b/soak/src/upstream_wire.rs
@@ -0,0 +1,239 @@
+//! An upstream's side of HTTP/1.1 by hand, since a library would frame each answer properly.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+
+use crate::answer_make::{draw_of, AnswerKind, AnswerMake, EarlyEnd, Framing};
+
+/// The pause before each event.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// The pause between the pieces of an event.
+const PIECE_PAUSE: Duration = Duration::from_millis(4);
+/// How often a connection on which more came is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// A request as it was read.
+pub struct WireRequest {
+    /// Its path.
+    pub path: String,
+    /// Its body.
+    pub body: Vec<u8>,
+    head: String,
+}
+
+impl WireRequest {
+    /// A header's value, or nothing.
+    pub fn named(&self, name: &str) -> &str {
+        header(&self.head, name).unwrap_or_default()
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = head.split("\r\n").skip(1).filter_map(|line| line.split_once(':'));
+    let mut found = pairs.filter(|(key, _)| key.trim().eq_ignore_ascii_case(name));
+    found.next().map(|(_, value)| value.trim())
+}
+
+/// The reading half of a connection.
+pub struct WireReader {
+    read: OwnedReadHalf,
+    buffer: Vec<u8>,
+}
+
+impl WireReader {
+    /// The next request; none once the connection has ended or can't be read.
+    pub async fn next(&mut self) -> Option<WireRequest> {
+        let head_end = self.until(b"\r\n\r\n").await?;
+        let head = String::from_utf8(self.take(head_end)).ok()?;
+        let path = head.split(' ').nth(1)?.to_string();
+        let chunked = header(&head, "transfer-encoding").is_some();
+        let body = match header(&head, "content-length") {
+            _ if chunked => self.chunks().await?,
+            Some(length) => self.exactly(length.parse().ok()?).await?,
+            None => Vec::new(),
+        };
+        Some(WireRequest { path, body, head })
+    }
+
+    async fn chunks(&mut self) -> Option<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let end = self.until(b"\r\n").await?;
+            let line = String::from_utf8(self.take(end)).ok()?;
+            let length = usize::from_str_radix(line.trim(), 16).ok()?;
+            let chunk = self.exactly(length + 2).await?;
+            if length == 0 {
+                return Some(body);
+            }
+            body.extend_from_slice(&chunk[..length]);
+        }
+    }
+
+    async fn more(&mut self) -> Option<()> {
+        let count = self.read.read_buf(&mut self.buffer).await.ok()?;
+        (count > 0).then_some(())
+    }
+
+    /// Where these bytes end, once they came.
+    async fn until(&mut self, mark: &[u8]) -> Option<usize> {
+        loop {
+            if let Some(at) = self.buffer.windows(mark.len()).position(|bytes| bytes == mark) {
+                return Some(at + mark.len());
+            }
+            self.more().await?;
+        }
+    }
+
+    async fn exactly(&mut self, length: usize) -> Option<Vec<u8>> {
+        while self.buffer.len() < length {
+            self.more().await?;
+        }
+        Some(self.take(length))
+    }
+
+    fn take(&mut self, length: usize) -> Vec<u8> {
+        self.buffer.drain(..length).collect()
+    }
+
+    /// Waits until the other side has ended the connection.
+    pub async fn gone(&mut self) {
+        let mut byte = [0; 1];
+        while matches!(self.read.peek(&mut byte).await, Ok(1..)) {
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+}
+
+/// What was sent of an answer's body so far.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenAnswer {
+    /// The answer.
+    pub make: AnswerMake,
+    /// Bytes after its head that were handed to the connection; none before all of the head was.
+    pub sent: Option<usize>,
+}
+
+/// The writing half of a connection.
+pub struct WireWriter {
+    write: OwnedWriteHalf,
+    /// The answer under way.
+    pub open: Option<OpenAnswer>,
+}
+
+/// Both halves of a connection.
+pub fn split(stream: TcpStream) -> (WireReader, WireWriter) {
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    (WireReader { read, buffer: Vec::new() }, WireWriter { write, open: None })
+}
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterAnswer {
+    /// It is kept.
+    Kept,
+    /// It is closed cleanly.
+    Closed,
+    /// It is reset.
+    Reset,
+}
+
+impl WireWriter {
+    /// Sends a short answer with its length.
+    pub async fn send_short(&mut self, status: u16, headers: &str) -> std::io::Result<()> {
+        let text = format!("HTTP/1.1 {status} S\r\n{headers}content-length: 0\r\n\r\n");
+        self.write.write_all(text.as_bytes()).await
+    }
+
+    /// Sends an answer as it was made, its bytes split anywhere.
+    pub async fn send(
+        &mut self,
+        make: AnswerMake,
+        attempt: &str,
+        headers: &str,
+    ) -> std::io::Result<AfterAnswer> {
+        self.open = Some(OpenAnswer { make, sent: None });
+        let pieces = make.pieces(attempt);
+        let whole: usize = pieces.iter().map(Vec::len).sum();
+        let framed_early = make.early.is_some_and(|early| early.end == EarlyEnd::Framed);
+        let most = make.early.map_or(whole, |early| early.sent);
+        let framing = match make.framing {
+            Framing::Length => {
+                format!("content-length: {}\r\n", if framed_early { most } else { whole })
+            }
+            Framing::Chunked => "transfer-encoding: chunked\r\n".to_string(),
+            Framing::Connection => String::new(),
+        };
+        let head = format!("HTTP/1.1 {} S\r\n{headers}{framing}\r\n", make.status());
+        let mut random = draw_of(make.splits);
+        self.write_split(head.as_bytes(), random.gen_range(0..head.len())).await?;
+        self.open = Some(OpenAnswer { make, sent: Some(0) });
+        let mut left = most;
+        for piece in pieces {
+            if left == 0 {
+                break;
+            }
+            if matches!(make.kind, AnswerKind::Stream(_)) {
+                tokio::time::sleep(EVENT_PAUSE).await;
+            }
+            let count = piece.len().min(left);
+            // A chunk may be cut within, or be a shorter one after which nothing comes.
+            let within = !framed_early && random.gen();
+            let bytes = framed(make.framing, &piece, count, within);
+            self.write_split(&bytes, random.gen_range(0..bytes.len())).await?;
+            left -= count;
+        }
+        let ends = make.early.is_none() || framed_early;
+        if ends && make.framing == Framing::Chunked {
+            self.write.write_all(b"0\r\n\r\n").await?;
+        }
+        Ok(match make.early.map(|early| early.end) {
+            Some(EarlyEnd::Reset) => {
+                // What was sent before a reset that follows at once is lost with it.
+                tokio::time::sleep(EVENT_PAUSE).await;
+                AfterAnswer::Reset
+            }
+            Some(EarlyEnd::Close) => AfterAnswer::Closed,
+            _ if make.framing == Framing::Connection => AfterAnswer::Closed,
+            _ => AfterAnswer::Kept,
+        })
+    }
+
+    async fn write_split(&mut self, bytes: &[u8], at: usize) -> std::io::Result<()> {
+        let (begin, end) = bytes.split_at(at);
+        self.write_counted(begin).await?;
+        tokio::time::sleep(PIECE_PAUSE).await;
+        self.write_counted(end).await
+    }
+
+    async fn write_counted(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.write.write_all(bytes).await?;
+        if let Some(open) = &mut self.open {
+            open.sent = open.sent.map(|sent| sent + bytes.len());
+        }
+        Ok(())
+    }
+
+    /// Resets the connection, once the other half is dropped too.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(self.write.as_ref());
+        let _ = socket.set_linger(Some(Duration::ZERO));
+        self.write.forget();
+    }
+}
+
+/// The first bytes of a piece in their framing; `within` announces all of the piece.
+fn framed(framing: Framing, piece: &[u8], count: usize, within: bool) -> Vec<u8> {
+    let sent = &piece[..count];
+    match framing {
+        Framing::Length | Framing::Connection => sent.to_vec(),
+        Framing::Chunked if within && count < piece.len() => {
+            [format!("{:x}\r\n", piece.len()).as_bytes(), sent].concat()
+        }
+        Framing::Chunked => [format!("{count:x}\r\n").as_bytes(), sent, b"\r\n"].concat(),
+    }
+}
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -1,16 +1,28 @@
 //! Each promise that is broken by the rows of a run is told, and none that holds.
 
-use wingshed_soak::caller::stream_fault;
+use wingshed_soak::answer_make::{AnswerKind, AnswerMake, Framing, LineEnd};
 use wingshed_soak::judge::judge;
 use wingshed_soak::ledger::{
     ArrivalRow, AskEnd, AskKind, AskRow, DocumentRow, FatalRow, LeavingRow, LedgerRows, OrderRow,
-    OrderWhat, ReadRow, RunRow, SpanRow, Touched,
+    OrderWhat, ReadRow, RunRow, SeenAnswer, SentEnd, SentRow, SpanRow, Touched,
 };
 
 fn ask(kind: AskKind, sent_ms: u64, end: AskEnd) -> AskRow {
     let (attempt, key) = ("a".to_string(), "k1".to_string());
     let route = "moved".to_string();
-    AskRow { attempt, vm: 0, kind, route, key, sent_ms, ended_ms: sent_ms + 50, end }
+    let answer = (end == AskEnd::Whole).then(|| seen(make(AnswerKind::Plain)));
+    let ended_ms = sent_ms + 50;
+    AskRow { attempt, vm: 0, kind, route, key, sent_ms, ended_ms, end, answer, old: false }
+}
+
+fn make(kind: AnswerKind) -> AnswerMake {
+    let (framing, line_end) = (Framing::Chunked, LineEnd::Lf);
+    AnswerMake { run: 7, kind, framing, line_end, early: None, splits: 0 }
+}
+
+/// A whole answer as its caller sees it.
+fn seen(make: AnswerMake) -> SeenAnswer {
+    SeenAnswer { status: make.status(), stamped: true, body: make.pieces("a").concat() }
 }
 
 fn run(at_ms: u64) -> RunRow {
@@ -26,6 +38,7 @@
         workspace: "t1".to_string(),
         life: 1,
         leaving: false,
+        make: make(AnswerKind::Plain),
     }
 }
 
@@ -41,6 +54,7 @@
     LedgerRows {
         asks: vec![ask(kind, sent_ms, AskEnd::Whole)],
         runs: vec![run(sent_ms + 5)],
+        sent: vec![SentRow { run: 7, end: SentEnd::AsMade }],
         orders: vec![document(3, "s1", "k1", 10)],
         ..LedgerRows::default()
     }
@@ -103,8 +117,11 @@
 fn sent_after_told(sent_ms: u64) -> LedgerRows {
     let mut rows = sound(AskKind::Once, 60_000);
     rows.runs[0].leaving = true;
-    rows.asks
-        .push(AskRow { attempt: "b".to_string(), ..ask(AskKind::Once, sent_ms, AskEnd::Whole) });
+    rows.asks.push(AskRow {
+        attempt: "b".to_string(),
+        answer: None,
+        ..ask(AskKind::Once, sent_ms, AskEnd::Whole)
+    });
     rows.runs.push(RunRow { attempt: "b".to_string(), ..run(sent_ms + 5) });
     rows
 }
@@ -194,26 +211,6 @@
     assert_eq!(told(&rows), ["planned stops cut nothing"]);
 }
 
-#[test]
-fn a_stream_that_lacks_an_event_is_told() {
-    let text = "id: 1\ndata: a 1 7\n\nid: 3\ndata: a 3 7\n\n";
-    let fault = stream_fault(text, "a", true);
-    assert!(fault.is_some_and(|fault| fault.contains("event 2 expected")));
-}
-
-#[test]
-fn a_stream_that_stops_inside_its_last_event_is_told() {
-    let whole: String = (1..=24).map(|id| format!("id: {id}\ndata: a {id} 7\n\n")).collect();
-    assert_eq!(stream_fault(&whole, "a", true), None);
-
-    let begin = whole.len() - "id: 24\ndata: a 24 7\n\n".len();
-    let complete = (begin + 1..whole.len()).filter(|at| {
-        let stopped = &whole[..*at];
-        stream_fault(stopped, "a", true).is_none() || stream_fault(stopped, "a", false).is_none()
-    });
-    assert_eq!(complete.collect::<Vec<usize>>(), Vec::<usize>::new(), "of {}", whole.len());
-}
-
 /// A request under which upstreams ended at 20, 21 and 22 s, and that was sent on at these times.
 fn fatal(sent_ms: &[u64]) -> LedgerRows {
     let mut rows = LedgerRows::default();
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -39,6 +39,7 @@
         network: run_network(seed),
         folder: folder.path().join("run"),
         program: program(),
+        old_callers: false,
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let verdict = runtime.block_on(play_steps(&plan, steps)).unwrap();
@@ -81,6 +82,16 @@
     assert_eq!(broken_by(&verdict), Vec::<String>::new());
 }
 
+#[test]
+fn answers_that_break_off_are_never_complete() {
+    let disturbance = Disturbance::EndEarly(0, 4, 6_000);
+    let verdict = played(93, vec![PlannedStep { at_ms: 500, disturbance }]);
+
+    let broken_off = verdict.rows.runs.iter().filter(|run| run.make.early.is_some()).count();
+    assert!(broken_off > 50, "answers broke off: {broken_off}");
+    assert_eq!(broken_by(&verdict), Vec::<String>::new());
+}
+
 #[test]
 fn upstreams_that_ask_for_rest_or_leave_unlisted_are_heeded() {
     let step = |at_ms, disturbance| PlannedStep { at_ms, disturbance };
