tests: the soak's readers name the platform's headers by its folder

Cause: test_boundary was red: soak/tests/test_readers.rs spelled two of them out. Change: ATTEMPT and STAMP of soak/src/platform.

--- a/soak/tests/test_readers.rs
+++ b/soak/tests/test_readers.rs
@@ -10,6 +10,7 @@
 use wingshed_soak::caller::{CallerShared, SoakCaller};
 use wingshed_soak::http::call_once;
 use wingshed_soak::ledger::{AskEnd, AskKind, RunLedger};
+use wingshed_soak::platform::{ATTEMPT, STAMP};
 use wingshed_soak::process::VmPlace;
 
 const WAIT: Duration = Duration::from_secs(3);
@@ -44,7 +45,7 @@
 fn ends(framing: &str, body: &str, reset: bool) -> (AskEnd, AskEnd, bool) {
     let place = place(&format!("127.250.{}.7", std::process::id() % 250));
     let bytes = format!(
-        "HTTP/1.1 200 OK\r\nx-attempt-id: 00000000000000aa\r\nx-response-stamp: s\r\n{framing}\r\n{body}"
+        "HTTP/1.1 200 OK\r\n{ATTEMPT}: 00000000000000aa\r\n{STAMP}: s\r\n{framing}\r\n{body}"
     );
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(LocalSet::new().run_until(async {
