event_splice: a stream whose events have no ids is not resumed

Seen: a resumable stream that broke off after events without ids had these twice, framed as complete. Cause: another run was asked to go on behind the last id, and events without one were always taken for new. Evidence: a_stream_whose_events_have_no_ids_is_cut_and_not_joined_with_another_run, red before. Change: once an event without an id was passed on, a stream that breaks off is cut.

--- a/lib/src/coordination/event_splice.rs
+++ b/lib/src/coordination/event_splice.rs
@@ -23,6 +23,8 @@
     run_begins: bool,
     /// A run stopped inside an event, and no new event has come since.
     owes_event: bool,
+    /// An event without an id was passed on, so that no later run can go on behind it.
+    unnumbered: bool,
 }
 
 impl EventSplice {
@@ -51,29 +53,39 @@
         self.partial.extend_from_slice(bytes);
         let mut whole = Vec::new();
         let mut start = 0;
+        let mut events = self.scanner.events();
         while let Some(end) = self.scanner.next_end(&self.partial, self.scanned) {
             self.scanned = end;
-            let event = &self.partial[start..end];
+            let is_event = self.scanner.events() > events;
+            events = self.scanner.events();
+            let block = &self.partial[start..end];
             let unmarked = match std::mem::take(&mut self.run_begins) {
-                true => event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event),
-                false => event,
+                true => block.strip_prefix(BYTE_ORDER_MARK).unwrap_or(block),
+                false => block,
             };
-            let event = if self.later_run { unmarked } else { event };
+            let block = if self.later_run { unmarked } else { block };
             let id = event_id(unmarked);
-            if !self.later_run || self.is_news(id.as_deref()) {
-                whole.extend_from_slice(event);
-                self.owes_event = false;
-                if id.is_some() {
-                    self.last_id = id;
-                }
-            }
             start = end;
+            if self.later_run && !self.is_news(id.as_deref()) {
+                continue;
+            }
+            whole.extend_from_slice(block);
+            self.owes_event = false;
+            if is_event {
+                self.unnumbered |= id.is_none();
+            }
+            self.last_id = id.or(self.last_id.take());
         }
         self.partial.drain(..start);
         self.scanned = self.partial.len();
         whole
     }
 
+    /// Whether another run can go on where the present one stopped.
+    pub fn is_resumable(&self) -> bool {
+        !self.unnumbered
+    }
+
     /// Whether the present event is too long to be held: the run is to be given up.
     pub fn is_overlong(&self) -> bool {
         self.partial.len() > LONGEST_EVENT_BYTES
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -127,7 +127,10 @@
                     place.trial.end_unsaid();
                     self.note_cut(place.upstream, "cut stream");
                     self.look_after_break(&place);
-                    let Some(splice) = splice.as_mut() else { break };
+                    let Some(splice) = splice.as_mut().filter(|splice| splice.is_resumable())
+                    else {
+                        break;
+                    };
                     splice.begin_run();
                     let after = splice.last_id().map(str::to_string);
                     next = self.resume(after, deadline_ms, &mut tried, &mut count).await;
