event_splice: a comment does not stand for a missing event

Seen: a stream that stopped inside an event was complete without it if the run that went on brought a comment. Found on reading the diff. Cause: every block that was passed on settled the missing event. Evidence: a_comment_in_a_later_run_is_no_event_that_was_missing, red before. Change: only an event does.

--- a/lib/src/coordination/event_splice.rs
+++ b/lib/src/coordination/event_splice.rs
@@ -70,8 +70,8 @@
                 continue;
             }
             whole.extend_from_slice(block);
-            self.owes_event = false;
             if is_event {
+                self.owes_event = false;
                 self.unnumbered |= id.is_none();
             }
             self.last_id = id.or(self.last_id.take());
