soak: each fourth caller speaks HTTP/1.0

Cause: the choice was an option, off, since VMs ended broken answers to such callers with a clean close.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -32,9 +32,6 @@
     /// keep the logs of sound runs too
     #[argh(switch)]
     keep: bool,
-    /// let each fourth caller speak HTTP/1.0 and read to the end of its connection
-    #[argh(switch)]
-    old_callers: bool,
     /// where logs of failed seeds are kept
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     folder: PathBuf,
@@ -93,7 +90,6 @@
             network: run_network(1 + seed % 250),
             folder: arguments.folder.join(&name),
             program: program(arguments),
-            old_callers: arguments.old_callers,
         };
         played += 1;
         match play_steps(&plan, steps).await {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -26,6 +26,8 @@
 const STEPS_MS: u64 = 60_000;
 /// Requests that show whether a VM serves.
 const PROBES: usize = 8;
+/// Callers of a VM for each one that speaks HTTP/1.0.
+const EACH_OLD: usize = 4;
 
 /// A run's seed, size and places.
 #[derive(Clone, Debug)]
@@ -40,8 +42,6 @@
     pub folder: PathBuf,
     /// The program of a VM.
     pub program: PathBuf,
-    /// Whether each fourth caller speaks HTTP/1.0.
-    pub old_callers: bool,
 }
 
 /// What a run showed.
@@ -114,7 +114,7 @@
         for at in 0..plan.size.callers {
             let seed = plan.seed ^ ((vm.place.index as u64 + 1) << 32) ^ ((at as u64 + 1) << 48);
             let caller = SoakCaller::new(shared.clone(), vm.place.clone(), seed);
-            let caller = caller.old(plan.old_callers && at % 4 == 3);
+            let caller = caller.old(at % EACH_OLD == 0);
             callers.push(spawn_local(caller.ask_on()));
         }
     }
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -39,7 +39,6 @@
         network: run_network(seed),
         folder: folder.path().join("run"),
         program: program(),
-        old_callers: false,
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let verdict = runtime.block_on(play_steps(&plan, steps)).unwrap();
