vm_reply: a status that promises not run needs its upstream's word

Seen: an upstream's 408, 429 or 503 without "not run" reached the caller of a request that may run once with that status, by which callers send it again though it may have run. Cause: whether a request ran was read from the upstream's own word, and its status was passed on whatever that said. Evidence: a_status_that_promises_not_run_is_not_passed_on_without_its_upstreams_word, red before. Change: for requests that may not repeat such an answer is a broken one: 502, without the upstream's stamp, and a sign against it. Repeatable requests get it as it is.

--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tracing::info;
@@ -74,6 +74,16 @@
     }
 }
 
+/// Whether callers take the status as a promise that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    promises.contains(&status)
+}
+
 impl CallerTask {
     /// Whose answer it is, what it says of its upstream, and whether the request ran.
     pub(super) async fn check_answer(
@@ -104,6 +114,10 @@
             (false, _) => {}
         }
         let rule = &place.routes.table.routes[place.route];
+        if promises_not_run(head.status) && !rule.kind.may_repeat() {
+            self.note_failure(place.upstream, "a refusal that may have run");
+            return SendResult::Bad(SendOutcome::Broken);
+        }
         let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
         if rule.kind.is_stream() || !short {
             let asks_rest = told.rest_ms.is_some();
