--- a/lib/src/protocol/engine.rs
+++ b/lib/src/protocol/engine.rs
@@ -81,7 +81,7 @@
         .with("content-type", "application/json")
 }
 
-/// What the head of an engine's answer tells.
+/// What the head of an engine's answer holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineHead {
     /// The engine's life.
@@ -146,7 +146,7 @@
     pub tokens: u32,
 }
 
-/// What an engine tells of itself.
+/// What an engine reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineState {
     /// Its life.
--- a/lib/src/protocol/fleet_calls.rs
+++ b/lib/src/protocol/fleet_calls.rs
@@ -20,11 +20,11 @@
 /// What an operator asks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetCall {
-    /// Tell of all roll-outs.
+    /// Return all roll-outs.
     ListRollouts,
     /// Begin a roll-out; the body says which.
     StartRollout,
-    /// Tell of a service's last roll-out.
+    /// Return a service's last roll-out.
     GetRollout {
         /// The service's name.
         service: String,
@@ -34,7 +34,7 @@
         /// The service's name.
         service: String,
     },
-    /// Tell of all zones.
+    /// Return all zones.
     ListZones,
     /// Send nothing more to a zone's upstreams, or take the zone back.
     Zone {
@@ -135,7 +135,7 @@
     pub seconds: f64,
 }
 
-/// How far the last roll-out of a service has come, as one VM tells it.
+/// How far the last roll-out of a service has come, as one VM reports it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RolloutView {
     /// The service's name.
--- a/lib/src/protocol/keeper_wire.rs
+++ b/lib/src/protocol/keeper_wire.rs
@@ -12,7 +12,7 @@
 use crate::state::roster::{RouterRoster, RouterSession};
 
 /// Leaving lives in one datagram, so that it fits; the rest follow as these grow old.
-pub const MARKS_TOLD: usize = 12;
+pub const MARKS_PER_DATAGRAM: usize = 12;
 /// The path of raft messages.
 pub const RAFT_PATH: &str = "/keeper/raft";
 /// The path of calls.
@@ -77,11 +77,11 @@
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
-    /// A router renews its lease and tells its load.
+    /// A router renews its lease and reports its load.
     Renew(LeaseRenewal),
-    /// The leading keeper grants it, and tells the load elsewhere.
+    /// The leading keeper grants it, and sends the load elsewhere.
     Grant(LeaseGrant),
-    /// The leading keeper tells that something newer is in force.
+    /// The leading keeper publishes that something newer is in force.
     Notice {
         /// The version in force.
         version: u64,
@@ -106,11 +106,11 @@
         /// In the order of the claims.
         answers: Option<Vec<ClaimAnswer>>,
     },
-    /// A router tells a chat's home where the chat went.
+    /// A router reports to a chat's home where the chat went.
     Chats(Vec<ChatNote>),
-    /// Routers tell each other while no keeper leads.
+    /// Routers report their load to each other while no keeper leads.
     Sums {
-        /// The teller.
+        /// The sender.
         router: RouterId,
         /// Its load.
         rows: Vec<LoadRow>,
@@ -166,7 +166,7 @@
     pub settled_epoch: u64,
     /// The load of all other routers.
     pub rows: Vec<LoadRow>,
-    /// Leaving lives that were told lately.
+    /// Leaving lives that were published lately.
     pub marks: Vec<LeavingMark>,
 }
 
--- a/lib/src/protocol/operator.rs
+++ b/lib/src/protocol/operator.rs
@@ -91,7 +91,7 @@
     pub age_ms: Option<u64>,
 }
 
-/// What a keeper tells of itself and the system.
+/// What a keeper reports of itself and the system.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeeperStatus {
     /// Its number.
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -137,7 +137,7 @@
         /// The document as the operator sent it.
         document: PackedText,
     },
-    /// The newest document, told against an earlier one.
+    /// The newest document, encoded against an earlier one.
     DocumentChange {
         /// The version of the earlier one.
         before: u64,
@@ -200,21 +200,21 @@
         /// Its term.
         term: u64,
     },
-    /// The leader tells which upstreams are dark; see `silence`.
+    /// The leader publishes which upstreams are dark; see `silence`.
     Dark {
         /// Its term.
         term: u64,
         /// All of them.
         upstreams: Vec<UpstreamKey>,
     },
-    /// The leader tells that a roll-out began or went a step on.
+    /// The leader reports that a roll-out began or went a step on.
     Rollouts {
         /// Its term.
         term: u64,
         /// All of them.
         table: RolloutTable,
     },
-    /// The leader tells which requests are sent nowhere, or watched.
+    /// The leader publishes which requests are sent nowhere, or watched.
     Quarantine {
         /// Its term.
         term: u64,
@@ -243,7 +243,7 @@
     }
 }
 
-/// What a VM that was told nothing for too long asks others.
+/// What a VM without news for too long asks others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsAsk {
     /// The sender's steady clock, echoed by the answer.
@@ -272,7 +272,7 @@
     pub version_age_ms: u32,
 }
 
-/// What a VM tells with each renewal.
+/// What a VM reports with each renewal.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RenewalNote {
     /// The sender's steady clock, echoed by the answer.
@@ -297,13 +297,13 @@
     pub zone_orders: u64,
     /// Upstreams that it could not reach.
     pub doubts: Vec<UpstreamKey>,
-    /// Names the dark upstreams that it was told last; see `silence`.
+    /// Names the dark upstreams that it received last; see `silence`.
     pub dark: DarkMark,
     /// How many changes of roll-outs it knows of.
     pub rollout_changes: u64,
     /// This life of its process; a later one has another number.
     pub life: u64,
-    /// What it has to tell of roll-outs that run.
+    /// What it reports of roll-outs that run.
     pub rollouts: Vec<RolloutNote>,
     /// How many changes it knows of requests that end upstreams.
     pub quarantine_changes: u64,
@@ -327,12 +327,12 @@
     pub list_age_ms: u32,
     /// The keepers.
     pub keepers: Vec<VmId>,
-    /// What is new in the roster. A leader tells it once it has led long enough to have heard
+    /// What is new in the roster. A leader sends it once it has led long enough to have heard
     /// every VM, and before that only to those that know none.
     pub roster: RosterNews,
     /// What all VMs have in flight, summed.
     pub loads: LoadNews,
-    /// What others told of where parts are kept.
+    /// What others reported of where parts are kept.
     pub holders: Vec<HolderNote>,
     /// What was heard of that with this answer.
     pub holders_heard: HolderMark,
@@ -340,13 +340,13 @@
     pub failing: Vec<UpstreamKey>,
     /// The last orders of zones, unless the asker knows of as many.
     pub zones: Option<ZoneOrders>,
-    /// Upstreams that are dark, unless the asker was told the same.
+    /// Upstreams that are dark, unless the asker received the same.
     pub dark: Option<Vec<UpstreamKey>>,
     /// The last roll-outs, unless the asker knows of as many changes.
     pub rollouts: Option<RolloutTable>,
     /// Requests that end upstreams, unless the asker knows of as many changes.
     pub quarantine: Option<QuarantineTable>,
-    /// The number of the last crash that the renewal told.
+    /// The number of the last crash in the renewal.
     pub crashes_heard: u64,
 }
 
@@ -360,7 +360,7 @@
     rmp_serde::from_slice(bytes).map_err(|error| error.to_string())
 }
 
-/// What a frame's head tells.
+/// What a frame's head holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FrameHead {
     /// Bytes of the body.
--- a/lib/src/protocol/weight_store.rs
+++ b/lib/src/protocol/weight_store.rs
@@ -4,7 +4,7 @@
 
 use super::http::HttpCall;
 
-/// What the store tells.
+/// What the store reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreState {
     /// Loads that it takes at once.
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -16,7 +16,7 @@
 use crate::state::rollout_order::RolloutRow;
 use crate::state::route_table::RouteTable;
 
-/// A caller's request, as far as its head tells.
+/// What the head of a caller's request holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallerRequest {
     /// The caller's name for this attempt.
@@ -71,14 +71,14 @@
 
 /// What an upstream's load was when it answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadTold {
+pub struct LoadReport {
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
 }
 
-/// What the head of an upstream's answer tells.
+/// What the head of an upstream's answer holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamAnswer {
     /// The attempt that it answers.
@@ -90,7 +90,7 @@
     /// Another life listens there than the request was for.
     pub other_life: bool,
     /// Its load.
-    pub load: Option<LoadTold>,
+    pub load: Option<LoadReport>,
     /// The connection ends with this answer.
     pub closes: bool,
     /// How long the connection may rest, in milliseconds.
@@ -104,7 +104,7 @@
 /// A page of the list of upstreams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamPage {
-    /// What it tells.
+    /// What it lists.
     pub reading: ListReading,
     /// The name of the page that follows.
     pub next: Option<String>,
@@ -126,7 +126,7 @@
     },
     /// Begin a roll-out; the body says which.
     StartRollout,
-    /// Tell how far the last roll-out of a service has come.
+    /// Return how far the last roll-out of a service has come.
     GetRollout {
         /// The service's name.
         service: String,
--- a/lib/src/state/chat_memory.rs
+++ b/lib/src/state/chat_memory.rs
@@ -99,7 +99,7 @@
         (holder.tokens as f64 * share) as u32
     }
 
-    /// An engine told its life; what an earlier life held is gone.
+    /// An engine reported its life; what an earlier life held is gone.
     pub fn set_life(&mut self, engine: UpstreamKey, life: Incarnation) {
         self.lives.insert(engine, life);
     }
--- a/lib/src/state/document_change.rs
+++ b/lib/src/state/document_change.rs
@@ -24,7 +24,7 @@
     New(#[serde(with = "serde_bytes")] Vec<u8>),
 }
 
-/// A document, told against an earlier one.
+/// A document, encoded against an earlier one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentChange {
     /// The hash of the earlier document.
@@ -36,7 +36,7 @@
 }
 
 impl DocumentChange {
-    /// Tells `after` against `before`.
+    /// Encodes `after` against `before`.
     pub fn between(before: &[u8], after: &[u8]) -> DocumentChange {
         let known: HashMap<&[u8], usize> = cut(before).map(|(from, piece)| (piece, from)).collect();
         let mut pieces = Vec::new();
@@ -57,7 +57,7 @@
         DocumentChange { before_hash: xxh3_64(before), after_hash: xxh3_64(after), pieces }
     }
 
-    /// The bytes of its own, which is what it costs to tell it.
+    /// The bytes that aren't in the earlier document: the cost of sending it.
     pub fn new_bytes(&self) -> usize {
         let lengths = self.pieces.iter().map(|piece| match piece {
             DocumentPiece::Kept { .. } => 0,
@@ -66,7 +66,7 @@
         lengths.sum()
     }
 
-    /// The new document; `None` when `before` isn't the one that this was told against.
+    /// The new document; `None` when `before` isn't the one that this was encoded against.
     pub fn apply(&self, before: &[u8]) -> Option<Vec<u8>> {
         if xxh3_64(before) != self.before_hash {
             return None;
--- a/lib/src/state/keeper_machine.rs
+++ b/lib/src/state/keeper_machine.rs
@@ -70,7 +70,7 @@
     pub change: ConfigChange,
 }
 
-/// What an order tells an engine to do.
+/// What an order has an engine do.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "do")]
 pub enum OrderAction {
--- a/lib/src/state/kept_list.rs
+++ b/lib/src/state/kept_list.rs
@@ -1,7 +1,7 @@
 //! The list of upstreams on a keeper's disk.
 //!
 //! After a common loss of power no other VM holds the list, and reading it anew takes its pages
-//! at the platform's rate, while hundreds of VMs wait. What is kept is used at once; the mark tells
+//! at the platform's rate, while hundreds of VMs wait. What is kept is used at once; the mark shows
 //! whether it is what the others hold. One file beside the log, replaced by rename: either the
 //! whole of one list is there, or that of another, or none, and none is no fault. See
 //! `docs/design/fleet-news.md`.
--- a/lib/src/state/list_reading.rs
+++ b/lib/src/state/list_reading.rs
@@ -11,7 +11,7 @@
 use super::finding::Finding;
 use super::upstream_list::{EntryDoubt, UpstreamEntry, UpstreamList};
 
-/// An entry that can't be read, and what it tells of whom it names.
+/// An entry that can't be read, and what is readable of the name in it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnreadEntry {
     /// What is wrong, with its place; the first thing, where there are several.
@@ -24,7 +24,7 @@
     pub address: Option<SocketAddr>,
 }
 
-/// Whom entries that can't be read name, and with which births: by name, or by address where they tell
+/// Whom entries that can't be read name, and with which births: by name, or by address where they give
 /// no name. Found without a search: nothing bounds what other writers leave.
 #[derive(Default)]
 struct UnreadNames<'a> {
@@ -45,7 +45,7 @@
         names
     }
 
-    fn tell(&self, row: &UpstreamEntry) -> bool {
+    fn include(&self, row: &UpstreamEntry) -> bool {
         let same = |born: &Option<u64>| born.is_none() || *born == row.born;
         let by_life = self.by_life.get(row.life.as_str());
         let births = by_life.or_else(|| self.by_address.get(&row.address));
@@ -64,7 +64,7 @@
     pub findings: Vec<Finding>,
 }
 
-/// What a reading tells, in view of what was known.
+/// What a reading shows, in view of what was known.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SettledReading {
     /// The rows, one a name.
@@ -74,7 +74,7 @@
 }
 
 impl ListReading {
-    /// Adds what page `number` tells, counted from 0.
+    /// Adds the content of page `number`, counted from 0.
     pub fn append(&mut self, mut page: ListReading, number: usize) {
         let findings = page.unread.iter_mut().map(|entry| &mut entry.finding);
         for finding in findings.chain(&mut page.findings) {
@@ -85,7 +85,7 @@
         self.findings.append(&mut page.findings);
     }
 
-    /// What the reading tells. `None` when it has entries and none can be read: that is no news of
+    /// What the reading shows. `None` when it has entries and none can be read: that is no news of
     /// anyone, and what was known holds.
     pub fn settle(&self, known: &UpstreamList) -> Option<SettledReading> {
         if self.rows.is_empty() && !self.unread.is_empty() {
@@ -107,7 +107,7 @@
         let served: BTreeSet<&str> =
             rows.iter().filter(|row| row.takes_work()).map(|row| row.service.as_str()).collect();
         let names = UnreadNames::of(&self.unread);
-        let named = |row: &&UpstreamEntry| !read.contains(row.life.as_str()) && names.tell(row);
+        let named = |row: &&UpstreamEntry| !read.contains(row.life.as_str()) && names.include(row);
         let hold = |row: &UpstreamEntry| {
             let doubt = match row.doubt {
                 EntryDoubt::State => EntryDoubt::State,
--- a/lib/src/state/packed_text.rs
+++ b/lib/src/state/packed_text.rs
@@ -1,4 +1,4 @@
-//! A text kept and told small.
+//! A text kept and sent compressed.
 //!
 //! A configuration of 1,700 routes is some 400 KB and goes to every VM: at 92 of them it filled the
 //! leader's link of 100 Mbit/s for 3 s, in which heartbeats, the list of upstreams and the next
--- a/lib/src/state/quarantine.rs
+++ b/lib/src/state/quarantine.rs
@@ -8,7 +8,7 @@
 
 use super::ids::{RequestMark, UpstreamKey};
 
-/// Rows that are kept, 40 bytes each in what VMs are told; the oldest goes first, one that isn't held
+/// Rows that are kept, 40 bytes each in what VMs receive; the oldest goes first, one that isn't held
 /// before one that is.
 pub const MOST_ROWS: usize = 128;
 
@@ -19,7 +19,7 @@
     pub mark: RequestMark,
     /// Upstreams that ended under it since it last ran well.
     pub ended: Vec<UpstreamKey>,
-    /// Whether it is sent nowhere. It is watched otherwise: VMs tell when it ran well.
+    /// Whether it is sent nowhere. It is watched otherwise: VMs report when it ran well.
     pub held: bool,
     /// How often it was held so far.
     pub times: u32,
--- a/lib/src/state/rollout_order.rs
+++ b/lib/src/state/rollout_order.rs
@@ -15,7 +15,7 @@
 pub struct VersionKey(pub u32);
 
 impl VersionKey {
-    /// The key of an upstream whose version isn't told, or can't be read.
+    /// The key of an upstream whose version isn't given, or can't be read.
     pub const UNKNOWN: VersionKey = VersionKey(0);
 
     /// The key of the version with this name; an empty name is no version.
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -97,7 +97,7 @@
 /// One workspace.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkspaceEntry {
-    /// Its name, as upstreams are told it.
+    /// Its name, as sent to upstreams.
     pub name: String,
     /// Its rank, before the route's; 0 is the highest.
     pub priority: u8,
@@ -152,7 +152,7 @@
 }
 
 impl RouteTable {
-    /// Joins the parts to a table and tells everything that is wrong with it.
+    /// Joins the parts to a table and returns everything that is wrong with it.
     ///
     /// Paths of findings start at `$` and use this project's words.
     pub fn build(
--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -1,11 +1,12 @@
-//! The upstreams, as the platform's list or another VM told them.
+//! The upstreams, as the platform's list or another VM gave them.
 //!
 //! Leaving is sticky for an incarnation: no list that lags can take it back. A name that starts again
 //! is another incarnation with another key, so that nothing known of the earlier one is said of it;
 //! see `docs/design/identity.md`. Each state of the list has a
-//! mark, and VMs with the same mark hold the same rows; so a change can be told without the rest.
-//! Marks have one order, whichever VM read the state, and nothing is replaced by a lower one. How old a
-//! state is tells [`UpstreamList::news_ms`], which only a reading or a proof by exchange raises.
+//! mark, and VMs with the same mark hold the same rows; so a change can be sent without the rest.
+//! Marks have one order, whichever VM read the state, and nothing is replaced by a lower one. The age
+//! of a state follows from [`UpstreamList::news_ms`], which only a reading or a proof by exchange
+//! raises.
 //! See `docs/design/fleet-news.md`.
 
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
@@ -50,7 +51,7 @@
     /// Its version.
     #[serde(default)]
     pub version: VersionKey,
-    /// When it started, in Unix milliseconds, if it tells.
+    /// When it started, in Unix milliseconds, if given.
     #[serde(default)]
     pub born: Option<u64>,
     /// What the list leaves open about it; while anything is, it gets no new work.
@@ -138,7 +139,7 @@
     pub replaced: u64,
     /// The names of those that the last change replaced.
     pub replaced_last: Vec<String>,
-    /// The highest number of a change that was heard of. A leader that knew only its own would tell
+    /// The highest number of a change that was heard of. A leader that knew only its own would send
     /// marks that others have passed already, and none would take its list.
     heard_change: u64,
     leaving: HashSet<UpstreamKey>,
@@ -152,8 +153,8 @@
     }
 
     /// Takes a list that VM `reader` read beginning at `began_ms`, as the leader of `term`, or
-    /// without one when `term` is `None`. Returns the step to tell the others, if there is one: a
-    /// new leader's first goes on from what the last one told.
+    /// without one when `term` is `None`. Returns the step to send to the others, if there is one:
+    /// a new leader's first goes on from what the last one sent.
     pub fn read(
         &mut self,
         rows: Vec<UpstreamEntry>,
@@ -174,7 +175,7 @@
         Some(step)
     }
 
-    /// Takes a whole list as another VM told it, unless it is older than what is here.
+    /// Takes a whole list that another VM sent, unless it is older than what is here.
     pub fn take_whole(&mut self, mark: ListMark, rows: Vec<UpstreamEntry>, now_ms: u64) -> bool {
         let newer = mark > self.mark;
         if newer {
@@ -198,7 +199,7 @@
         self.heard_change = self.heard_change.max(mark.change);
     }
 
-    /// Takes a step that another VM told; false when it doesn't start at the state that is here.
+    /// Takes a step that another VM sent; false when it doesn't start at the state that is here.
     pub fn follow(&mut self, step: ListStep, now_ms: u64) -> bool {
         if step.from != self.mark || !self.is_held() || step.to <= self.mark {
             return false;
@@ -229,7 +230,7 @@
         self.steps.push_back(step);
     }
 
-    /// Puts the rows in place of all others; tells what is other.
+    /// Puts the rows in place of all others; returns the difference.
     fn replace(&mut self, rows: Vec<UpstreamEntry>, now_ms: u64) -> ListChange {
         let mut entries = BTreeMap::new();
         for mut row in rows {
@@ -278,7 +279,7 @@
         self.replaced += self.replaced_last.len() as u64;
     }
 
-    /// The rows, to tell another VM.
+    /// The rows, as sent to another VM.
     pub fn rows(&self) -> Vec<UpstreamEntry> {
         self.entries.values().cloned().collect()
     }
--- a/lib/src/state/vm_figures.rs
+++ b/lib/src/state/vm_figures.rs
@@ -20,7 +20,7 @@
     Answered,
     /// An upstream's own failure was passed on.
     UpstreamFailed,
-    /// Not run, and told so with when to come back.
+    /// Refused without a run; the answer says when to retry.
     Refused,
     /// Failed without a promise.
     Failed,
--- a/lib/src/state/vm_settings.rs
+++ b/lib/src/state/vm_settings.rs
@@ -1,4 +1,4 @@
-//! What a VM of the fleet is told at its start, in this project's words.
+//! What a VM of the fleet is given at its start, in this project's words.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -43,7 +43,7 @@
     pub lag_ms: u64,
 }
 
-/// What one VM is told.
+/// What one VM is given at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VmSettings {
     /// Its name, for logs.
@@ -52,7 +52,7 @@
     pub ip: Ipv4Addr,
     /// Its availability zone.
     pub zone: String,
-    /// All availability zones, as far as it is told.
+    /// All availability zones, as far as given.
     pub zones: Vec<String>,
     /// Where callers send requests.
     pub front: Option<SocketAddr>,
--- a/lib/src/state/zero_runs.rs
+++ b/lib/src/state/zero_runs.rs
@@ -1,12 +1,12 @@
-//! Bytes most of which are zero, told short.
+//! Bytes most of which are zero, in short form.
 //!
-//! A leader tells each VM one byte for each upstream with each grant, though few of them have anything
+//! A leader sends each VM one byte for each upstream with each grant, though few of them have anything
 //! in flight. Here each byte that isn't zero comes with the number of zeros before it.
 
-/// The most zeros that one pair tells.
+/// The most zeros that one pair encodes.
 const LONGEST_RUN: usize = u8::MAX as usize;
 
-/// The bytes as pairs of a number of zeros and the byte after them. Zeros at the end aren't told.
+/// The bytes as pairs of a number of zeros and the byte after them. Zeros at the end are left out.
 pub fn pack_zeros(bytes: &[u8]) -> Vec<u8> {
     let mut packed = Vec::new();
     let mut zeros = 0;
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -27,7 +27,7 @@
 use crate::coordination::session_watch::SessionWatch;
 use crate::protocol::keeper_wire::{
     decode, encode, Datagram, KeeperCall, KeeperIdentity, KeeperReply, LeaseGrant, LeaseRenewal,
-    MARKS_TOLD,
+    MARKS_PER_DATAGRAM,
 };
 use crate::protocol::operator::{KeeperStatus, MemberStatus, RouterStanding, WireRow};
 use crate::state::claim_table::{ClaimReport, ClaimRequest};
@@ -472,7 +472,7 @@
             epoch: self.machine.roster.epoch,
             settled_epoch: self.watch.settled_epoch(&self.machine.roster, now_ms),
             rows: self.loads.others(router, &asked),
-            marks: self.marks.iter().map(|(mark, _)| *mark).take(MARKS_TOLD).collect(),
+            marks: self.marks.iter().map(|(mark, _)| *mark).take(MARKS_PER_DATAGRAM).collect(),
         };
         self.outlets.port.send(from, &Datagram::Grant(grant));
     }
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -13,7 +13,7 @@
 use crate::coordination::router_lease::{renew_with, RENEW_MS};
 use crate::protocol::engine;
 use crate::protocol::keeper_wire::{
-    ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal, MARKS_TOLD,
+    ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal, MARKS_PER_DATAGRAM,
 };
 use crate::protocol::vm_list::{list_call, read_list, VmStanding};
 use crate::state::configuration::{read_configuration, Configuration};
@@ -137,7 +137,7 @@
         let mut desk = lock(&shared.desk);
         desk.news.retain(|(_, noted_ms)| now_ms < noted_ms + NEWS_KEEP_MS);
         desk.notices.sweep(|upstream| view.upstreams.contains_key(&upstream), now_ms);
-        desk.news.iter().map(|(mark, _)| *mark).take(MARKS_TOLD).collect()
+        desk.news.iter().map(|(mark, _)| *mark).take(MARKS_PER_DATAGRAM).collect()
     };
     let renewal = LeaseRenewal {
         router: shared.id(),
@@ -305,7 +305,7 @@
     times.sums_ms = now_ms + SUMS_MS;
     let view = shared.view();
     let marks: Vec<LeavingMark> =
-        lock(&shared.desk).leaving.marks().into_iter().take(MARKS_TOLD).collect();
+        lock(&shared.desk).leaving.marks().into_iter().take(MARKS_PER_DATAGRAM).collect();
     let rows = rows_in_turn(shared.load_rows(), times.turn);
     let sums = Datagram::Sums { router: shared.id(), rows, marks };
     for (id, session) in &view.roster.routers {
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -18,7 +18,7 @@
 };
 use wingshed_lib::coordination::session_watch::{SessionWatch, LAPSE_MS};
 use wingshed_lib::coordination::workspace_limit::{LimitRefusal, LimitTable};
-use wingshed_lib::protocol::keeper_wire::{encode, Datagram, LeaseGrant, MARKS_TOLD};
+use wingshed_lib::protocol::keeper_wire::{encode, Datagram, LeaseGrant, MARKS_PER_DATAGRAM};
 use wingshed_lib::protocol::seal::{SealChecker, SealMaker, SealRefusal, SEAL_AGE_MS};
 use wingshed_lib::state::chat_memory::{ChatMemory, HolderCertainty};
 use wingshed_lib::state::claim_table::*;
@@ -479,7 +479,7 @@
             epoch: u64::MAX,
             settled_epoch: u64::MAX,
             rows,
-            marks: vec![mark; MARKS_TOLD],
+            marks: vec![mark; MARKS_PER_DATAGRAM],
         };
         let bytes = encode(&Datagram::Grant(grant)).len();
         assert!(bytes <= LONGEST_DATAGRAM, "{bytes} bytes");
