--- a/cli/src/bench_decision.rs
+++ b/cli/src/bench_decision.rs
@@ -59,7 +59,8 @@
         (0..50_000).for_each(|chat| memory.note(ChatKey(chat), keys[0], Incarnation(1), 100));
         let hints: Vec<EngineHint> =
             keys.iter().take(6).map(|engine| EngineHint { engine: *engine, work: 1 }).collect();
-        let load = FleetLoad { work: engines as u64 * 8000, engines, age_ms: 100, largest_told: 0 };
+        let load =
+            FleetLoad { work: engines as u64 * 8000, engines, age_ms: 100, largest_reported: 0 };
         let mut policy_us = Vec::new();
         let mut place_us = Vec::new();
         for round in 0..ROUNDS {
--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 use wingshed_lib::coordination::log_story::{
-    read_log, tell_request, tell_span, LogLine, StoryLine, StoryReason,
+    read_log, request_story, span_story, LogLine, StoryLine, StoryReason,
 };
 
 /// tell who knew what and what came of it, from the logs of several VMs
@@ -32,8 +32,8 @@
 pub fn run(command: &ExplainCommand) -> Result<bool, String> {
     let lines = read_logs(&command.logs)?;
     let story = match (&command.attempt, command.from, command.to) {
-        (Some(attempt), None, None) => tell_request(&lines, attempt),
-        (None, Some(from), Some(to)) if from <= to => tell_span(&lines, from, to),
+        (Some(attempt), None, None) => request_story(&lines, attempt),
+        (None, Some(from), Some(to)) if from <= to => span_story(&lines, from, to),
         _ => return Err("name an --attempt, or a span by --from and --to".to_string()),
     };
     if command.json {
--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// By how much of itself the mean may have fallen in one second since it was told.
+/// By how much of itself the mean may have fallen in one second since it was reported.
 ///
 /// Taken from `wingshed replay`: see `docs/design/admission.md` for the measurement.
 pub const MEAN_FALL_PER_S: f64 = 0.2;
@@ -30,8 +30,8 @@
     pub work: u64,
     /// Engines that take work.
     pub engines: u32,
-    /// The largest request elsewhere, which may have ended since it was told.
-    pub largest_told: u64,
+    /// The largest request elsewhere, which may have ended since it was reported.
+    pub largest_reported: u64,
     /// The age of the oldest part of `work`, in milliseconds.
     pub age_ms: u64,
 }
@@ -43,8 +43,8 @@
     let age_s = load.age_ms as f64 / 1000.0;
     let kept = (1.0 - MEAN_FALL_PER_S * age_s).max(MEAN_FLOOR);
     // A large request may have ended since, all at once.
-    let told = load.work.saturating_sub(load.largest_told);
-    let mean = (told as f64 * kept + work as f64) / load.engines.max(1) as f64;
+    let lasting = load.work.saturating_sub(load.largest_reported);
+    let mean = (lasting as f64 * kept + work as f64) / load.engines.max(1) as f64;
     multiple * mean
 }
 
--- a/lib/src/coordination/crash_outbox.rs
+++ b/lib/src/coordination/crash_outbox.rs
@@ -1,6 +1,6 @@
-//! What one VM tells the leader of upstreams that ended under a request.
+//! What one VM reports to the leader of upstreams that ended under a request.
 //!
-//! Invariant: a crash is told until the leader of the present term says that it heard it, and again to
+//! Invariant: a crash is reported until the leader of the present term says that it heard it, and again to
 //! the next leader: datagrams are lost, and what a leader counted is lost with it.
 
 use std::collections::{BTreeSet, VecDeque};
@@ -9,13 +9,13 @@
 
 use crate::state::ids::{RequestMark, UpstreamKey};
 
-/// A crash is told to new leaders for this long, in milliseconds; shorter than any hold, so that none is
+/// A crash is reported to new leaders for this long, in milliseconds; shorter than any hold, so that none is
 /// counted again after one.
 pub const CRASH_KEEP_MS: u64 = 300_000;
 /// Crashes that a VM keeps, 40 bytes each. An engine with 64 places that ends is 64 at most.
 const MOST_KEPT: usize = 256;
-/// Crashes told with one renewal, 25 bytes each; the rest waits for the next.
-pub const MOST_TOLD: usize = 32;
+/// Crashes reported with one renewal, 25 bytes each; the rest waits for the next.
+pub const CRASHES_PER_RENEWAL: usize = 32;
 
 /// A crash as a VM saw it; see [`CrashNote`].
 #[derive(Clone, Copy, Debug)]
@@ -45,7 +45,7 @@
     pub ran_ms: u64,
 }
 
-/// What a VM tells with a renewal.
+/// What a VM reports with a renewal.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Upstreams that ended.
@@ -55,13 +55,13 @@
 }
 
 impl CrashReport {
-    /// The number of the last crash told; 0 for none.
+    /// The number of the last crash reported; 0 for none.
     pub fn last(&self) -> u64 {
         self.ended.last().map_or(0, |note| note.number)
     }
 }
 
-/// What a VM has to tell.
+/// What a VM has to report.
 #[derive(Clone, Debug, Default)]
 pub struct CrashOutbox {
     notes: VecDeque<(u64, CrashNote)>,
@@ -83,24 +83,24 @@
         }
     }
 
-    /// A watched request ran well. Told once: it is noted again when it runs well again.
+    /// A watched request ran well. Reported once: it is noted again when it runs well again.
     pub fn note_well(&mut self, mark: RequestMark) {
         self.well.insert(mark);
     }
 
-    /// What the next renewal tells.
+    /// What the next renewal reports.
     pub fn take(&mut self, now_ms: u64) -> CrashReport {
         self.notes.retain(|(at_ms, _)| at_ms + CRASH_KEEP_MS > now_ms);
         let unheard = self.notes.iter().map(|(_, note)| *note);
         let unheard = unheard.filter(|note| note.number > self.heard);
         CrashReport {
-            ended: unheard.take(MOST_TOLD).collect(),
+            ended: unheard.take(CRASHES_PER_RENEWAL).collect(),
             well: std::mem::take(&mut self.well).into_iter().collect(),
         }
     }
 
     /// The leader of `term` heard all up to this number. A new leader heard nothing yet, whatever it
-    /// answers: the renewal told only what its predecessor hadn't heard.
+    /// answers: the renewal held only what its predecessor hadn't heard.
     pub fn confirm(&mut self, term: u64, number: u64) {
         if term > self.term {
             (self.term, self.heard) = (term, 0);
--- a/lib/src/coordination/crash_table.rs
+++ b/lib/src/coordination/crash_table.rs
@@ -4,11 +4,11 @@
 //! cause. It gives itself away by coming again: another upstream ends under it, and another. So upstreams
 //! are counted by request; a request that runs well is cleared. Many callers may ask for one thing at
 //! once, and a rack may take several upstreams with it that ran it: so a request is held only when an
-//! upstream ended under a send that was made after all VMs were told to look how the request fares, and
-//! none has told that it ran well. Long streams that many ask for run on each upstream that ends, and end
+//! upstream ended under a send that was made after all VMs were to watch how the request fares, and
+//! none has reported that it ran well. Long streams that many ask for run on each upstream that ends, and end
 //! with none of them: so an upstream is charged to one request only, to the one that had run for less time
 //! in the mean when upstreams ended, since what ends them does so soon. Invariants: what is to be recorded
-//! is proposed until it is; what a new leader doesn't know VMs tell again. See
+//! is proposed until it is; what a new leader doesn't know VMs report again. See
 //! `docs/design/quarantine.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,10 +21,10 @@
 /// So many upstreams that ended under a request hold it. With 2, a request that was caught twice beside
 /// another one, and came again, would be held; each further one costs all that runs on one more upstream.
 pub const MOST_ENDED: usize = 3;
-/// From so many on a request is watched: all VMs know it, and tell when it runs well.
+/// From so many on a request is watched: all VMs know it, and report when it runs well.
 const WATCHED_ENDED: usize = 2;
 /// What VMs saw run well is waited for before a request is held for the first time: as long as they
-/// need to tell it, and this much more, in milliseconds, for runs that are about to end.
+/// need to report it, and this much more, in milliseconds, for runs that are about to end.
 const SETTLE_MORE_MS: u64 = 100;
 /// More requests than this at once are not at fault: the upstreams are. The rest is sent on.
 pub const MOST_HELD: usize = 16;
@@ -47,9 +47,9 @@
 #[derive(Clone, Debug, Default)]
 struct CrashCount {
     ended: Vec<UpstreamKey>,
-    /// How long it had run on those, in milliseconds, summed over the ones that VMs told of.
+    /// How long it had run on those, in milliseconds, summed over the ones that VMs reported.
     ran_ms: u64,
-    told: u64,
+    reports: u64,
     last_ms: u64,
     /// Whether one of them ended under a send that was made when the request was watched.
     confirmed: bool,
@@ -80,7 +80,7 @@
 }
 
 impl CrashTable {
-    /// Takes what a VM told the leader of `term`; `recorded` is what is recorded.
+    /// Takes what a VM reported to the leader of `term`; `recorded` is what is recorded.
     pub fn take(
         &mut self,
         term: u64,
@@ -100,7 +100,7 @@
         }
     }
 
-    /// What another leader counted VMs tell again.
+    /// What another leader counted VMs report again.
     fn begin_term(&mut self, term: u64) {
         if term != self.term {
             *self = CrashTable { term, ..CrashTable::default() };
@@ -116,7 +116,7 @@
         if !count.ended.contains(&note.upstream) {
             count.ended.push(note.upstream);
             count.ran_ms += note.ran_ms;
-            count.told += 1;
+            count.reports += 1;
             count.last_ms = now_ms;
         }
         if count.confirmed && count.ended.len() >= MOST_ENDED {
@@ -194,7 +194,7 @@
             _ => count.proven_ms.is_some_and(|proven_ms| proven_ms <= settled_ms),
         };
         let mut suspects: Vec<_> = self.counts.iter().filter(suspect).collect();
-        suspects.sort_by_key(|(_, count)| count.ran_ms / count.told.max(1));
+        suspects.sort_by_key(|(_, count)| count.ran_ms / count.reports.max(1));
         let mut at_fault = BTreeSet::new();
         for (mark, count) in suspects {
             let own = count.ended.iter().filter(|upstream| !charged.contains(upstream)).count();
--- a/lib/src/coordination/engine_room.rs
+++ b/lib/src/coordination/engine_room.rs
@@ -47,13 +47,13 @@
 /// No VM stands for more than this many others when its own change since the last news is taken
 /// for theirs: with few requests a VM the change is mostly chance.
 const MOST_ALIKE: f64 = 16.0;
-/// Loads that were told longer ago refuse nothing, in milliseconds: the VM has lost its leader, and
+/// Loads that were reported longer ago refuse nothing, in milliseconds: the VM has lost its leader, and
 /// what was a crowd then may have gone.
 const FRESH_MS: u64 = 1000;
-/// The part of the places that come free that refused callers are told of; the rest is for new
+/// The part of the places that come free that refused callers are promised; the rest is for new
 /// ones. Half in place of a tenth cost 0.02 of worth in a burst of five times.
 const RETURN_PART: f64 = 0.1;
-/// The shortest and the longest time after which a refused caller is told to come back, in
+/// The shortest and the longest time after which a refused caller is asked to come back, in
 /// milliseconds.
 pub const RETURN_MS: (u64, u64) = (200, 30000);
 /// An engine counts as busy from this part of its places, so that lateness says something of them.
@@ -75,17 +75,17 @@
 /// What is known of a service's load at the moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RoomNews {
-    /// Requests in flight at the service, as told, with this VM's own as they are now.
-    pub told: u32,
+    /// Requests in flight at the service, as reported, with this VM's own as they are now.
+    pub reported: u32,
     /// Requests that this VM has in flight there.
     pub own: u32,
-    /// What it had when it last told of itself.
-    pub own_told: u32,
+    /// What it had at its last report.
+    pub own_reported: u32,
     /// VMs of the fleet.
     pub vms: usize,
     /// Engines that take work.
     pub engines: usize,
-    /// How long ago the others' load was told, in milliseconds.
+    /// How long ago the others' load was reported, in milliseconds.
     pub age_ms: u64,
 }
 
@@ -97,20 +97,20 @@
 
     /// The load of an engine in the mean.
     pub fn mean(&self) -> f64 {
-        self.told_mean() + self.growth()
+        self.reported_mean() + self.growth()
     }
 
-    fn told_mean(&self) -> f64 {
-        f64::from(self.told) / self.engines.max(1) as f64
+    fn reported_mean(&self) -> f64 {
+        f64::from(self.reported) / self.engines.max(1) as f64
     }
 
-    /// By how many requests an engine's load has likely grown since it was told: news is some
+    /// By how many requests an engine's load has likely grown since it was reported: news is some
     /// 300 ms old, and what this VM sent since then others likely sent too. A fall isn't counted
     /// on, since all VMs would fill the same places; nor does a load more than double meanwhile.
     pub fn growth(&self) -> f64 {
         let others = (self.vms.saturating_sub(1) as f64).min(MOST_ALIKE);
-        let sent = f64::from(self.own.saturating_sub(self.own_told));
-        (sent * others / self.engines.max(1) as f64).min(self.told_mean() + 1.0)
+        let sent = f64::from(self.own.saturating_sub(self.own_reported));
+        (sent * others / self.engines.max(1) as f64).min(self.reported_mean() + 1.0)
     }
 }
 
@@ -121,7 +121,7 @@
     patience: UsualPatience,
 }
 
-/// How long most callers of a kind will wait: the value that the majority of them tells, found
+/// How long most callers of a kind will wait: the value that the majority of them gives, found
 /// with one counter.
 #[derive(Clone, Copy, Debug, Default)]
 struct UsualPatience {
@@ -276,7 +276,7 @@
     }
 
     /// When a refused caller should come back, in milliseconds from now: when a place that no caller
-    /// was told of yet will likely be free. Callers are told one after the other, so that they
+    /// was promised yet will likely be free. Callers get places one after the other, so that they
     /// don't come back as one crowd.
     pub fn return_ms(&mut self, now_ms: u64) -> u64 {
         let (least, most) = (RETURN_MS.0 as f64, RETURN_MS.1 as f64);
--- a/lib/src/coordination/fair_queue.rs
+++ b/lib/src/coordination/fair_queue.rs
@@ -57,7 +57,7 @@
         }
     }
 
-    /// The priority that engines are told: higher goes first.
+    /// The priority that is sent to engines: higher goes first.
     pub fn priority(self) -> u8 {
         match self {
             RequestClass::Live => 2,
--- a/lib/src/coordination/fleet_health.rs
+++ b/lib/src/coordination/fleet_health.rs
@@ -2,7 +2,7 @@
 //!
 //! A VM sets an upstream aside after some failures in a row. Where 300 VMs share 240 engines, each
 //! sends to one of them every minute or so, and an engine that breaks every request is never set
-//! aside: each VM must be failed by each such engine first. So VMs tell the leader with their renewals
+//! aside: each VM must be failed by each such engine first. So VMs report to the leader with their renewals
 //! how their sends went, well or not, and the leader names with its answers those that failed nearly
 //! all of them. Invariants: one that serves some is never named, however often it fails, since what it
 //! keeps is worth more than what it loses; at most a part of a service is named; a name holds for a
@@ -15,8 +15,8 @@
 use super::vm_roster::MANY_VMS;
 use crate::state::ids::UpstreamKey;
 
-/// Notes that one VM tells with one renewal, some 12 bytes each; the rest waits for the next.
-pub const REPORTS_TOLD: usize = 64;
+/// Notes that one VM sends with one renewal, some 12 bytes each; the rest waits for the next.
+pub const REPORTS_PER_RENEWAL: usize = 64;
 /// So many failures, weighted by age, are needed: four within half a second or so.
 pub const LEAST_FAILED: f64 = 3.5;
 /// And so many of one that was named before and has served nothing since: each time its name ends all
@@ -24,7 +24,7 @@
 pub const LEAST_FAILED_AGAIN: f64 = 1.5;
 /// And so few that went well, as a part of those.
 pub const WELL_BORNE: f64 = 0.1;
-/// What was told counts half after this long, in milliseconds.
+/// A report counts half after this long, in milliseconds.
 const HALF_LIFE_MS: f64 = 1000.0;
 /// How long the first name holds, in milliseconds; twice as long each further time.
 pub const FIRST_NAMED_MS: u64 = 2000;
@@ -40,7 +40,7 @@
     vms >= MANY_VMS
 }
 
-/// How a VM's sends to one upstream went since it told last.
+/// How a VM's sends to one upstream went since its last report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HealthReport {
     /// The upstream.
@@ -51,7 +51,7 @@
     pub failed: u16,
 }
 
-/// What a VM has to tell.
+/// What a VM has to report.
 #[derive(Clone, Debug, Default)]
 pub struct HealthOutbox {
     counts: BTreeMap<UpstreamKey, (u16, u16)>,
@@ -68,7 +68,7 @@
     /// The notes for the next renewal.
     pub fn take(&mut self) -> Vec<HealthReport> {
         let mut notes = Vec::new();
-        while notes.len() < REPORTS_TOLD {
+        while notes.len() < REPORTS_PER_RENEWAL {
             let Some((upstream, (well, failed))) = self.counts.pop_first() else { break };
             notes.push(HealthReport { upstream, well, failed });
         }
@@ -92,7 +92,7 @@
     }
 }
 
-/// What a leader was told.
+/// What was reported to a leader.
 #[derive(Clone, Debug, Default)]
 pub struct HealthTable {
     term: u64,
@@ -100,7 +100,7 @@
 }
 
 impl HealthTable {
-    /// Takes what a VM told the leader of `term`; `fleet` gives the upstreams of the service of one.
+    /// Takes what a VM reported to the leader of `term`; `fleet` gives the upstreams of the service of one.
     /// Returns those that are named by it.
     pub fn take<F: Iterator<Item = UpstreamKey>>(
         &mut self,
--- a/lib/src/coordination/home.rs
+++ b/lib/src/coordination/home.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::admission::{may_admit, AdmissionRule, FleetLoad};
-use super::load_spread::{LoadRow, HINTS_TOLD};
+use super::load_spread::{LoadRow, HINTS_REPORTED};
 use super::placement::EngineHint;
 use crate::state::ids::{FleetKey, Incarnation, UpstreamKey};
 
@@ -25,7 +25,7 @@
 pub struct HomeSlot {
     /// Its fleet.
     pub fleet: FleetKey,
-    /// Its life, once it has told it.
+    /// Its life, once reported.
     pub incarnation: Incarnation,
     /// Requests that this router has in flight there.
     pub requests: u32,
@@ -59,7 +59,7 @@
         }
     }
 
-    /// How long until the load falls to `bound`, if that can be told.
+    /// How long until the load falls to `bound`, if that is known.
     pub fn wait_ms(&self, bound: f64) -> Option<f64> {
         let over = (self.load() as f64 - bound).max(0.0);
         (self.drain_per_ms > 0.0).then(|| over / self.drain_per_ms)
@@ -162,7 +162,7 @@
         }
     }
 
-    /// The engine reported its work. The first report after a take-over tells what an earlier
+    /// The engine reported its work. The first report after a take-over shows what an earlier
     /// home left in flight; from then on that only falls, and is gone after
     /// [`FOREIGN_KEEP_MS`]. A report lags, so it is never compared with our own work of now.
     pub fn report(
@@ -237,7 +237,7 @@
         let mut lightest: Vec<EngineHint> =
             open.map(|(engine, slot)| EngineHint { engine, work: slot.load() }).collect();
         lightest.sort_unstable_by_key(|hint| (hint.work, hint.engine));
-        lightest.truncate(HINTS_TOLD);
+        lightest.truncate(HINTS_REPORTED);
         let largest = self.largest_of(fleet);
         LoadRow { fleet, work: self.fleet_work(fleet), engines, largest, lightest }
     }
--- a/lib/src/coordination/kv_move.rs
+++ b/lib/src/coordination/kv_move.rs
@@ -27,7 +27,7 @@
 }
 
 /// Compares the three. `holder_wait_ms` is how long the holder is expected to stay at its
-/// bound, if that can be told here.
+/// bound, if that is known here.
 pub fn choose_move(
     rates: &MoveRates,
     cached_tokens: u32,
--- a/lib/src/coordination/leader_contact.rs
+++ b/lib/src/coordination/leader_contact.rs
@@ -1,6 +1,6 @@
 //! How fresh a VM's knowledge of the newest version is.
 //!
-//! A grant proves that at the time its renewal was sent nothing newer than the told
+//! A grant proves that at the time its renewal was sent nothing newer than the granted
 //! version had been acknowledged. It counts once that version is in force here. See
 //! `docs/design/platform.md`.
 
@@ -12,10 +12,10 @@
 /// one, and the bound on a change's being in force everywhere.
 pub const APPLY_MARGIN_MS: u64 = 300;
 
-/// A version that is new is told by the leader at once; a VM that still lacks it after this long
+/// A version that is new is sent by the leader at once; a VM that still lacks it after this long
 /// asks for the whole, in milliseconds. Asking at the first grant that names it brought every
 /// document twice and more often, 35 MB each time at 92 VMs.
-pub const TOLD_MS: u64 = 300;
+pub const DOCUMENT_WAIT_MS: u64 = 300;
 /// A whole document is asked for again after this long, in milliseconds: one of the largest takes
 /// a third of it on a link of 10 Mbit/s.
 pub const ASK_AGAIN_MS: u64 = 600;
@@ -44,20 +44,20 @@
     }
 
     /// Whether to ask for the newest document now, having heard of `version`: at once while there
-    /// is none here, else when it was not told in time; and again after a while.
+    /// is none here, else when it was not sent in time; and again after a while.
     pub fn wants_document(&mut self, version: u64, now_ms: u64) -> bool {
         if version <= self.applied {
             (self.behind_since_ms, self.asked_ms) = (None, None);
             return false;
         }
         let since_ms = *self.behind_since_ms.get_or_insert(now_ms);
-        let untold = self.applied == 0 || since_ms + TOLD_MS <= now_ms;
+        let lacks = self.applied == 0 || since_ms + DOCUMENT_WAIT_MS <= now_ms;
         let again_ms = if self.applied == 0 { ASK_FIRST_MS } else { ASK_AGAIN_MS };
         let asked = self.asked_ms.is_some_and(|asked_ms| asked_ms + again_ms > now_ms);
-        if untold && !asked {
+        if lacks && !asked {
             self.asked_ms = Some(now_ms);
         }
-        untold && !asked
+        lacks && !asked
     }
 
     /// A version is in force here.
--- a/lib/src/coordination/leaving.rs
+++ b/lib/src/coordination/leaving.rs
@@ -10,7 +10,7 @@
 
 use crate::state::ids::{Incarnation, UpstreamKey};
 
-/// One life that is leaving, as routers tell it to each other.
+/// One life that is leaving, as routers send it to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeavingMark {
     /// The upstream.
@@ -27,7 +27,7 @@
 }
 
 impl LeavingTable {
-    /// Notes a leaving life; true when it is news, which should be told to the others.
+    /// Notes a leaving life; true when it is news, which should be sent to the others.
     pub fn note_leaving(&mut self, mark: LeavingMark) -> bool {
         let known = self.leaving.get(&mark.upstream).copied();
         if known.is_some_and(|known| known >= mark.incarnation) {
@@ -37,7 +37,7 @@
         true
     }
 
-    /// Notes the life that an upstream told of itself.
+    /// Notes the life that an upstream reported.
     pub fn note_life(&mut self, upstream: UpstreamKey, incarnation: Incarnation) {
         let life = self.lives.entry(upstream).or_insert(incarnation);
         *life = (*life).max(incarnation);
@@ -54,7 +54,7 @@
         leaving.is_some_and(|leaving| *leaving >= self.life(upstream))
     }
 
-    /// All marks, to tell a router that asks.
+    /// All marks, as sent to a router that asks.
     pub fn marks(&self) -> Vec<LeavingMark> {
         let marks = self.leaving.iter();
         marks
--- a/lib/src/coordination/line_budget.rs
+++ b/lib/src/coordination/line_budget.rs
@@ -1,6 +1,6 @@
 //! How many lines of log a process writes: bounded in all, and repeats of one cause folded.
 //!
-//! A line that isn't written is counted, and the count is told with the next one that is. See
+//! A line that isn't written is counted, and the count is written with the next one that is. See
 //! `docs/operators/platform.md`.
 
 use std::collections::HashMap;
@@ -87,7 +87,7 @@
         LineVerdict::Write { folded, dropped: std::mem::take(&mut self.dropped) }
     }
 
-    /// So many lines that should have been written, or told as missing, could not be.
+    /// So many lines that should have been written, or counted as missing, could not be.
     pub fn note_lost(&mut self, lines: u32) {
         self.dropped += lines;
     }
--- a/lib/src/coordination/list_reader.rs
+++ b/lib/src/coordination/list_reader.rs
@@ -1,7 +1,7 @@
 //! Which VMs read the platform's list of upstreams, and how often.
 //!
 //! The platform takes so many calls a second from all VMs together, and a list comes in pages. The
-//! leader reads for all. While it tells nothing, few others read, in an order that all of them work
+//! leader reads for all. While it sends nothing, few others read, in an order that all of them work
 //! out alike, and the rest ask those: if every VM read for itself, a large fleet would leave the
 //! leader no call, so that it could not send a list, and all would go on reading. See
 //! `docs/design/fleet-news.md`.
@@ -27,7 +27,7 @@
 const EXCHANGE_MS: u64 = 3 * RENEW_MS;
 /// A VM that is in contact and holds no list reads one after this long, in milliseconds: its
 /// leader can't.
-pub const UNTOLD_MS: u64 = 6000;
+pub const NO_LIST_MS: u64 = 6000;
 /// The part of the calls that the leader uses at most.
 const LEADER_PART: f64 = 0.7;
 /// The part that one VM without a leader uses at most, and less after each refusal.
@@ -134,9 +134,9 @@
 /// What a VM that doesn't lead does about its list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListAction {
-    /// Nothing: it is told.
+    /// Nothing: the list comes from others.
     Rest,
-    /// It asks others, since it was told nothing for too long.
+    /// It asks others, after too long without news.
     Ask,
     /// It reads, for all who ask it, and goes on asking.
     Read,
@@ -146,10 +146,10 @@
 ///
 /// A VM that has just started and heard no leader never reads: it has no configuration to serve
 /// by, and all others may have started too. One with a list that it can't date, from its disk,
-/// uses it for as long as one that was told when it first heard the leader: an address that was
+/// uses it for as long as one that was sent when it first heard the leader: an address that was
 /// given to another upstream meanwhile refuses what was meant for the earlier one.
 ///
-/// `rank` tells its place in [`reader_order`], which is worked out only when it matters.
+/// `rank` returns its place in [`reader_order`], which is worked out only when it matters.
 pub fn list_action(
     standing: &ListStanding,
     now_ms: u64,
@@ -161,7 +161,7 @@
     let (since_ms, stale_ms) = match standing.has_list {
         // A list that came just now is confirmed with the next answer of the leader.
         true => (standing.news_ms.max(first_heard_ms), standing.stale_ms),
-        false => (first_heard_ms, UNTOLD_MS),
+        false => (first_heard_ms, NO_LIST_MS),
     };
     if since_ms + stale_ms >= now_ms {
         return if standing.has_list { ListAction::Rest } else { ListAction::Ask };
@@ -177,7 +177,7 @@
     u64::from((rank + 1).ilog2()) * READER_STEP_MS
 }
 
-/// The VMs in the order in which they read while no leader tells the list. Keepers come first: every
+/// The VMs in the order in which they read while no leader sends the list. Keepers come first: every
 /// VM knows them, and the next leader is one of them. `term` is that of the list, so that the others'
 /// turns change and all who hold one state agree.
 pub fn reader_order(keepers: &[u32], vms: impl Iterator<Item = u32>, term: u64) -> Vec<u32> {
--- a/lib/src/coordination/load_spread.rs
+++ b/lib/src/coordination/load_spread.rs
@@ -2,7 +2,7 @@
 //!
 //! The others' sum comes back with each lease renewal, because the keeper that
 //! leads hears every router four times a second anyway: two small datagrams an
-//! exchange, however many routers there are. When no answer comes, routers tell
+//! exchange, however many routers there are. When no answer comes, routers send
 //! their sums to each other until one does. See `docs/design/load-spread.md`.
 
 use std::collections::HashMap;
@@ -32,9 +32,9 @@
     pub lightest: Vec<EngineHint>,
 }
 
-/// How many light engines a router tells of.
-pub const HINTS_TOLD: usize = 2;
-/// How many light engines of others a router is told of.
+/// How many light engines a router reports.
+pub const HINTS_REPORTED: usize = 2;
+/// How many light engines of others a router is sent.
 pub const HINTS_GIVEN: usize = 6;
 
 impl LoadRow {
@@ -44,15 +44,15 @@
     }
 }
 
-/// What was told of the load elsewhere.
+/// What was reported of the load elsewhere.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     rows: HashMap<(RouterId, FleetKey), (LoadRow, u64)>,
 }
 
 impl LoadTable {
-    /// Notes what `router` told at `now_ms` of some fleets; its earlier rows of others stay.
-    pub fn tell(&mut self, router: RouterId, rows: &[LoadRow], now_ms: u64) {
+    /// Notes what `router` reported at `now_ms` of some fleets; its earlier rows of others stay.
+    pub fn note(&mut self, router: RouterId, rows: &[LoadRow], now_ms: u64) {
         for row in rows {
             self.rows.insert((router, row.fleet), (row.clone(), now_ms));
         }
@@ -60,7 +60,7 @@
 
     /// Drops rows that are too old to count.
     pub fn expire(&mut self, now_ms: u64) {
-        self.rows.retain(|_, (_, told_ms)| *told_ms + ROW_KEEP_MS > now_ms);
+        self.rows.retain(|_, (_, reported_ms)| *reported_ms + ROW_KEEP_MS > now_ms);
     }
 
     /// The sum over all routers but `except`, one row for each of `fleets`.
@@ -91,35 +91,35 @@
 #[derive(Clone, Debug, Default)]
 pub struct OtherLoad {
     rows: HashMap<FleetKey, (LoadRow, u64)>,
-    told_ms: u64,
+    reported_ms: u64,
 }
 
 /// Rows in one exchange, so that it fits a datagram. With more fleets they take turns, and
 /// each one's mean is older by as many renewals.
-pub const ROWS_TOLD: usize = 6;
+pub const ROWS_PER_EXCHANGE: usize = 6;
 
 /// The rows whose turn it is at the exchange of number `turn`.
 pub fn rows_in_turn(mut rows: Vec<LoadRow>, turn: u64) -> Vec<LoadRow> {
-    if rows.len() > ROWS_TOLD {
+    if rows.len() > ROWS_PER_EXCHANGE {
         rows.sort_by_key(|row| row.fleet);
-        let start = (turn as usize * ROWS_TOLD) % rows.len();
+        let start = (turn as usize * ROWS_PER_EXCHANGE) % rows.len();
         rows.rotate_left(start);
-        rows.truncate(ROWS_TOLD);
+        rows.truncate(ROWS_PER_EXCHANGE);
     }
     rows
 }
 
 impl OtherLoad {
-    /// Notes sums that came with the answer to a renewal sent at `told_ms`; each router's part
-    /// of them was told up to one renewal earlier.
-    pub fn tell(&mut self, rows: &[LoadRow], told_ms: u64) {
-        self.rows.extend(rows.iter().map(|row| (row.fleet, (row.clone(), told_ms))));
-        self.told_ms = told_ms;
+    /// Notes sums that came with the answer to a renewal sent at `reported_ms`; each router's part
+    /// of them was reported up to one renewal earlier.
+    pub fn note(&mut self, rows: &[LoadRow], reported_ms: u64) {
+        self.rows.extend(rows.iter().map(|row| (row.fleet, (row.clone(), reported_ms))));
+        self.reported_ms = reported_ms;
     }
 
-    /// When the sums were told.
-    pub fn told_ms(&self) -> u64 {
-        self.told_ms
+    /// When the sums were reported.
+    pub fn reported_ms(&self) -> u64 {
+        self.reported_ms
     }
 
     /// Light engines of other homes.
@@ -139,9 +139,9 @@
         FleetLoad {
             work: own_work + others.map_or(0, |(row, _)| row.work),
             engines: own_engines.max(others.map_or(0, |(row, _)| row.engines)),
-            largest_told: others.map_or(0, |(row, _)| row.largest),
+            largest_reported: others.map_or(0, |(row, _)| row.largest),
             age_ms: match others {
-                Some((_, told_ms)) => now_ms.saturating_sub(*told_ms) + RENEW_MS,
+                Some((_, reported_ms)) => now_ms.saturating_sub(*reported_ms) + RENEW_MS,
                 None => 0,
             },
         }
--- a/lib/src/coordination/log_story.rs
+++ b/lib/src/coordination/log_story.rs
@@ -2,7 +2,7 @@
 //!
 //! What a VM believed when it decided stands in the last lines of its parts before the request;
 //! what others saw of the same upstream stands in their lines of the same time. Nothing else is
-//! needed to tell who knew what. See `docs/OPERATIONS.md`.
+//! needed to see who knew what. See `docs/OPERATIONS.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,7 +15,7 @@
 const AFTER_S: f64 = 0.5;
 /// Lines of one kind beside the request's own; more would bury it.
 const MOST_BESIDE: usize = 12;
-/// Parts whose last line tells what a VM believes.
+/// Parts whose last line shows what a VM believes.
 const BELIEFS: [&str; 5] = ["node", "routes", "contact", "list", "keeper"];
 
 /// One line of a log.
@@ -49,7 +49,7 @@
     Span,
 }
 
-/// A line and why it is told.
+/// A line and why it is listed.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct StoryLine {
     /// Why.
@@ -83,9 +83,9 @@
     let (part, message) = (take("target")?, take("message").unwrap_or_default());
     let stamp = take("timestamp");
     let mut prefix = line[..begin].split_whitespace();
-    let told_s = prefix.next().and_then(|word| word.parse().ok());
-    let at_s = told_s.or_else(|| read_time(&stamp?))?;
-    let vm = prefix.next().filter(|_| told_s.is_some()).unwrap_or(vm).to_string();
+    let prefix_s = prefix.next().and_then(|word| word.parse().ok());
+    let at_s = prefix_s.or_else(|| read_time(&stamp?))?;
+    let vm = prefix.next().filter(|_| prefix_s.is_some()).unwrap_or(vm).to_string();
     Some(LogLine { at_s, vm, part, message, fields })
 }
 
@@ -107,7 +107,7 @@
 }
 
 /// The story of one request by the name of its attempt; empty when no line names it.
-pub fn tell_request(lines: &[LogLine], attempt: &str) -> Vec<StoryLine> {
+pub fn request_story(lines: &[LogLine], attempt: &str) -> Vec<StoryLine> {
     let own = |line: &&LogLine| line.fields.get("attempt").is_some_and(|name| name == attempt);
     let own_lines: Vec<&LogLine> = lines.iter().filter(own).collect();
     let times = || own_lines.iter().map(|line| line.at_s);
@@ -146,13 +146,13 @@
 }
 
 /// Everything that the VMs said between two times.
-pub fn tell_span(lines: &[LogLine], from_s: f64, to_s: f64) -> Vec<StoryLine> {
+pub fn span_story(lines: &[LogLine], from_s: f64, to_s: f64) -> Vec<StoryLine> {
     let inside = lines.iter().filter(|line| line.at_s >= from_s && line.at_s <= to_s);
-    let told = inside.map(|line| StoryLine { reason: StoryReason::Span, line: line.clone() });
-    in_order(told.collect())
+    let listed = inside.map(|line| StoryLine { reason: StoryReason::Span, line: line.clone() });
+    in_order(listed.collect())
 }
 
-/// The last line of each part that tells a belief, before a time and outside what is near it.
+/// The last line of each part that shows a belief, before a time and outside what is near it.
 fn beliefs<'a>(lines: &'a [LogLine], vm: &str, before_s: f64) -> Vec<&'a LogLine> {
     let last = |part: &&str| {
         let own = lines.iter().filter(|line| line.vm == vm && line.part == **part);
@@ -175,11 +175,11 @@
     let mut services: Vec<Value> = services.collect();
     services.dedup();
     let last = |service: Value| {
-        let told = lines.iter().filter(|line| {
+        let orders = lines.iter().filter(|line| {
             let news = line.part == "rollout" && !line.fields.contains_key("attempt");
             news && line.vm == vm && line.fields.get("service") == Some(&service)
         });
-        let before = told.filter(|line| line.at_s <= before_s);
+        let before = orders.filter(|line| line.at_s <= before_s);
         before.max_by(|a, b| a.at_s.total_cmp(&b.at_s))
     };
     services.into_iter().filter_map(last).collect()
@@ -191,14 +191,14 @@
     lines
 }
 
-/// By time; a line that is told for two reasons is told for the first of them.
+/// By time; a line with two reasons is listed for the first of them.
 fn in_order(mut story: Vec<StoryLine>) -> Vec<StoryLine> {
     story.sort_by(|a, b| a.line.at_s.total_cmp(&b.line.at_s));
-    let mut told: Vec<StoryLine> = Vec::new();
+    let mut listed: Vec<StoryLine> = Vec::new();
     for line in story {
-        if !told.iter().rev().take(MOST_BESIDE).any(|other| other.line == line.line) {
-            told.push(line);
+        if !listed.iter().rev().take(MOST_BESIDE).any(|other| other.line == line.line) {
+            listed.push(line);
         }
     }
-    told
+    listed
 }
--- a/lib/src/coordination/news_source.rs
+++ b/lib/src/coordination/news_source.rs
@@ -37,7 +37,7 @@
     asked.get(draw as usize % asked.len().max(1)).copied()
 }
 
-/// Whether a VM asks the one that has told it of a newer list in place of a keeper of its zone: a
+/// Whether a VM asks the one that named a newer list in place of a keeper of its zone: a
 /// leader does, to which no keeper can give more, and at each second attempt any VM that holds a list.
 pub fn asks_holder(leads: bool, held: bool, attempt: u32) -> bool {
     leads || held && attempt % 2 == 1
--- a/lib/src/coordination/order_pace.rs
+++ b/lib/src/coordination/order_pace.rs
@@ -20,7 +20,7 @@
 ///
 /// `leads_since_ms` is when this leader's term began; `loads_running` counts the loads that
 /// it has sent and that have not ended; `most_loads` is the weight store's limit.
-/// `in_flight` tells whether an order is being sent already.
+/// `in_flight` is whether an order is being sent already.
 pub fn orders_to_send(
     machine: &KeeperMachine,
     leads_since_ms: u64,
--- a/lib/src/coordination/outlier.rs
+++ b/lib/src/coordination/outlier.rs
@@ -137,7 +137,7 @@
     }
 
     /// A request to the upstream has ended, however it did: another trial may follow. What it
-    /// tells of the upstream's health is noted apart, and that may be nothing.
+    /// shows of the upstream's health is noted apart, and that may be nothing.
     pub fn end_trial(&mut self, upstream: UpstreamKey) {
         if let Some(health) = self.health.get_mut(&upstream) {
             health.trial_running = false;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -1,7 +1,7 @@
 //! Where a request may go, best first.
 //!
 //! A chat's home is the home of the first engine in the chat's rendezvous order, unless
-//! another router served it last: each reply tells the caller which router that was, and
+//! another router served it last: each reply names that router to the caller, and
 //! a router that holds a chat on an engine of its own serves it there.
 //!
 //! A returning chat goes to an engine that holds its prefix. A fresh one carries most of
@@ -51,7 +51,7 @@
 pub const BEST_RULE: PlacementRule =
     PlacementRule { fresh: FreshRule::LightestOfFleet, every_holder: true };
 
-/// A lightly loaded engine, as its home told it a moment ago.
+/// A lightly loaded engine, as its home reported it a moment ago.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineHint {
     /// The engine.
@@ -117,7 +117,7 @@
     pub memory: &'a ChatMemory,
     /// Light engines of other homes.
     pub hints: &'a [EngineHint],
-    /// Whether hints were told at all; then none means that no engine has room.
+    /// Whether hints were received at all; then none means that no engine has room.
     pub hints_known: bool,
     /// The fleet's load.
     pub load: FleetLoad,
--- a/lib/src/coordination/plain_choice.rs
+++ b/lib/src/coordination/plain_choice.rs
@@ -1,7 +1,7 @@
 //! Which plain upstream takes a request.
 //!
-//! Loads are told every [`RENEW_MS`]. Where requests stay at an upstream for longer than that, the least
-//! loaded as told takes the next one. Where they take some ten milliseconds, what was told is long over
+//! Loads are reported every [`RENEW_MS`]. Where requests stay at an upstream for longer than that, the least
+//! loaded as reported takes the next one. Where they take some ten milliseconds, a report is long over
 //! when it is heard, and all VMs that go by it send to the same upstream, which then rejects while
 //! others rest; there a VM goes by what it has in flight itself, and by its zone. It finds out which
 //! is so by what requests take. See `docs/design/shifted-work.md`.
@@ -37,14 +37,14 @@
         self.mean_ms
     }
 
-    /// Whether loads that are told say something of the present.
+    /// Whether reported loads say something of the present.
     pub fn outlasts_news(&self) -> bool {
         self.mean_ms > RENEW_MS as f64
     }
 }
 
 /// From [`MANY_VMS`] on a request that stays long goes to the less loaded of so many that are drawn:
-/// the least loaded of all, as told, is the one to which every VM sends until it is told anew. Fewer
+/// the least loaded of all, as reported, is the one to which every VM sends until the next report. Fewer
 /// VMs know most of it by themselves.
 const PLAIN_CHOICES: usize = 2;
 
@@ -56,7 +56,7 @@
     }
 }
 
-/// The least loaded, as told, of `choices` that `draw` names; the near one of equals.
+/// The least loaded, as reported, of `choices` that `draw` names; the near one of equals.
 pub fn choose_plain(
     candidates: &[UpstreamCandidate],
     choices: usize,
@@ -71,7 +71,7 @@
     best.map(|candidate| candidate.key).ok_or_else(|| no_choice(taking().count(), candidates))
 }
 
-/// An upstream above twice the mean of all and this many more, as told, is left to others.
+/// An upstream above twice the mean of all and this many more, as reported, is left to others.
 const CROWDED_ABOVE: f64 = 4.0;
 
 /// The one at which this VM has least in flight; of equals one that isn't crowded, then one in its
--- a/lib/src/coordination/quarantine_desk.rs
+++ b/lib/src/coordination/quarantine_desk.rs
@@ -1,7 +1,7 @@
-//! What one VM holds of requests that end upstreams: what it refuses, what it has to tell, and what it
+//! What one VM holds of requests that end upstreams: what it refuses, what it reports, and what it
 //! counts while it leads. See `docs/design/quarantine.md`.
 //!
-//! It knows no sockets: it is told events with the present time, and gives back what to tell or propose.
+//! It knows no sockets: it takes events with the present time, and returns what to report or propose.
 
 use super::crash_outbox::{CrashOutbox, CrashReport, SeenCrash};
 use super::crash_table::CrashTable;
@@ -11,47 +11,47 @@
 /// See the module.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineDesk {
-    told: QuarantineTable,
+    published: QuarantineTable,
     outbox: CrashOutbox,
     table: CrashTable,
-    /// When the leader was last, or will next be, told before the usual time.
+    /// When the leader was last, or will next be, notified before the usual time.
     renewal_ms: u64,
 }
 
 impl QuarantineDesk {
     /// Whether any request is known, so that a request's mark is of use.
     pub fn knows_any(&self) -> bool {
-        !self.told.rows().is_empty()
+        !self.published.rows().is_empty()
     }
 
     /// Whether a request is sent nowhere.
     pub fn is_held(&self, mark: RequestMark) -> bool {
-        self.told.is_held(mark)
+        self.published.is_held(mark)
     }
 
-    /// Whether VMs are to tell how a request fares.
+    /// Whether VMs are to report how a request fares.
     pub fn is_watched(&self, mark: RequestMark) -> bool {
-        self.told.row(mark).is_some_and(|row| !row.held)
+        self.published.row(mark).is_some_and(|row| !row.held)
     }
 
     /// How many requests are sent nowhere.
     pub fn held(&self) -> usize {
-        self.told.held()
+        self.published.held()
     }
 
     /// How many changes this VM knows of.
     pub fn changes(&self) -> u64 {
-        self.told.changes()
+        self.published.changes()
     }
 
-    /// An upstream ended under a request; returns after how many milliseconds to tell the leader, so
+    /// An upstream ended under a request; returns after how many milliseconds to notify the leader, so
     /// that it hears once in `pause_ms` at most; `None` when that is planned already.
     pub fn note_ended(&mut self, seen: SeenCrash, pause_ms: u64, now_ms: u64) -> Option<u64> {
         self.outbox.note_ended(seen, now_ms);
         self.plan_renewal(pause_ms, now_ms)
     }
 
-    /// A request ran to its end and its upstream lives; told where it is watched, as soon.
+    /// A request ran to its end and its upstream lives; reported where it is watched, as soon.
     pub fn note_well(&mut self, mark: RequestMark, pause_ms: u64, now_ms: u64) -> Option<u64> {
         if !self.is_watched(mark) {
             return None;
@@ -68,27 +68,27 @@
         Some(self.renewal_ms - now_ms)
     }
 
-    /// What the next renewal tells.
+    /// What the next renewal reports.
     pub fn take_report(&mut self, now_ms: u64) -> CrashReport {
         self.outbox.take(now_ms)
     }
 
-    /// The leader of `term` answered a renewal that told crashes up to this number.
+    /// The leader of `term` answered a renewal with crashes up to this number.
     pub fn confirm(&mut self, term: u64, heard: u64) {
         self.outbox.confirm(term, heard);
     }
 
-    /// Takes what a leader tells; the requests that are held by it and weren't before.
+    /// Takes what a leader published; returns the requests newly held by it.
     pub fn take(&mut self, table: QuarantineTable) -> Vec<RequestMark> {
-        let before = self.told.clone();
-        if !self.told.take_later(table) {
+        let before = self.published.clone();
+        if !self.published.take_later(table) {
             return Vec::new();
         }
-        let held = self.told.rows().iter().filter(|row| row.held).map(|row| row.mark);
+        let held = self.published.rows().iter().filter(|row| row.held).map(|row| row.mark);
         held.filter(|mark| !before.is_held(*mark)).collect()
     }
 
-    /// Takes what a VM tells, as the leader of `term`.
+    /// Takes what a VM reports, as the leader of `term`.
     pub fn hear(
         &mut self,
         term: u64,
--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -230,7 +230,7 @@
         }
     }
 
-    /// Adds a command to the log; its index and term tell when it is committed.
+    /// Adds a command to the log; its index and term show when it is committed.
     pub fn propose(
         &mut self,
         payload: EntryPayload,
--- a/lib/src/coordination/raft_election.rs
+++ b/lib/src/coordination/raft_election.rs
@@ -97,7 +97,7 @@
             output.batch.hard_state = Some(self.hard_state);
             self.reset_deadline(now_ms);
         }
-        // A granted pre-vote is for the asker's coming term; a refusal tells our own.
+        // A granted pre-vote is for the asker's coming term; a refusal gives our own.
         let reply_term = if granted { term } else { self.term() };
         self.send_at(from, reply_term, RaftBody::VoteReply { pre, granted }, output);
     }
--- a/lib/src/coordination/raft_follower.rs
+++ b/lib/src/coordination/raft_follower.rs
@@ -6,7 +6,7 @@
 use crate::state::log_store::{LogEntry, LogSnapshot};
 
 impl RaftCore {
-    /// Takes entries that fit; `Err` tells where the leader should go on.
+    /// Takes entries that fit; `Err` gives the index at which the leader should go on.
     pub(super) fn take_entries(
         &mut self,
         prev_index: u64,
--- a/lib/src/coordination/repeat_budget.rs
+++ b/lib/src/coordination/repeat_budget.rs
@@ -57,7 +57,7 @@
     }
 
     fn expire(&mut self, allowance: &RepeatAllowance, now_ms: u64) {
-        let old = |told_ms: &u64| told_ms + allowance.window_ms <= now_ms;
+        let old = |at_ms: &u64| at_ms + allowance.window_ms <= now_ms;
         while self.firsts.front().is_some_and(old) {
             self.firsts.pop_front();
         }
--- a/lib/src/coordination/replay.rs
+++ b/lib/src/coordination/replay.rs
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum LaterEvent {
     Finish { engine: u32, life: u64, home: u32, work: u64 },
-    CacheTold { engine: u32, life: u64, number: u64, chat: u64, tokens: u32 },
+    CacheReported { engine: u32, life: u64, number: u64, chat: u64, tokens: u32 },
     ReadCache { router: u32, engine: u32 },
     Exchange { router: u32 },
     Pump { router: u32 },
@@ -69,7 +69,7 @@
     pub(super) others: OtherLoad,
     pub(super) queue: FairQueue,
     pub(super) own_work: Vec<u64>,
-    pub(super) events_told: Vec<u64>,
+    pub(super) events_reported: Vec<u64>,
 }
 
 /// One replay under way.
@@ -87,7 +87,7 @@
     pub(super) event_numbers: Vec<u64>,
     pub(super) waiting: HashMap<u64, (TraceRequest, u64)>,
     pub(super) tickets: u64,
-    pub(super) told: HashMap<ChatKey, u32>,
+    pub(super) named: HashMap<ChatKey, u32>,
     pub(super) outcome: ReplayOutcome,
 }
 
@@ -125,7 +125,7 @@
             others: OtherLoad::default(),
             queue: FairQueue::default(),
             own_work: vec![0; engines],
-            events_told: vec![0; engines],
+            events_reported: vec![0; engines],
         });
         let mut run = ReplayRun {
             setup,
@@ -141,7 +141,7 @@
             event_numbers: vec![0; engines],
             waiting: HashMap::new(),
             tickets: 0,
-            told: HashMap::new(),
+            named: HashMap::new(),
             outcome: ReplayOutcome::new(setup),
         };
         for router in 0..setup.routers {
@@ -178,8 +178,8 @@
             LaterEvent::Finish { engine, life, home, work } => {
                 self.finish(engine, life, home, work);
             }
-            LaterEvent::CacheTold { engine, life, number, chat, tokens } => {
-                self.tell_cache(engine, life, number, chat, tokens);
+            LaterEvent::CacheReported { engine, life, number, chat, tokens } => {
+                self.take_cache_event(engine, life, number, chat, tokens);
             }
             LaterEvent::ReadCache { router, engine } => self.read_cache(router, engine),
             LaterEvent::Exchange { router } => self.exchange(router),
@@ -209,7 +209,7 @@
                     // A life that is over, or a new one: what the old one held is gone.
                     let life = Incarnation(self.engines[*engine as usize].life);
                     view.memory.set_life(engine_key(*engine), life);
-                    view.events_told[*engine as usize] = 0;
+                    view.events_reported[*engine as usize] = 0;
                 }
                 self.renew_view(*router);
             }
@@ -243,7 +243,7 @@
     }
 
     /// The router that the caller comes to: the one that served the chat last, as the reply
-    /// told it; else the home that some router's directory names, when it is live.
+    /// named it; else the home that some router's directory names, when it is live.
     fn entry_of(&mut self, chat: ChatKey, fresh: bool) -> Option<u32> {
         let live: Vec<u32> =
             (0..self.setup.routers).filter(|router| self.routers[*router as usize].live).collect();
@@ -262,9 +262,9 @@
             let light = light_home(&view.view, &question).map(|home| home.0);
             return Some(light.filter(|h| self.routers[*h as usize].live).unwrap_or(asked));
         }
-        let told = self.told.get(&chat).copied();
-        if let Some(told) = told.filter(|told| self.routers[*told as usize].live) {
-            return Some(told);
+        let named = self.named.get(&chat).copied();
+        if let Some(named) = named.filter(|named| self.routers[*named as usize].live) {
+            return Some(named);
         }
         let asked = live[self.rng.gen_range(0..live.len())];
         let home = self.routers[asked as usize].view.chat_home(chat).map(|home| home.0);
@@ -283,7 +283,7 @@
             homes: &view.homes,
             memory: &view.memory,
             hints: view.others.hints(FLEET),
-            hints_known: view.others.told_ms() > 0,
+            hints_known: view.others.reported_ms() > 0,
             load: view.others.fleet_load(FLEET, own_work, engines, self.now_ms),
             multiple: self.setup.multiple,
             work,
@@ -368,7 +368,7 @@
     /// The placing router, the chat's home and the caller learn where it went.
     fn note_chat(&mut self, entry: u32, request: &TraceRequest, engine: u32, engine_home: u32) {
         let chat = ChatKey(request.chat);
-        self.told.insert(chat, engine_home);
+        self.named.insert(chat, engine_home);
         let chat_home = self.routers[entry as usize].view.chat_home(chat);
         let life = Incarnation(self.engines[engine as usize].life);
         let tokens = request.prompt + request.output;
--- a/lib/src/coordination/replay_views.rs
+++ b/lib/src/coordination/replay_views.rs
@@ -1,5 +1,5 @@
 //! What the routers of a replay believe: their views of the fleet, the exchange of loads, and what
-//! engines tell of their caches.
+//! engines report of their caches.
 
 use rand::Rng;
 
@@ -39,7 +39,7 @@
         }
     }
 
-    /// What the keeper does with a renewal: it sums, and tells the epoch that all have seen.
+    /// What the keeper does with a renewal: it sums, and sends the epoch that all have seen.
     pub(super) fn exchange(&mut self, router: u32) {
         let at = router as usize;
         if self.routers[at].live {
@@ -50,14 +50,14 @@
                 u32::MAX,
                 view.queue.has_rank(RequestClass::Batch),
             );
-            self.keeper_loads.tell(RouterId(router), &[row], self.now_ms);
+            self.keeper_loads.note(RouterId(router), &[row], self.now_ms);
             self.keeper_loads.expire(self.now_ms);
             let rows = self.keeper_loads.others(RouterId(router), &[FLEET]);
             let live = self.routers.iter().filter(|other| other.live);
             let settled = live.map(|other| other.roster.epoch).min().unwrap_or(0);
             let now_ms = self.now_ms;
             let view = &mut self.routers[at];
-            view.others.tell(&rows, now_ms);
+            view.others.note(&rows, now_ms);
             view.homes.settle(settled);
             for engine in 0..self.setup.engines {
                 let truth = &self.engines[engine as usize];
@@ -90,11 +90,11 @@
             return;
         }
         let (life, number) = (self.engines[at].life, self.event_numbers[at]);
-        let event = LaterEvent::CacheTold { engine, life, number, chat, tokens };
+        let event = LaterEvent::CacheReported { engine, life, number, chat, tokens };
         self.after(self.setup.event_lag_ms, event);
     }
 
-    pub(super) fn tell_cache(
+    pub(super) fn take_cache_event(
         &mut self,
         engine: u32,
         life: u64,
@@ -107,11 +107,11 @@
             return;
         }
         for view in self.routers.iter_mut().filter(|view| view.homes.is_home(key)) {
-            let told = &mut view.events_told[engine as usize];
-            if *told + 1 < number && *told > 0 {
+            let reported = &mut view.events_reported[engine as usize];
+            if *reported + 1 < number && *reported > 0 {
                 view.memory.note_gap(key);
             }
-            *told = number.max(*told);
+            *reported = number.max(*reported);
             let chat = ChatKey(chat);
             match tokens {
                 0 => view.memory.drop_holder(chat, key),
@@ -134,6 +134,6 @@
         for (chat, tokens) in held {
             view.memory.note(ChatKey(chat), key, Incarnation(truth.life), tokens);
         }
-        view.events_told[engine as usize] = self.event_numbers[engine as usize];
+        view.events_reported[engine as usize] = self.event_numbers[engine as usize];
     }
 }
--- a/lib/src/coordination/rollout_desk.rs
+++ b/lib/src/coordination/rollout_desk.rs
@@ -52,12 +52,12 @@
         &mut self.watch
     }
 
-    /// Takes the orders as a leader told them; returns what is new.
+    /// Takes the orders as a leader sent them; returns what is new.
     pub fn take(&mut self, table: RolloutTable, bound: ExposureBound) -> Vec<RolloutNews> {
         self.watch.take(table, bound, self.life)
     }
 
-    /// Takes what a life of a VM tells the leader of `term`.
+    /// Takes what a life of a VM reports to the leader of `term`.
     pub fn take_notes(
         &mut self,
         term: u64,
@@ -69,8 +69,8 @@
         self.lead.take(term, vm, life, notes, now_ms);
     }
 
-    /// A send has ended. True when the leader should be told at once: something is bad, and it wasn't
-    /// told within `pause_ms`.
+    /// A send has ended. True when the leader should be notified at once: something is bad, and it
+    /// wasn't notified within `pause_ms`.
     pub fn note_end(
         &mut self,
         tag: &TrialTag,
--- a/lib/src/coordination/rollout_evidence.rs
+++ b/lib/src/coordination/rollout_evidence.rs
@@ -2,15 +2,15 @@
 //!
 //! Invariants: a VM's counts begin with the order and only rise, so that a renewal that is lost is
 //! made good by the next one, and a new leader knows everything within one renewal of each VM. What an
-//! earlier life of a VM told stays in the sums. See `docs/design/rollouts.md`.
+//! earlier life of a VM reported stays in the sums. See `docs/design/rollouts.md`.
 
 use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The most routes that one VM tells of, those most tried first.
-pub const ROUTES_TOLD: usize = 16;
+/// The most routes that one VM reports, those most tried first.
+pub const ROUTES_REPORTED: usize = 16;
 /// An answer that takes so many times as long as is typical of the other versions is late. Where the
 /// logarithms of times spread by 0.5, three answers in a hundred are.
 pub const LATE_TIMES: f64 = 2.5;
@@ -19,7 +19,7 @@
 /// and is the mean logarithm of about so many of the last ones.
 const TYPICAL_ANSWERS: u32 = 20;
 
-/// Shorter times count as this long, in milliseconds: clocks tell no more.
+/// Shorter times count as this long, in milliseconds: clocks resolve no more.
 const LEAST_MS: f64 = 0.1;
 
 /// A route, by the hash of its name.
@@ -44,7 +44,7 @@
     Target,
 }
 
-/// How one send ended, as far as it tells of the version.
+/// How one send ended, as evidence of the version.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum TrialOutcome {
     /// It was answered with success, to its end.
@@ -242,32 +242,32 @@
         notes.note(arm, outcome);
     }
 
-    /// What to tell: the routes most tried.
+    /// The rows to report: the routes most tried.
     pub fn rows(&self) -> Vec<RouteSums> {
         let mut rows: Vec<RouteSums> = self.rows.values().map(|notes| notes.sums).collect();
         rows.sort_by_key(|row| (std::cmp::Reverse(row.target.all()), row.route));
-        rows.truncate(ROUTES_TOLD);
+        rows.truncate(ROUTES_REPORTED);
         rows
     }
 }
 
-/// What a leader was told of one order by all VMs.
+/// What all VMs reported of one order to a leader.
 ///
 /// The sums are kept up with each renewal, so that taking one costs its rows and a look at the sums
-/// costs the routes, however many VMs tell.
+/// costs the routes, however many VMs report.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceTable {
-    told: HashMap<(u32, u64, RouteKey), RouteSums>,
+    reported: HashMap<(u32, u64, RouteKey), RouteSums>,
     totals: BTreeMap<RouteKey, RouteTotals>,
 }
 
 impl EvidenceTable {
-    /// Takes what a life of a VM tells of all it has counted. A row that counts fewer sends than the
-    /// one before was overtaken and changes nothing; a route that it tells no more, since others
-    /// are tried more, stays as it was told last.
+    /// Takes all that a life of a VM has counted. A row that counts fewer sends than the
+    /// one before was overtaken and changes nothing; a route that it reports no more, since others
+    /// are tried more, stays as last reported.
     pub fn take(&mut self, vm: u32, life: u64, rows: Vec<RouteSums>) {
         for row in rows {
-            let known = self.told.entry((vm, life, row.route)).or_default();
+            let known = self.reported.entry((vm, life, row.route)).or_default();
             if row.all() > known.all() {
                 let total = self.totals.entry(row.route).or_default();
                 total.replace(known, &row);
--- a/lib/src/coordination/rollout_lead.rs
+++ b/lib/src/coordination/rollout_lead.rs
@@ -1,6 +1,6 @@
-//! Which step a roll-out takes next, as the leader decides from what VMs tell.
+//! Which step a roll-out takes next, as the leader decides from what VMs report.
 //!
-//! Every keeper notes when it first knew of an order, so that the next leader can tell how long it
+//! Every keeper notes when it first knew of an order, so that the next leader knows how long it
 //! has run. Invariants: a step follows from the row in the log alone, so that two leaders can't take two
 //! ways; the time spent is rather counted too long than too short, so that an order never outlasts what
 //! its operator granted. See `docs/design/rollouts.md`.
@@ -21,13 +21,13 @@
 const RESTART_MS: u64 = NOTE_MS + 1000;
 /// How often the time spent is noted in the log, in milliseconds.
 const NOTE_MS: u64 = 2000;
-/// A keeper that was told of an order by the log learned of it after the leader, by this much at most
+/// A keeper that received an order by the log learned of it after the leader, by this much at most
 /// while it is in contact, in milliseconds.
 const LOG_LAG_MS: u64 = 200;
 /// A new leader decides nothing but a roll-back for so long, in milliseconds: two renewals of each VM.
 const HEAR_MS: u64 = 700;
 /// The shortest time for moving traffic, in milliseconds: three renewals, so that each VM hears of it,
-/// sends to the target alone, and tells that nothing runs elsewhere.
+/// sends to the target alone, and reports that nothing runs elsewhere.
 const LEAST_MOVE_MS: u64 = 1500;
 /// Moving takes so many times as long as requests stay at an upstream in the mean: of lengths that
 /// spread by a factor of e few are longer.
@@ -80,7 +80,7 @@
 struct VmConfirm {
     step: u64,
     in_flight: u32,
-    told_ms: u64,
+    reported_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -92,7 +92,7 @@
     heard: HeardOrder,
 }
 
-/// What the VMs told the leader of this term.
+/// What the VMs reported to the leader of this term.
 #[derive(Clone, Debug, Default)]
 struct HeardOrder {
     evidence: EvidenceTable,
@@ -111,12 +111,12 @@
         HeardOrder { verdict, ..HeardOrder::default() }
     }
 
-    /// Whether each of these VMs tells that it knows the last step and has nothing in flight at
+    /// Whether each of these VMs reports that it knows the last step and has nothing in flight at
     /// upstreams of other versions.
     fn all_confirm(&self, step: u64, vms: &BTreeSet<u32>, now_ms: u64) -> bool {
         vms.iter().all(|vm| {
             self.heard.confirms.get(vm).is_some_and(|confirm| {
-                let fresh = confirm.told_ms + ROW_KEEP_MS > now_ms;
+                let fresh = confirm.reported_ms + ROW_KEEP_MS > now_ms;
                 fresh && confirm.step == step && confirm.in_flight == 0
             })
         })
@@ -160,7 +160,7 @@
         self.orders.get(service).map(|order| order.elapsed_ms(now_ms))
     }
 
-    /// Takes what a life of a VM tells the leader of `term`.
+    /// Takes what a life of a VM reports to the leader of `term`.
     pub fn take(&mut self, term: u64, vm: u32, life: u64, notes: Vec<RolloutNote>, now_ms: u64) {
         if term != self.term {
             self.term = term;
@@ -173,7 +173,7 @@
                 .find(|(key, order)| *key == note.service && order.number == note.number);
             let Some((_, order)) = found else { continue };
             let confirm =
-                VmConfirm { step: note.step, in_flight: note.base_in_flight, told_ms: now_ms };
+                VmConfirm { step: note.step, in_flight: note.base_in_flight, reported_ms: now_ms };
             order.heard.confirms.insert(vm, confirm);
             order.heard.evidence.take(vm, life, note.rows);
         }
--- a/lib/src/coordination/rollout_odds.rs
+++ b/lib/src/coordination/rollout_odds.rs
@@ -160,7 +160,7 @@
     }
 
     /// The part that is faulty on this route, rather more than less: as a whole, or of late if that
-    /// is more, since what hits both sides alike tells nothing of the target.
+    /// is more, since what hits both sides alike is no evidence against the target.
     pub fn part(&self, shared: f64) -> f64 {
         let whole = self.whole.part(shared, SHARED_WEIGHT);
         whole.max(self.recent.part(whole, RECENT_WEIGHT))
--- a/lib/src/coordination/rollout_verdict.rs
+++ b/lib/src/coordination/rollout_verdict.rs
@@ -26,7 +26,7 @@
 /// or what one of them showed so many times. Lower ones find more and roll more sound targets back; figures of both:
 /// `docs/design/rollouts.md`, "Figures".
 const RATHER_UNSOUND_ALONE: f64 = 30.0;
-/// A slice lasts this long at least, in milliseconds: as long as VMs take to tell once.
+/// A slice lasts this long at least, in milliseconds: as long as VMs take to report once.
 const SLICE_MS: u64 = 300;
 /// And at most this long, in milliseconds,
 const LONGEST_SLICE_MS: u64 = 1200;
@@ -265,7 +265,7 @@
 }
 
 impl VerdictState {
-    /// The verdict of a leader that takes over an order which has run for `elapsed_ms`. VMs tell it at
+    /// The verdict of a leader that takes over an order which has run for `elapsed_ms`. VMs report at
     /// once what they counted since the order began, which is more than a moment shows.
     pub fn of_order(elapsed_ms: u64) -> VerdictState {
         VerdictState { unseen_ms: elapsed_ms, ..VerdictState::default() }
--- a/lib/src/coordination/rollout_watch.rs
+++ b/lib/src/coordination/rollout_watch.rs
@@ -1,4 +1,4 @@
-//! What one VM may send to upstreams of which version, and what it has to tell of its sends.
+//! What one VM may send to upstreams of which version, and what it reports of its sends.
 //!
 //! Invariants: nothing goes to a version under trial unless the leader proved lately that the trial
 //! still runs; nothing goes to one that was rolled back; a version that this VM saw for the first time
@@ -23,7 +23,7 @@
 /// known.
 pub const PROOF_MS: u64 = 1500;
 
-/// What a VM tells the leader of one order that runs.
+/// What a VM reports to the leader of one order that runs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RolloutNote {
     /// The service, hashed as a version is.
@@ -115,12 +115,12 @@
 }
 
 impl RolloutWatch {
-    /// The orders, as far as this VM was told.
+    /// The orders, as far as this VM received them.
     pub fn table(&self) -> &RolloutTable {
         &self.table
     }
 
-    /// Takes the orders as the leader told them, unless they are older than what is known; returns
+    /// Takes the orders as the leader sent them, unless they are older than what is known; returns
     /// what is new. `seed` is another one in each life of a process.
     pub fn take(
         &mut self,
@@ -193,13 +193,13 @@
     }
 
     /// Whether versions say nothing of a service: it never got an order, and all its upstreams have the
-    /// same. That is so at nearly every choice, and told without a look at when each was seen.
+    /// same. That is so at nearly every choice, and found without a look at when each was seen.
     pub fn is_plain(&self, service: &str, mut versions: impl Iterator<Item = VersionKey>) -> bool {
         let first = versions.next();
         self.table.row(service).is_none() && versions.all(|version| Some(version) == first)
     }
 
-    /// Who of a service's upstreams may get a request; `may_be_tried` tells which upstreams could take
+    /// Who of a service's upstreams may get a request; `may_be_tried` selects which upstreams could take
     /// part in a trial, by their zone and health.
     pub fn rule<'a>(
         &self,
@@ -241,7 +241,7 @@
         rule
     }
 
-    /// A request is sent to an upstream of this version; the tag tells its end to
+    /// A request is sent to an upstream of this version; the tag reports its end to
     /// [`RolloutWatch::note_end`].
     pub fn note_sent(
         &mut self,
@@ -279,7 +279,7 @@
         bad && tag.arm == RolloutArm::Target
     }
 
-    /// What to tell the leader; `base_in_flight` counts this VM's requests at a service's upstreams of
+    /// What to report to the leader; `base_in_flight` counts this VM's requests at a service's upstreams of
     /// other versions than this one.
     pub fn notes(&self, base_in_flight: impl Fn(&str, VersionKey) -> u32) -> Vec<RolloutNote> {
         let rows = self.table.rows().iter().filter(|row| !row.phase.is_end());
--- a/lib/src/coordination/router_drain.rs
+++ b/lib/src/coordination/router_drain.rs
@@ -33,7 +33,7 @@
         DrainWatch { started_ms: now_ms, most_ms, idle_since_ms: None }
     }
 
-    /// Decides by the requests in flight and by whether the keepers were told, or cannot be.
+    /// Decides by the requests in flight and by whether the keepers were notified, or cannot be.
     pub fn step(&mut self, in_flight: usize, leave_ended: bool, now_ms: u64) -> DrainStep {
         let elapsed_ms = now_ms.saturating_sub(self.started_ms);
         let announced = leave_ended || elapsed_ms >= LEAVE_WAIT_MS;
--- a/lib/src/coordination/silence.rs
+++ b/lib/src/coordination/silence.rs
@@ -2,7 +2,7 @@
 //!
 //! A machine without power, or behind a cut, says nothing: a VM that connects to it, or waits for it on
 //! an open connection, learns that only by waiting. A VM that waited longer than connecting takes
-//! there doubts the upstream and tells the leader; the leader tries by itself, and calls the upstream
+//! there doubts the upstream and reports to the leader; the leader tries by itself, and calls the upstream
 //! dark when two VMs, itself included, cannot reach it and no VM is answered by it any more. It tries
 //! again and again, and takes the name back as soon as it reaches it or others are answered. A failure
 //! detector by counts, after two ways that were weighed: see `docs/design/silence.md`.
@@ -21,14 +21,14 @@
 /// The leader tries an upstream again after this long, in milliseconds; a connection that no process
 /// answers costs a packet.
 const TRY_AGAIN_MS: u64 = 300;
-/// What others told of being answered counts half after this long, in milliseconds: what they tell is
+/// A report of answered sends counts half after this long, in milliseconds: reports are
 /// up to 300 ms old, and one that has just gone dark has answered some a moment ago.
 const HEARD_HALF_LIFE_MS: f64 = 150.0;
-/// Of the sends that are told well so many, weighted by age, outweigh one VM's doubt.
+/// Of the sends reported to go well so many, weighted by age, outweigh one VM's doubt.
 const HEARD_A_DOUBT: f64 = 1.0;
 
 /// Names a set of dark upstreams. Worked out, not measured: with a thousand of them dark, 300 VMs that were
-/// told all of them with each answer would fill a leader's link of 100 Mbit/s by three quarters.
+/// sent all of them with each answer would fill a leader's link of 100 Mbit/s by three quarters.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DarkMark(u64);
 
@@ -87,7 +87,7 @@
 struct SilenceRow {
     /// Who doubts, and when they last did.
     doubters: BTreeMap<u32, u64>,
-    /// Sends that others told to have gone well since, weighted by age.
+    /// Sends that went well since by others' reports, weighted by age.
     heard: f64,
     heard_ms: u64,
     /// When the leader last tried, and whether it is at it.
@@ -120,7 +120,7 @@
 }
 
 impl SilenceTable {
-    /// VM `vm` doubts an upstream; told to the leader of `term`.
+    /// VM `vm` doubts an upstream, as reported to the leader of `term`.
     pub fn doubt(&mut self, term: u64, upstream: UpstreamKey, vm: u32, now_ms: u64) {
         self.begin_term(term);
         let row = self.rows.entry(upstream).or_default();
@@ -128,7 +128,7 @@
         row.decide(now_ms);
     }
 
-    /// Some sends to an upstream went well, as a VM tells.
+    /// Some sends to an upstream went well, as a VM reports.
     pub fn heard(&mut self, upstream: UpstreamKey, sends: u16, now_ms: u64) {
         if let Some(row) = self.rows.get_mut(&upstream) {
             row.age(now_ms);
@@ -157,7 +157,7 @@
         match reached {
             true => drop(self.rows.remove(&upstream)),
             false => {
-                // While the leader can't reach it, those that leave it alone have no more to tell.
+                // While the leader can't reach it, those that leave it alone have no more to report.
                 if row.dark {
                     row.doubters.values_mut().for_each(|at_ms| *at_ms = now_ms);
                 }
@@ -198,40 +198,40 @@
     }
 }
 
-/// What one VM knows of silent upstreams: by itself, and as the leader told it.
+/// What one VM knows of silent upstreams: by itself, and as the leader published it.
 #[derive(Clone, Debug, Default)]
 pub struct SilenceView {
-    told: Vec<UpstreamKey>,
-    told_ms: u64,
+    published: Vec<UpstreamKey>,
+    published_ms: u64,
     own_ms: BTreeMap<UpstreamKey, u64>,
-    /// Doubts to tell the leader.
+    /// Doubts to report to the leader.
     doubts: Vec<UpstreamKey>,
     tried_ms: BTreeMap<UpstreamKey, u64>,
 }
 
-/// What the leader told holds for this long, in milliseconds: it tells again every 300.
-const TOLD_KEEP_MS: u64 = 1000;
+/// What the leader published holds for this long, in milliseconds: it repeats it every 300.
+const PUBLISHED_KEEP_MS: u64 = 1000;
 /// What this VM found by itself holds for this long, in milliseconds.
 const OWN_KEEP_MS: u64 = 1000;
 /// A VM tries an upstream from which an answer is waited for at most this often, in milliseconds.
 const OWN_TRY_MS: u64 = 500;
 
 impl SilenceView {
-    /// Which dark upstreams the leader told last.
+    /// Which dark upstreams the leader published last.
     pub fn mark(&self) -> DarkMark {
-        DarkMark::of(&self.told)
+        DarkMark::of(&self.published)
     }
 
-    /// The leader tells that what it told last still holds.
+    /// The leader confirms that what it published last still holds.
     pub fn confirm(&mut self, now_ms: u64) {
-        self.told_ms = now_ms;
+        self.published_ms = now_ms;
     }
 
-    /// The leader tells which upstreams are dark; true when others are than before.
-    pub fn tell(&mut self, dark: Vec<UpstreamKey>, now_ms: u64) -> bool {
-        self.told_ms = now_ms;
-        let other = self.told != dark;
-        self.told = dark;
+    /// The leader published which upstreams are dark; true when others are than before.
+    pub fn take(&mut self, dark: Vec<UpstreamKey>, now_ms: u64) -> bool {
+        self.published_ms = now_ms;
+        let other = self.published != dark;
+        self.published = dark;
         other
     }
 
@@ -249,15 +249,15 @@
         self.doubts.retain(|doubted| *doubted != upstream);
     }
 
-    /// The doubts to tell.
+    /// The doubts to report.
     pub fn take_doubts(&mut self) -> Vec<UpstreamKey> {
         std::mem::take(&mut self.doubts)
     }
 
-    /// What the leader told, while that holds.
-    pub fn told(&self, now_ms: u64) -> &[UpstreamKey] {
-        match self.told_ms + TOLD_KEEP_MS > now_ms {
-            true => &self.told,
+    /// What the leader published, while that holds.
+    pub fn published(&self, now_ms: u64) -> &[UpstreamKey] {
+        match self.published_ms + PUBLISHED_KEEP_MS > now_ms {
+            true => &self.published,
             false => &[],
         }
     }
@@ -265,7 +265,7 @@
     /// The upstreams that are dark, as far as this VM knows; some of them twice.
     pub fn dark(&self, now_ms: u64) -> impl Iterator<Item = UpstreamKey> + '_ {
         let own = self.own_ms.iter().filter(move |(_, at_ms)| **at_ms + OWN_KEEP_MS > now_ms);
-        self.told(now_ms).iter().copied().chain(own.map(|(key, _)| *key))
+        self.published(now_ms).iter().copied().chain(own.map(|(key, _)| *key))
     }
 
     /// Whether an upstream is dark, as far as this VM knows.
--- a/lib/src/coordination/silence_desk.rs
+++ b/lib/src/coordination/silence_desk.rs
@@ -3,15 +3,15 @@
 use super::silence::{SilenceTable, SilenceView};
 use crate::state::ids::UpstreamKey;
 
-/// What a VM knows of silent upstreams, and what all told it while it leads.
+/// What a VM knows of silent upstreams, and what all reported while it leads.
 #[derive(Default)]
 pub struct SilenceDesk {
     /// What it knows.
     pub view: SilenceView,
-    /// What it was told as the leader.
+    /// What it received as the leader.
     pub table: SilenceTable,
-    /// What it told last as the leader.
-    pub told: Vec<UpstreamKey>,
+    /// What it published last as the leader.
+    pub published: Vec<UpstreamKey>,
     /// When it last renewed for a doubt.
     pub renewed_ms: u64,
 }
--- a/lib/src/coordination/trace.rs
+++ b/lib/src/coordination/trace.rs
@@ -22,7 +22,7 @@
     pub cache_tokens: u64,
     /// Engines' load reports are this old.
     pub report_lag_ms: u64,
-    /// Cache events are told this late.
+    /// Cache events arrive this late.
     pub event_lag_ms: u64,
     /// Of so many cache events, one is lost; 0 loses none.
     pub event_loss_one_in: u64,
--- a/lib/src/coordination/upstream_choice.rs
+++ b/lib/src/coordination/upstream_choice.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 
-use super::holder_news::LEAST_TOLD_TOKENS;
+use super::holder_news::LEAST_REPORTED_TOKENS;
 use super::plain_choice::choose_plain;
 use super::upstream_candidate::{no_choice, usable, ChoiceFault, UpstreamCandidate};
 use crate::state::ids::UpstreamKey;
@@ -31,7 +31,7 @@
     /// three requests.
     pub load_limit: f64,
     /// How many requests for this prompt's deepest shared part all VMs have in flight, as far as this
-    /// VM can tell; see [`PrefixMemory::fleet_rate`].
+    /// VM knows; see [`PrefixMemory::fleet_rate`].
     pub part_load: f64,
     /// Spreads a part that needs several engines over them.
     pub draw: u64,
@@ -69,9 +69,9 @@
 /// An engine that was first seen less than this long ago may lack what its place in the
 /// order says, in milliseconds.
 pub const NEW_ENGINE_MS: u64 = 20_000;
-/// A VM that knows so many holders of a root tells of no more: every VM is told every note, and one that
+/// A VM that knows so many holders of a root reports no more: every VM receives every note, and one that
 /// fetches a root needs a few that it can draw from, however many engines there are.
-pub const ROOT_HOLDERS_TOLD: usize = 32;
+pub const ROOT_HOLDERS_REPORTED: usize = 32;
 /// Shared prompts shorter than this aren't worth a fetch, in tokens.
 pub const LEAST_FETCH_TOKENS: u32 = 64;
 
@@ -83,7 +83,7 @@
     /// Where that engine should fetch what is kept of the prompt.
     pub fetch_from: Option<UpstreamKey>,
     /// The deepest shared part, when no other VM would guess that this engine keeps it, and what
-    /// the shared parts hold is worth telling.
+    /// the shared parts hold is worth reporting.
     pub against_order: Option<u64>,
     /// The first part, when this VM didn't know that the engine keeps it, and others need to know.
     pub new_root: Option<u64>,
@@ -126,7 +126,7 @@
     pub fn note_sent(&mut self, prompt: &[PromptPart], engine: UpstreamKey, now_ms: u64) {
         self.since_ms.get_or_insert(now_ms);
         for part in shared_parts(prompt) {
-            self.note_told(part.id, engine, now_ms);
+            self.note_reported(part.id, engine, now_ms);
         }
         if now_ms >= self.swept_ms + KEPT_MS / 4 {
             self.swept_ms = now_ms;
@@ -147,7 +147,7 @@
 
     /// How often a second all of `vms` VMs are asked for the deepest shared part of a prompt, as this
     /// one would guess from its own requests before the one that just came. Each of 300 VMs sees an
-    /// ordinary part once in minutes, so that a second time within seconds tells a hot one.
+    /// ordinary part once in minutes, so that a second time within seconds shows a hot one.
     pub fn fleet_rate(&self, prompt: &[PromptPart], vms: usize, now_ms: u64) -> f64 {
         let Some(deep) = shared_parts(prompt).last() else { return 0.0 };
         let earlier = (self.heat_of(deep.id, now_ms) - 1.0).max(0.0);
@@ -160,7 +160,7 @@
     }
 
     /// Another VM sent this part to the engine.
-    pub fn note_told(&mut self, part: u64, engine: UpstreamKey, now_ms: u64) {
+    pub fn note_reported(&mut self, part: u64, engine: UpstreamKey, now_ms: u64) {
         let holders = self.holders.entry(part).or_default();
         match holders.iter_mut().find(|holder| holder.engine == engine) {
             Some(holder) => holder.sent_ms = now_ms,
@@ -230,12 +230,12 @@
     let all = || candidates.iter().filter(|candidate| !candidate.leaving);
     let rank = |c: &&UpstreamCandidate| c.seat.map(|seat| rendezvous_score(deep.id, seat));
     let guessed = || all().max_by_key(rank).map(|candidate| candidate.key);
-    let told = moves && tokens >= LEAST_TOLD_TOKENS && guessed() != Some(pick.key);
-    let against_order = told.then_some(deep.id);
-    let news = moves && root.tokens >= LEAST_TOLD_TOKENS && root.id != deep.id;
+    let reports = moves && tokens >= LEAST_REPORTED_TOKENS && guessed() != Some(pick.key);
+    let against_order = reports.then_some(deep.id);
+    let news = moves && root.tokens >= LEAST_REPORTED_TOKENS && root.id != deep.id;
     let is_news = || {
         let known = root_holders(&usable, root.id, memory, now_ms);
-        known.len() < ROOT_HOLDERS_TOLD && !known.contains(&pick.key)
+        known.len() < ROOT_HOLDERS_REPORTED && !known.contains(&pick.key)
     };
     let new_root = (news && is_news()).then_some(root.id);
     Ok(UpstreamPick { upstream: pick.key, fetch_from, against_order, new_root })
--- a/lib/src/coordination/upstream_load.rs
+++ b/lib/src/coordination/upstream_load.rs
@@ -1,4 +1,4 @@
-//! What VMs have in flight at upstreams, summed by the leader and told to all.
+//! What VMs have in flight at upstreams, summed by the leader and sent to all.
 //!
 //! A leader answers every VM a few times a second. So that its work and its bytes don't grow with the
 //! product of VMs and upstreams, it sums up once for many answers, and leaves out loads that change no
@@ -52,7 +52,7 @@
 }
 
 /// The loads that change a VM's choice. Where a service's upstreams are nearly idle, one request at an
-/// upstream prevents no VM from sending it another, so it is left out: what is told grows with the
+/// upstream prevents no VM from sending it another, so it is left out: what is sent grows with the
 /// upstreams that are in use, not with all requests in flight.
 pub fn loads_that_matter(loads: Vec<UpstreamLoad>, list: &UpstreamList) -> Vec<UpstreamLoad> {
     let service_of = |load: &UpstreamLoad| {
@@ -90,7 +90,7 @@
 }
 
 impl LoadNews {
-    /// The shorter way to tell one byte an upstream.
+    /// The shorter encoding of one byte an upstream.
     pub fn placed(sums: Vec<u8>) -> LoadNews {
         let runs = pack_zeros(&sums);
         match runs.len() < sums.len() {
@@ -99,7 +99,7 @@
         }
     }
 
-    /// One byte for each of so many upstreams; `None` when they are told by key, or of another list.
+    /// One byte for each of so many upstreams; `None` when they are given by key, or of another list.
     pub fn into_sums(self, upstreams: usize) -> Option<Vec<u8>> {
         match self {
             LoadNews::Placed(sums) => Some(sums),
@@ -109,7 +109,7 @@
     }
 }
 
-/// The loads that a leader tells, summed up once for the answers of a short time.
+/// The loads that a leader sends, summed up once for the answers of a short time.
 #[derive(Default)]
 pub struct SharedLoads {
     list: ListMark,
@@ -120,7 +120,7 @@
 }
 
 impl SharedLoads {
-    /// The loads for a VM that holds the state `have` of the list. What `sum_up` gives is told for
+    /// The loads for a VM that holds the state `have` of the list. What `sum_up` gives is sent for
     /// `shared_ms`.
     pub fn news(
         &mut self,
@@ -150,29 +150,29 @@
     }
 }
 
-/// What a VM was last told of the others' load.
+/// What a VM last received of the others' load.
 #[derive(Clone, Debug, Default)]
-pub struct ToldLoad {
+pub struct LoadReports {
     sums: HashMap<UpstreamKey, u32>,
     own_part: HashMap<UpstreamKey, u32>,
 }
 
-impl ToldLoad {
-    /// Notes the sums of a grant; `own_told` is what this VM's part of them was.
-    pub fn tell(&mut self, sums: &[UpstreamLoad], own_told: &[UpstreamLoad]) {
+impl LoadReports {
+    /// Notes the sums of a grant; `own_reported` is what this VM's part of them was.
+    pub fn note(&mut self, sums: &[UpstreamLoad], own_reported: &[UpstreamLoad]) {
         let by_key = |rows: &[UpstreamLoad]| -> HashMap<UpstreamKey, u32> {
             rows.iter().map(|row| (row.upstream, row.requests)).collect()
         };
         self.sums = by_key(sums);
-        self.own_part = by_key(own_told);
+        self.own_part = by_key(own_reported);
     }
 
-    /// Notes sums that were told one byte an upstream, in the order of `keys`.
-    pub fn tell_placed<'a>(
+    /// Notes sums of one byte an upstream, in the order of `keys`.
+    pub fn note_placed<'a>(
         &mut self,
         keys: impl Iterator<Item = &'a UpstreamKey>,
         sums: &[u8],
-        own_told: &[UpstreamLoad],
+        own_reported: &[UpstreamLoad],
     ) {
         let rows = keys.zip(sums).filter(|(_, requests)| **requests > 0);
         let rows: Vec<UpstreamLoad> = rows
@@ -181,7 +181,7 @@
                 requests: u32::from(*requests),
             })
             .collect();
-        self.tell(&rows, own_told);
+        self.note(&rows, own_reported);
     }
 
     /// What the other VMs have in flight at an upstream.
@@ -190,18 +190,18 @@
         sum.saturating_sub(self.own_part(upstream))
     }
 
-    /// The upstreams at which anything is in flight, as told.
+    /// The upstreams at which anything is in flight, as reported.
     pub fn known(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
         self.sums.keys().copied()
     }
 
-    /// What this VM had in flight when it told of itself.
+    /// What this VM had in flight at its last report.
     pub fn own_loads(&self) -> impl Iterator<Item = UpstreamLoad> + '_ {
         let rows = self.own_part.iter();
         rows.map(|(upstream, requests)| UpstreamLoad { upstream: *upstream, requests: *requests })
     }
 
-    /// What this VM had in flight there when it told of itself.
+    /// What this VM had in flight there at its last report.
     pub fn own_part(&self, upstream: UpstreamKey) -> u32 {
         self.own_part.get(&upstream).copied().unwrap_or(0)
     }
--- a/lib/src/coordination/upstream_seats.rs
+++ b/lib/src/coordination/upstream_seats.rs
@@ -4,7 +4,7 @@
 //! there move to one engine and no others change theirs. A new upstream waits a little
 //! before it gets a seat of its own, since in a release the new one starts before the
 //! old one leaves; a new engine waits until the others are in use ([`patient_services`]).
-//! The leader seats; the rows tell the others. See
+//! The leader seats; the rows carry it to the others. See
 //! `docs/design/platform.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,7 +26,7 @@
 const SEAT_FROM_PART: f64 = 0.25;
 
 /// The services of engines whose new engines may wait for a vacant seat, since those with seats have
-/// room: `places` tells how many requests one engine of a service runs at once, `loads` what all VMs
+/// room: `places` is how many requests one engine of a service runs at once, `loads` what all VMs
 /// have in flight. Where nothing is in flight nothing is kept, and none waits.
 pub fn patient_services(
     list: &UpstreamList,
--- a/lib/src/coordination/vm_roster.rs
+++ b/lib/src/coordination/vm_roster.rs
@@ -1,6 +1,6 @@
 //! Which VMs are in the fleet and what they have in flight, as the leader hears it.
 //!
-//! Each VM renews with the leader a few times a second, and the answer tells it of all
+//! Each VM renews with the leader a few times a second, and the answer lists all
 //! others: two small datagrams an exchange, however many VMs there are. See
 //! `docs/design/platform.md`.
 
@@ -24,13 +24,13 @@
 const OVERLOADED_RENEW_MS: u64 = 50;
 /// Upstreams count as overloaded for this long after one of them was nearly full, in milliseconds.
 pub const OVERLOADED_KEEP_MS: u64 = 1000;
-/// A VM that was not heard for this long isn't told of to callers.
+/// A VM that was not heard for this long isn't named to callers.
 pub const ROW_KEEP_MS: u64 = 1300;
 /// A new leader knows every VM after this long.
 pub const SETTLE_MS: u64 = 1500;
 
 /// How often a VM without a leader looks for one, in milliseconds: fewer than 100 do so every 50 ms,
-/// and more keep to what the keepers can answer. A new leader tells those that it knows.
+/// and more keep to what the keepers can answer. A new leader notifies those that it knows.
 pub fn seek_pause_ms(vms: usize) -> u64 {
     (vms as u64 * 1000 / SEEKS_PER_S).clamp(SEEK_MS, RENEW_MS)
 }
@@ -54,8 +54,8 @@
 /// milliseconds. Summing up looks at every upstream, and the answers grow with the VMs.
 const LOADS_SHARED_MS: u64 = 50;
 
-/// For how long a leader of so many VMs tells the same loads, in milliseconds. In a small fleet a VM's
-/// own part of the sums is so large that they must hold what it has just told.
+/// For how long a leader of so many VMs sends the same loads, in milliseconds. In a small fleet a VM's
+/// own part of the sums is so large that they must hold what it has just reported.
 pub fn loads_shared_ms(vms: usize) -> u64 {
     match vms < MANY_VMS {
         true => 0,
@@ -71,7 +71,7 @@
     }
 }
 
-/// What one VM tells of itself.
+/// What one VM reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterRow {
     /// Its address as a number.
@@ -85,13 +85,13 @@
 /// Names one state of the roster, as one leader keeps it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterMark {
-    /// The leader's term; 0 for a VM that was told none.
+    /// The leader's term; 0 for a VM that received none.
     pub term: u64,
     /// Rises with each change within a term.
     pub change: u64,
 }
 
-/// What a leader tells of the roster to a VM that holds an earlier state of it, or none.
+/// What a leader sends of the roster to a VM that holds an earlier state of it, or none.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterNews {
     /// The state that this leads to; with term 0 there is no news.
@@ -105,7 +105,7 @@
 }
 
 /// VMs that left the roster are remembered for this long, in milliseconds, however many they are: after a
-/// loss of many at once every VM in contact is told of those, and not of all others again.
+/// loss of many at once every VM in contact is sent those, and not all others again.
 const GONE_KEEP_MS: u64 = 2 * ROW_KEEP_MS;
 
 /// A VM that left the roster.
@@ -127,7 +127,7 @@
 
 /// The leader's table of all VMs.
 ///
-/// Sums are kept as VMs tell, not made for each answer: with every VM told a few times a second
+/// Sums are kept as VMs report, not made for each answer: with answers to every VM a few times a second
 /// the latter grows with the square of their number.
 #[derive(Clone, Debug, Default)]
 pub struct VmRoster {
@@ -140,7 +140,7 @@
 }
 
 impl VmRoster {
-    /// Notes what a VM told of itself.
+    /// Notes what a VM reported of itself.
     pub fn note(
         &mut self,
         row: RosterRow,
@@ -213,7 +213,7 @@
         self.heard.values().map(|vm| vm.row).collect()
     }
 
-    /// What a VM that holds `have` should be told by the leader of `term`.
+    /// What the leader of `term` should send to a VM that holds `have`.
     pub fn news(&self, term: u64, have: RosterMark) -> RosterNews {
         let mark = RosterMark { term, change: self.change };
         if have == mark {
@@ -243,7 +243,7 @@
     }
 }
 
-/// The roster as one VM was told it.
+/// The roster as one VM received it.
 #[derive(Clone, Debug, Default)]
 pub struct RosterCopy {
     /// Which state of it this is.
@@ -263,8 +263,8 @@
         if news.whole {
             self.rows = news.rows;
         } else {
-            let told: Vec<u32> = news.rows.iter().map(|row| row.id).collect();
-            self.rows.retain(|row| !news.gone.contains(&row.id) && !told.contains(&row.id));
+            let listed: Vec<u32> = news.rows.iter().map(|row| row.id).collect();
+            self.rows.retain(|row| !news.gone.contains(&row.id) && !listed.contains(&row.id));
             self.rows.extend(news.rows);
             self.rows.sort_unstable_by_key(|row| row.id);
         }
--- a/lib/src/coordination/zone_watch.rs
+++ b/lib/src/coordination/zone_watch.rs
@@ -1,6 +1,6 @@
 //! Which zones one VM leaves alone, and which upstreams it takes for cold after a zone came back.
 //!
-//! Orders are told with the leader's grants. Without a grant, the last one received holds: a VM
+//! Orders are sent with the leader's grants. Without a grant, the last one received holds: a VM
 //! that hears no leader doesn't say that it is ready, and one that is asked all the same sends
 //! nothing to a zone that was emptied as far as it knows. See `docs/design/zones.md`.
 
@@ -8,16 +8,16 @@
 
 use crate::state::zone_order::ZoneOrders;
 
-/// The orders as one VM was told them.
+/// The orders as one VM received them.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneWatch {
     /// The last order of each zone.
     pub orders: ZoneOrders,
-    /// When this VM was told that a zone is taken back.
+    /// When this VM learned that a zone is taken back.
     taken_back_ms: BTreeMap<String, u64>,
 }
 
-/// What a VM was told of one zone, for its log.
+/// What a VM received of one zone, for its log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneChange {
     /// The zone.
@@ -27,7 +27,7 @@
 }
 
 impl ZoneWatch {
-    /// Takes what was told, unless it is older than what is known; returns the zones that are
+    /// Takes received orders, unless they are older than what is known; returns the zones that are
     /// emptied or taken back by it.
     pub fn take(&mut self, orders: ZoneOrders, now_ms: u64) -> Vec<ZoneChange> {
         let Some(before) = self.orders.take_later(orders) else { return Vec::new() };
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -455,7 +455,7 @@
         let (router, incarnation) = (renewal.router, renewal.incarnation);
         if known {
             self.watch.hear(router, incarnation, renewal.epoch, renewal.version, now_ms);
-            self.loads.tell(router, &renewal.rows, now_ms);
+            self.loads.note(router, &renewal.rows, now_ms);
         }
         self.loads.expire(now_ms);
         let asked: Vec<FleetKey> = renewal.rows.iter().map(|row| row.fleet).collect();
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -93,13 +93,13 @@
         ControlEvent::Notice { version, epoch } => fetch_newer(shared, version, epoch),
         ControlEvent::Sums(router, rows) => {
             let mut desk = lock(&shared.desk);
-            desk.peer_loads.tell(router, &rows, now_ms);
+            desk.peer_loads.note(router, &rows, now_ms);
             desk.peer_loads.expire(now_ms);
             // Sums of peers count only while no keeper sums up.
-            if now_ms > desk.others.told_ms() + ALONE_MS {
+            if now_ms > desk.others.reported_ms() + ALONE_MS {
                 let fleets: Vec<FleetKey> = rows.iter().map(|row| row.fleet).collect();
                 let rows = desk.peer_loads.others(shared.id(), &fleets);
-                desk.others.tell(&rows, now_ms.saturating_sub(SUMS_MS));
+                desk.others.note(&rows, now_ms.saturating_sub(SUMS_MS));
             }
         }
         ControlEvent::Chats(notes) => {
@@ -149,7 +149,7 @@
         marks,
     };
     times.turn += 1;
-    let told_ms = lock(&shared.desk).others.told_ms();
+    let told_ms = lock(&shared.desk).others.reported_ms();
     let keepers = shared.keepers.keepers().iter().map(|keeper| keeper.address);
     let renewal = Datagram::Renew(renewal);
     for to in renew_with(shared.keepers.leader(), keepers, told_ms, now_ms) {
@@ -177,7 +177,7 @@
     fetch_newer(shared, grant.version, grant.epoch);
     {
         let mut desk = lock(&shared.desk);
-        desk.others.tell(&grant.rows, grant.sent_ms);
+        desk.others.note(&grant.rows, grant.sent_ms);
         desk.homes.settle(grant.settled_epoch);
     }
     for mark in grant.marks {
@@ -298,7 +298,7 @@
 // ---- while no keeper leads ----
 
 fn tell_peers_when_alone(shared: &Arc<RouterShared>, times: &mut ControlTimes, now_ms: u64) {
-    let lease_fresh = now_ms < lock(&shared.desk).others.told_ms() + ALONE_MS;
+    let lease_fresh = now_ms < lock(&shared.desk).others.reported_ms() + ALONE_MS;
     if lease_fresh || now_ms < times.sums_ms {
         return;
     }
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -340,7 +340,7 @@
             homes: &desk.homes,
             memory: &desk.memory,
             hints: desk.others.hints(fleet),
-            hints_known: desk.others.told_ms() > 0,
+            hints_known: desk.others.reported_ms() > 0,
             load: self.fleet_load(desk, fleet, sight),
             multiple: sight.entry.multiple,
             work,
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -145,7 +145,7 @@
         };
         let counts = |candidate: &&UpstreamCandidate| candidate.takes_work() && !candidate.aside;
         for candidate in candidates.iter().filter(counts) {
-            news.told += candidate.load;
+            news.reported += candidate.load;
             news.own += candidate.own;
             news.engines += 1;
         }
@@ -153,8 +153,8 @@
             let at = candidates.binary_search_by_key(key, |candidate| candidate.key);
             at.is_ok_and(|at| counts(&&candidates[at]))
         };
-        let told = view.told.own_loads().filter(|load| counted(&load.upstream));
-        news.own_told = told.map(|load| load.requests).sum();
+        let told = view.reports.own_loads().filter(|load| counted(&load.upstream));
+        news.own_reported = told.map(|load| load.requests).sum();
         news
     }
 
@@ -215,8 +215,8 @@
         for (key, own) in self.node.in_flight.borrow().iter() {
             candidates.change(*key, |candidate| (candidate.own, candidate.load) = (*own, *own));
         }
-        for key in view.told.known() {
-            candidates.change(key, |candidate| candidate.load += view.told.others(key));
+        for key in view.reports.known() {
+            candidates.change(key, |candidate| candidate.load += view.reports.others(key));
         }
     }
 
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -9,7 +9,7 @@
 
 use super::vm_node::VmNode;
 use super::wire_count::DATAGRAM_HEAD_BYTES;
-use crate::coordination::list_reader::UNTOLD_MS;
+use crate::coordination::list_reader::NO_LIST_MS;
 use crate::coordination::vm_roster::{
     overloaded_renew_ms, seek_pause_ms, MANY_VMS, OVERLOADED_KEEP_MS, RENEW_MS,
 };
@@ -36,7 +36,7 @@
             let silent = self.view.borrow().heard_ms + LEADER_SILENT_MS <= self.now_ms();
             // A VM without a list or routes can't serve; the leader may have them by now.
             let lacks = !self.upstreams.borrow().is_held() || self.routes.borrow().is_none();
-            let untold = lacks && self.clock.age_ms() < UNTOLD_MS;
+            let untold = lacks && self.clock.age_ms() < NO_LIST_MS;
             let pause = match silent || untold {
                 true => seek_pause_ms(self.view.borrow().vms),
                 false => self.renew_pause_ms(),
@@ -135,8 +135,8 @@
             quarantine_changes,
             crashes,
         };
-        view.own_told.insert(now_ms, note.loads.clone());
-        view.own_told.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
+        view.own_reported.insert(now_ms, note.loads.clone());
+        view.own_reported.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
         VmDatagram::Renew(note)
     }
 
--- a/lib/src/transport/vm_grant.rs
+++ b/lib/src/transport/vm_grant.rs
@@ -166,7 +166,7 @@
     fn learn_holders(&self, notes: &[HolderNote], now_ms: u64) {
         let mut prefixes = self.prefixes.borrow_mut();
         for note in notes {
-            prefixes.note_told(note.part, note.engine, now_ms);
+            prefixes.note_reported(note.part, note.engine, now_ms);
         }
     }
 
@@ -212,13 +212,13 @@
         view.roster.take(grant.roster);
         view.vms = view.roster.rows.len();
         view.failing = grant.failing;
-        let own = view.own_told.get(&grant.sent_ms).cloned().unwrap_or_default();
+        let own = view.own_reported.get(&grant.sent_ms).cloned().unwrap_or_default();
         let upstreams = self.upstreams.borrow();
         match grant.loads {
-            LoadNews::Keyed(loads) => view.told.tell(&loads, &own),
+            LoadNews::Keyed(loads) => view.reports.note(&loads, &own),
             placed if grant.list == upstreams.mark => {
                 match placed.into_sums(upstreams.entries.len()) {
-                    Some(sums) => view.told.tell_placed(upstreams.entries.keys(), &sums, &own),
+                    Some(sums) => view.reports.note_placed(upstreams.entries.keys(), &sums, &own),
                     None => debug!(target: "contact", "loads of another list"),
                 }
             }
@@ -278,7 +278,7 @@
         let news = roster_news(keeper, view.roster.mark, now_ms);
         view.roster.take(news);
         view.vms = view.roster.rows.len();
-        view.told.tell(&keeper.roster.loads(), &loads);
+        view.reports.note(&keeper.roster.loads(), &loads);
         let zones = keeper.record.zones.news(self.zones.borrow().watch.orders.taken());
         let known = self.rollouts.borrow().watch().table().changes();
         self.take_orders(zones, keeper.record.rollouts.news(known), now_ms);
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -154,7 +154,7 @@
             "wingshed_ready" => u64::from(self.is_ready()),
             "wingshed_version" => self.contact.borrow().applied(),
             "wingshed_contact_age_ms" => self.contact.borrow().age_ms(now_ms),
-            "wingshed_upstreams_dark" => self.silence.borrow().view.told(now_ms).len() as u64,
+            "wingshed_upstreams_dark" => self.silence.borrow().view.published(now_ms).len() as u64,
             "wingshed_zones_emptied" => {
                 let zones = self.zones.borrow();
                 zones.watch.orders.rows().iter().filter(|row| row.emptied).count() as u64
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -38,7 +38,7 @@
 use crate::coordination::rollout_desk::RolloutDesk;
 use crate::coordination::silence_desk::SilenceDesk;
 use crate::coordination::upstream_choice::PrefixMemory;
-use crate::coordination::upstream_load::{SharedLoads, ToldLoad, UpstreamLoad};
+use crate::coordination::upstream_load::{LoadReports, SharedLoads, UpstreamLoad};
 use crate::coordination::vm_roster::{RosterCopy, RosterRow};
 use crate::coordination::zone_desk::ZoneDesk;
 use crate::protocol::vm_wire::{VmId, VmMessage};
@@ -97,11 +97,11 @@
     /// When the leader last answered.
     pub heard_ms: u64,
     /// What others have in flight.
-    pub told: ToldLoad,
+    pub reports: LoadReports,
     /// Upstreams that fail all VMs that send to them, by the last grant.
     pub failing: Vec<UpstreamKey>,
     /// What this VM told of its own, by the time of telling.
-    pub own_told: HashMap<u64, Vec<UpstreamLoad>>,
+    pub own_reported: HashMap<u64, Vec<UpstreamLoad>>,
     /// Pages of the list of upstreams, as this VM last read it.
     pub list_pages: usize,
     /// The term of the last leader that answered.
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -192,7 +192,7 @@
             figures.late += u64::from(late);
         }
         let own = self.node.in_flight.borrow().get(&place.upstream).copied().unwrap_or(0);
-        let others = self.node.view.borrow().told.others(place.upstream);
+        let others = self.node.view.borrow().reports.others(place.upstream);
         let service = &place.routes.table.services[place.service];
         if let Some(engine) = &service.engine {
             self.node.with_room(&service.name, |room| {
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -178,7 +178,7 @@
     /// Tells all VMs which upstreams are dark, if others are than before.
     fn tell_dark(&self, term: u64) {
         let dark = self.silence.borrow().table.dark();
-        let before = std::mem::replace(&mut self.silence.borrow_mut().told, dark.clone());
+        let before = std::mem::replace(&mut self.silence.borrow_mut().published, dark.clone());
         self.take_dark(dark.clone());
         if before == dark {
             return;
@@ -205,7 +205,7 @@
     /// The leader tells which upstreams are dark.
     pub(super) fn take_dark(&self, dark: Vec<UpstreamKey>) {
         let now_ms = self.now_ms();
-        if self.silence.borrow_mut().view.tell(dark, now_ms) {
+        if self.silence.borrow_mut().view.take(dark, now_ms) {
             self.silence_changed.notify_waiters();
         }
     }
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -53,7 +53,7 @@
 fn the_bound_counts_the_request_and_falls_with_the_age_of_the_mean() {
     let fresh = admission_bound(&load(4000, 4), 1.25, 0);
     let old = FleetLoad { age_ms: 1000, ..load(4000, 4) };
-    let large = FleetLoad { largest_told: 400, ..load(4000, 4) };
+    let large = FleetLoad { largest_reported: 400, ..load(4000, 4) };
     let ancient = FleetLoad { age_ms: 1_000_000, ..load(4000, 4) };
 
     assert_eq!(fresh, 1250.0);
--- a/lib/tests/test_document_news.rs
+++ b/lib/tests/test_document_news.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use wingshed_lib::coordination::leader_contact::{
-    LeaderContact, ASK_AGAIN_MS, ASK_FIRST_MS, TOLD_MS,
+    LeaderContact, ASK_AGAIN_MS, ASK_FIRST_MS, DOCUMENT_WAIT_MS,
 };
 use wingshed_lib::state::packed_text::PackedText;
 
@@ -61,13 +61,13 @@
 
     assert!(!serving.wants_document(3, 1000), "nothing is newer");
     assert!(!serving.wants_document(4, 1000), "it is being told");
-    assert!(!serving.wants_document(5, 1000 + TOLD_MS - 1));
-    assert!(serving.wants_document(5, 1000 + TOLD_MS));
-    assert!(!serving.wants_document(5, 1000 + TOLD_MS + ASK_AGAIN_MS - 1));
-    assert!(serving.wants_document(5, 1000 + TOLD_MS + ASK_AGAIN_MS));
+    assert!(!serving.wants_document(5, 1000 + DOCUMENT_WAIT_MS - 1));
+    assert!(serving.wants_document(5, 1000 + DOCUMENT_WAIT_MS));
+    assert!(!serving.wants_document(5, 1000 + DOCUMENT_WAIT_MS + ASK_AGAIN_MS - 1));
+    assert!(serving.wants_document(5, 1000 + DOCUMENT_WAIT_MS + ASK_AGAIN_MS));
     serving.note_applied(5);
-    assert!(!serving.wants_document(5, 1000 + 8 * TOLD_MS));
-    assert!(!serving.wants_document(6, 1000 + 9 * TOLD_MS), "each one is given its time");
+    assert!(!serving.wants_document(5, 1000 + 8 * DOCUMENT_WAIT_MS));
+    assert!(!serving.wants_document(6, 1000 + 9 * DOCUMENT_WAIT_MS), "each one is given its time");
 }
 
 proptest! {
--- a/lib/tests/test_engine_room.rs
+++ b/lib/tests/test_engine_room.rs
@@ -112,19 +112,21 @@
 
 #[test]
 fn what_this_vm_sent_since_the_news_counts_for_the_others_too_and_what_ended_does_not() {
-    let grown = RoomNews { told: 180, own: 24, own_told: 20, vms: 10, engines: 18, age_ms: 0 };
-    let fallen = RoomNews { own: 20, own_told: 24, ..grown };
+    let grown =
+        RoomNews { reported: 180, own: 24, own_reported: 20, vms: 10, engines: 18, age_ms: 0 };
+    let fallen = RoomNews { own: 20, own_reported: 24, ..grown };
 
     assert!((grown.mean() - (10.0 + 4.0 * 9.0 / 18.0)).abs() < 1e-9);
     assert!((fallen.mean() - 10.0).abs() < 1e-9);
     assert_eq!(RoomNews::default().mean(), 0.0, "nothing is known yet");
-    let few = RoomNews { told: 8, own: 8, own_told: 2, vms: 40, engines: 4, age_ms: 0 };
+    let few = RoomNews { reported: 8, own: 8, own_reported: 2, vms: 40, engines: 4, age_ms: 0 };
     assert!((few.mean() - 5.0).abs() < 1e-9, "chance at one VM is no crowd at all of them");
 }
 
 #[test]
 fn a_vm_that_lost_its_leader_refuses_nothing_by_loads_that_were_told_long_ago() {
-    let crowd = RoomNews { told: 900, own: 90, own_told: 90, vms: 10, engines: 18, age_ms: 0 };
+    let crowd =
+        RoomNews { reported: 900, own: 90, own_reported: 90, vms: 10, engines: 18, age_ms: 0 };
     let ages = [300, 1000, 1001, 60_000].map(|age_ms| RoomNews { age_ms, ..crowd }.is_fresh());
 
     assert_eq!(ages, [true, true, false, false]);
--- a/lib/tests/test_explaining.rs
+++ b/lib/tests/test_explaining.rs
@@ -6,7 +6,7 @@
     LineBudget, LineVerdict, LINES_A_PLACE, LINES_IN_ALL,
 };
 use wingshed_lib::coordination::log_story::{
-    read_log, tell_request, tell_span, LogLine, StoryReason,
+    read_log, request_story, span_story, LogLine, StoryReason,
 };
 use wingshed_lib::state::vm_figures::{RequestEnd, VmFigures, MOST_WORKSPACES, OTHER_WORKSPACES};
 use wingshed_lib::transport::vm_metrics::FIGURES;
@@ -97,7 +97,7 @@
 
 #[test]
 fn the_story_of_a_request_names_beliefs_and_what_others_saw() {
-    let story = tell_request(&log(), "x1");
+    let story = request_story(&log(), "x1");
 
     let told: Vec<(StoryReason, f64)> =
         story.iter().map(|told| (told.reason, told.line.at_s)).collect();
@@ -109,7 +109,7 @@
         (StoryReason::Request, 5.001),
     ];
     assert_eq!(told, expected);
-    assert!(tell_request(&log(), "x9").is_empty(), "nobody names it");
+    assert!(request_story(&log(), "x9").is_empty(), "nobody names it");
 }
 
 const TRIAL_LOG: &str = r#"
@@ -125,7 +125,7 @@
     let (lines, other) = read_log("file", TRIAL_LOG);
     assert_eq!(other, 0);
 
-    let story = tell_request(&lines, "x1");
+    let story = request_story(&lines, "x1");
 
     let told: Vec<(StoryReason, f64)> =
         story.iter().map(|told| (told.reason, told.line.at_s)).collect();
@@ -139,7 +139,7 @@
     let mut lines = log();
     lines.reverse();
 
-    let story = tell_span(&lines, 4.0, 5.0);
+    let story = span_story(&lines, 4.0, 5.0);
 
     let times: Vec<f64> = story.iter().map(|told| told.line.at_s).collect();
     assert_eq!(times, [4.0, 4.5, 5.0]);
--- a/lib/tests/test_fleet_health.rs
+++ b/lib/tests/test_fleet_health.rs
@@ -2,7 +2,7 @@
 
 use wingshed_lib::coordination::fleet_health::{
     names_failing, HealthOutbox, HealthReport, HealthTable, FIRST_NAMED_MS, NAMED_SHARE,
-    REPORTS_TOLD,
+    REPORTS_PER_RENEWAL,
 };
 use wingshed_lib::state::ids::UpstreamKey;
 
@@ -101,7 +101,7 @@
 #[test]
 fn a_vm_tells_each_outcome_once_in_bounded_notes() {
     let mut outbox = HealthOutbox::default();
-    for upstream in 0..REPORTS_TOLD as u64 + 5 {
+    for upstream in 0..REPORTS_PER_RENEWAL as u64 + 5 {
         outbox.note(UpstreamKey(upstream), upstream % 2 == 0);
     }
     outbox.note(UpstreamKey(0), false);
@@ -109,7 +109,7 @@
     let (first, second, third) = (outbox.take(), outbox.take(), outbox.take());
 
     assert_eq!(first[0], note(UpstreamKey(0), 1, 1));
-    assert_eq!((first.len(), second.len(), third.len()), (REPORTS_TOLD, 5, 0));
+    assert_eq!((first.len(), second.len(), third.len()), (REPORTS_PER_RENEWAL, 5, 0));
 }
 
 #[test]
--- a/lib/tests/test_fleet_news.rs
+++ b/lib/tests/test_fleet_news.rs
@@ -6,9 +6,9 @@
 use proptest::prelude::*;
 use wingshed_lib::coordination::list_reader::{
     list_action, reader_delay_ms, reader_order, whom_to_ask, ListAction, ListCost, ListStanding,
-    PAGES_AT_ONCE, UNTOLD_MS,
+    NO_LIST_MS, PAGES_AT_ONCE,
 };
-use wingshed_lib::coordination::upstream_load::{place_loads, LoadNews, ToldLoad, UpstreamLoad};
+use wingshed_lib::coordination::upstream_load::{place_loads, LoadNews, LoadReports, UpstreamLoad};
 use wingshed_lib::coordination::vm_roster::{
     addresses_ttl_s, seek_pause_ms, RosterCopy, RosterMark, RosterRow, VmRoster, RENEW_MS,
     ROW_KEEP_MS,
@@ -151,8 +151,8 @@
     assert_eq!(placed, [0, 3, 255, 0], "by place; 255 stands for all above");
     assert_eq!(later, [0, 3, 0, 0]);
     assert_eq!(roster.loads(), [load(4, 3)]);
-    let mut told = ToldLoad::default();
-    told.tell_placed(keys.iter(), &placed, &[load(4, 1)]);
+    let mut told = LoadReports::default();
+    told.note_placed(keys.iter(), &placed, &[load(4, 1)]);
     assert_eq!(keys.map(|key| told.others(key)), [0, 2, 255, 0]);
 }
 
@@ -239,8 +239,8 @@
     let cases = [
         ("it has just started, as all others may have", standing(None, 0, false), 0, 60_000, asks),
         ("so it has, with a list from its disk", standing(None, 0, true), 0, 60_000, rest),
-        ("a leader will tell it", standing(Some(100), 300, false), 0, 100 + UNTOLD_MS, asks),
-        ("its leader can't tell it", standing(Some(100), 300, false), 0, 101 + UNTOLD_MS, reads),
+        ("a leader will tell it", standing(Some(100), 300, false), 0, 100 + NO_LIST_MS, asks),
+        ("its leader can't tell it", standing(Some(100), 300, false), 0, 101 + NO_LIST_MS, reads),
         ("its leader tells it", standing(Some(100), 9000, true), 0, 9000 + STALE_MS, rest),
         ("nobody tells it", standing(Some(100), 9000, true), 0, 9001 + STALE_MS, reads),
         ("nor another, who is first", standing(Some(100), 9000, true), 1, 9001 + STALE_MS, asks),
--- a/lib/tests/test_holder_news.rs
+++ b/lib/tests/test_holder_news.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use testutils::engines::{candidate, RULES};
 use wingshed_lib::coordination::holder_news::{
-    HolderMark, HolderNote, HolderOutbox, HolderRing, NOTES_TOLD,
+    HolderMark, HolderNote, HolderOutbox, HolderRing, NOTES_PER_MESSAGE,
 };
 use wingshed_lib::coordination::upstream_candidate::UpstreamCandidate;
 use wingshed_lib::coordination::upstream_choice::{choose_engine, EngineRules, PrefixMemory};
@@ -56,7 +56,7 @@
     back.iter_mut().filter(|c| c.key == home).for_each(|c| c.first_seen_ms = LATE - 1000);
     let mut other = PrefixMemory::default();
     assert_eq!(pick(&back, &other).1, Some(second), "without news it names one that lacks it");
-    other.note_told(2, third, LATE);
+    other.note_reported(2, third, LATE);
     assert_eq!(pick(&back, &other), (home, Some(third), None));
 }
 
@@ -72,7 +72,7 @@
     outbox.add(note(1, 8), 60_000);
     assert_eq!(outbox.take(), [note(1, 8)]);
     (0..10_000).for_each(|part| outbox.add(note(part, 1), 70_000));
-    assert_eq!(outbox.take().len(), NOTES_TOLD, "one renewal stays small");
+    assert_eq!(outbox.take().len(), NOTES_PER_MESSAGE, "one renewal stays small");
 }
 
 #[test]
@@ -103,7 +103,7 @@
             last.insert(part, UpstreamKey(engine));
             if listens {
                 let (told, next) = ring.news(mark);
-                prop_assert!(told.len() <= NOTES_TOLD && next.heard >= mark.heard);
+                prop_assert!(told.len() <= NOTES_PER_MESSAGE && next.heard >= mark.heard);
                 heard.extend(told.iter().map(|note| (note.part, note.engine)));
                 mark = next;
             }
@@ -137,7 +137,7 @@
     let keepers: Vec<UpstreamKey> =
         engines.iter().map(|c| c.key).filter(|key| *key != unknown.upstream).take(3).collect();
 
-    keepers.iter().for_each(|key| memory.note_told(1, *key, now_ms));
+    keepers.iter().for_each(|key| memory.note_reported(1, *key, now_ms));
     let sources: BTreeSet<UpstreamKey> = (0..4096u64)
         .filter_map(|draw| {
             let rules = EngineRules { draw: draw.wrapping_mul(0x9e37_79b9), ..RULES };
@@ -146,7 +146,7 @@
         .collect();
     assert_eq!(sources, keepers.iter().copied().collect());
 
-    memory.note_told(1, unknown.upstream, now_ms);
+    memory.note_reported(1, unknown.upstream, now_ms);
     let known = choose_engine(&engines, &prompt(), &memory, &RULES, now_ms).unwrap();
     assert_eq!((known.new_root, known.fetch_from), (None, None));
 }
@@ -164,7 +164,7 @@
         let (due, later) = told.into_iter().partition(|(at_ms, _, _)| *at_ms + 450 <= now_ms);
         told = later;
         for (_, root, engine) in due as Vec<(u64, u64, UpstreamKey)> {
-            memories.iter_mut().for_each(|memory| memory.note_told(root, engine, now_ms));
+            memories.iter_mut().for_each(|memory| memory.note_reported(root, engine, now_ms));
         }
         let root = 1 + number % 4;
         let parts = [(root, 2500), (1000 + number, 6000), (900, 500)];
--- a/lib/tests/test_identity.rs
+++ b/lib/tests/test_identity.rs
@@ -6,7 +6,7 @@
 use wingshed_lib::coordination::outlier::OutlierTable;
 use wingshed_lib::coordination::silence::SilenceView;
 use wingshed_lib::coordination::upstream_choice::PrefixMemory;
-use wingshed_lib::coordination::upstream_load::{ToldLoad, UpstreamLoad};
+use wingshed_lib::coordination::upstream_load::{LoadReports, UpstreamLoad};
 use wingshed_lib::coordination::upstream_seats::SeatTable;
 use wingshed_lib::state::finding::Finding;
 use wingshed_lib::state::kept_list::{read_kept, write_kept, KeptList};
@@ -196,9 +196,9 @@
 
 #[test]
 fn loads_of_an_earlier_incarnation_are_not_those_of_the_next() {
-    let mut told = ToldLoad::default();
+    let mut told = LoadReports::default();
 
-    told.tell(&[UpstreamLoad { upstream: entry("i", Some(1)).key(), requests: 5 }], &[]);
+    told.note(&[UpstreamLoad { upstream: entry("i", Some(1)).key(), requests: 5 }], &[]);
 
     assert_eq!(told.others(entry("i", Some(2)).key()), 0);
 }
@@ -216,7 +216,7 @@
 fn a_silence_of_an_earlier_incarnation_is_not_that_of_the_next() {
     let mut view = SilenceView::default();
 
-    view.tell(vec![entry("i", Some(1)).key()], 1000);
+    view.take(vec![entry("i", Some(1)).key()], 1000);
 
     assert!(!view.is_dark(entry("i", Some(2)).key(), 1001));
 }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -2,7 +2,7 @@
 //! for stands at the head of `platform/tests/test_quarantine.rs`.
 
 use wingshed_lib::coordination::crash_outbox::{
-    CrashNote, CrashOutbox, CrashReport, SeenCrash, CRASH_KEEP_MS, MOST_TOLD,
+    CrashNote, CrashOutbox, CrashReport, SeenCrash, CRASHES_PER_RENEWAL, CRASH_KEEP_MS,
 };
 use wingshed_lib::coordination::crash_table::{
     held_ms, settle_ms, CrashTable, COUNT_KEEP_MS, FIRST_HELD_MS, MOST_ENDED, MOST_HELD,
@@ -199,13 +199,13 @@
 #[test]
 fn crashes_are_told_until_they_are_heard_some_at_a_time_and_for_a_bounded_while() {
     let mut outbox = CrashOutbox::default();
-    for at in 0..MOST_TOLD as u64 + 5 {
+    for at in 0..CRASHES_PER_RENEWAL as u64 + 5 {
         outbox.note_ended(seen(RequestMark(at), 1), START_MS);
     }
     outbox.confirm(1, 0);
 
     let first = outbox.take(START_MS);
-    assert_eq!(first.ended.len(), MOST_TOLD);
+    assert_eq!(first.ended.len(), CRASHES_PER_RENEWAL);
     assert_eq!(outbox.take(START_MS), first, "the answer was lost");
     outbox.confirm(1, first.last());
     assert_eq!(outbox.take(START_MS).ended.len(), 5, "the rest");
--- a/lib/tests/test_rollout_evidence.rs
+++ b/lib/tests/test_rollout_evidence.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use wingshed_lib::coordination::rollout_evidence::{
     ArmSums, EvidenceLedger, EvidenceTable, LogSums, RolloutArm, RouteKey, RouteSums, TrialOutcome,
-    LATE_TIMES, ROUTES_TOLD,
+    LATE_TIMES, ROUTES_REPORTED,
 };
 use wingshed_lib::coordination::rollout_verdict::{
     is_enough, UnsoundFinding, UnsoundSign, VerdictState,
@@ -140,7 +140,7 @@
     let rows = ledger.rows();
 
     let told: Vec<u32> = rows.iter().map(|row| row.route.0).collect();
-    let most: Vec<u32> = (0..40).rev().take(ROUTES_TOLD).collect();
+    let most: Vec<u32> = (0..40).rev().take(ROUTES_REPORTED).collect();
     assert_eq!(told, most);
 }
 
--- a/lib/tests/test_silence.rs
+++ b/lib/tests/test_silence.rs
@@ -91,11 +91,11 @@
 #[test]
 fn a_vm_goes_by_what_it_is_told_and_what_it_met_while_that_is_fresh() {
     let mut view = SilenceView::default();
-    view.tell(vec![ENGINE], 1000);
+    view.take(vec![ENGINE], 1000);
     assert!(view.is_dark(ENGINE, 1500));
     assert!(!view.is_dark(ENGINE, 2100), "its leader is silent, too");
 
-    view.tell(Vec::new(), 3000);
+    view.take(Vec::new(), 3000);
     view.doubt(ENGINE, 3000);
     view.doubt(ENGINE, 3010);
     assert!(view.is_dark(ENGINE, 3100));
@@ -109,13 +109,13 @@
 fn what_was_told_is_not_told_again_and_holds_on() {
     let mut view = SilenceView::default();
     assert_eq!(view.mark(), DarkMark::of(&[]), "nothing is known, nothing is dark");
-    view.tell(vec![ENGINE, UpstreamKey(9)], 1000);
+    view.take(vec![ENGINE, UpstreamKey(9)], 1000);
     assert_eq!(view.mark(), DarkMark::of(&[ENGINE, UpstreamKey(9)]));
     assert_ne!(view.mark(), DarkMark::of(&[ENGINE]));
 
     view.confirm(1900);
     assert!(view.is_dark(ENGINE, 2800));
-    view.tell(Vec::new(), 2900);
+    view.take(Vec::new(), 2900);
     assert!(!view.is_dark(ENGINE, 2900));
 }
 
--- a/lib/tests/test_vm_decisions.rs
+++ b/lib/tests/test_vm_decisions.rs
@@ -22,7 +22,7 @@
 use wingshed_lib::coordination::upstream_choice::{
     choose_engine, EngineRules, PrefixMemory, NEW_ENGINE_MS,
 };
-use wingshed_lib::coordination::upstream_load::{ToldLoad, UpstreamLoad};
+use wingshed_lib::coordination::upstream_load::{LoadReports, UpstreamLoad};
 use wingshed_lib::coordination::upstream_seats::{patient_services, SeatTable, WAIT_MS};
 use wingshed_lib::coordination::vm_roster::{RosterRow, VmRoster};
 use wingshed_lib::state::fleet_record::{
@@ -507,8 +507,8 @@
     assert_eq!(roster.loads(), load(5));
     assert_eq!(roster.keepers().into_keys().collect::<Vec<_>>(), [KeeperId(1)]);
 
-    let mut told = ToldLoad::default();
-    told.tell(&roster.loads(), &load(2));
+    let mut told = LoadReports::default();
+    told.note(&roster.loads(), &load(2));
     assert_eq!(told.others(UpstreamKey(7)), 3);
 
     roster.expire(2400);
