--- a/daemons/src/lib.rs
+++ b/daemons/src/lib.rs
@@ -92,7 +92,7 @@
     let settings =
         read_router_settings(text).map_err(|findings| settings_lines(path, &findings))?;
     let node = RouterNode::start(settings).map_err(|error| failure(&error.to_string()))?;
-    wait_for_signal(signals, || node.is_told_to_leave());
+    wait_for_signal(signals, || node.is_ordered_to_leave());
     match node.drain() {
         true => Ok(()),
         false => Err(failure("requests were in flight at the end of the drain")),
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -49,7 +49,7 @@
 const MARK_KEEP_MS: u64 = 10_000;
 const ORDER_RETRY_MS: u64 = 1000;
 
-/// Reads the loop's state; the flag tells whether this keeper may vouch for it.
+/// Reads the loop's state; the flag is whether this keeper may vouch for it.
 pub type LoopRead = Box<dyn FnOnce(&KeeperLoop, bool) + Send>;
 
 /// What is asked of the loop.
@@ -68,11 +68,11 @@
     Member(MemberChange, Sender<OperateReply>),
     /// Hand leadership over.
     Transfer(Sender<OperateReply>),
-    /// Read the state; the flag tells whether this keeper may vouch for it.
+    /// Read the state; the flag is whether this keeper may vouch for it.
     Read(LoopRead),
     /// An order was sent, with its end if it has one.
     OrderSent(u64, Option<OrderState>),
-    /// The weight store told its limit.
+    /// The weight store reported its limit.
     StoreLimit(usize),
     /// The first group has formed.
     Form(GroupMembership),
@@ -459,7 +459,7 @@
         }
         self.loads.expire(now_ms);
         let asked: Vec<FleetKey> = renewal.rows.iter().map(|row| row.fleet).collect();
-        self.marks.retain(|(_, told_ms)| now_ms < told_ms + MARK_KEEP_MS);
+        self.marks.retain(|(_, noted_ms)| now_ms < noted_ms + MARK_KEEP_MS);
         for mark in renewal.marks {
             if !self.marks.iter().any(|(known, _)| *known == mark) {
                 self.marks.push((mark, now_ms));
--- a/lib/src/transport/keeper_operator.rs
+++ b/lib/src/transport/keeper_operator.rs
@@ -179,7 +179,7 @@
     }
 }
 
-/// A router that is told to leave drains and ends; its VM may then be taken away.
+/// A router that is ordered to leave drains and ends; its VM may then be taken away.
 fn leave_reply(desk: &KeeperDesk, call: &HttpCall) -> HttpReply {
     let submitted: SubmittedLeave = match body_of(call) {
         Ok(submitted) => submitted,
--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -24,7 +24,7 @@
 pub const POLL_ENGINE_MS: u64 = 2000;
 const POLL_LIST_MS: u64 = 1000;
 const TICK_MS: u64 = 25;
-/// Without a grant for this long, routers tell each other their loads.
+/// Without a grant for this long, routers send each other their loads.
 const ALONE_MS: u64 = 1000;
 const SUMS_MS: u64 = 500;
 const NEWS_KEEP_MS: u64 = 3000;
@@ -43,7 +43,7 @@
     turn: u64,
 }
 
-/// What the datagram thread tells the control thread.
+/// What the datagram thread sends to the control thread.
 pub(super) enum ControlEvent {
     Grant(SocketAddr, LeaseGrant),
     Notice { version: u64, epoch: u64 },
@@ -75,8 +75,8 @@
             times.renew_ms = now_ms + RENEW_MS;
             renew(shared, &mut times, now_ms);
         }
-        tell_chat_homes(shared);
-        tell_peers_when_alone(shared, &mut times, now_ms);
+        report_chats(shared);
+        send_sums_when_alone(shared, &mut times, now_ms);
         poll_engines(shared, &pool, &mut times, now_ms);
         poll_list(shared, &pool, &mut times, now_ms);
         if now_ms >= times.view_ms {
@@ -149,10 +149,10 @@
         marks,
     };
     times.turn += 1;
-    let told_ms = lock(&shared.desk).others.reported_ms();
+    let reported_ms = lock(&shared.desk).others.reported_ms();
     let keepers = shared.keepers.keepers().iter().map(|keeper| keeper.address);
     let renewal = Datagram::Renew(renewal);
-    for to in renew_with(shared.keepers.leader(), keepers, told_ms, now_ms) {
+    for to in renew_with(shared.keepers.leader(), keepers, reported_ms, now_ms) {
         shared.port.send(to, &renewal);
     }
 }
@@ -283,8 +283,8 @@
     lock(&shared.limits).expire(now_ms);
 }
 
-/// Chats that went elsewhere are told to their homes, many in one datagram.
-fn tell_chat_homes(shared: &Arc<RouterShared>) {
+/// Chats that went elsewhere are reported to their homes, many in one datagram.
+fn report_chats(shared: &Arc<RouterShared>) {
     let notes = std::mem::take(&mut lock(&shared.desk).notes);
     let view = shared.view();
     for (home, notes) in notes {
@@ -297,7 +297,7 @@
 
 // ---- while no keeper leads ----
 
-fn tell_peers_when_alone(shared: &Arc<RouterShared>, times: &mut ControlTimes, now_ms: u64) {
+fn send_sums_when_alone(shared: &Arc<RouterShared>, times: &mut ControlTimes, now_ms: u64) {
     let lease_fresh = now_ms < lock(&shared.desk).others.reported_ms() + ALONE_MS;
     if lease_fresh || now_ms < times.sums_ms {
         return;
--- a/lib/src/transport/router_home.rs
+++ b/lib/src/transport/router_home.rs
@@ -213,7 +213,7 @@
     let Some(sight) = view.fleets.get(&ask.fleet) else { return MoveChoice::Recompute };
     let work = ask.work(holder.cached_tokens);
     let desk = lock(&shared.desk);
-    // Behind others that wait already, how long the holder will be busy cannot be told.
+    // Behind others that wait already, how long the holder will be busy isn't known.
     let ahead = desk.queues.get(&ask.fleet).is_some_and(|queue| queue.has_rank(ask.decision.class));
     let known = shared.known(&desk, ask.fleet, sight, work);
     let bound = admission_bound(&known.load, known.multiple, work);
--- a/lib/src/transport/router_node.rs
+++ b/lib/src/transport/router_node.rs
@@ -119,8 +119,8 @@
         false
     }
 
-    /// Whether an operator has told this life of the router to leave.
-    pub fn is_told_to_leave(&self) -> bool {
+    /// Whether an operator has ordered this life of the router to leave.
+    pub fn is_ordered_to_leave(&self) -> bool {
         let view = self.shared.view();
         let session = view.roster.routers.get(&self.shared.id());
         session.is_some_and(|s| s.leaving && s.incarnation == self.shared.incarnation)
@@ -147,7 +147,7 @@
         left == 0
     }
 
-    /// Tells the keepers that this router leaves. The channel disconnects when they have
+    /// Notifies the keepers that this router leaves. The channel disconnects when they have
     /// answered or cannot be reached.
     fn send_leave(&mut self) -> Receiver<()> {
         let (ended, leave_sent) = bounded::<()>(0);
--- a/lib/src/transport/router_plain.rs
+++ b/lib/src/transport/router_plain.rs
@@ -117,7 +117,7 @@
     Ok(chosen)
 }
 
-/// The upstreams that aren't set aside, as this router knows them: it is told of no other router's requests.
+/// The upstreams that aren't set aside, as this router knows them: it receives no other router's requests.
 fn candidates(
     desk: &HomeDesk,
     sight: &FleetSight,
--- a/lib/src/transport/router_relay.rs
+++ b/lib/src/transport/router_relay.rs
@@ -178,7 +178,7 @@
     SinkGone,
 }
 
-/// Reads a stream to its end and passes its pieces on. `on_piece` is told of each.
+/// Reads a stream to its end and passes its pieces on. `on_piece` is called with each.
 pub(super) fn relay_stream(
     body: impl Read,
     order: &mut PieceOrder<String>,
--- a/lib/src/transport/router_serve.rs
+++ b/lib/src/transport/router_serve.rs
@@ -127,7 +127,7 @@
     key_hash: Option<&str>,
 ) -> Result<(), CallerError> {
     let entry = view.configuration.workspaces.get(workspace);
-    // An unknown workspace is compared too, so that the time tells nothing of its being there.
+    // An unknown workspace is compared too, so that the time doesn't reveal whether it exists.
     let expected = entry.map_or("0".repeat(64), |entry| entry.key_hash.clone());
     let shown = key_hash.unwrap_or("");
     let good = bool::from(shown.as_bytes().ct_eq(expected.as_bytes()));
--- a/lib/src/transport/router_shared.rs
+++ b/lib/src/transport/router_shared.rs
@@ -76,7 +76,7 @@
 }
 
 impl RouterView {
-    /// The view of a configuration and a roster; `closed` tells who takes no new work.
+    /// The view of a configuration and a roster; `closed` is whether an upstream takes no new work.
     pub fn new(
         configuration: Arc<Configuration>,
         roster: RouterRoster,
@@ -361,13 +361,13 @@
         let mut desk = lock(&self.desk);
         let known = desk.memory.holders(chat).iter().any(|holder| holder.engine == engine);
         desk.memory.note(chat, engine, life, tokens);
-        // The chat's home is told once for each engine; it need not know of each turn.
+        // The chat's home is notified once for each engine; it need not know of each turn.
         if let Some(home) = home.filter(|home| *home != self.settings.id && !known) {
             desk.notes.entry(home).or_default().push(ChatNote { chat, engine, life, tokens });
         }
     }
 
-    /// Notes a life that leaves; news is told to the others, and closes it here at once.
+    /// Notes a life that leaves; news is sent to the others, and closes it here at once.
     pub(super) fn note_leaving(&self, mark: LeavingMark) {
         let news = {
             let mut desk = lock(&self.desk);
@@ -386,7 +386,7 @@
         }
     }
 
-    /// Notes the life that an upstream told; a new life opens it again.
+    /// Notes the life that an upstream reported; a new life opens it again.
     pub(super) fn note_life(&self, upstream: UpstreamKey, life: Incarnation) {
         let opened = {
             let mut desk = lock(&self.desk);
--- a/lib/src/transport/router_status.rs
+++ b/lib/src/transport/router_status.rs
@@ -33,7 +33,7 @@
     HttpReply::json(200, &answer).with("cache-control", keep)
 }
 
-/// The fleet that the workspace's policy names for a service, when it needs no more to tell.
+/// The fleet that the workspace's policy names for a service, when that alone decides.
 fn directory_fleet(view: &RouterView, workspace: &str, service: &str) -> Option<FleetKey> {
     let entry = view.configuration.workspaces.get(workspace)?;
     let program = view.policies.get(&entry.policy)?;
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -13,9 +13,9 @@
 use crate::state::route_table::{RouteRule, ServiceEntry};
 use crate::state::upstream_list::{EntryDoubt, UpstreamEntry};
 
-/// From this part of the bound on an engine's load VMs tell each other of loads more often.
+/// From this part of the bound on an engine's load VMs report loads more often.
 const OVERLOADED_PART: f64 = 0.75;
-/// While this part of a service's engines is withheld, VMs tell each other of loads as often as under
+/// While this part of a service's engines is withheld, VMs report loads as often as under
 /// overload: the others' mean is closer to the limit, which goes by the mean of all.
 const WITHHELD_OVERLOADS: f64 = 0.1;
 /// Upstreams that fail everybody are left alone for this long after the leader named them last, in
@@ -153,8 +153,8 @@
             let at = candidates.binary_search_by_key(key, |candidate| candidate.key);
             at.is_ok_and(|at| counts(&&candidates[at]))
         };
-        let told = view.reports.own_loads().filter(|load| counted(&load.upstream));
-        news.own_reported = told.map(|load| load.requests).sum();
+        let loads = view.reports.own_loads().filter(|load| counted(&load.upstream));
+        news.own_reported = loads.map(|load| load.requests).sum();
         news
     }
 
@@ -225,9 +225,9 @@
         let view = self.node.view.borrow();
         let outliers = self.node.outliers.borrow();
         let silence = self.node.silence.borrow();
-        // What was told a while ago says nothing: no VM would try them again.
-        let told = view.heard_ms + FAILING_KEEP_MS > now_ms;
-        let failing = view.failing.iter().copied().filter(|_| told);
+        // An old grant says nothing: no VM would try them again.
+        let fresh = view.heard_ms + FAILING_KEEP_MS > now_ms;
+        let failing = view.failing.iter().copied().filter(|_| fresh);
         let aside = outliers.known().filter(|key| outliers.is_aside(*key, now_ms));
         for key in failing.chain(silence.view.dark(now_ms)).chain(aside) {
             candidates.change(key, |candidate| candidate.aside = true);
--- a/lib/src/transport/vm_connection.rs
+++ b/lib/src/transport/vm_connection.rs
@@ -64,7 +64,7 @@
             Box::pin(run_requests(&node, stream, serve, pulse, record, closing.as_mut())).await;
     }
     if pulse.is_broken() {
-        record.tell_broken(node.now_ms());
+        record.log_broken(node.now_ms());
     }
 }
 
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -1,4 +1,4 @@
-//! How a VM stays in contact with the leader: whom it asks, how often, and what it tells. Answers are in
+//! How a VM stays in contact with the leader: whom it asks, how often, and what it reports. Answers are in
 //! `vm_grant`.
 
 use std::net::SocketAddr;
@@ -17,9 +17,9 @@
 
 /// Without an answer for this long, a VM asks all keepers that it knows.
 pub(super) const LEADER_SILENT_MS: u64 = 2 * RENEW_MS + 50;
-/// What a renewal told is kept for its answer this long, in milliseconds; later answers tell
+/// What a renewal reported is kept for its answer this long, in milliseconds; later answers say
 /// nothing of the present any more.
-const TOLD_KEEP_MS: u64 = 2000;
+const REPORT_KEEP_MS: u64 = 2000;
 /// The largest datagram.
 const DATAGRAM_BYTES: usize = 64 << 10;
 /// VMs outside the keepers that are asked when no keeper answers.
@@ -36,8 +36,8 @@
             let silent = self.view.borrow().heard_ms + LEADER_SILENT_MS <= self.now_ms();
             // A VM without a list or routes can't serve; the leader may have them by now.
             let lacks = !self.upstreams.borrow().is_held() || self.routes.borrow().is_none();
-            let untold = lacks && self.clock.age_ms() < NO_LIST_MS;
-            let pause = match silent || untold {
+            let young = lacks && self.clock.age_ms() < NO_LIST_MS;
+            let pause = match silent || young {
                 true => seek_pause_ms(self.view.borrow().vms),
                 false => self.renew_pause_ms(),
             };
@@ -45,13 +45,13 @@
         }
     }
 
-    /// A leader that may vouch now tells all VMs that it knows, so that they need not find it.
-    pub(super) fn tell_leadership(&self, now_ms: u64) {
+    /// A leader that may vouch now notifies all VMs that it knows, so that they need not find it.
+    pub(super) fn announce_leadership(&self, now_ms: u64) {
         let term = match &*self.keeper.borrow() {
             Some(keeper) if keeper.may_vouch(now_ms) => keeper.term(),
             _ => return,
         };
-        if std::mem::replace(&mut self.view.borrow_mut().told_term, term) == term {
+        if std::mem::replace(&mut self.view.borrow_mut().announced_term, term) == term {
             return;
         }
         let datagram = VmDatagram::Leads { term };
@@ -65,7 +65,7 @@
         self.send_datagrams(known, &datagram);
     }
 
-    /// A VM tells that it leads.
+    /// A VM announced that it leads.
     fn take_leadership(&self, from: VmId, term: u64) {
         let newer = {
             let mut view = self.view.borrow_mut();
@@ -98,7 +98,7 @@
         self.send_datagrams(self.whom_to_ask(now_ms), &renewal);
     }
 
-    /// A renewal; what it tells of the own load is kept, to take it off the sum that the answer
+    /// A renewal; what it reports of the own load is kept, to take it off the sum that the answer
     /// brings.
     fn renewal(&self, now_ms: u64) -> VmDatagram {
         let loads = self.own_loads();
@@ -136,7 +136,7 @@
             crashes,
         };
         view.own_reported.insert(now_ms, note.loads.clone());
-        view.own_reported.retain(|told_ms, _| told_ms + TOLD_KEEP_MS > now_ms);
+        view.own_reported.retain(|reported_ms, _| reported_ms + REPORT_KEEP_MS > now_ms);
         VmDatagram::Renew(note)
     }
 
@@ -197,7 +197,7 @@
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
             let (length, from) = match self.datagrams.recv_from(&mut buffer).await {
-                Ok(told) => told,
+                Ok(received) => received,
                 Err(error) => {
                     debug!(target: "contact", "cannot receive: {error}");
                     continue;
@@ -258,12 +258,12 @@
     }
 
     /// Waits until the configuration in force is surely the newest as of `since_ms`; false when it
-    /// can't be told in time.
+    /// can't be proved in time.
     pub async fn confirm(&self, since_ms: u64, patience: Duration) -> bool {
         self.wait_for_proof(patience, || self.contact.borrow().confirmed_ms() >= since_ms).await
     }
 
-    /// The same for orders of zones and roll-outs. Other VMs prove the configuration too, and tell
+    /// The same for orders of zones and roll-outs. Other VMs prove the configuration too, and prove
     /// nothing of orders: only the leader does.
     pub async fn confirm_orders(&self, since_ms: u64, patience: Duration) -> bool {
         let proved = || self.rollouts.borrow().watch().proved_ms() >= Some(since_ms);
--- a/lib/src/transport/vm_control.rs
+++ b/lib/src/transport/vm_control.rs
@@ -77,7 +77,7 @@
     /// Returns once a document of this version, or of a higher one, is committed.
     async fn replicate(self: &Rc<Self>, version: u64, document: PackedText) {
         loop {
-            // What is in force was committed before it was told.
+            // What is in force was committed before it was sent.
             if self.contact.borrow().applied() >= version {
                 return;
             }
--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -47,13 +47,13 @@
         desk.knows_any() && desk.is_held(self.mark(workspace))
     }
 
-    /// Whether VMs are to tell how this request fares.
+    /// Whether VMs are to report how this request fares.
     pub(super) fn is_watched(&self, workspace: Option<&str>) -> bool {
         let desk = self.node.quarantine.borrow();
         desk.knows_any() && desk.is_watched(self.mark(workspace))
     }
 
-    /// An answer came whole, and its end was told by its framing: one that ends with its connection
+    /// An answer came whole, and its end was given by its framing: one that ends with its connection
     /// may have ended with its upstream.
     pub(super) fn note_ran(&self, place: &SendPlace, framed: bool) {
         if framed && self.node.quarantine.borrow().knows_any() {
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Serves apart from the caller's connection, and tells the end if that is gone by then.
+    /// Serves apart from the caller's connection, and logs the end if that is gone by then.
     async fn serve_to_its_end(self) -> Response<AnswerBody> {
         let (sender, receiver) = oneshot::channel();
         let record = self.record.clone();
@@ -141,7 +141,7 @@
             let answer = self.serve().await;
             let status = answer.status().as_u16();
             if sender.send(answer).is_err() {
-                record.tell_ended(status);
+                record.log_ended(status);
             }
         });
         receiver.await.unwrap_or_else(|_| own_answer(StatusCode::BAD_GATEWAY, "given up"))
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Tells a caller where to go.
+/// Answers a caller with the addresses to go to.
 pub async fn serve_addresses(node: Rc<VmNode>, request: Request<Incoming>) -> Response<AnswerBody> {
     let Some(zone) = node.adapter.address_call(request.method(), request.uri()) else {
         return own_answer(StatusCode::NOT_FOUND, "");
@@ -120,7 +120,7 @@
         Ok(())
     }
 
-    /// Tells the VM's figures at `port` and `path`; a VM serves without that too.
+    /// Serves the VM's figures at `port` and `path`; a VM serves without that too.
     pub fn start_figures(self: &Rc<Self>, port: u16, path: String) {
         let address = SocketAddr::from((self.settings.borrow().ip, port));
         *self.figures_path.borrow_mut() = path;
--- a/lib/src/transport/vm_grant.rs
+++ b/lib/src/transport/vm_grant.rs
@@ -7,7 +7,7 @@
 
 use super::vm_contact::LEADER_SILENT_MS;
 use super::vm_keeper::KeeperDriver;
-use super::vm_list_news::told_age_ms;
+use super::vm_list_news::sent_age_ms;
 use super::vm_node::VmNode;
 use crate::coordination::fleet_health::{names_failing, HealthReport};
 use crate::coordination::holder_news::{HolderMark, HolderNote};
@@ -20,7 +20,7 @@
 use crate::state::upstream_list::ListMark;
 use crate::state::zone_order::ZoneOrders;
 
-/// What a leader tells of the roster: nothing to a VM that knows one, until it has led long
+/// What a leader sends of the roster: nothing to a VM that knows one, until it has led long
 /// enough to have heard every VM.
 fn roster_news(keeper: &KeeperDriver, have: RosterMark, now_ms: u64) -> RosterNews {
     match keeper.led_ms(now_ms) >= SETTLE_MS || have.term == 0 {
@@ -44,7 +44,7 @@
         self.send_datagram(from, &answer);
     }
 
-    /// Takes what a renewal tells, as the leader, and makes the answer.
+    /// Takes a renewal, as the leader, and makes the answer.
     fn grant(
         &self,
         keeper: &KeeperDriver,
@@ -65,7 +65,7 @@
             term,
             version: record.document.version,
             list: upstreams.mark,
-            list_age_ms: told_age_ms(upstreams.news_ms, now_ms),
+            list_age_ms: sent_age_ms(upstreams.news_ms, now_ms),
             keepers: keeper.members().iter().map(|id| id.0).collect(),
             roster: roster_news(keeper, note.roster, now_ms),
             loads: self.shared_loads.borrow_mut().news(
@@ -141,21 +141,21 @@
         desk.table.named(now_ms)
     }
 
-    /// Takes what a VM tells of holders, as the leader, and gives what others told.
+    /// Takes what a VM reports of holders, as the leader, and returns what others reported.
     fn exchange_holders(
         &self,
         term: u64,
-        told: &[HolderNote],
+        notes: &[HolderNote],
         heard: HolderMark,
         now_ms: u64,
     ) -> (Vec<HolderNote>, HolderMark) {
         let mut desk = self.holders.borrow_mut();
-        let fresh = desk.ring.take(term, told);
+        let fresh = desk.ring.take(term, notes);
         self.learn_holders(&fresh, now_ms);
         desk.ring.news(heard)
     }
 
-    /// Takes the orders that a leader tells with a grant to a renewal sent at `sent_ms`, those of a kind
+    /// Takes the orders that a leader sends with a grant to a renewal sent at `sent_ms`, those of a kind
     /// only where they are others than this VM knew of; so what it knows is all there was then.
     fn take_orders(&self, zones: Option<ZoneOrders>, rollouts: Option<RolloutTable>, sent_ms: u64) {
         zones.into_iter().for_each(|orders| self.take_zones(orders));
@@ -186,17 +186,17 @@
         self.take_view(from, grant, now_ms);
         self.contact.borrow_mut().note_grant(sent_ms, version);
         self.contact_changed.notify_waiters();
-        self.tell_if_changed();
+        self.renew_if_changed();
         if self.contact.borrow_mut().wants_document(version, now_ms) {
             self.ask_document(from);
         }
         if list > self.upstreams.borrow().mark {
             self.want_list(from, now_ms);
         }
-        self.tell_askers();
+        self.answer_askers();
     }
 
-    /// Takes what a grant tells of the other VMs.
+    /// Takes what a grant reports of the other VMs.
     fn take_view(&self, from: VmId, grant: GrantNote, now_ms: u64) {
         let mut view = self.view.borrow_mut();
         if view.leader != Some(from) {
--- a/lib/src/transport/vm_keeper.rs
+++ b/lib/src/transport/vm_keeper.rs
@@ -217,7 +217,7 @@
         outcome
     }
 
-    /// Proposes a document; the receiver tells whether it is committed.
+    /// Proposes a document; the receiver gets whether it is committed.
     pub fn put(
         &mut self,
         version: u64,
@@ -235,8 +235,8 @@
         (receiver, outcome)
     }
 
-    /// Proposes an order of a zone or a roll-out; the receiver tells whether it was taken. Each
-    /// order is proposed, also one that asks for what already holds: only its place in the log tells
+    /// Proposes an order of a zone or a roll-out; the receiver gets whether it was taken. Each
+    /// order is proposed, also one that asks for what already holds: only its place in the log shows
     /// whether another one goes before it.
     pub fn order(
         &mut self,
--- a/lib/src/transport/vm_links.rs
+++ b/lib/src/transport/vm_links.rs
@@ -167,7 +167,7 @@
                 return;
             }
             let head = match decode_frame_head(head) {
-                Ok(told) => told,
+                Ok(head) => head,
                 Err(error) => {
                     debug!(target: "link", "closes: {error}");
                     return;
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -51,8 +51,8 @@
 enum ListFault {
     /// The platform takes no more calls just now.
     TooMany,
-    /// It was told meanwhile, so the rest isn't read.
-    Told,
+    /// The list was received meanwhile, so the rest isn't read.
+    Received,
     /// Anything else.
     Other(String),
 }
@@ -61,7 +61,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             ListFault::TooMany => write!(f, "the platform takes no more calls"),
-            ListFault::Told => write!(f, "others tell it by now"),
+            ListFault::Received => write!(f, "others tell it by now"),
             ListFault::Other(text) => write!(f, "{text}"),
         }
     }
@@ -126,7 +126,7 @@
                 self.take_reading(rows, reader.alone, began_ms);
                 self.note_replaced();
                 self.contact_changed.notify_waiters();
-                self.tell_askers();
+                self.answer_askers();
                 self.set_list_due(self.leader_pause_ms(began_ms) + self.draw() % 50);
             }
             Err(ListFault::TooMany) if reader.alone => {
@@ -134,7 +134,7 @@
                 let pause_ms = self.list_cost().alone_pause_ms(reader.refusals);
                 self.set_list_due(pause_ms / 2 + self.draw() % pause_ms);
             }
-            Err(ListFault::Told) => self.set_list_due(self.leader_pause_ms(began_ms)),
+            Err(ListFault::Received) => self.set_list_due(self.leader_pause_ms(began_ms)),
             Err(error) => {
                 if reader.fails == 0 {
                     warn!(target: "list", "cannot be read: {error}");
@@ -186,7 +186,7 @@
         info!(target: "list", age_ms, rank, "too old, is read without the leader");
     }
 
-    /// What a reading tells, in view of what was known; says what of it can't be read.
+    /// What a reading shows, in view of what was known; says what of it can't be read.
     fn settle_reading(&self, reading: &ListReading) -> Result<Vec<UpstreamEntry>, ListFault> {
         self.note_unread(reading);
         let settled = reading.settle(&self.upstreams.borrow());
@@ -281,7 +281,7 @@
         }
         let step = self.upstreams.borrow_mut().read(rows, Some(term), self.id, began_ms);
         if let Some(step) = step {
-            self.tell_list(step);
+            self.send_list(step);
         }
     }
 
@@ -305,7 +305,7 @@
         entry.engine.as_ref().map(|engine| engine.slots)
     }
 
-    /// A VM that doesn't lead keeps the seats that it was told of.
+    /// A VM that doesn't lead keeps the seats that it received.
     fn take_reading_alone(&self, mut rows: Vec<UpstreamEntry>, began_ms: u64) {
         let mut upstreams = self.upstreams.borrow_mut();
         let mut seats = SeatTable::default();
@@ -332,7 +332,7 @@
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
             if alone && self.action(false, self.now_ms()) == ListAction::Rest {
-                return Err(ListFault::Told);
+                return Err(ListFault::Received);
             }
             let tries = if alone { 0 } else { PAGE_TRIES };
             let page = self.read_page(next.as_deref(), tries).await?;
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -1,7 +1,7 @@
 //! How the list of upstreams, and what is known of its age, comes from VM to VM.
 //!
-//! A leader tells steps to all. A VM that lacks a state requests it from one that holds it, and is answered at
-//! once or as soon as that VM holds it. A VM that was told nothing for too long asks a few others
+//! A leader sends steps to all. A VM that lacks a state requests it from one that holds it, and is answered at
+//! once or as soon as that VM holds it. A VM without news for too long asks a few others
 //! what they know, whether there is a leader or not: what is known anywhere outlives the leader.
 //! Invariant: an answer to a question proves only what was so when the question was sent. See
 //! `docs/design/fleet-news.md`.
@@ -29,14 +29,14 @@
 /// Questions are remembered this long for a later answer, in milliseconds; who asked asks again.
 const ASK_KEEP_MS: u64 = 2000;
 /// What is younger by less than this is no news, in milliseconds: two that wait for the same
-/// reading would tell each other of the way of their datagrams.
+/// reading would only send each other the delay of their datagrams.
 const YOUNGER_MS: u64 = 200;
 /// A VM whose configuration was confirmed longer ago than this part of the time within which a
 /// change must be in force asks others, too.
 const UNCONFIRMED_PART: u64 = 2;
 
-/// An age that is told, in milliseconds; what never was is older than any.
-pub(super) fn told_age_ms(since_ms: u64, now_ms: u64) -> u32 {
+/// An age as sent, in milliseconds; what never was is older than any.
+pub(super) fn sent_age_ms(since_ms: u64, now_ms: u64) -> u32 {
     match since_ms {
         0 => u32::MAX,
         since_ms => u32::try_from(now_ms.saturating_sub(since_ms)).unwrap_or(u32::MAX),
@@ -85,8 +85,8 @@
             NewsAsk {
                 sent_ms: now_ms,
                 list: upstreams.mark,
-                list_age_ms: told_age_ms(upstreams.news_ms, now_ms),
-                version_age_ms: told_age_ms(self.contact.borrow().confirmed_ms(), now_ms),
+                list_age_ms: sent_age_ms(upstreams.news_ms, now_ms),
+                version_age_ms: sent_age_ms(self.contact.borrow().confirmed_ms(), now_ms),
             }
         };
         let mut order = self.readers();
@@ -111,9 +111,9 @@
             PeerNote {
                 sent_ms: ask.sent_ms,
                 list: upstreams.mark,
-                list_age_ms: told_age_ms(upstreams.news_ms, came_ms),
+                list_age_ms: sent_age_ms(upstreams.news_ms, came_ms),
                 version: contact.applied(),
-                version_age_ms: told_age_ms(contact.confirmed_ms(), came_ms),
+                version_age_ms: sent_age_ms(contact.confirmed_ms(), came_ms),
             }
         };
         let younger = |own: u32, other: u32| u64::from(own) + YOUNGER_MS < u64::from(other);
@@ -141,7 +141,7 @@
             self.want_list(from, now_ms);
         }
         self.contact_changed.notify_waiters();
-        self.tell_askers();
+        self.answer_askers();
     }
 
     /// Another VM answered a question of `sent_ms` that it held the state `mark` then, and how long
@@ -200,8 +200,8 @@
         }
     }
 
-    /// Tells those who wait what is known by now.
-    pub(super) fn tell_askers(&self) {
+    /// Answers those who wait with what is known by now.
+    pub(super) fn answer_askers(&self) {
         let now_ms = self.now_ms();
         let (wanting, asking) = {
             let mut desk = self.list_desk.borrow_mut();
@@ -218,9 +218,9 @@
         self.list_desk.borrow_mut().asking.extend(unanswered);
     }
 
-    /// Tells the others of a list that changed, or of a new leader's first. What is large goes to the
+    /// Sends the others a list that changed, or a new leader's first. What is large goes to the
     /// keepers alone: the others hear of its mark with their next grant and ask those of their zones.
-    pub(super) fn tell_list(&self, step: ListStep) {
+    pub(super) fn send_list(&self, step: ListStep) {
         let upstreams = self.upstreams.borrow().entries.len();
         let changed = step.change.rows.len() + step.change.gone.len();
         info!(target: "list", upstreams, changed, change = step.to.change, "changed");
@@ -238,28 +238,28 @@
         }
     }
 
-    /// Takes a step that another VM told; asks that VM if it doesn't fit what is here.
+    /// Takes a step that another VM sent; asks that VM if it doesn't fit what is here.
     pub(super) fn take_list_step(&self, from: VmId, step: ListStep) {
         let have = self.upstreams.borrow().mark;
         if step.to <= have {
             return;
         }
         if self.upstreams.borrow_mut().follow(step, self.now_ms()) {
-            self.note_told();
+            self.note_received();
         } else {
             self.links.send(from, &VmMessage::WantList { have });
         }
     }
 
-    /// Takes a whole list that another VM told, or that was kept on disk.
+    /// Takes a whole list that another VM sent, or that was kept on disk.
     pub(super) fn take_list(&self, mark: ListMark, rows: Vec<UpstreamEntry>) {
         if self.upstreams.borrow_mut().take_whole(mark, rows, self.now_ms()) {
-            self.note_told();
+            self.note_received();
         }
     }
 
     /// Another VM's state was taken: that one knows what of it could not be read.
-    fn note_told(&self) {
+    fn note_received(&self) {
         {
             let mut desk = self.list_desk.borrow_mut();
             desk.unread = 0;
@@ -268,7 +268,7 @@
         self.view.borrow_mut().list_attempts = 0;
         self.upstreams.borrow_mut().replaced_last.clear();
         self.contact_changed.notify_waiters();
-        self.tell_askers();
+        self.answer_askers();
     }
 
     /// Has the disk keep the list, if it is another than before and the disk is free.
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -21,10 +21,10 @@
 use crate::state::rollout_order::{RolloutPhase, RolloutRow};
 use crate::state::vm_figures::{RequestEnd, VmFigures, BUCKETS_MS};
 
-/// One figure: name, kind, what it tells and in which unit.
+/// One figure: name, kind, meaning and unit.
 pub type FigureEntry = (&'static str, &'static str, &'static str);
 
-/// Every figure, in the order in which they are told.
+/// Every figure, in the order in which they are written.
 pub const FIGURES: [FigureEntry; 46] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
@@ -98,9 +98,9 @@
     /// All figures as text.
     pub fn write_figures(&self) -> String {
         let mut text = String::new();
-        for (name, kind, tells) in FIGURES {
+        for (name, kind, help) in FIGURES {
             // Writing to a string doesn't fail.
-            let _ = write!(text, "# HELP {name} {tells}\n# TYPE {name} {kind}\n");
+            let _ = write!(text, "# HELP {name} {help}\n# TYPE {name} {kind}\n");
             self.write_figure(&mut text, name);
         }
         text
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -63,23 +63,23 @@
     pub document: Vec<u8>,
 }
 
-/// What a VM tells of holders, has heard of them, and tells on while it leads.
+/// What a VM reports of holders, has heard of them, and sends on while it leads.
 #[derive(Default)]
 pub struct HolderDesk {
-    /// What it has to tell.
+    /// What it has to report.
     pub outbox: HolderOutbox,
     /// What it has heard.
     pub heard: HolderMark,
-    /// What it was told as the leader.
+    /// What it received as the leader.
     pub ring: HolderRing,
 }
 
-/// How a VM's sends went, and what it was told of all VMs' while it leads.
+/// How a VM's sends went, and what was reported of all VMs' while it leads.
 #[derive(Default)]
 pub struct HealthDesk {
-    /// What it has to tell.
+    /// What it has to report.
     pub outbox: HealthOutbox,
-    /// What it was told as the leader.
+    /// What it received as the leader.
     pub table: HealthTable,
 }
 
@@ -100,14 +100,14 @@
     pub reports: LoadReports,
     /// Upstreams that fail all VMs that send to them, by the last grant.
     pub failing: Vec<UpstreamKey>,
-    /// What this VM told of its own, by the time of telling.
+    /// What this VM reported of its own, by the time of the report.
     pub own_reported: HashMap<u64, Vec<UpstreamLoad>>,
     /// Pages of the list of upstreams, as this VM last read it.
     pub list_pages: usize,
     /// The term of the last leader that answered.
     pub term: u64,
-    /// The last term in which this VM told the others that it leads.
-    pub told_term: u64,
+    /// The last term in which this VM announced that it leads.
+    pub announced_term: u64,
     /// How many VMs there are, by the last answer.
     pub vms: usize,
     /// When the list of upstreams should be read again, by its reader.
@@ -121,7 +121,7 @@
 
 /// One VM.
 pub struct VmNode {
-    /// What it was told at its start, or later.
+    /// What it was given at its start, or later.
     pub settings: RefCell<VmSettings>,
     /// The platform's wire.
     pub adapter: Box<dyn WireAdapter>,
@@ -135,7 +135,7 @@
     pub routes: RefCell<Option<Rc<RoutesInForce>>>,
     /// How fresh that is.
     pub contact: RefCell<LeaderContact>,
-    /// Told when the contact or the routes change.
+    /// Notified when the contact or the routes change.
     pub contact_changed: Notify,
     /// The upstreams.
     pub upstreams: RefCell<UpstreamList>,
@@ -161,7 +161,7 @@
     pub figures_path: RefCell<String>,
     /// What this VM sent where.
     pub prefixes: RefCell<PrefixMemory>,
-    /// Where parts are kept against the order: told and heard.
+    /// Where parts are kept against the order: reported and heard.
     pub holders: RefCell<HolderDesk>,
     /// How sends went, here and elsewhere.
     pub health: RefCell<HealthDesk>,
@@ -175,11 +175,11 @@
     pub quarantine: RefCell<QuarantineDesk>,
     /// Upstreams that are silent.
     pub silence: RefCell<SilenceDesk>,
-    /// Told when others are silent than before.
+    /// Notified when others are silent than before.
     pub silence_changed: Notify,
     /// Repeats, by service.
     pub budgets: RefCell<HashMap<String, RepeatBudget>>,
-    /// The loads that it tells while it leads.
+    /// The loads that it sends while it leads.
     pub shared_loads: RefCell<SharedLoads>,
     /// Links to other VMs.
     pub links: LinkTable,
@@ -205,13 +205,13 @@
     pub draws: Cell<u64>,
     /// Requests that are being served.
     pub serving: Cell<u32>,
-    /// Whether this VM said that it is ready when it last told of itself.
-    pub told_ready: Cell<bool>,
+    /// Whether this VM was ready by its last report.
+    pub reported_ready: Cell<bool>,
     /// Connections that are open at the listeners.
     pub connections: Cell<u32>,
     /// When SIGTERM came.
     pub stopping_ms: Cell<Option<u64>>,
-    /// Told when the listeners should close what rests.
+    /// Notified when the listeners should close what rests.
     pub closing: Notify,
 }
 
@@ -271,7 +271,7 @@
             asked_puts: RefCell::default(),
             draws: Cell::new(seed | 1),
             serving: Cell::new(0),
-            told_ready: Cell::new(false),
+            reported_ready: Cell::new(false),
             connections: Cell::new(0),
             stopping_ms: Cell::new(None),
             closing: Notify::new(),
@@ -321,14 +321,14 @@
     /// What others should know of this VM.
     pub fn own_row(&self) -> RosterRow {
         let ready = self.is_ready();
-        self.told_ready.set(ready);
+        self.reported_ready.set(ready);
         RosterRow { id: self.id, zone: self.zone, ready }
     }
 
-    /// Tells the leader at once when this VM has become ready, or is so no more: callers wait
+    /// Renews at once when this VM has become ready, or is so no more: callers wait
     /// for it after a restart of everything.
-    pub fn tell_if_changed(&self) {
-        if self.is_ready() != self.told_ready.get() {
+    pub fn renew_if_changed(&self) {
+        if self.is_ready() != self.reported_ready.get() {
             self.renew();
         }
     }
@@ -355,7 +355,7 @@
                 self.contact.borrow_mut().note_applied(version);
                 self.view.borrow_mut().document_attempts = 0;
                 self.contact_changed.notify_waiters();
-                self.tell_if_changed();
+                self.renew_if_changed();
             }
             // Every document was checked before it was proposed.
             Err(findings) => error!(target: "routes", version, "cannot be read: {findings:?}"),
@@ -379,10 +379,10 @@
             self.links.send(to.0, &VmMessage::Raft(message));
         }
         if outcome.rollouts_changed {
-            self.tell_rollouts();
+            self.send_rollouts();
         }
         if outcome.quarantine_changed {
-            self.tell_quarantine();
+            self.send_quarantine();
         }
         if !outcome.changed {
             return;
@@ -398,13 +398,13 @@
             self.give_document(asker);
         }
         if vouches {
-            self.tell_document(before.as_deref(), held);
+            self.send_document(before.as_deref(), held);
         }
     }
 
-    /// Tells the VMs that are no keepers of a new document, against the one before if there was
+    /// Sends a new document to the VMs that are no keepers, against the one before if there was
     /// one; keepers hear of it by the consensus itself.
-    fn tell_document(&self, before: Option<&RoutesInForce>, held: HeldDocument) {
+    fn send_document(&self, before: Option<&RoutesInForce>, held: HeldDocument) {
         let view = self.view.borrow();
         let others = view.roster.rows.iter().map(|row| row.id);
         let others = others.filter(|id| *id != self.id && !view.keepers.contains(id));
@@ -425,7 +425,7 @@
         self.links.send_all(others, &message);
     }
 
-    /// Takes a document that is told against an earlier one; asks for the whole if that isn't
+    /// Takes a document that is encoded against an earlier one; asks for the whole if that isn't
     /// the one in force here.
     fn take_document_change(&self, from: VmId, before: u64, version: u64, change: &DocumentChange) {
         if version <= self.contact.borrow().applied() {
@@ -580,7 +580,7 @@
         loop {
             tokio::time::sleep(TICK).await;
             self.step_keeper(KeeperDriver::tick);
-            self.tell_leadership(self.now_ms());
+            self.announce_leadership(self.now_ms());
             self.lead_rollouts();
             self.lead_quarantine();
         }
--- a/lib/src/transport/vm_place.rs
+++ b/lib/src/transport/vm_place.rs
@@ -19,7 +19,7 @@
     pub(super) upstream: UpstreamKey,
     pub(super) address: SocketAddr,
     pub(super) send: UpstreamSend,
-    /// Whether VMs were to tell how this request fares when it was sent here.
+    /// Whether VMs were to report how this request fares when it was sent here.
     pub(super) watched: bool,
     /// When it was placed, by the node's clock.
     pub(super) sent_ms: u64,
@@ -27,7 +27,7 @@
     pub(super) against_order: Option<u64>,
     /// See [`UpstreamPick::new_root`].
     pub(super) new_root: Option<u64>,
-    /// What the send tells of the upstream's version.
+    /// What the send shows of the upstream's version.
     pub(super) trial: TrialGuard,
 }
 
--- a/lib/src/transport/vm_pulse.rs
+++ b/lib/src/transport/vm_pulse.rs
@@ -60,7 +60,7 @@
         self.0.open_ended.set(true);
     }
 
-    /// The body of the answer to the request that came last; its end is told.
+    /// The body of the answer to the request that came last; its end is noted.
     pub fn watch_body(&self, body: AnswerBody) -> WatchedBody {
         WatchedBody { body, pulse: self.clone() }
     }
@@ -73,7 +73,7 @@
     }
 }
 
-/// An answer's body that tells when it has been handed over.
+/// An answer's body that notes when it has been handed over.
 pub struct WatchedBody {
     body: AnswerBody,
     pulse: ConnectionPulse,
--- a/lib/src/transport/vm_quarantine.rs
+++ b/lib/src/transport/vm_quarantine.rs
@@ -44,7 +44,7 @@
         });
     }
 
-    /// Takes what a VM tells of upstreams that ended, as the leader of `term`.
+    /// Takes what a VM reports of upstreams that ended, as the leader of `term`.
     pub(super) fn take_crashes(
         &self,
         term: u64,
@@ -94,16 +94,16 @@
         }
     }
 
-    /// Takes the requests that are held, as a leader told them.
+    /// Takes the requests that are held, as a leader sent them.
     pub(super) fn take_quarantine(&self, table: QuarantineTable) {
         for mark in self.quarantine.borrow_mut().take(table) {
             info!(target: "quarantine", request = %mark, "is refused from now on");
         }
     }
 
-    /// Tells all VMs at once what is held, as the leader: each request that is sent meanwhile ends one
+    /// Publishes to all VMs at once what is held, as the leader: each request that is sent meanwhile ends one
     /// more upstream. A VM that misses it hears of it with its next grant.
-    pub(super) fn tell_quarantine(&self) {
+    pub(super) fn send_quarantine(&self) {
         let now_ms = self.now_ms();
         let (term, table) = match &*self.keeper.borrow() {
             Some(keeper) if keeper.may_vouch(now_ms) => {
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -53,7 +53,7 @@
 }
 
 pub(super) struct ComingBody {
-    pub(super) told: UpstreamAnswer,
+    pub(super) facts: UpstreamAnswer,
     /// The status is one of success.
     pub(super) success: bool,
     pub(super) tracker: BodyTracker,
@@ -85,20 +85,20 @@
         deadline_ms: u64,
     ) -> SendResult {
         let (head, body) = answer.into_parts();
-        let told = self.node.adapter.read_answer(&head);
-        let own = told.attempt.as_deref().map(|attempt| attempt == self.caller.attempt);
+        let facts = self.node.adapter.read_answer(&head);
+        let own = facts.attempt.as_deref().map(|attempt| attempt == self.caller.attempt);
         // Also where it is a refusal: this request may run while another's answer is read in its place.
         if own == Some(false) {
             return self.take_foreign(place);
         }
-        self.hear_notices(place, &told);
-        if told.not_run {
-            return self.take_refusal(place, &told, &head, body, lease);
+        self.hear_notices(place, &facts);
+        if facts.not_run {
+            return self.take_refusal(place, &facts, &head, body, lease);
         }
-        if own.is_none() || (head.status.is_success() && !told.stamped) {
+        if own.is_none() || (head.status.is_success() && !facts.stamped) {
             return self.take_foreign(place);
         }
-        match (head.status.is_server_error(), told.rest_ms) {
+        match (head.status.is_server_error(), facts.rest_ms) {
             (true, Some(_)) => place.trial.end_unsaid(),
             (true, None) => place.trial.end_bad(),
             (false, _) => {}
@@ -106,15 +106,15 @@
         let rule = &place.routes.table.routes[place.route];
         let short = body.size_hint().exact().is_some_and(|length| length <= HELD_BYTES);
         if rule.kind.is_stream() || !short {
-            let asks_rest = told.rest_ms.is_some();
+            let asks_rest = facts.rest_ms.is_some();
             let success = head.status.is_success();
             let framing = body_framing(&head, &body);
             let tracker = BodyTracker::new(framing, rule.kind.is_stream() && success);
-            let coming = ComingBody { told, success, tracker, body, lease, guard };
+            let coming = ComingBody { facts, success, tracker, body, lease, guard };
             let body = GoodBody::Coming(Box::new(coming));
             return SendResult::Answer(Box::new(GoodAnswer { head, body, asks_rest }));
         }
-        self.take_whole(place, &told, head, body, lease, deadline_ms).await
+        self.take_whole(place, &facts, head, body, lease, deadline_ms).await
     }
 
     /// What came is no answer to this request.
@@ -128,18 +128,18 @@
     fn take_refusal(
         &self,
         place: &SendPlace,
-        told: &UpstreamAnswer,
+        facts: &UpstreamAnswer,
         head: &response::Parts,
         body: Incoming,
         lease: ConnectionLease,
     ) -> SendResult {
         place.trial.end_unsaid();
-        match told.other_life {
+        match facts.other_life {
             true => self.note_gone(place.upstream, "another life listens there"),
-            false => self.log_turned_away(place, told, head, lease.is_kept()),
+            false => self.log_turned_away(place, facts, head, lease.is_kept()),
         }
         // The head says all. The body is read for the connection's sake, which the request doesn't wait for.
-        let (node, closes, idle_ms) = (self.node.clone(), told.closes, told.idle_ms);
+        let (node, closes, idle_ms) = (self.node.clone(), facts.closes, facts.idle_ms);
         spawn_local(async move {
             let read = Limited::new(body, HELD_BYTES as usize).collect();
             if matches!(timeout(REFUSAL_BODY_WAIT, read).await, Ok(Ok(_))) {
@@ -153,7 +153,7 @@
     async fn take_whole(
         &self,
         place: &SendPlace,
-        told: &UpstreamAnswer,
+        facts: &UpstreamAnswer,
         head: response::Parts,
         body: Incoming,
         lease: ConnectionLease,
@@ -163,8 +163,8 @@
         match self.node.wait_for(at, body.collect(), deadline_ms, false).await {
             Waited::Done(Ok(body)) => {
                 self.note_ran(place, true);
-                lease.finish(told.closes, told.idle_ms, self.node.now_ms()).await;
-                let (body, asks_rest) = (GoodBody::Whole(body.to_bytes()), told.rest_ms.is_some());
+                lease.finish(facts.closes, facts.idle_ms, self.node.now_ms()).await;
+                let (body, asks_rest) = (GoodBody::Whole(body.to_bytes()), facts.rest_ms.is_some());
                 SendResult::Answer(Box::new(GoodAnswer { head, body, asks_rest }))
             }
             Waited::Done(Err(_)) => {
--- a/lib/src/transport/vm_request_record.rs
+++ b/lib/src/transport/vm_request_record.rs
@@ -1,9 +1,9 @@
 //! What became of a request whose caller left, or whose connection broke, by its id.
 //!
-//! A caller whose connection is reset can't tell whether its request went through, and may send it
+//! A caller whose connection is reset can't know whether its request went through, and may send it
 //! again. The VM knows most of the truth and says it in one line: not run, run, begun, or that it
 //! may have run; nothing is said that isn't surely so. A request that must not repeat is brought to
-//! its end although its caller has left, since a run that is cut can't be told from one that never was. See
+//! its end although its caller has left, since a run that is cut looks like one that never was. See
 //! `docs/OPERATIONS.md`.
 
 use std::cell::Cell;
@@ -54,16 +54,16 @@
         self.left.get()
     }
 
-    /// Tells that the caller left before it had the whole answer.
-    pub(super) fn tell_left(&self) {
+    /// Logs that the caller left before it had the whole answer.
+    pub(super) fn log_left(&self) {
         self.left.set(true);
         self.node.figures.borrow_mut().left += 1;
         let ran = self.ran.get().name();
         info!(target: "request", attempt = self.attempt, ran, "its caller left");
     }
 
-    /// Tells how a request ended that was brought to its end without its caller.
-    pub(super) fn tell_ended(&self, status: u16) {
+    /// Logs how a request ended that was brought to its end without its caller.
+    pub(super) fn log_ended(&self, status: u16) {
         let ran = self.ran.get().name();
         info!(target: "request", attempt = self.attempt, ran, status, "ended without its caller");
     }
@@ -75,7 +75,7 @@
 impl Drop for RecordWatch {
     fn drop(&mut self) {
         if !self.0.answered.get() {
-            self.0.tell_left();
+            self.0.log_left();
         }
     }
 }
@@ -99,8 +99,8 @@
         *self.0.lock().unwrap_or_else(PoisonError::into_inner) = last;
     }
 
-    /// Tells of an answer that may not have come to its caller, as the connection broke.
-    pub(super) fn tell_broken(&self, now_ms: u64) {
+    /// Logs an answer that may not have come to its caller, as the connection broke.
+    pub(super) fn log_broken(&self, now_ms: u64) {
         let last = self.0.lock().unwrap_or_else(PoisonError::into_inner).take();
         let Some((attempt, handed_ms)) = last else { return };
         let ago_ms = now_ms.saturating_sub(handed_ms);
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -1,4 +1,4 @@
-//! Roll-outs on one VM: the operator's calls, what the leader tells, what a send may go to, and the
+//! Roll-outs on one VM: the operator's calls, what the leader sends, what a send may go to, and the
 //! leader's steps. All that decides is in `rollout_watch` and `rollout_lead`; here it is asked and
 //! carried out. See `docs/design/rollouts.md`.
 
@@ -95,7 +95,7 @@
     json_answer(node.adapter.write_rollout(row))
 }
 
-/// What operators are told while a VM can't learn what holds.
+/// The answer to operators while a VM can't learn what holds.
 pub(super) fn not_sure() -> Response<AnswerBody> {
     refusal(StatusCode::SERVICE_UNAVAILABLE, "not known what holds", 300)
 }
@@ -179,7 +179,7 @@
         ExposureBound { share: bounds.expose_share, slack: bounds.expose_slack }
     }
 
-    /// Takes the roll-outs as a leader told them.
+    /// Takes the roll-outs as a leader sent them.
     pub(super) fn take_rollouts(&self, table: RolloutTable) {
         let bound = self.exposure_bound();
         let news = self.rollouts.borrow_mut().take(table, bound);
@@ -191,7 +191,7 @@
         }
     }
 
-    /// What this VM tells the leader of roll-outs that run.
+    /// What this VM reports to the leader of roll-outs that run.
     pub(super) fn rollout_notes(&self) -> Vec<RolloutNote> {
         let desk = self.rollouts.borrow();
         if !desk.watch().table().any_runs() {
@@ -205,7 +205,7 @@
         })
     }
 
-    /// Takes what a VM tells of roll-outs, as the leader of `term`.
+    /// Takes what a VM reports of roll-outs, as the leader of `term`.
     pub(super) fn take_rollout_notes(
         &self,
         term: u64,
@@ -276,7 +276,7 @@
         desk.watch().rule(service, lane, seen, may_be_tried, self.now_ms())
     }
 
-    /// A send has ended, as far as it tells of its version.
+    /// A send has ended, as evidence of its version.
     pub(super) fn note_trial(&self, tag: &TrialTag, outcome: &TrialOutcome) {
         let now_ms = self.now_ms();
         let pause_ms = overloaded_renew_ms(self.view.borrow().roster.rows.len());
@@ -357,9 +357,9 @@
         }
     }
 
-    /// Tells all VMs at once that a roll-out began or went a step on, as the leader. One that misses it
+    /// Publishes at once to all VMs that a roll-out began or went a step on, as the leader. One that misses it
     /// hears of it with its next grant.
-    pub(super) fn tell_rollouts(&self) {
+    pub(super) fn send_rollouts(&self) {
         let now_ms = self.now_ms();
         let (term, table) = match &*self.keeper.borrow() {
             Some(keeper) if keeper.may_vouch(now_ms) => {
--- a/lib/src/transport/vm_signs.rs
+++ b/lib/src/transport/vm_signs.rs
@@ -1,4 +1,4 @@
-//! What a send tells for and against its upstream's health, here and for the leader.
+//! What a send shows for and against its upstream's health, here and for the leader.
 
 use tracing::info;
 
@@ -8,7 +8,7 @@
 
 /// At most this share of a service's upstreams is set aside on passive health checks.
 const ASIDE_SHARE: f64 = 0.34;
-/// What a send tells against an upstream.
+/// What a send shows against an upstream.
 enum HealthFault {
     /// This life has ended.
     Gone,
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -1,4 +1,4 @@
-//! Waiting for upstreams that may be silent: who tries to reach them, and who is told.
+//! Waiting for upstreams that may be silent: who tries to reach them, and who is notified.
 //!
 //! Invariant: a try is a connection and nothing more, so that it runs nothing anywhere; one that comes
 //! up is kept for the next request. See `docs/design/silence.md`.
@@ -22,12 +22,12 @@
 
 /// An upstream that says nothing for this long while it owes an answer is tried.
 const TRY_AFTER: Duration = Duration::from_millis(250);
-/// How often a leader looks which upstreams to try, and tells what has changed.
+/// How often a leader looks which upstreams to try, and publishes what has changed.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// More dark upstreams than this are told with grants only, each VM in its turn: 300 VMs told of a
+/// More dark upstreams than this are sent with grants only, each VM in its turn: 300 VMs sent a
 /// thousand at each change are seconds of a leader's link.
-const MOST_TOLD_AT_ONCE: usize = 128;
+const MOST_SENT_AT_ONCE: usize = 128;
 
 /// What came of waiting for an upstream.
 pub(super) enum Waited<T> {
@@ -141,7 +141,7 @@
         }
     }
 
-    /// Tries what is doubted and tells what is dark, for ever; a VM that doesn't lead does nothing.
+    /// Tries what is doubted and publishes what is dark, for ever; a VM that doesn't lead does nothing.
     pub(super) async fn watch_silence(self: Rc<Self>) {
         loop {
             tokio::time::sleep(LOOK).await;
@@ -157,7 +157,7 @@
                     spawn_local(self.clone().try_as_leader(upstream, address));
                 }
             }
-            self.tell_dark(term);
+            self.publish_dark(term);
         }
     }
 
@@ -175,8 +175,8 @@
         }
     }
 
-    /// Tells all VMs which upstreams are dark, if others are than before.
-    fn tell_dark(&self, term: u64) {
+    /// Publishes to all VMs which upstreams are dark, if others are than before.
+    fn publish_dark(&self, term: u64) {
         let dark = self.silence.borrow().table.dark();
         let before = std::mem::replace(&mut self.silence.borrow_mut().published, dark.clone());
         self.take_dark(dark.clone());
@@ -190,19 +190,19 @@
         };
         let (fresh, back) = (lives(&dark, &before), lives(&before, &dark));
         info!(target: "silence", dark = dark.len(), ?fresh, ?back, "changed");
-        if dark.len() > MOST_TOLD_AT_ONCE {
+        if dark.len() > MOST_SENT_AT_ONCE {
             return;
         }
         self.send_others(&VmDatagram::Dark { term, upstreams: dark });
     }
 
-    /// What a leader answers to a VM that was told the dark upstreams `known`.
+    /// What a leader answers to a VM that received the dark upstreams `known`.
     pub(super) fn dark_news(&self, known: DarkMark) -> Option<Vec<UpstreamKey>> {
         let dark = self.silence.borrow().table.dark();
         (DarkMark::of(&dark) != known).then_some(dark)
     }
 
-    /// The leader tells which upstreams are dark.
+    /// The leader published which upstreams are dark.
     pub(super) fn take_dark(&self, dark: Vec<UpstreamKey>) {
         let now_ms = self.now_ms();
         if self.silence.borrow_mut().view.take(dark, now_ms) {
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -114,7 +114,7 @@
                     self.connection.note_answer(&self.caller.attempt, self.node.now_ms());
                     return pieces.complete().await;
                 }
-                RunEnd::CallerLeft => return self.record.tell_left(),
+                RunEnd::CallerLeft => return self.record.log_left(),
                 RunEnd::TimedOut => {
                     place.trial.end_bad();
                     info!(
@@ -190,7 +190,7 @@
         pieces: &PieceSender,
         mut splice: Option<&mut EventSplice>,
     ) -> RunEnd {
-        let ComingBody { told, success, mut tracker, mut body, lease, guard } = coming;
+        let ComingBody { facts, success, mut tracker, mut body, lease, guard } = coming;
         let _guard = guard;
         let at = (place.upstream, place.address);
         let may_leave = splice.is_some();
@@ -246,8 +246,8 @@
             self.note_outcome(place.upstream, true);
         }
         self.note_ran(place, tracker.framing() != BodyFraming::Connection);
-        let closes = told.closes || tracker.framing() == BodyFraming::Connection;
-        lease.finish(closes, told.idle_ms, self.node.now_ms()).await;
+        let closes = facts.closes || tracker.framing() == BodyFraming::Connection;
+        lease.finish(closes, facts.idle_ms, self.node.now_ms()).await;
         RunEnd::Complete
     }
 
--- a/lib/src/transport/vm_trial.rs
+++ b/lib/src/transport/vm_trial.rs
@@ -1,4 +1,4 @@
-//! What one send tells of the version of its upstream, while that is rolled out.
+//! What one send shows of the version of its upstream, while that is rolled out.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -9,12 +9,12 @@
 use crate::coordination::rollout_evidence::TrialOutcome;
 use crate::coordination::rollout_watch::TrialTag;
 
-/// A caller that leaves after this long without a first event tells that the upstream was slow, in
-/// milliseconds; one that leaves sooner tells nothing. Callers leave slow versions more often than
+/// A caller that leaves after this long without a first event counts the upstream as slow, in
+/// milliseconds; one that leaves sooner counts nothing. Callers leave slow versions more often than
 /// others, so that without this the slowest answers would be missing.
 const LEFT_SLOW_MS: f64 = 1000.0;
 
-/// Follows one send. Whatever it is dropped with tells nothing more.
+/// Follows one send. Whatever it is dropped with counts nothing more.
 pub(super) struct TrialGuard {
     node: Rc<VmNode>,
     tag: RefCell<Option<TrialTag>>,
--- a/lib/src/transport/vm_zones.rs
+++ b/lib/src/transport/vm_zones.rs
@@ -65,7 +65,7 @@
         zones
     }
 
-    /// Takes the last orders of zones as a leader told them.
+    /// Takes the last orders of zones as a leader sent them.
     pub(super) fn take_zones(&self, orders: ZoneOrders) {
         let changes = self.zones.borrow_mut().watch.take(orders, self.now_ms());
         for change in changes {
