cli, daemons, soak: reports, not what is told

Field `told` of the soak's roll-outs is `reports`. Texts that are printed, and help texts, stay. No behaviour changes, but for the field's name in the soak's debug prints.

--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -128,7 +128,7 @@
 
 fn run_caller(routers: &[SocketAddr], next: &AtomicUsize, results: &Mutex<Vec<DemoResult>>) {
     let client = HttpClient::default();
-    // Where each chat should go next, as the last reply told.
+    // Where each chat should go next, as named by the last reply.
     let mut kept: HashMap<String, SocketAddr> = HashMap::new();
     loop {
         let number = next.fetch_add(1, Ordering::Relaxed);
--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -70,15 +70,15 @@
 }
 
 /// One line: the mark of its reason, time, VM, part, message, fields.
-fn written(told: &StoryLine) -> String {
-    let mark = match told.reason {
+fn written(story: &StoryLine) -> String {
+    let mark = match story.reason {
         StoryReason::Request => "*",
         StoryReason::Belief => "believed",
         StoryReason::SameVm => "same VM",
         StoryReason::SameUpstream => "same upstream",
         StoryReason::Span => "",
     };
-    let line = &told.line;
+    let line = &story.line;
     let fields = line.fields.iter().filter(|(name, _)| *name != "level");
     let fields: Vec<String> = fields
         .map(|(name, value)| match value.as_str() {
--- a/cli/src/process.rs
+++ b/cli/src/process.rs
@@ -1,4 +1,4 @@
-//! What the system tells of a process: memory and processor time.
+//! What the system reports of a process: memory and processor time.
 
 use std::collections::BTreeMap;
 
--- a/cli/src/rollout_play.rs
+++ b/cli/src/rollout_play.rs
@@ -1,4 +1,4 @@
-//! One order played on the decision code alone: requests, VMs that count and tell, a leader that judges.
+//! One order played on the decision code alone: requests, VMs that count and report, a leader that judges.
 //!
 //! Seeded, and the same to the byte each time. The play goes on as if nothing were found until every
 //! way to judge has found it, so that all look at the same evidence.
--- a/cli/src/rollout_ways.rs
+++ b/cli/src/rollout_ways.rs
@@ -11,8 +11,8 @@
 const WHOLE_DEVIATIONS: f64 = 4.0;
 const WHOLE_SLOW: f64 = 1.3;
 
-/// What the way by windows remembers: what was told, and when.
-pub type ToldWindow = VecDeque<(u64, Vec<RouteSums>)>;
+/// What the way by windows remembers: rows and when they were reported.
+pub type ReportWindow = VecDeque<(u64, Vec<RouteSums>)>;
 
 fn total(rows: &[RouteSums], side: fn(&RouteSums) -> &ArmSums) -> ArmSums {
     let mut all = ArmSums::default();
@@ -34,7 +34,7 @@
 }
 
 /// Fixed thresholds over the last window.
-pub fn judge_window(window: &mut ToldWindow, sums: &[RouteSums], now_ms: u64) -> bool {
+pub fn judge_window(window: &mut ReportWindow, sums: &[RouteSums], now_ms: u64) -> bool {
     let rows = with_total(sums);
     window.push_back((now_ms, rows.clone()));
     while window.get(1).is_some_and(|(at_ms, _)| at_ms + WINDOW_MS <= now_ms) {
--- a/daemons/src/log_sink.rs
+++ b/daemons/src/log_sink.rs
@@ -35,7 +35,7 @@
     Socket(RawFd),
     /// A description of its own, so that other processes with the same pipe keep theirs blocking.
     Pipe(File),
-    /// Asked before each write. The lock keeps two threads from being told of the same room.
+    /// Asked before each write. The lock keeps two threads from claiming the same room.
     Polled(Mutex<RawFd>),
     Queue(LineQueue),
 }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -21,7 +21,7 @@
 const CONNECT_WAIT: Duration = Duration::from_secs(1);
 /// How long a caller waits for a whole answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(4_500);
-/// What a caller tells that it will wait.
+/// The deadline that a caller sends, in milliseconds.
 const DEADLINE_MS: &str = "4000";
 /// The pause of a caller between two requests.
 const ASK_PAUSE: std::ops::Range<u64> = 20..120;
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -77,7 +77,7 @@
     judge.answers();
     judge.planned_stops();
     judge.leaving();
-    judge.told_leaving();
+    judge.sent_after_notice();
     judge.rests();
     judge.zones();
     judge.documents_in_force();
@@ -202,22 +202,22 @@
     }
 
     /// What a VM sent to an upstream whose answer, passed on before, said that it leaves.
-    fn told_leaving(&mut self) {
-        let mut first_told: HashMap<(usize, u64), u64> = HashMap::new();
+    fn sent_after_notice(&mut self) {
+        let mut first_notice: HashMap<(usize, u64), u64> = HashMap::new();
         for run in self.rows.runs.iter().filter(|run| run.leaving) {
             let Some(ask) = self.asks.get(run.attempt.as_str()) else { continue };
             // Of several answers one may not have been passed on.
             if ask.end == AskEnd::Whole && self.runs_of(ask).len() == 1 {
-                let told = first_told.entry((ask.vm, run.life)).or_insert(ask.ended_ms);
-                *told = ask.ended_ms.min(*told);
+                let notice_ms = first_notice.entry((ask.vm, run.life)).or_insert(ask.ended_ms);
+                *notice_ms = ask.ended_ms.min(*notice_ms);
             }
         }
         for run in &self.rows.runs {
             let Some(ask) = self.asks.get(run.attempt.as_str()) else { continue };
-            let Some(told_ms) = first_told.get(&(ask.vm, run.life)).copied() else { continue };
-            let late = ask.sent_ms > told_ms + DRAIN_MS + NOTE_MS;
-            if late && !self.excused(ask.vm, run.upstream, told_ms, run.at_ms) {
-                let after = ask.sent_ms - told_ms;
+            let Some(notice_ms) = first_notice.get(&(ask.vm, run.life)).copied() else { continue };
+            let late = ask.sent_ms > notice_ms + DRAIN_MS + NOTE_MS;
+            if late && !self.excused(ask.vm, run.upstream, notice_ms, run.at_ms) {
+                let after = ask.sent_ms - notice_ms;
                 self.add("told leaving", format!("{after} ms after: {run:?}, VM {}", ask.vm));
             }
         }
@@ -364,17 +364,17 @@
     }
 
     fn roll_out_end(&mut self, row: &RollOutRow) {
-        if let Some(lost) = row.told.iter().find(|told| told.state == UNKNOWN) {
+        if let Some(lost) = row.reports.iter().find(|report| report.state == UNKNOWN) {
             self.add("orders kept", format!("a roll-out is lost: {lost:?} of {row:?}"));
         }
-        let told = || row.told.iter().filter(|told| told.target == row.target);
-        let Some(end) = told().find(|told| told.state != "running") else {
+        let reports = || row.reports.iter().filter(|report| report.target == row.target);
+        let Some(end) = reports().find(|report| report.state != "running") else {
             if row.acked_ms.is_some() {
                 self.add("roll-outs end", format!("no end was told: {row:?}"));
             }
             return;
         };
-        if let Some(other) = told().find(|t| t.at_ms > end.at_ms && t.state != end.state) {
+        if let Some(other) = reports().find(|t| t.at_ms > end.at_ms && t.state != end.state) {
             self.add("roll-outs' ends stay", format!("{end:?}, then {other:?}"));
         }
     }
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -188,12 +188,12 @@
     pub until_ms: Option<u64>,
 }
 
-/// What a VM told of a roll-out.
+/// What a VM reported of a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RollOutEnd {
     /// The VM.
     pub vm: usize,
-    /// When it had told.
+    /// When the report came.
     pub at_ms: u64,
     /// The state.
     pub state: String,
@@ -216,8 +216,8 @@
     pub duration_ms: u64,
     /// When it was acknowledged.
     pub acked_ms: Option<u64>,
-    /// What VMs told of it.
-    pub told: Vec<RollOutEnd>,
+    /// What VMs reported of it.
+    pub reports: Vec<RollOutEnd>,
 }
 
 /// A request that ends the upstreams that run it.
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -61,7 +61,7 @@
         Ok(LinkProxy { state, accepting })
     }
 
-    /// Tells how the link stands, whenever it is called.
+    /// A closure that returns how the link stands.
     pub fn watch(&self) -> impl Fn() -> LinkMode {
         let state = self.state.clone();
         move || state.mode.get()
--- a/soak/src/list.rs
+++ b/soak/src/list.rs
@@ -1,4 +1,4 @@
-//! The list of upstreams, as the platform tells it.
+//! The list of upstreams, as the platform serves it.
 
 use std::cell::RefCell;
 use std::convert::Infallible;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,4 +1,4 @@
-//! `wingshed-soak`: plays seeds one after the other and tells what broke.
+//! `wingshed-soak`: plays seeds one after the other and prints what broke.
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -94,7 +94,7 @@
         played += 1;
         match play_steps(&plan, steps).await {
             Ok(verdict) => {
-                let sound = tell(&name, &plan, &verdict);
+                let sound = print_verdict(&name, &plan, &verdict);
                 failed += u64::from(!sound);
                 if sound && !arguments.keep {
                     let _ = std::fs::remove_dir_all(&plan.folder);
@@ -121,7 +121,7 @@
 }
 
 /// Prints what a seed showed; true when nothing was broken.
-fn tell(name: &str, plan: &RunPlan, verdict: &RunVerdict) -> bool {
+fn print_verdict(name: &str, plan: &RunPlan, verdict: &RunVerdict) -> bool {
     let rows = &verdict.rows;
     let whole = rows.asks.iter().filter(|ask| ask.end == AskEnd::Whole);
     let (asks, runs, whole) = (rows.asks.len(), rows.runs.len(), whole.count());
@@ -135,8 +135,8 @@
     );
     println!("  ends: {}", ends(rows));
     for row in &rows.rollouts {
-        let end = row.told.iter().rev().find(|told| told.target == row.target);
-        let end = end.map_or("not told", |told| told.state.as_str());
+        let end = row.reports.iter().rev().find(|report| report.target == row.target);
+        let end = end.map_or("not told", |report| report.state.as_str());
         let kind = if row.unsound { "unsound" } else { "sound" };
         println!("  roll-out of {} to {} ({kind}): {end}", row.service, row.target);
     }
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// The version that a configuration tells.
+/// The version that a configuration names.
 pub fn version_of(text: &str) -> Option<u64> {
     serde_json::from_str::<serde_json::Value>(text).ok()?["version"].as_u64()
 }
--- a/soak/src/platform/mod.rs
+++ b/soak/src/platform/mod.rs
@@ -4,7 +4,7 @@
 pub mod entry;
 pub mod settings;
 
-/// The variable that tells where the settings are.
+/// The variable that holds where the settings are.
 pub const SETTINGS_VARIABLE: &str = "WINGSHED_BOOT";
 /// The header with the id of an attempt.
 pub const ATTEMPT: &str = "x-attempt-id";
--- a/soak/src/rollouts.rs
+++ b/soak/src/rollouts.rs
@@ -17,13 +17,13 @@
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
 /// Upstreams of a version that was rolled back end so long after.
 const DRAIN: Duration = Duration::from_millis(5_000);
-/// An end that nobody tells so long after the deadline is not waited for.
+/// An end that nobody reports within this time after the deadline is not waited for, in milliseconds.
 const END_WAIT_MS: u64 = 20_000;
 
 /// What stands for the state of a roll-out that a VM says there never was.
 pub const UNKNOWN: &str = "unknown";
 
-/// The state of a service's roll-out, as a VM tells it.
+/// The state of a service's roll-out, as a VM reports it.
 pub async fn ask_state(site: &SoakSite, vm: usize, service: &str) -> Option<(String, String)> {
     let control = site.vms[vm].place.control();
     let path = format!("/rollouts/{service}/get");
@@ -39,18 +39,18 @@
     Some((word("state")?, word("targetVersion")?))
 }
 
-/// Notes what a VM tells of the newest roll-out of a service; true when it has ended.
+/// Notes what a VM reports of the newest roll-out of a service; true when it has ended.
 pub async fn note_state(site: &SoakSite, vm: usize, row: usize) -> Option<bool> {
     let (service, target) = {
         let rows = site.ledger.rows.borrow();
         (rows.rollouts[row].service.clone(), rows.rollouts[row].target.clone())
     };
-    let (state, told) = ask_state(site, vm, &service).await?;
-    let ended = told == target && state != "running" && state != UNKNOWN;
+    let (state, version) = ask_state(site, vm, &service).await?;
+    let ended = version == target && state != "running" && state != UNKNOWN;
     let at_ms = site.ledger.now_ms();
     if ended || site.ledger.rows.borrow().rollouts[row].acked_ms.is_some() {
-        let end = RollOutEnd { vm, at_ms, state, target: told };
-        site.ledger.rows.borrow_mut().rollouts[row].told.push(end);
+        let end = RollOutEnd { vm, at_ms, state, target: version };
+        site.ledger.rows.borrow_mut().rollouts[row].reports.push(end);
     }
     Some(ended)
 }
@@ -73,7 +73,7 @@
         vm = (vm + 1) % site.vms.len();
         if note_state(site, vm, row).await == Some(true) {
             let rows = site.ledger.rows.borrow();
-            completed = rows.rollouts[row].told.iter().any(|told| told.state == "complete");
+            completed = rows.rollouts[row].reports.iter().any(|report| report.state == "complete");
             break;
         }
         tokio::time::sleep(ASK_PAUSE).await;
@@ -106,7 +106,7 @@
             sent_ms,
             duration_ms: duration_s * 1_000,
             acked_ms: None,
-            told: Vec::new(),
+            reports: Vec::new(),
         });
         rows.len() - 1
     };
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -18,7 +18,7 @@
 
 /// The pause between two looks at a VM.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
-/// A VM that was told to stop ends within this: `graceS`, and time for a loaded machine.
+/// A VM that got SIGTERM ends within this: `graceS`, and time for a loaded machine.
 const STOP_WAIT_MS: u64 = 12_000;
 
 /// A VM of the site.
@@ -229,10 +229,10 @@
         frozen.set(frozen.get().max(until_ms));
     }
 
-    /// Waits for the end of a VM that was told to stop, and kills it when that takes too long.
+    /// Waits for the end of a VM that got SIGTERM, and kills it when that takes too long.
     pub async fn wait_end(&self, index: usize) {
         let vm = &self.vms[index];
-        let told_ms = self.ledger.now_ms();
+        let signalled_ms = self.ledger.now_ms();
         loop {
             let ended = vm.process.borrow_mut().as_mut().is_none_or(VmProcess::has_ended);
             // Another disturbance may have killed it and started it anew.
@@ -240,8 +240,9 @@
                 return;
             }
             let now = self.ledger.now_ms();
-            if now > told_ms.max(vm.frozen_until_ms.get()) + STOP_WAIT_MS {
-                let seen = format!("VM {index} had not ended {} ms after SIGTERM", now - told_ms);
+            if now > signalled_ms.max(vm.frozen_until_ms.get()) + STOP_WAIT_MS {
+                let seen =
+                    format!("VM {index} had not ended {} ms after SIGTERM", now - signalled_ms);
                 self.ledger.rows.borrow_mut().seen.push(seen);
                 self.signal(index, libc::SIGKILL);
                 return;
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -1,4 +1,4 @@
-//! Upstreams of a run: plain answers and streams whose every byte tells whose it is.
+//! Upstreams of a run: plain answers and streams whose every byte identifies its request.
 //!
 //! A run is noted before it is worked on, so that an answer which is lost still counts as run.
 
