--- a/lib/src/transport/router_control.rs
+++ b/lib/src/transport/router_control.rs
@@ -13,7 +13,7 @@
 use crate::coordination::router_lease::{renew_with, RENEW_MS};
 use crate::protocol::engine;
 use crate::protocol::keeper_wire::{
-    ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal, MARKS_TOLD,
+    ChatNote, Datagram, KeeperCall, KeeperReply, LeaseGrant, LeaseRenewal, MARKS_PER_DATAGRAM,
 };
 use crate::protocol::vm_list::{list_call, read_list, VmStanding};
 use crate::state::configuration::{read_configuration, Configuration};
@@ -24,7 +24,7 @@
 pub const POLL_ENGINE_MS: u64 = 2000;
 const POLL_LIST_MS: u64 = 1000;
 const TICK_MS: u64 = 25;
-/// Without a grant for this long, routers tell each other their loads.
+/// Without a grant for this long, routers send each other their loads.
 const ALONE_MS: u64 = 1000;
 const SUMS_MS: u64 = 500;
 const NEWS_KEEP_MS: u64 = 3000;
@@ -43,7 +43,7 @@
     turn: u64,
 }
 
-/// What the datagram thread tells the control thread.
+/// What the datagram thread sends to the control thread.
 pub(super) enum ControlEvent {
     Grant(SocketAddr, LeaseGrant),
     Notice { version: u64, epoch: u64 },
@@ -75,8 +75,8 @@
             times.renew_ms = now_ms + RENEW_MS;
             renew(shared, &mut times, now_ms);
         }
-        tell_chat_homes(shared);
-        tell_peers_when_alone(shared, &mut times, now_ms);
+        report_chats(shared);
+        send_sums_when_alone(shared, &mut times, now_ms);
         poll_engines(shared, &pool, &mut times, now_ms);
         poll_list(shared, &pool, &mut times, now_ms);
         if now_ms >= times.view_ms {
@@ -93,13 +93,13 @@
         ControlEvent::Notice { version, epoch } => fetch_newer(shared, version, epoch),
         ControlEvent::Sums(router, rows) => {
             let mut desk = lock(&shared.desk);
-            desk.peer_loads.tell(router, &rows, now_ms);
+            desk.peer_loads.note(router, &rows, now_ms);
             desk.peer_loads.expire(now_ms);
             // Sums of peers count only while no keeper sums up.
-            if now_ms > desk.others.told_ms() + ALONE_MS {
+            if now_ms > desk.others.reported_ms() + ALONE_MS {
                 let fleets: Vec<FleetKey> = rows.iter().map(|row| row.fleet).collect();
                 let rows = desk.peer_loads.others(shared.id(), &fleets);
-                desk.others.tell(&rows, now_ms.saturating_sub(SUMS_MS));
+                desk.others.note(&rows, now_ms.saturating_sub(SUMS_MS));
             }
         }
         ControlEvent::Chats(notes) => {
@@ -137,7 +137,7 @@
         let mut desk = lock(&shared.desk);
         desk.news.retain(|(_, noted_ms)| now_ms < noted_ms + NEWS_KEEP_MS);
         desk.notices.sweep(|upstream| view.upstreams.contains_key(&upstream), now_ms);
-        desk.news.iter().map(|(mark, _)| *mark).take(MARKS_TOLD).collect()
+        desk.news.iter().map(|(mark, _)| *mark).take(MARKS_PER_DATAGRAM).collect()
     };
     let renewal = LeaseRenewal {
         router: shared.id(),
@@ -149,10 +149,10 @@
         marks,
     };
     times.turn += 1;
-    let told_ms = lock(&shared.desk).others.told_ms();
+    let reported_ms = lock(&shared.desk).others.reported_ms();
     let keepers = shared.keepers.keepers().iter().map(|keeper| keeper.address);
     let renewal = Datagram::Renew(renewal);
-    for to in renew_with(shared.keepers.leader(), keepers, told_ms, now_ms) {
+    for to in renew_with(shared.keepers.leader(), keepers, reported_ms, now_ms) {
         shared.port.send(to, &renewal);
     }
 }
@@ -177,7 +177,7 @@
     fetch_newer(shared, grant.version, grant.epoch);
     {
         let mut desk = lock(&shared.desk);
-        desk.others.tell(&grant.rows, grant.sent_ms);
+        desk.others.note(&grant.rows, grant.sent_ms);
         desk.homes.settle(grant.settled_epoch);
     }
     for mark in grant.marks {
@@ -283,8 +283,8 @@
     lock(&shared.limits).expire(now_ms);
 }
 
-/// Chats that went elsewhere are told to their homes, many in one datagram.
-fn tell_chat_homes(shared: &Arc<RouterShared>) {
+/// Chats that went elsewhere are reported to their homes, many in one datagram.
+fn report_chats(shared: &Arc<RouterShared>) {
     let notes = std::mem::take(&mut lock(&shared.desk).notes);
     let view = shared.view();
     for (home, notes) in notes {
@@ -297,15 +297,15 @@
 
 // ---- while no keeper leads ----
 
-fn tell_peers_when_alone(shared: &Arc<RouterShared>, times: &mut ControlTimes, now_ms: u64) {
-    let lease_fresh = now_ms < lock(&shared.desk).others.told_ms() + ALONE_MS;
+fn send_sums_when_alone(shared: &Arc<RouterShared>, times: &mut ControlTimes, now_ms: u64) {
+    let lease_fresh = now_ms < lock(&shared.desk).others.reported_ms() + ALONE_MS;
     if lease_fresh || now_ms < times.sums_ms {
         return;
     }
     times.sums_ms = now_ms + SUMS_MS;
     let view = shared.view();
     let marks: Vec<LeavingMark> =
-        lock(&shared.desk).leaving.marks().into_iter().take(MARKS_TOLD).collect();
+        lock(&shared.desk).leaving.marks().into_iter().take(MARKS_PER_DATAGRAM).collect();
     let rows = rows_in_turn(shared.load_rows(), times.turn);
     let sums = Datagram::Sums { router: shared.id(), rows, marks };
     for (id, session) in &view.roster.routers {
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -18,7 +18,7 @@
 };
 use wingshed_lib::coordination::session_watch::{SessionWatch, LAPSE_MS};
 use wingshed_lib::coordination::workspace_limit::{LimitRefusal, LimitTable};
-use wingshed_lib::protocol::keeper_wire::{encode, Datagram, LeaseGrant, MARKS_TOLD};
+use wingshed_lib::protocol::keeper_wire::{encode, Datagram, LeaseGrant, MARKS_PER_DATAGRAM};
 use wingshed_lib::protocol::seal::{SealChecker, SealMaker, SealRefusal, SEAL_AGE_MS};
 use wingshed_lib::state::chat_memory::{ChatMemory, HolderCertainty};
 use wingshed_lib::state::claim_table::*;
@@ -53,7 +53,7 @@
 fn the_bound_counts_the_request_and_falls_with_the_age_of_the_mean() {
     let fresh = admission_bound(&load(4000, 4), 1.25, 0);
     let old = FleetLoad { age_ms: 1000, ..load(4000, 4) };
-    let large = FleetLoad { largest_told: 400, ..load(4000, 4) };
+    let large = FleetLoad { largest_reported: 400, ..load(4000, 4) };
     let ancient = FleetLoad { age_ms: 1_000_000, ..load(4000, 4) };
 
     assert_eq!(fresh, 1250.0);
@@ -479,7 +479,7 @@
             epoch: u64::MAX,
             settled_epoch: u64::MAX,
             rows,
-            marks: vec![mark; MARKS_TOLD],
+            marks: vec![mark; MARKS_PER_DATAGRAM],
         };
         let bytes = encode(&Datagram::Grant(grant)).len();
         assert!(bytes <= LONGEST_DATAGRAM, "{bytes} bytes");
