vm_pool: connections to upstreams come from the VM's own address

Cause: the system chose the source of connections to upstreams, which on a VM with several addresses need not be the one that the fleet knows it by. On loopback all VMs looked alike to stand-ins, so that a partition of one VM from its upstreams could not be played. Change: the pool binds its connections to the address of the settings.

--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -231,6 +231,7 @@
         let zone = xxhash_rust::xxh3::xxh3_64(settings.zone.as_bytes());
         let wire = Rc::new(WireCount::default());
         let links = LinkTable::new(id, settings.peer_port, wire.clone());
+        let pool = ConnectionPool::from_source(settings.ip);
         Ok(Rc::new(VmNode {
             settings: RefCell::new(settings),
             adapter,
@@ -243,7 +244,7 @@
             upstreams: RefCell::default(),
             view: RefCell::default(),
             keeper: RefCell::default(),
-            pool: ConnectionPool::default(),
+            pool,
             in_flight: RefCell::default(),
             capacities: RefCell::default(),
             plain_holds: RefCell::default(),
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -13,7 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{timeout, Instant};
 
-use super::vm_sockets::{is_quiet, seems_quiet, set_stream};
+use super::vm_sockets::{connect_from, is_quiet, seems_quiet, set_stream};
 use crate::coordination::silence::ConnectTimeout;
 use crate::coordination::upstream_notice::{ApproachPurpose, NoticeTable};
 use crate::state::connect_count::{ConnectCause, ConnectCount};
@@ -128,6 +128,8 @@
 /// All connections of one VM to upstreams. Clones share the same pool.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
+    /// The address from which connections are opened; chosen by the system if there is none.
+    source: Option<Ipv4Addr>,
     upstreams: Rc<RefCell<HashMap<UpstreamKey, UpstreamConnections>>>,
     connect_timeout: Rc<Cell<ConnectTimeout>>,
     opened: Rc<RefCell<ConnectCount>>,
@@ -168,6 +170,12 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool that opens connections from the address `source`, so that upstreams see a VM with
+    /// several addresses under the one that the fleet uses.
+    pub fn from_source(source: Ipv4Addr) -> ConnectionPool {
+        ConnectionPool { source: Some(source), ..ConnectionPool::default() }
+    }
+
     /// Returns an idle connection to the upstream, or opens a new one.
     pub async fn take(&self, destination: ConnectTarget) -> Result<ConnectionLease, ConnectFault> {
         self.check_allowed(destination)?;
@@ -220,7 +228,7 @@
         let in_use = InUseGuard::new(self, upstream);
         let wait = Duration::from_millis(self.connect_timeout.get().wait_ms());
         let began = Instant::now();
-        let stream = match timeout(wait, TcpStream::connect(address)).await {
+        let stream = match timeout(wait, connect_from(self.source, address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Err(ConnectFault::ConnectionRefused)
--- a/lib/src/transport/vm_sockets.rs
+++ b/lib/src/transport/vm_sockets.rs
@@ -2,12 +2,12 @@
 
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::task::{Context, Waker};
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tracing::debug;
 
 /// A connection whose peer acknowledges nothing for this long is closed. That is longer than
@@ -44,6 +44,19 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Connects to `address`, from the address `source` if there is one.
+pub async fn connect_from(
+    source: Option<Ipv4Addr>,
+    address: SocketAddr,
+) -> std::io::Result<TcpStream> {
+    let Some(source) = source.filter(|_| address.is_ipv4()) else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from((source, 0)))?;
+    socket.connect(address).await
+}
+
 /// Whether an idle stream is open and has nothing to read. One that has ended, or has received bytes that
 /// weren't requested, can't be used for a request.
 pub fn is_quiet(stream: &TcpStream) -> bool {
