known red: VMs that are partitioned from all upstreams

Stand-ins of upstreams can be partitioned from single VMs: open connections hang, are reset or live on, new ones hang or are reset. A packet filter on their sockets drops what a VM sends. Seen on the current code: a VM that is cut off answers 503 to every request while the others could serve them, and the directory names it. After upstreams refused new connections for a while, no VM uses them again: a refused connection marks an incarnation as ended for good.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod plain;
 pub mod platform;
 pub mod server;
+pub mod source_filter;
 pub mod system;
 pub mod trace;
 pub mod verdict;
