protocol: which headers are forwarded is HTTP's rule, not the platform's

Change: it moves to protocol/end_to_end; the platform names the headers that it keeps beside. The part of a request's headers that every connection needs is a function of its own.

--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 //! converts it to typed messages. None of the modules opens a socket.
 
 pub mod caller;
+pub mod end_to_end;
 pub mod engine;
 pub mod fleet_calls;
 pub mod http;
