isolation: a VM that reaches no upstream serves through another VM

Cause: a VM had one path to an upstream, its own. It tried four upstreams and refused, 0.48 s later; the directory went on naming it. Class of fault: a failure was always charged to the far end of a connection. So a VM without a network also took incarnations for ended for good, reported them as unresponsive, and charged requests with crashes. Change: new connections that fail to two upstreams lead to probes of three others; a VM that reaches none is isolated until it reaches one (upstream_reach). An isolated VM passes requests to another VM over the peer port (vm_peer_relay), is left out of the directory, and takes back what it had charged upstreams with. An upstream counts as ended only for a VM that hears from others.

--- a/lib/src/coordination/leader_contact.rs
+++ b/lib/src/coordination/leader_contact.rs
@@ -31,6 +31,8 @@
     /// The send time of the latest renewal that granted a version not in force here, and the version.
     pending: Option<(u64, u64)>,
     applied: u64,
+    /// The latest version by which another VM served a request of a caller of this one.
+    served_elsewhere: u64,
     behind_since_ms: Option<u64>,
     requested_ms: Option<u64>,
 }
@@ -84,6 +86,17 @@
         self.applied
     }
 
+    /// Notes that another VM served a request that this VM passed on, by this version.
+    pub fn note_served(&mut self, version: u64) {
+        self.served_elsewhere = self.served_elsewhere.max(version);
+    }
+
+    /// Returns the latest version by which callers of this VM were served. They must not be served by an
+    /// older one again.
+    pub fn served(&self) -> u64 {
+        self.applied.max(self.served_elsewhere)
+    }
+
     /// Returns the latest time at which the version in force is known to have been the newest.
     pub fn confirmed_ms(&self) -> u64 {
         self.confirmed_ms
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -66,6 +66,7 @@
 pub mod upstream_choice;
 pub mod upstream_load;
 pub mod upstream_notice;
+pub mod upstream_reach;
 pub mod upstream_seats;
 pub mod vm_roster;
 pub mod workspace_limit;
--- a/lib/src/coordination/silence.rs
+++ b/lib/src/coordination/silence.rs
@@ -199,6 +199,11 @@
         unresponsive.map(|(upstream, _)| *upstream).collect()
     }
 
+    /// Forgets all suspicions, which VMs that still get no answer report again.
+    pub fn clear(&mut self) {
+        self.rows.clear();
+    }
+
     /// Removes upstreams that are not `known` any more.
     pub fn sweep(&mut self, known: impl Fn(UpstreamKey) -> bool) {
         self.rows.retain(|upstream, _| known(*upstream));
@@ -253,9 +258,15 @@
         other
     }
 
+    /// Notes that this VM could not reach an upstream, for reasons that may lie with this VM, so that it
+    /// isn't reported.
+    pub fn avoid(&mut self, upstream: UpstreamKey, now_ms: u64) {
+        self.own_ms.insert(upstream, now_ms);
+    }
+
     /// Notes that this VM could not reach an upstream.
     pub fn suspect(&mut self, upstream: UpstreamKey, now_ms: u64) {
-        self.own_ms.insert(upstream, now_ms);
+        self.avoid(upstream, now_ms);
         if !self.suspicions.contains(&upstream) {
             self.suspicions.push(upstream);
         }
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod keeper_wire;
 pub mod operator;
+pub mod peer_relay;
 pub mod peer_wire;
 pub mod plain;
 pub mod retry_after;
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -165,6 +165,9 @@
     fn read_request(&self, head: &request::Parts) -> Result<CallerRequest, HeadError>;
     /// The headers with which a caller's request is sent to an upstream.
     fn write_send(&self, head: &request::Parts, send: &UpstreamSend) -> HeaderMap;
+    /// The headers with which a caller's request is passed to another VM; `wait_ms` is how long its caller
+    /// still waits.
+    fn write_relay(&self, head: &request::Parts, wait_ms: Option<u64>) -> HeaderMap;
     /// Parses the head of an upstream's answer.
     fn read_answer(&self, head: &response::Parts) -> UpstreamAnswer;
     /// The headers with which an upstream's answer is returned to the caller.
--- a/lib/src/state/vm_figures.rs
+++ b/lib/src/state/vm_figures.rs
@@ -98,6 +98,10 @@
     pub failure_signs: u64,
     /// Requests whose upstream ended while it ran them.
     pub crashes: u64,
+    /// Requests that were served through another VM.
+    pub relayed: u64,
+    /// How often this VM reached no upstream at all.
+    pub isolations: u64,
     /// Answers by which upstreams requested a back-off.
     pub backoffs: u64,
 }
--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -1,7 +1,7 @@
 //! Determines whether an upstream's process ended while it ran a request, or only the connection broke.
 //!
-//! Invariant: an upstream counts as ended only if its address refuses connections. A reset, a truncated
-//! answer or a missing answer is no evidence of that. See
+//! Invariant: an upstream counts as ended only if its address refuses connections while this VM reaches other
+//! upstreams. A reset, a truncated answer or a missing answer is no evidence of that. See
 //! `docs/design/quarantine.md`.
 
 use std::net::SocketAddr;
@@ -88,7 +88,10 @@
     /// Reports a crash to the leader if the upstream of the broken send has ended.
     async fn confirm_crash(self: Rc<Self>, broken: BrokenSend) {
         let BrokenSend { seen, address, name, attempt } = broken;
-        if !self.has_ended(seen.upstream, address).await {
+        let broke_ms = self.now_ms();
+        if !self.has_ended(seen.upstream, address).await
+            || !self.hears_others(seen.upstream, broke_ms).await
+        {
             return;
         }
         self.outliers.borrow_mut().note_ended(seen.upstream);
@@ -101,7 +104,7 @@
     }
 
     /// Whether the upstream's address refuses connections, now or at one of the later checks.
-    async fn has_ended(&self, upstream: UpstreamKey, address: SocketAddr) -> bool {
+    async fn has_ended(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr) -> bool {
         if self.outliers.borrow().has_ended(upstream) {
             return true;
         }
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -28,6 +28,7 @@
 use crate::coordination::engine_room::CapacityRequest;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::upstream_candidate::ChoiceError;
+use crate::protocol::peer_relay::RelayNote;
 use crate::state::route_table::{pick_share, RequestKind, RouteDecision, RouteRule, ServiceEntry};
 use crate::state::vm_figures::RequestEnd;
 
@@ -48,6 +49,7 @@
     let (mut head, body) = request.into_parts();
     let connection = head.extensions.remove::<ConnectionRecord>().unwrap_or_default();
     connection.note_request();
+    let relayed = head.extensions.remove::<RelayNote>();
     let caller = match node.adapter.read_request(&head) {
         Ok(caller) => caller,
         Err(fault) => {
@@ -88,6 +90,7 @@
         record,
         connection,
         fingerprint: OnceCell::new(),
+        relayed,
         _serving: serving,
     };
     let answer = match task.must_complete() {
@@ -157,11 +160,14 @@
 
     /// Sends the request until an upstream's answer can be passed on or no further send is allowed.
     async fn serve(self) -> Response<AnswerBody> {
-        let mut count = AttemptCount::default();
+        let mut count = self.count_before();
         let mut tried = Vec::new();
         let draw = self.draw;
-        let mut first_noted = false;
+        let mut first_noted = count.sent > 0;
         loop {
+            if self.node.is_isolated() {
+                return self.serve_while_isolated(&mut count).await;
+            }
             let (routes, route, workspace) = match self.decide() {
                 Ok(decided) => decided,
                 // A refusal would state that the request has not run, which is no longer certain.
@@ -246,6 +252,29 @@
         }
     }
 
+    /// The attempts that another VM made before it passed the request on.
+    fn count_before(&self) -> AttemptCount {
+        self.relayed.map_or(AttemptCount::default(), |note| AttemptCount {
+            sent: note.sent,
+            may_have_run: note.may_have_run,
+            ..AttemptCount::default()
+        })
+    }
+
+    /// Passes the request to another VM, since this one reaches no upstream. A request that came from another
+    /// VM is refused, so that none goes round in circles.
+    async fn serve_while_isolated(&self, count: &mut AttemptCount) -> Response<AnswerBody> {
+        if self.relayed.is_none() && !self.record.has_left() {
+            if let Some(answer) = self.relay_to_peer(count).await {
+                return answer;
+            }
+        }
+        match count.give_up() {
+            NextStep::Refuse => self.refuse(count, "reaches no upstream"),
+            _ => self.fail(count, "reaches no upstream"),
+        }
+    }
+
     /// Routes the request by the configuration in force: the configuration, the index of the route, and the
     /// index of the workspace whose key the caller sent.
     pub(super) fn decide(&self) -> Result<(Rc<RoutesInForce>, usize, Option<usize>), Denial> {
@@ -255,7 +284,8 @@
         };
         let contact = self.node.contact.borrow();
         let bounds = self.node.settings.borrow().bounds;
-        if contact.is_behind(bounds.apply_ms, now_ms) {
+        let outdated = contact.applied() < contact.served();
+        if outdated || contact.is_behind(bounds.apply_ms, now_ms) {
             return Err(Denial::StaleConfiguration);
         }
         let sure = contact.age_ms(now_ms) < DENIAL_MAX_AGE_MS;
@@ -387,14 +417,14 @@
     }
 
     /// Answers with an error that doesn't state whether the request has run.
-    fn fail(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
+    pub(super) fn fail(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
         self.note_end(RequestEnd::Failed);
         info!(target: "request", attempt = self.caller.attempt, sent = count.sent, "failed: {why}");
         own_answer(StatusCode::BAD_GATEWAY, why.to_string())
     }
 
     /// Answers that the deadline has passed: as a refusal if the request certainly has not run.
-    fn time_out(&self, count: &AttemptCount) -> Response<AnswerBody> {
+    pub(super) fn time_out(&self, count: &AttemptCount) -> Response<AnswerBody> {
         self.note_end(RequestEnd::TimedOut);
         info!(target: "request", attempt = self.caller.attempt, sent = count.sent, "deadline exceeded");
         match count.may_have_run {
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -87,7 +87,11 @@
         let mut rows = self.view.borrow().roster.rows.clone();
         // The roster may not show yet that this VM is ready.
         rows.retain(|row| row.id != self.id);
-        rows.push(RosterRow { id: self.id, zone: self.zone, ready: self.is_ready() });
+        rows.push(RosterRow { id: self.id, zone: self.zone, ready: self.is_advertised() });
+        // Where all VMs are isolated, callers lose nothing by staying with them until one is back.
+        if self.is_isolated() && !rows.iter().any(|row| row.ready) {
+            rows.iter_mut().for_each(|row| row.ready = true);
+        }
         let ready = || rows.iter().filter(|row| row.ready);
         let near: Vec<u32> = ready().filter(|row| row.zone == zone).map(|row| row.id).collect();
         let mut ids = match near.len() >= 2 {
--- a/lib/src/transport/vm_links.rs
+++ b/lib/src/transport/vm_links.rs
@@ -1,5 +1,5 @@
 //! Links between VMs: one lasting TCP connection for each direction. A full or broken link drops frames,
-//! since all that is sent over links is sent again when it matters.
+//! since all that is sent over links is sent again when it matters. Relay connections arrive at the same port.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -17,6 +17,7 @@
 
 use super::vm_sockets::set_stream;
 use super::wire_count::WireCount;
+use crate::protocol::peer_relay::RELAY_PREFACE;
 use crate::protocol::vm_wire::{
     decode_frame_body, decode_frame_head, encode_frame, vm_address, VmId, VmMessage,
     FRAME_HEAD_BYTES,
@@ -61,6 +62,11 @@
     }
 }
 
+/// Passes on the messages of other VMs.
+pub type MessageHandler = Rc<dyn Fn(VmId, VmMessage)>;
+/// Serves a relay connection after its preface; see [`crate::protocol::peer_relay`].
+pub type RelayHandler = Rc<dyn Fn(TcpStream)>;
+
 /// The links of one VM to the others.
 #[derive(Clone)]
 pub struct LinkTable {
@@ -148,13 +154,13 @@
         PeerLink { frames, unsent }
     }
 
-    /// Accepts links of other VMs and passes their messages to `handle`.
-    pub async fn accept(self, listener: TcpListener, handle: Rc<dyn Fn(VmId, VmMessage)>) {
+    /// Accepts links of other VMs and passes their messages to `handle`, and relay connections to `relay`.
+    pub async fn accept(self, listener: TcpListener, handle: MessageHandler, relay: RelayHandler) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     set_stream(&stream);
-                    spawn_local(self.clone().read_link(stream, handle.clone()));
+                    spawn_local(self.clone().read_link(stream, handle.clone(), relay.clone()));
                 }
                 Err(error) => {
                     debug!(target: "link", "cannot accept: {error}");
@@ -165,12 +171,18 @@
     }
 
     /// Reads frames until the link ends or a frame can't be decoded.
-    async fn read_link(self, mut stream: TcpStream, handle: Rc<dyn Fn(VmId, VmMessage)>) {
+    async fn read_link(self, mut stream: TcpStream, handle: MessageHandler, relay: RelayHandler) {
         loop {
             let mut head = [0; FRAME_HEAD_BYTES];
             if stream.read_exact(&mut head).await.is_err() {
                 return;
             }
+            if head == RELAY_PREFACE {
+                if stream.write_all(&RELAY_PREFACE).await.is_ok() {
+                    relay(stream);
+                }
+                return;
+            }
             let head = match decode_frame_head(head) {
                 Ok(head) => head,
                 Err(error) => {
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -25,7 +25,7 @@
 pub type MetricEntry = (&'static str, &'static str, &'static str);
 
 /// All metrics, in the order in which they are written.
-pub const METRICS: [MetricEntry; 46] = [
+pub const METRICS: [MetricEntry; 49] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
@@ -44,6 +44,9 @@
     ("wingshed_rests_asked_total", "counter", "Answers by which upstreams asked for rest."),
     ("wingshed_upstreams_at_rest", "gauge", "Upstreams that want nothing from this VM now."),
     ("wingshed_upstreams_leaving", "gauge", "Upstreams that said in answers that they leave."),
+    ("wingshed_relayed_total", "counter", "Requests that were served through another VM."),
+    ("wingshed_isolations_total", "counter", "Times that this VM reached no upstream at all."),
+    ("wingshed_isolated", "gauge", "1 while this VM reaches no upstream."),
     ("wingshed_serving", "gauge", "Requests that are being served."),
     ("wingshed_connections", "gauge", "Connections that are open at the listeners."),
     (
@@ -147,6 +150,9 @@
             "wingshed_rests_asked_total" => figures.backoffs,
             "wingshed_upstreams_at_rest" => self.pool.notices().borrow().backing_off(now_ms) as u64,
             "wingshed_upstreams_leaving" => self.pool.notices().borrow().leaving() as u64,
+            "wingshed_relayed_total" => figures.relayed,
+            "wingshed_isolations_total" => figures.isolations,
+            "wingshed_isolated" => u64::from(self.is_isolated()),
             "wingshed_serving" => u64::from(self.serving.get()),
             "wingshed_connections" => u64::from(self.connections.get()),
             "wingshed_resting" => self.pool.idle_count() as u64,
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -39,8 +39,10 @@
 use crate::coordination::silence_desk::SilenceState;
 use crate::coordination::upstream_choice::PrefixMemory;
 use crate::coordination::upstream_load::{LoadReports, SharedLoads, UpstreamLoad};
+use crate::coordination::upstream_reach::UpstreamReach;
 use crate::coordination::vm_roster::{RosterCopy, RosterRow};
 use crate::coordination::zone_desk::ZoneState;
+use crate::protocol::peer_relay::RELAY_PREFACE;
 use crate::protocol::vm_wire::{VmId, VmMessage};
 use crate::protocol::wire_adapter::WireAdapter;
 use crate::state::document_change::DocumentChange;
@@ -148,6 +150,12 @@
     pub keeper: RefCell<Option<KeeperDriver>>,
     /// Connections to upstreams and to the platform's list.
     pub pool: ConnectionPool,
+    /// Relay connections to other VMs, each under its [`VmId`] in place of an upstream's key.
+    pub peer_pool: ConnectionPool,
+    /// Whether this VM reaches upstreams at all.
+    pub reach: RefCell<UpstreamReach>,
+    /// When an upstream last sent part of an answer.
+    pub heard_ms: Cell<u64>,
     /// Requests in flight by upstream.
     pub in_flight: RefCell<HashMap<UpstreamKey, u32>>,
     /// The capacity measured at each service of engines.
@@ -232,6 +240,7 @@
         let wire = Rc::new(WireCount::default());
         let links = LinkTable::new(id, settings.peer_port, wire.clone());
         let pool = ConnectionPool::from_source(settings.ip);
+        let peer_pool = ConnectionPool::from_source(settings.ip).with_greeting(&RELAY_PREFACE);
         Ok(Rc::new(VmNode {
             settings: RefCell::new(settings),
             adapter,
@@ -245,6 +254,9 @@
             view: RefCell::default(),
             keeper: RefCell::default(),
             pool,
+            peer_pool,
+            reach: RefCell::default(),
+            heard_ms: Cell::new(0),
             in_flight: RefCell::default(),
             capacities: RefCell::default(),
             plain_holds: RefCell::default(),
@@ -312,6 +324,11 @@
         self.keeper.borrow().as_ref().is_some_and(|keeper| keeper.is_confirmed_leader(now_ms))
     }
 
+    /// Whether callers are sent to this VM: it is ready, and it isn't isolated.
+    pub fn is_advertised(&self) -> bool {
+        self.is_ready() && !self.is_isolated()
+    }
+
     /// Whether this VM may get new callers: it isn't stopping, has routes, and its contact with the leader is
     /// fresh enough.
     pub fn is_ready(&self) -> bool {
@@ -325,7 +342,7 @@
 
     /// This VM's row of the roster. Remembers the readiness that it reports.
     pub fn own_row(&self) -> RosterRow {
-        let ready = self.is_ready();
+        let ready = self.is_advertised();
         self.reported_ready.set(ready);
         RosterRow { id: self.id, zone: self.zone, ready }
     }
@@ -333,7 +350,7 @@
     /// Renews at once when this VM's readiness has changed: after a restart of the whole fleet, callers wait
     /// for the first VMs that are ready.
     pub fn renew_if_changed(&self) {
-        if self.is_ready() != self.reported_ready.get() {
+        if self.is_advertised() != self.reported_ready.get() {
             self.renew();
         }
     }
@@ -571,7 +588,9 @@
         let listener = listen(peer)?;
         let node = self.clone();
         let handle = Rc::new(move |from, message| node.handle_message(from, message));
-        spawn_local(self.links.clone().accept(listener, handle));
+        let node = self.clone();
+        let relay = Rc::new(move |stream| node.serve_relay_connection(stream));
+        spawn_local(self.links.clone().accept(listener, handle, relay));
         spawn_local(self.clone().receive_datagrams());
         self.start_keeper()?;
         spawn_local(self.clone().tick_keeper());
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -21,6 +21,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{timeout, Instant};
@@ -39,6 +40,8 @@
 /// How long a request waits, after its answer, for its connection to become idle. A connection whose
 /// request has been written in full becomes idle within this time.
 const FINISH_WAIT: Duration = Duration::from_millis(10);
+/// How long a probe's connection is watched for a reset.
+const PROBE_QUIET: Duration = Duration::from_millis(50);
 /// The buffer size of a connection, in bytes: the minimum that the HTTP library accepts.
 const BUFFER_BYTES: usize = 8192;
 
@@ -130,6 +133,8 @@
 pub struct ConnectionPool {
     /// The address from which connections are opened; chosen by the system if there is none.
     source: Option<Ipv4Addr>,
+    /// The bytes with which both ends begin a connection, before HTTP.
+    greeting: Option<&'static [u8]>,
     upstreams: Rc<RefCell<HashMap<UpstreamKey, UpstreamConnections>>>,
     connect_timeout: Rc<Cell<ConnectTimeout>>,
     opened: Rc<RefCell<ConnectCount>>,
@@ -176,6 +181,11 @@
         ConnectionPool { source: Some(source), ..ConnectionPool::default() }
     }
 
+    /// Makes connections begin with these bytes in both directions.
+    pub fn with_greeting(self, greeting: &'static [u8]) -> ConnectionPool {
+        ConnectionPool { greeting: Some(greeting), ..self }
+    }
+
     /// Returns an idle connection to the upstream, or opens a new one.
     pub async fn take(&self, destination: ConnectTarget) -> Result<ConnectionLease, ConnectFault> {
         self.check_allowed(destination)?;
@@ -212,12 +222,35 @@
         self.upstreams.borrow_mut().get_mut(&upstream)?.pop(now_ms)
     }
 
-    /// Opens a new connection to the upstream. The attempt is abandoned after a multiple of the usual
-    /// connect time: nothing was sent yet, so the request can still go to another upstream.
+    /// Opens a new connection to the upstream.
     pub async fn connect(
         &self,
         destination: ConnectTarget,
     ) -> Result<ConnectionLease, ConnectFault> {
+        let (in_use, stream) = self.open(destination).await?;
+        self.lease(destination, in_use, stream, false).await
+    }
+
+    /// Opens a new connection and keeps it as an idle one. Returns whether it is still open after
+    /// [`PROBE_QUIET`]: a connection may be accepted on the way to an upstream that can't be reached, and be
+    /// reset then.
+    pub async fn probe(&self, destination: ConnectTarget) -> Result<bool, ConnectFault> {
+        let (in_use, stream) = self.open(destination).await?;
+        tokio::time::sleep(PROBE_QUIET).await;
+        let open = is_quiet(&stream);
+        if open {
+            let expires_ms = destination.now_ms + DEFAULT_IDLE_MS - IDLE_MARGIN_MS;
+            in_use.note(|connections| connections.idle.push(IdleConnection { stream, expires_ms }));
+        }
+        Ok(open)
+    }
+
+    /// Connects to the upstream. The attempt is abandoned after a multiple of the usual connect time: nothing
+    /// was sent yet, so the request can still go to another upstream.
+    async fn open(
+        &self,
+        destination: ConnectTarget,
+    ) -> Result<(InUseGuard, TcpStream), ConnectFault> {
         self.check_allowed(destination)?;
         let ConnectTarget { upstream, address, .. } = destination;
         let cause = self
@@ -228,9 +261,14 @@
         let in_use = InUseGuard::new(self, upstream);
         let wait = Duration::from_millis(self.connect_timeout.get().wait_ms());
         let began = Instant::now();
-        let stream = match timeout(wait, connect_from(self.source, address)).await {
+        let connected = async {
+            let mut stream = connect_from(self.source, address).await?;
+            self.greet(&mut stream).await?;
+            Ok(stream)
+        };
+        let stream = match timeout(wait, connected).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            Ok(Err::<_, std::io::Error>(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Err(ConnectFault::ConnectionRefused)
             }
             Ok(Err(_)) | Err(_) => return Err(ConnectFault::NoAnswer),
@@ -240,7 +278,19 @@
         self.connect_timeout.set(connect_timeout);
         set_stream(&stream);
         self.opened.borrow_mut().note(cause);
-        self.lease(destination, in_use, stream, false).await
+        Ok((in_use, stream))
+    }
+
+    /// Sends the greeting of this pool's connections, if they have one, and reads it back.
+    async fn greet(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        let Some(greeting) = self.greeting else { return Ok(()) };
+        stream.write_all(greeting).await?;
+        let mut reply = vec![0; greeting.len()];
+        stream.read_exact(&mut reply).await?;
+        match reply == greeting {
+            true => Ok(()),
+            false => Err(ErrorKind::InvalidData.into()),
+        }
     }
 
     /// Closes idle connections that have expired, and all idle connections to upstreams that are not
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -100,6 +100,7 @@
         guard: FlightGuard,
         deadline_ms: u64,
     ) -> SendResult {
+        self.node.note_heard();
         let (head, body) = answer.into_parts();
         let facts = self.node.adapter.read_answer(&head);
         let matches_attempt =
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -59,13 +59,19 @@
             let at = (target.upstream, target.address);
             match self.node.wait_for(at, sent, deadline_ms, may_repeat).await {
                 WaitResult::Done(Ok(answer)) => {
-                    return self.check_answer(target, answer, lease, guard, deadline_ms).await
+                    if !lease.is_reused() {
+                        self.node.note_reached();
+                    }
+                    return self.check_answer(target, answer, lease, guard, deadline_ms).await;
                 }
                 WaitResult::Done(Err(mut error)) => {
                     if error.take_message().is_some() {
                         continue;
                     }
                     target.trial.end_inconclusive();
+                    if !lease.is_reused() {
+                        self.node.note_unreached(target.upstream);
+                    }
                     self.note_failure(target.upstream, "broken");
                     self.check_after_break(target);
                     return SendResult::NoAnswer(SendOutcome::Broken);
--- a/lib/src/transport/vm_signs.rs
+++ b/lib/src/transport/vm_signs.rs
@@ -37,6 +37,10 @@
 
     /// Records for the leader whether a send succeeded.
     pub(super) fn note_outcome(&self, upstream: UpstreamKey, went_well: bool) {
+        // An isolated VM fails with every upstream.
+        if self.node.is_isolated() && !went_well {
+            return;
+        }
         self.node.health.borrow_mut().outbox.note(upstream, went_well);
     }
 
@@ -56,6 +60,12 @@
         let upstreams = self.node.upstreams.borrow();
         let Some(entry) = upstreams.entries.get(&upstream) else { return };
         let fleet = upstreams.accepting(&entry.service).map(|(key, _)| key);
+        if self.node.is_isolated() {
+            return info!(
+                target: "upstream", life = entry.name, attempt = self.caller.attempt,
+                "{what}, while this VM is isolated",
+            );
+        }
         self.node.counters.borrow_mut().failure_signs += 1;
         let mut outliers = self.node.outliers.borrow_mut();
         match fault {
--- a/lib/src/transport/vm_silence.rs
+++ b/lib/src/transport/vm_silence.rs
@@ -77,14 +77,23 @@
     }
 
     /// Records whether a connection to an upstream came up, or why it didn't.
-    pub(super) fn note_connect(&self, upstream: UpstreamKey, fault: Option<ConnectFault>) {
+    pub(super) fn note_connect(
+        self: &Rc<Self>,
+        upstream: UpstreamKey,
+        fault: Option<ConnectFault>,
+    ) {
         let now_ms = self.now_ms();
         match fault {
             None => self.silence.borrow_mut().view.reached(upstream),
-            Some(ConnectFault::ConnectionRefused | ConnectFault::Disallowed) => {}
+            Some(ConnectFault::Disallowed) => {}
+            Some(ConnectFault::ConnectionRefused) => self.note_unreached(upstream),
             Some(ConnectFault::NoAnswer) => {
+                self.note_unreached(upstream);
                 {
                     let mut state = self.silence.borrow_mut();
+                    if self.is_isolated() {
+                        return state.view.avoid(upstream, now_ms);
+                    }
                     state.view.suspect(upstream, now_ms);
                     // Bounds the renewals at the leader when many VMs lose a zone at once: by estimate, 300 VMs
                     // would send it 2.6 MB a second with 60 ms between a VM's renewals, and 2.5 MB with this pause.
@@ -110,7 +119,7 @@
 
     /// Connects and keeps the connection in the pool. Returns why there is none otherwise.
     pub(super) async fn connect_only(
-        &self,
+        self: &Rc<Self>,
         upstream: UpstreamKey,
         address: SocketAddr,
     ) -> Option<ConnectFault> {
@@ -168,6 +177,7 @@
         let now_ms = self.now_ms();
         let table = &mut self.silence.borrow_mut().table;
         match fault {
+            Some(_) if self.is_isolated() => table.note_probe_skipped(upstream, now_ms),
             Some(ConnectFault::Disallowed) => table.note_probe_skipped(upstream, now_ms),
             // A refused connection shows that the machine can be reached.
             None | Some(ConnectFault::ConnectionRefused) => {
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -151,7 +151,7 @@
     }
 
     /// Sends the request to another upstream, to continue the stream after the event `after`; `None` if no
-    /// upstream, time or retry is left, or the route doesn't allow it any more.
+    /// upstream, time or retry is left, this VM is isolated, or the route doesn't allow it any more.
     async fn resume(
         &self,
         after: Option<String>,
@@ -160,6 +160,9 @@
         count: &mut AttemptCount,
     ) -> Option<(SendTarget, Box<StreamedBody>)> {
         loop {
+            if self.node.is_isolated() {
+                return None;
+            }
             let (routes, route, workspace) = self.decide().ok()?;
             let rule = &routes.table.routes[route];
             if rule.kind != RequestKind::ResumableStream {
@@ -229,6 +232,7 @@
                 },
                 WaitResult::Done(None) => break,
             };
+            self.node.note_heard();
             if std::mem::take(&mut first) {
                 self.note_first_byte(target, "first piece");
             }
--- a/lib/src/transport/vm_task.rs
+++ b/lib/src/transport/vm_task.rs
@@ -9,6 +9,7 @@
 use super::vm_guard::ServingGuard;
 use super::vm_node::VmNode;
 use super::vm_request_record::{ConnectionRecord, RequestRecord};
+use crate::protocol::peer_relay::RelayNote;
 use crate::protocol::wire_adapter::CallerRequest;
 use crate::state::ids::RequestFingerprint;
 
@@ -31,6 +32,8 @@
     pub(super) connection: ConnectionRecord,
     /// The hash of the request's content, computed on first use; see [`CallerTask::fingerprint`].
     pub(super) fingerprint: OnceCell<RequestFingerprint>,
+    /// What another VM told of the request when it passed it on, if one did.
+    pub(super) relayed: Option<RelayNote>,
     pub(super) _serving: ServingGuard,
 }
 
--- a/lib/tests/test_vm_links.rs
+++ b/lib/tests/test_vm_links.rs
@@ -125,7 +125,7 @@
         let arrived = Rc::new(Notify::new());
         let notify = arrived.clone();
         let handle = Rc::new(move |_, _| notify.notify_one());
-        spawn_local(links.clone().accept(listener, handle));
+        spawn_local(links.clone().accept(listener, handle, Rc::new(drop)));
         let frame = encode_frame(2, &whole_list(5000));
         let receiving = |expected: bool| {
             let links = links.clone();
@@ -162,7 +162,7 @@
         let handle = Rc::new(move |from, message: VmMessage| {
             messages.borrow_mut().push((from, message.kind()));
         });
-        spawn_local(links.clone().accept(listener, handle));
+        spawn_local(links.clone().accept(listener, handle, Rc::new(drop)));
         // One message that is compressed on the wire, and one that isn't.
         for message in [whole_list(40), VmMessage::WantDocument] {
             let frame = encode_frame(2, &message);
