soak: VMs that are partitioned from all upstreams

Schedules draw partitions of some, most or all VMs from all upstreams, in four forms; upstreams see which VM sent a request, and what binds a VM is checked for that one, since requests may be passed on. The judge compares how often partitioned VMs and others serve. Two cases: each form in turn, and partitions over stops and orders.

--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -3,6 +3,8 @@
 //! They are stored as steps and not as seeds, since any change to the drawing of schedules changes what a
 //! seed plays.
 
+use wingshed_standin::partition::PartitionForm;
+
 use crate::schedule::{Disturbance, PlannedStep, VersionFault};
 
 /// A named schedule.
@@ -77,6 +79,34 @@
 /// Cases of VMs and upstreams that end, and of roll-outs.
 fn process_cases() -> Vec<SoakCase> {
     vec![
+        SoakCase {
+            name: "vms-cut-off-from-upstreams",
+            cause: "a VM that lost its network to all upstreams refuses what another VM could serve",
+            steps: PartitionForm::ALL
+                .into_iter()
+                .zip([1, 2, 1, 2])
+                .enumerate()
+                .map(|(at, (form, count))| {
+                    let at_ms = 1_000 + 11_000 * at as u64;
+                    step(at_ms, Disturbance::CutOffVms(at % 3, count, form, 8_000))
+                })
+                .collect(),
+        },
+        SoakCase {
+            name: "vms-cut-off-over-stops-and-orders",
+            cause: "an isolated VM serves by an older configuration, or a stop cuts what another VM passed on",
+            steps: in_time((0..3).flat_map(|at| {
+                let at_ms = 1_000 + 10_000 * at;
+                let vm = at as usize;
+                let form = PartitionForm::ALL[vm];
+                [
+                    step(at_ms, Disturbance::CutOffVms(vm, 1, form, 9_000)),
+                    step(at_ms + 2_000, Disturbance::PutDocument),
+                    step(at_ms + 4_000, Disturbance::StopVm((vm + 1) % 3)),
+                    step(at_ms + 5_000, Disturbance::RevokeKey),
+                ]
+            })),
+        },
         SoakCase {
             name: "streams-cut-partway",
             cause: "the rest of a truncated event is joined to the first event of the next run",
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -3,7 +3,7 @@
 //! The bounds are those of the settings that the soak writes. Most of them apply to a VM only while it is in
 //! contact: from [`CONTACT_MS`] after the end of the last disturbance of that VM on.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::judge_answers::answer_fault;
 use crate::ledger::{
@@ -51,6 +51,11 @@
 const BACKOFF_TOLERANCE: usize = 2;
 /// Milliseconds after the request for back-off in which sends are not counted.
 const BACKOFF_GRACE_MS: u64 = 500;
+/// How often VMs that are partitioned from all upstreams must serve, as a share of how often others do.
+const PARTITIONED_SHARE: f64 = 2.0 / 3.0;
+/// Requests that may fail at these VMs whatever the others serve, and one more in this many requests.
+const PARTITIONED_SLACK: usize = 10;
+const PARTITIONED_FAILURE_INTERVAL: usize = 50;
 /// The number of VMs with a disk, the first ones by index, that store the agreed state.
 const CORE_VMS: usize = 3;
 
@@ -63,6 +68,33 @@
     pub details: String,
 }
 
+/// How many requests were sent, and how many of them were served.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServedCount {
+    sent: usize,
+    served: usize,
+}
+
+impl ServedCount {
+    fn add(&mut self, request: &RequestRow) {
+        self.sent += 1;
+        self.served += usize::from(request.end == RequestEnd::Whole);
+    }
+
+    /// Whether these are served less than [`PARTITIONED_SHARE`] times as often as others, and more fail than
+    /// chance explains.
+    fn is_far_below(&self, others: &ServedCount) -> bool {
+        let failed = self.sent - self.served;
+        let total = self.sent + others.sent;
+        let allowed = PARTITIONED_SLACK + total / PARTITIONED_FAILURE_INTERVAL;
+        let share = |count: &ServedCount| count.served as f64 / count.sent.max(1) as f64;
+        self.sent > 0
+            && others.sent > 0
+            && failed > allowed
+            && share(self) < PARTITIONED_SHARE * share(others)
+    }
+}
+
 /// The rows of a run, indexed by attempt, and the broken promises found so far.
 struct RunJudge<'a> {
     rows: &'a LedgerRows,
@@ -84,6 +116,7 @@
         judge.add("recovery", fault.clone());
     }
     judge.check_answers();
+    judge.check_partitions();
     judge.check_planned_stops();
     judge.check_leaving();
     judge.check_notices();
@@ -130,6 +163,47 @@
         }
     }
 
+    /// Checks that VMs which are partitioned from all upstreams, while others aren't, serve their callers nearly
+    /// as often as those. Each moment at which a partition begins or ends starts another comparison.
+    fn check_partitions(&mut self) {
+        let partitions = || {
+            let spans = self.rows.spans.iter();
+            spans.filter(|span| matches!(span.touched, Touched::Partition(_)))
+        };
+        let edges = partitions().flat_map(|span| [Some(span.from_ms), span.until_ms]).flatten();
+        let edges: BTreeSet<u64> = edges.collect();
+        let edges: Vec<u64> = edges.into_iter().collect();
+        for window in edges.windows(2) {
+            let (from_ms, until_ms) = (window[0] + CONTACT_MS, window[1]);
+            let is_cut_off = |vm: usize| {
+                let mut spans = partitions().filter(|span| span.touched == Touched::Partition(vm));
+                spans.any(|span| overlaps(span, window[0] + 1, until_ms.saturating_sub(1)))
+            };
+            let (mut cut_off, mut others) = (ServedCount::default(), ServedCount::default());
+            for request in &self.rows.requests {
+                let within = (from_ms..until_ms).contains(&request.sent_ms);
+                if within && self.may_be_compared(request) {
+                    let count = if is_cut_off(request.vm) { &mut cut_off } else { &mut others };
+                    count.add(request);
+                }
+            }
+            if cut_off.is_far_below(&others) {
+                let details = format!("{from_ms} to {until_ms} ms: {cut_off:?}, others {others:?}");
+                self.broken.push(BrokenPromise { promise: "partitions", details });
+            }
+        }
+    }
+
+    /// Whether nothing but a partition can be at fault for how a request ended: its VM was in contact, its
+    /// caller reached the VM, and its key was not revoked.
+    fn may_be_compared(&self, request: &RequestRow) -> bool {
+        let front = Touched::Front(request.vm);
+        let mut fronts = self.rows.spans.iter().filter(|span| span.touched == front);
+        self.in_contact_since(request.vm, request.ended_ms).is_some()
+            && !fronts.any(|span| overlaps(span, request.sent_ms, request.ended_ms))
+            && request.end != RequestEnd::Status(401)
+    }
+
     /// Whether a disturbance other than a planned stop overlaps this time.
     fn was_disturbed_unplanned(&self, from_ms: u64, until_ms: u64) -> bool {
         let unplanned = |span: &&SpanRow| !matches!(span.touched, Touched::PlannedVm(_));
@@ -187,8 +261,7 @@
     /// Checks that upstreams that the list shows as leaving get no requests after the bound.
     fn check_leaving(&mut self) {
         for run in &self.rows.runs {
-            let Some(request) = self.requests.get(run.attempt.as_str()) else { continue };
-            let Some(mut since) = self.in_contact_since(request.vm, run.at_ms) else { continue };
+            let Some(mut since) = self.in_contact_since(run.sender, run.at_ms) else { continue };
             for span in &self.rows.spans {
                 if span.touched == Touched::List && span.from_ms <= run.at_ms {
                     since = since.max(span.until_ms.unwrap_or(run.at_ms) + CONTACT_MS);
@@ -205,7 +278,7 @@
                 let late = run.at_ms - row.from_ms;
                 self.add(
                     "leaving upstreams",
-                    format!("{late} ms after: {run:?}, VM {}", request.vm),
+                    format!("{late} ms after: {run:?}, VM {}", run.sender),
                 );
             }
         }
@@ -218,7 +291,7 @@
         let touched = |span: &&SpanRow| match span.touched {
             Touched::Vm(other) | Touched::PlannedVm(other) => other == vm,
             Touched::Upstream(other) => other == upstream,
-            Touched::Front(_) | Touched::List => false,
+            Touched::Partition(_) | Touched::Front(_) | Touched::List => false,
         };
         self.rows.spans.iter().filter(touched).any(|span| overlaps(span, from_ms, until_ms))
     }
@@ -232,19 +305,19 @@
             // Of several answers to one request the VM may have received this one and forwarded another.
             if request.end == RequestEnd::Whole && self.runs_of(request).len() == 1 {
                 let notice_ms =
-                    first_notice.entry((request.vm, run.life)).or_insert(request.ended_ms);
+                    first_notice.entry((run.sender, run.life)).or_insert(request.ended_ms);
                 *notice_ms = request.ended_ms.min(*notice_ms);
             }
         }
         for run in &self.rows.runs {
             let Some(request) = self.requests.get(run.attempt.as_str()) else { continue };
-            let Some(notice_ms) = first_notice.get(&(request.vm, run.life)).copied() else {
+            let Some(notice_ms) = first_notice.get(&(run.sender, run.life)).copied() else {
                 continue;
             };
             let late = request.sent_ms > notice_ms + DRAIN_MS + CLOCK_SLACK_MS;
-            if late && !self.is_excused(request.vm, run.upstream, notice_ms, run.at_ms) {
+            if late && !self.is_excused(run.sender, run.upstream, notice_ms, run.at_ms) {
                 let after = request.sent_ms - notice_ms;
-                self.add("told leaving", format!("{after} ms after: {run:?}, VM {}", request.vm));
+                self.add("told leaving", format!("{after} ms after: {run:?}, VM {}", run.sender));
             }
         }
     }
@@ -254,8 +327,7 @@
     fn check_backoffs(&mut self) {
         let mut sent: HashMap<(usize, u64), Vec<&ArrivalRow>> = HashMap::new();
         for row in &self.rows.arrivals {
-            let Some(request) = self.requests.get(row.attempt.as_str()) else { continue };
-            sent.entry((request.vm, row.life)).or_default().push(row);
+            sent.entry((row.sender, row.life)).or_default().push(row);
         }
         for ((vm, _), rows) in sent {
             for asked in rows.iter().filter(|row| row.rest_ms > 0) {
@@ -283,8 +355,7 @@
             };
             let until_ms = self.return_sent_ms(zone, order.sent_ms);
             for run in self.rows.runs.iter().filter(|run| run.zone == *zone) {
-                let Some(request) = self.requests.get(run.attempt.as_str()) else { continue };
-                let Some(since) = self.in_contact_since(request.vm, run.at_ms) else { continue };
+                let Some(since) = self.in_contact_since(run.sender, run.at_ms) else { continue };
                 let from_ms = acked_ms.max(since);
                 let bound =
                     EVACUATION_MS + self.core_allowance_ms(acked_ms, run.at_ms) + CLOCK_SLACK_MS;
@@ -292,7 +363,7 @@
                     let late = run.at_ms - acked_ms;
                     self.add(
                         "emptied zones",
-                        format!("{late} ms after: {run:?}, VM {}", request.vm),
+                        format!("{late} ms after: {run:?}, VM {}", run.sender),
                     );
                 }
             }
@@ -407,14 +478,14 @@
             let requests =
                 row.attempts.iter().filter_map(|attempt| self.requests.get(attempt.as_str()));
             let late = requests.flat_map(|request| {
-                let runs = self.runs_of(request).iter().map(|run| run.at_ms);
-                runs.filter(|at_ms| {
+                self.runs_of(request).iter().filter(|run| {
                     let bound =
-                        CONTACT_MS + self.core_allowance_ms(third_ms, *at_ms) + CLOCK_SLACK_MS;
-                    *at_ms > third_ms + bound && self.in_contact_since(request.vm, *at_ms).is_some()
+                        CONTACT_MS + self.core_allowance_ms(third_ms, run.at_ms) + CLOCK_SLACK_MS;
+                    run.at_ms > third_ms + bound
+                        && self.in_contact_since(run.sender, run.at_ms).is_some()
                 })
             });
-            let late: Vec<u64> = late.map(|at_ms| at_ms - third_ms).collect();
+            let late: Vec<u64> = late.map(|run| run.at_ms - third_ms).collect();
             if late.len() > FATAL_TOLERANCE {
                 let details = format!("sent {late:?} ms after the third upstream ended: {row:?}");
                 self.add("requests that end upstreams", details);
@@ -445,7 +516,7 @@
         let target_runs = self.rows.runs.iter().filter(|run| run.version == row.target);
         let sent_runs = target_runs.filter_map(|run| {
             let request = self.requests.get(run.attempt.as_str())?;
-            self.in_contact_since(request.vm, run.at_ms)?;
+            self.in_contact_since(run.sender, run.at_ms)?;
             Some((run, request.sent_ms))
         });
         sent_runs.collect()
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -106,6 +106,8 @@
 pub struct RunRow {
     /// The id of the attempt.
     pub attempt: String,
+    /// The index of the VM that sent the request, which may have got it from another VM.
+    pub sender: usize,
     /// The index of the upstream.
     pub upstream: usize,
     /// The service of the upstream.
@@ -135,6 +137,8 @@
 pub struct ArrivalRow {
     /// The id of the attempt.
     pub attempt: String,
+    /// The index of the VM that sent the request.
+    pub sender: usize,
     /// The index of the upstream.
     pub upstream: usize,
     /// The number of the incarnation of the upstream.
@@ -202,6 +206,8 @@
     PlannedVm(usize),
     /// A VM's process, its disk or its links to other VMs.
     Vm(usize),
+    /// The links of a VM to all upstreams.
+    Partition(usize),
     /// The link of callers to a VM.
     Front(usize),
     /// An upstream or the link to it.
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -3,16 +3,18 @@
 //! The proxy holds bytes and never drops them, as the network retransmits lost packets of a live connection.
 //! A connection whose bytes were held for longer than [`MAX_HELD_MS`] is reset.
 
-use std::cell::Cell;
-use std::net::SocketAddr;
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle};
+use wingshed_standin::partition::{Partition, PartitionForm};
 
 /// How a link treats what passes through it. Forward is the direction away from the side that connects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,10 +39,30 @@
 /// Interval at which a held direction checks whether bytes may pass again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The addresses that are partitioned from what several links lead to.
+#[derive(Default)]
+pub struct SharedPartition {
+    partition: RefCell<Partition>,
+    changed: Notify,
+}
+
+impl SharedPartition {
+    /// Begins the partition of an address, or ends it if there is no form.
+    pub fn set(&self, source: Ipv4Addr, form: Option<PartitionForm>) {
+        let forms = &mut self.partition.borrow_mut().0;
+        match form {
+            Some(form) => forms.insert(source, form),
+            None => forms.remove(&source),
+        };
+        self.changed.notify_waiters();
+    }
+}
+
 /// State that a link shares with its connections.
 struct LinkState {
     mode: Cell<LinkMode>,
     reset: Notify,
+    partition: Rc<SharedPartition>,
 }
 
 /// A link from one address to another.
@@ -52,14 +74,20 @@
 impl LinkProxy {
     /// Listens at `from` and relays each connection to `to`.
     pub async fn start(from: SocketAddr, to: SocketAddr) -> std::io::Result<LinkProxy> {
+        LinkProxy::start_partitioned(from, to, Rc::default()).await
+    }
+
+    /// Like [`LinkProxy::start`], with a partition that applies to the connecting sides.
+    pub async fn start_partitioned(
+        from: SocketAddr,
+        to: SocketAddr,
+        partition: Rc<SharedPartition>,
+    ) -> std::io::Result<LinkProxy> {
         let listener = TcpListener::bind(from).await?;
-        let state = Rc::new(LinkState { mode: Cell::new(LinkMode::Open), reset: Notify::new() });
-        let shared = state.clone();
-        let accepting = spawn_local(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                spawn_local(relay_connection(near, to, shared.clone()));
-            }
-        });
+        partition.partition.borrow().apply_to_listener(&listener)?;
+        let (mode, reset) = (Cell::new(LinkMode::Open), Notify::new());
+        let state = Rc::new(LinkState { mode, reset, partition });
+        let accepting = spawn_local(accept_connections(listener, to, state.clone()));
         Ok(LinkProxy { state, accepting })
     }
 
@@ -86,12 +114,48 @@
     }
 }
 
+/// Accepts connections, and applies the partition to the listener and to them.
+async fn accept_connections(listener: TcpListener, to: SocketAddr, state: Rc<LinkState>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.partition.changed.notified() => {
+                let _ = state.partition.partition.borrow().apply_to_listener(&listener);
+                continue;
+            }
+        };
+        let Ok((near, from)) = accepted else { return };
+        let partition = state.partition.partition.borrow();
+        if matches!(partition.apply_to_accepted(&near, from.ip()), Ok(false)) {
+            spawn_local(relay_connection(near, from.ip(), to, state.clone()));
+        }
+    }
+}
+
+/// Connects to `to` from the address of the connecting side, so that both ends see each other's.
+async fn connect_as(source: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(to).await
+}
+
+/// Returns once the partition has reset the connection.
+async fn reset_by_partition(near: &impl AsFd, source: IpAddr, partition: &SharedPartition) {
+    loop {
+        partition.changed.notified().await;
+        if matches!(partition.partition.borrow().apply_to_open(near, source), Ok(true)) {
+            return;
+        }
+    }
+}
+
 /// Relays one connection until both directions have ended or the connection is reset.
-async fn relay_connection(near: TcpStream, to: SocketAddr, state: Rc<LinkState>) {
+async fn relay_connection(near: TcpStream, source: IpAddr, to: SocketAddr, state: Rc<LinkState>) {
     if state.mode.get() == LinkMode::Reset {
         return reset(&near);
     }
-    let Ok(far) = TcpStream::connect(to).await else { return reset(&near) };
+    let Ok(far) = connect_as(source, to).await else { return reset(&near) };
+    let Ok(near_socket) = near.as_fd().try_clone_to_owned() else { return reset(&near) };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_read, mut near_write) = near.into_split();
     let (far_read, mut far_write) = far.into_split();
@@ -104,6 +168,7 @@
     let broken = tokio::select! {
         ended = both => ended.is_err(),
         () = state.reset.notified() => true,
+        () = reset_by_partition(&near_socket, source, &state.partition) => true,
     };
     if broken {
         for write in [near_write, far_write] {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -2,6 +2,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use wingshed_standin::partition::PartitionForm;
 
 use crate::link::LinkMode;
 
@@ -68,6 +69,9 @@
     EndEarly(usize, usize, u64),
     /// Disturbs the link of VMs to an upstream for this time.
     UpstreamLink(usize, LinkMode, u64),
+    /// Partitions VMs from all upstreams, while callers and the other VMs reach them. Parameters: the first
+    /// VM, how many VMs, the form, and the duration.
+    CutOffVms(usize, usize, PartitionForm, u64),
     /// Disturbs the links between a VM and all others for this time: first those to it, then those from it.
     PeerLinks(usize, LinkMode, LinkMode, u64),
     /// Disturbs the link of callers to a VM for this time.
@@ -143,6 +147,10 @@
 /// Combined with the seed for the draw of answers that break off, which is thus independent of the others.
 const EARLY_SEED_MASK: u64 = 0xea51;
 
+/// Combined with the seed for the draw of VMs that are partitioned from upstreams, which is thus independent
+/// of the others.
+const PARTITION_SEED_MASK: u64 = 0xc070ff;
+
 /// Draws the schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
     let mut random = StdRng::seed_from_u64(seed);
@@ -163,6 +171,7 @@
     if !planned {
         add_fatal(&mut steps, seed, size);
         add_early(&mut steps, seed, size);
+        add_partitions(&mut steps, seed, size);
     }
     add_notices(&mut steps, seed, size);
     steps
@@ -189,6 +198,20 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds VMs that are partitioned from all upstreams: some, most or all of them. They are drawn by a generator
+/// of their own, so the other steps of a seed do not depend on them.
+fn add_partitions(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(seed ^ PARTITION_SEED_MASK);
+    for _ in 0..random.gen_range(0..3) {
+        let at_ms = random.gen_range(500..size.disturbed_ms);
+        let (vm, count) = (random.gen_range(0..size.vms), random.gen_range(1..=size.vms));
+        let form = PartitionForm::ALL[random.gen_range(0..PartitionForm::ALL.len())];
+        let ms = random.gen_range(1_000..10_000);
+        steps.push(PlannedStep { at_ms, disturbance: Disturbance::CutOffVms(vm, count, form, ms) });
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Adds upstreams whose answers break off. They are drawn by a generator of their own, so the other steps of
 /// a seed do not depend on them.
 fn add_early(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -2,14 +2,16 @@
 //! them.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
+use wingshed_standin::partition::PartitionForm;
+
 use crate::http::call_once;
 use crate::ledger::{LeavingRow, OrderContent, RunLedger, Touched};
-use crate::link::{LinkMode, LinkProxy};
+use crate::link::{LinkMode, LinkProxy, SharedPartition};
 use crate::list::{serve_list, ListRow, ListRows};
 use crate::operator::SoakOperator;
 use crate::peer_link::PeerLink;
@@ -75,10 +77,22 @@
     /// The operator that sends orders.
     pub operator: SoakOperator,
     program: PathBuf,
+    partition: Rc<SharedPartition>,
     halves: [Cell<ServiceHalf>; 2],
     versions: Cell<u32>,
 }
 
+/// The last part of the address of the first VM.
+const FIRST_VM_HOST: usize = 10;
+
+/// Returns the index of the VM with this address.
+pub fn vm_of(address: IpAddr) -> usize {
+    match address {
+        IpAddr::V4(address) => usize::from(address.octets()[3]).saturating_sub(FIRST_VM_HOST),
+        IpAddr::V6(_) => usize::MAX,
+    }
+}
+
 fn address(network: &str, host: usize, port: u16) -> SocketAddr {
     format!("{network}.{host}:{port}").parse().expect("a valid address")
 }
@@ -88,7 +102,7 @@
     let list = address(network, 1, 9000);
     let spec = |index: usize| VmSpec {
         index,
-        ip: format!("{network}.{}", index + 10),
+        ip: format!("{network}.{}", index + FIRST_VM_HOST),
         disk: index < 3,
         folder: folder.join(format!("vm-{index}")),
         seeds: Vec::new(),
@@ -162,6 +176,7 @@
             list_link,
             operator,
             program,
+            partition: Rc::default(),
             halves,
             versions,
         };
@@ -284,8 +299,14 @@
         let spec = upstream.spec.clone();
         let (version, fault) = upstream.software.borrow().clone();
         let software = (version.as_str(), fault);
-        let incarnation =
-            UpstreamIncarnation::start(spec.clone(), &id, software, self.ledger.clone()).await?;
+        let incarnation = UpstreamIncarnation::start(
+            spec.clone(),
+            &id,
+            software,
+            self.ledger.clone(),
+            self.partition.clone(),
+        )
+        .await?;
         *upstream.incarnation.borrow_mut() = Some(incarnation);
         let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let started_ms = started.map_or(0, |since| since.as_millis() as u64);
@@ -307,6 +328,20 @@
         }
     }
 
+    /// Whether a VM is partitioned from all upstreams.
+    pub fn is_cut_off(&self, index: usize) -> bool {
+        let rows = self.ledger.rows.borrow();
+        let mut spans = rows.spans.iter().filter(|span| span.until_ms.is_none());
+        spans.any(|span| span.touched == Touched::Partition(index))
+    }
+
+    /// Begins the partition of a VM from all upstreams, or ends it if there is no form.
+    pub fn set_partition(&self, index: usize, form: Option<PartitionForm>) {
+        if let IpAddr::V4(source) = self.vms[index].spec.front().ip() {
+            self.partition.set(source, form);
+        }
+    }
+
     /// Begins a roll-out of a service. Returns the indices of its upstreams in use and of those for the next
     /// version; none while another roll-out of the service is under way.
     pub fn begin_rollout(&self, service: usize) -> Option<(Vec<usize>, Vec<usize>)> {
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use wingshed_standin::partition::PartitionForm;
+
 use crate::caller::CallerShared;
 use crate::fatal_request::send_fatal;
 use crate::ledger::{OrderContent, Touched};
@@ -46,6 +48,9 @@
         Disturbance::EndEarly(from, count, ms) => end_early(&site, from, count, ms).await,
         Disturbance::FaultyUpstream(at, ms) => faulty_upstream(&site, at, ms).await,
         Disturbance::UpstreamLink(at, mode, ms) => upstream_link(&site, at, mode, ms).await,
+        Disturbance::CutOffVms(from, count, form, ms) => {
+            cut_off_vms(&site, from, count, form, ms).await;
+        }
         Disturbance::PeerLinks(vm, incoming, outgoing, ms) => {
             let span = site.begin_span(Touched::Vm(vm));
             site.set_peers(vm, incoming, outgoing);
@@ -270,6 +275,18 @@
     site.ledger.end_span(span);
 }
 
+/// Partitions `count` VMs from index `from` on from all upstreams, for `ms` milliseconds. VMs that are
+/// partitioned already are left out.
+async fn cut_off_vms(site: &SoakSite, from: usize, count: usize, form: PartitionForm, ms: u64) {
+    let vms = (0..count).map(|at| (from + at) % site.vms.len());
+    let vms: Vec<usize> = vms.filter(|vm| !site.is_cut_off(*vm)).collect();
+    let spans: Vec<usize> = vms.iter().map(|vm| site.begin_span(Touched::Partition(*vm))).collect();
+    vms.iter().for_each(|vm| site.set_partition(*vm, Some(form)));
+    pause(ms).await;
+    vms.iter().for_each(|vm| site.set_partition(*vm, None));
+    spans.into_iter().for_each(|span| site.ledger.end_span(span));
+}
+
 /// Puts the next configuration. With `revoke_key` it replaces the newest key, and callers get the new key
 /// once the order has ended.
 async fn put_document(site: &SoakSite, callers: &CallerShared, revoke_key: bool) {
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -15,9 +15,10 @@
 
 use crate::answer_make::{draw_of, AnswerKind, AnswerPlan, Framing, FOREIGN_ATTEMPT};
 use crate::ledger::{ArrivalRow, RunLedger, RunRow, SentEnd, SentRow};
-use crate::link::LinkProxy;
+use crate::link::{LinkProxy, SharedPartition};
 use crate::platform::{ATTEMPT, EXPECTED_INSTANCE, LEAVING, NOT_RUN, RETRY_AFTER, STAMP};
 use crate::schedule::VersionFault;
+use crate::site::vm_of;
 use crate::upstream_wire::{split, AfterAnswer, PartialAnswer, WireRequest, WireWriter};
 
 /// Number of requests that an upstream runs at a time. It refuses further ones.
@@ -95,9 +96,10 @@
         id: &str,
         (version, fault): (&str, VersionFault),
         ledger: Rc<RunLedger>,
+        partition: Rc<SharedPartition>,
     ) -> std::io::Result<UpstreamIncarnation> {
         let listener = TcpListener::bind(spec.inner).await?;
-        let link = LinkProxy::start(spec.listed, spec.inner).await?;
+        let link = LinkProxy::start_partitioned(spec.listed, spec.inner, partition).await?;
         let state = Rc::new(IncarnationState {
             spec,
             id: id.to_string(),
@@ -116,8 +118,8 @@
         });
         let shared = state.clone();
         let accepting = spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(serve(stream, shared.clone()));
+            while let Ok((stream, from)) = listener.accept().await {
+                spawn_local(serve(stream, vm_of(from.ip()), shared.clone()));
             }
         });
         Ok(UpstreamIncarnation { state, link, accepting })
@@ -163,12 +165,12 @@
 }
 
 /// Serves one connection until it ends or the upstream crashes.
-async fn serve(stream: TcpStream, state: Rc<IncarnationState>) {
+async fn serve(stream: TcpStream, sender: usize, state: Rc<IncarnationState>) {
     let (mut reader, mut writer) = split(stream);
     let exchanges = async {
         while let Some(request) = reader.next().await {
             let after = tokio::select! {
-                after = answer(&request, &state, &mut writer) => after.unwrap_or(AfterAnswer::Closed),
+                after = answer(&request, sender, &state, &mut writer) => after.unwrap_or(AfterAnswer::Closed),
                 () = reader.wait_for_close() => AfterAnswer::Closed,
             };
             writer.partial = None;
@@ -220,10 +222,11 @@
 }
 
 /// Records the arrival of a request. Returns the headers of its refusal while the upstream requests back-off.
-fn reject_for_backoff(state: &IncarnationState, attempt: &str) -> Option<String> {
+fn reject_for_backoff(state: &IncarnationState, sender: usize, attempt: &str) -> Option<String> {
     let backoff_ms = state.backoff_ms.get();
     state.ledger.rows.borrow_mut().arrivals.push(ArrivalRow {
         attempt: attempt.to_string(),
+        sender,
         upstream: state.spec.index,
         life: state.number,
         at_ms: state.ledger.now_ms(),
@@ -266,6 +269,7 @@
 fn record_run(
     state: &Rc<IncarnationState>,
     request: &WireRequest,
+    sender: usize,
     attempt: &str,
 ) -> (RunRow, RunningGuard) {
     let after_event = request.header_value("last-event-id").parse().unwrap_or(0);
@@ -273,6 +277,7 @@
     let bad = state.fault.is_bad(next_number(), state.started.elapsed().as_millis());
     let row = RunRow {
         attempt: attempt.to_string(),
+        sender,
         upstream: state.spec.index,
         service: state.spec.service.clone(),
         zone: state.spec.zone.clone(),
@@ -292,6 +297,7 @@
 /// Answers one request, and returns what becomes of its connection.
 async fn answer(
     request: &WireRequest,
+    sender: usize,
     state: &Rc<IncarnationState>,
     writer: &mut WireWriter,
 ) -> std::io::Result<AfterAnswer> {
@@ -306,7 +312,7 @@
         return Ok(AfterAnswer::Kept);
     }
     let attempt = request.header_value(ATTEMPT);
-    let refusal_headers = reject_for_backoff(state, attempt).or_else(|| {
+    let refusal_headers = reject_for_backoff(state, sender, attempt).or_else(|| {
         let full = state.running.get() >= UPSTREAM_SLOTS;
         full.then(|| format!("{NOT_RUN}: 1\r\n"))
     });
@@ -314,7 +320,7 @@
         writer.send_short(503, &headers).await?;
         return Ok(AfterAnswer::Kept);
     }
-    let (row, guard) = record_run(state, request, attempt);
+    let (row, guard) = record_run(state, request, sender, attempt);
     if request.body.starts_with(FATAL_BODY.as_bytes()) {
         state.fatal.set(true);
         // The task that sends such requests then crashes this incarnation, which ends this connection.
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -29,6 +29,7 @@
 fn run(at_ms: u64) -> RunRow {
     RunRow {
         attempt: "a".to_string(),
+        sender: 0,
         upstream: 0,
         service: "s1".to_string(),
         zone: "z-0".to_string(),
@@ -154,6 +155,7 @@
         });
         rows.arrivals.push(ArrivalRow {
             attempt,
+            sender: 0,
             upstream: 0,
             life: 1,
             at_ms: sent_ms,
@@ -168,7 +170,7 @@
     assert_eq!(broken_promises(&sent_during_backoff(3)), ["rest"]);
     assert_eq!(broken_promises(&sent_during_backoff(2)), Vec::<&str>::new());
     let mut other_vm = sent_during_backoff(3);
-    other_vm.requests[0].vm = 1;
+    other_vm.arrivals[0].sender = 1;
     assert_eq!(
         broken_promises(&other_vm),
         Vec::<&str>::new(),
@@ -251,3 +253,45 @@
     disturbed.spans = vec![SpanRow { touched, from_ms: 22_000, until_ms: Some(33_500) }];
     assert_eq!(broken_promises(&disturbed), Vec::<&str>::new(), "by a VM that is not in contact");
 }
+
+/// Rows of 100 requests to each of two VMs within 1 s, of which the second one is partitioned from all upstreams
+/// since 5 s and serves `served`.
+fn partitioned(served: usize) -> LedgerRows {
+    let mut rows =
+        LedgerRows { orders: vec![document(3, "s1", "k1", 10)], ..LedgerRows::default() };
+    for at in 0..200 {
+        let (vm, number) = (at % 2, at / 2);
+        let sound = sound(RequestKind::Once, 60_000 + 10 * number as u64);
+        let attempt = format!("{at}");
+        let mut request = RequestRow { attempt: attempt.clone(), vm, ..sound.requests[0].clone() };
+        if vm == 1 && number >= served {
+            (request.end, request.answer) = (RequestEnd::Status(503), None);
+        } else {
+            let make = AnswerPlan { run: at as u64, ..sound.runs[0].make };
+            request.answer = Some(ReceivedAnswer {
+                body: make.pieces(&attempt).concat(),
+                ..request.answer.unwrap()
+            });
+            rows.runs.push(RunRow { attempt, make, ..sound.runs[0].clone() });
+            rows.sent.push(SentRow { run: make.run, end: SentEnd::AsMade });
+        }
+        rows.requests.push(request);
+    }
+    let touched = Touched::Partition(1);
+    rows.spans.push(SpanRow { touched, from_ms: 55_000, until_ms: Some(62_000) });
+    rows
+}
+
+#[test]
+fn a_partitioned_vm_that_refuses_what_others_serve_is_told() {
+    assert_eq!(broken_promises(&partitioned(20)), ["partitions"]);
+    assert_eq!(broken_promises(&partitioned(90)), Vec::<&str>::new());
+}
+
+#[test]
+fn a_partitioned_vm_that_was_disturbed_a_moment_ago_may_refuse() {
+    let mut rows = partitioned(20);
+    let touched = Touched::Vm(1);
+    rows.spans.push(SpanRow { touched, from_ms: 50_000, until_ms: Some(58_000) });
+    assert_eq!(broken_promises(&rows), Vec::<&str>::new());
+}
