quarantine: a part of prompts that ends upstreams is refused like a request

Seen: requests with one shared part in their prompts, no two alike, came to all VMs and ended each engine that began to answer one, every 0.4 to 1.4 s. After five engines had ended, 12 and 26 more were sent; 29 and 32 engines ended. Cause: crashes were counted by a request's whole content, and each request was another one. Class of fault: what causes a failure was taken to be exactly what a caller sends again. Evidence: 82 reports of crashes in the incident name no fingerprint twice, and nothing was watched or quarantined. Change: each crash also counts for the parts of the prompt before the last, as for a request of its own; four upstreams quarantine a part, one of them under a send that was made while all VMs watched it, if no request with it completed. Failed answers clear no part.

--- a/lib/src/coordination/crash_outbox.rs
+++ b/lib/src/coordination/crash_outbox.rs
@@ -76,9 +76,18 @@
 
 impl CrashOutbox {
     /// Queues a crash of an upstream.
+    ///
+    /// Several requests with one prompt part may run on an upstream. The part's crash is queued once, and again
+    /// if only a later one was watched.
     pub fn note_crash(&mut self, observed: ObservedCrash, now_ms: u64) {
-        self.last_number += 1;
         let ObservedCrash { fingerprint, upstream, watched, ran_ms } = observed;
+        let known = self.notes.iter().any(|(_, note)| {
+            note.fingerprint == fingerprint && note.upstream == upstream && note.watched >= watched
+        });
+        if known {
+            return;
+        }
+        self.last_number += 1;
         let note = CrashNote { number: self.last_number, fingerprint, upstream, watched, ran_ms };
         self.notes.push_back((now_ms, note));
         if self.notes.len() > MAX_KEPT {
--- a/lib/src/coordination/crash_table.rs
+++ b/lib/src/coordination/crash_table.rs
@@ -11,6 +11,9 @@
 //! crashed upstream is attributed to one request only: the one with the shortest mean run time at the
 //! crashes, since a harmful request crashes its upstream soon.
 //!
+//! A part of a prompt may crash upstreams in requests of which no two are alike. So the parts before the last
+//! are counted beside each request, as if the part were a request of its own.
+//!
 //! Invariants: a change is proposed until it is recorded; a new leader receives the reports from the
 //! VMs again. See `docs/design/quarantine.md`.
 
@@ -25,6 +28,10 @@
 /// beside a harmful one and was sent again would be quarantined; each further crash costs everything
 /// that runs on one more upstream.
 pub const QUARANTINE_CRASHES: usize = 3;
+/// The number of crashed upstreams at which a prompt part is quarantined. It is higher than that of a request,
+/// because a part that many requests share is refused with all of them, and one more crash gives it the time to
+/// complete elsewhere.
+pub const PART_QUARANTINE_CRASHES: usize = 4;
 /// The number of crashed upstreams from which a request is watched: every VM receives its fingerprint, and
 /// reports when it completes.
 const WATCH_CRASHES: usize = 2;
@@ -95,6 +102,14 @@
     FIRST_QUARANTINE_MS * QUARANTINE_FACTOR.pow(times.saturating_sub(1).min(MAX_FACTORS))
 }
 
+/// Returns the number of crashed upstreams at which a request or prompt part is quarantined.
+fn quarantine_crashes(fingerprint: RequestFingerprint) -> usize {
+    match fingerprint.is_part() {
+        true => PART_QUARANTINE_CRASHES,
+        false => QUARANTINE_CRASHES,
+    }
+}
+
 impl CrashTable {
     /// Counts the crashes and completions that a VM reported to the leader of `term`. `recorded` is the
     /// replicated quarantine table.
@@ -137,7 +152,7 @@
             count.reports += 1;
             count.last_ms = now_ms;
         }
-        if count.confirmed && count.ended.len() >= QUARANTINE_CRASHES {
+        if count.confirmed && count.ended.len() >= quarantine_crashes(note.fingerprint) {
             count.proven_ms.get_or_insert(now_ms);
         }
     }
@@ -229,12 +244,15 @@
             _ => count.proven_ms.is_some_and(|proven_ms| proven_ms <= settled_ms),
         };
         let mut suspects: Vec<_> = self.counts.iter().filter(suspect).collect();
-        suspects.sort_by_key(|(_, count)| count.ran_ms / count.reports.max(1));
+        // A request that crashes its upstreams is named before the parts of its prompt.
+        suspects.sort_by_key(|(fingerprint, count)| {
+            (count.ran_ms / count.reports.max(1), fingerprint.is_part())
+        });
         let mut at_fault = BTreeSet::new();
         for (fingerprint, count) in suspects {
             let unattributed =
                 count.ended.iter().filter(|upstream| !attributed.contains(upstream)).count();
-            if unattributed >= QUARANTINE_CRASHES && !count.completed {
+            if unattributed >= quarantine_crashes(*fingerprint) && !count.completed {
                 attributed.extend(&count.ended);
                 at_fault.insert(*fingerprint);
             }
@@ -307,7 +325,8 @@
         }
         let times = recorded.map_or(0, |row| row.times);
         let row = |quarantined, times| {
-            let ended = self.ended.iter().take(QUARANTINE_CRASHES).copied().collect();
+            let crashes = quarantine_crashes(fingerprint);
+            let ended = self.ended.iter().take(crashes).copied().collect();
             QuarantineCommand::Set(QuarantineRow { fingerprint, ended, quarantined, times })
         };
         if at_fault {
@@ -322,7 +341,8 @@
     /// Returns the row after the end of its quarantine. It keeps the number of crashes at which one more starts
     /// the next quarantine.
     fn released(&self) -> QuarantineRow {
-        let ended = self.ended.iter().take(WATCH_CRASHES).copied().collect();
+        let crashes = quarantine_crashes(self.fingerprint) - 1;
+        let ended = self.ended.iter().take(crashes).copied().collect();
         QuarantineRow { ended, quarantined: false, ..self.clone() }
     }
 }
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -30,6 +30,7 @@
 pub mod news_source;
 pub mod order_pace;
 pub mod outlier;
+pub mod part_completions;
 pub mod placement;
 pub mod plain_choice;
 pub mod policy;
--- a/lib/src/state/ids.rs
+++ b/lib/src/state/ids.rs
@@ -80,10 +80,27 @@
             hash.update(part.as_bytes());
         }
         hash.update(body);
-        RequestFingerprint(hash.digest())
+        let digest = hash.digest();
+        match digest & PART_MASK {
+            PART_MASK => RequestFingerprint(digest & !(1 << 63)),
+            _ => RequestFingerprint(digest),
+        }
+    }
+
+    /// The fingerprint of all requests whose prompts have this part.
+    pub fn of_part(part: u64) -> RequestFingerprint {
+        RequestFingerprint(xxh3_64(&part.to_le_bytes()) | PART_MASK)
+    }
+
+    /// Whether this is the fingerprint of a prompt part.
+    pub fn is_part(self) -> bool {
+        self.0 & PART_MASK == PART_MASK
     }
 }
 
+/// The bits that are set in the fingerprints of prompt parts, and not all set in those of requests.
+const PART_MASK: u64 = 0xff << 56;
+
 impl UpstreamKey {
     /// The key of the upstream with this name, without a start time.
     pub fn of(name: &str) -> UpstreamKey {
--- a/lib/src/state/prompt_part.rs
+++ b/lib/src/state/prompt_part.rs
@@ -9,6 +9,11 @@
     pub tokens: u32,
 }
 
+/// The parts before the last one. Unlike [`shared_parts`] this excludes the only part of a prompt.
+pub fn leading_parts(prompt: &[PromptPart]) -> &[PromptPart] {
+    prompt.split_last().map_or(prompt, |(_, leading)| leading)
+}
+
 /// The parts that other requests may share: all but the last, which is specific to the request or
 /// its session. The only part of a prompt counts as shared.
 pub fn shared_parts(prompt: &[PromptPart]) -> &[PromptPart] {
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -31,6 +31,7 @@
 use crate::coordination::holder_news::{HolderLog, HolderOutbox, HolderPosition};
 use crate::coordination::leader_contact::LeaderContact;
 use crate::coordination::outlier::OutlierTable;
+use crate::coordination::part_completions::PartCompletions;
 use crate::coordination::plain_choice::HoldTime;
 use crate::coordination::quarantine_desk::QuarantineState;
 use crate::coordination::raft_message::HEARTBEAT_MS;
@@ -182,6 +183,8 @@
     pub orders: RefCell<PendingOrders>,
     /// Roll-outs.
     pub rollouts: RefCell<RolloutState>,
+    /// Prompt parts in requests that completed here lately.
+    pub part_completions: RefCell<PartCompletions>,
     /// Requests that crash the upstreams that run them.
     pub quarantine: RefCell<QuarantineState>,
     /// Upstreams that don't answer.
@@ -270,6 +273,7 @@
             zones: RefCell::default(),
             orders: RefCell::default(),
             rollouts: RefCell::new(RolloutState::new(seed)),
+            part_completions: RefCell::default(),
             quarantine: RefCell::default(),
             silence: RefCell::default(),
             silence_changed: Notify::new(),
--- a/lib/src/transport/vm_place.rs
+++ b/lib/src/transport/vm_place.rs
@@ -8,7 +8,7 @@
 use super::vm_trial::TrialGuard;
 use crate::coordination::upstream_choice::UpstreamPick;
 use crate::protocol::wire_adapter::UpstreamSend;
-use crate::state::ids::UpstreamKey;
+use crate::state::ids::{RequestFingerprint, UpstreamKey};
 use crate::state::prompt_part::shared_parts;
 
 /// The upstream of one send, with what was decided for the send.
@@ -22,8 +22,9 @@
     pub(super) upstream: UpstreamKey,
     pub(super) address: SocketAddr,
     pub(super) send: UpstreamSend,
-    /// Whether, at the time of the send, VMs were asked to report how this request ends.
-    pub(super) watched: bool,
+    /// What of this request, at the time of the send, VMs were asked to report the end of; see
+    /// [`CallerTask::watched`].
+    pub(super) watched: Vec<RequestFingerprint>,
     /// When the send was prepared, by the node's clock, in milliseconds.
     pub(super) sent_ms: u64,
     /// See [`UpstreamPick::off_order_part`].
@@ -74,7 +75,7 @@
             service,
             upstream: pick.upstream,
             address: entry.address,
-            watched: self.is_watched(send.workspace.as_deref()),
+            watched: self.watched(send.workspace.as_deref()),
             sent_ms: self.node.now_ms(),
             send,
             off_order_part: pick.off_order_part,
--- a/lib/src/transport/vm_quarantine.rs
+++ b/lib/src/transport/vm_quarantine.rs
@@ -89,7 +89,7 @@
         for command in wanted {
             match &command {
                 QuarantineCommand::Set(row) => info!(
-                    target: "quarantine", request = %row.fingerprint, held = row.quarantined, times = row.times,
+                    target: "quarantine", request = %row.fingerprint, part = row.fingerprint.is_part(), held = row.quarantined, times = row.times,
                     ended = row.ended.len(), "decides",
                 ),
                 QuarantineCommand::Clear(fingerprint) => {
@@ -105,7 +105,8 @@
     /// Applies the table of quarantined requests that a leader sent.
     pub(super) fn apply_quarantine(&self, table: QuarantineTable) {
         for fingerprint in self.quarantine.borrow_mut().take(table) {
-            info!(target: "quarantine", request = %fingerprint, "request quarantined");
+            let part = fingerprint.is_part();
+            info!(target: "quarantine", request = %fingerprint, part, "request quarantined");
         }
     }
 
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -186,7 +186,7 @@
         let at = (target.upstream, target.address);
         match self.node.wait_for(at, body.collect(), deadline_ms, false).await {
             WaitResult::Done(Ok(body)) => {
-                self.note_ran(target, true);
+                self.note_ran(target, true, head.status.is_success());
                 lease.finish(facts.closes, facts.idle_ms, self.node.now_ms()).await;
                 let (body, asks_backoff) =
                     (AnswerContent::Whole(body.to_bytes()), facts.backoff_ms.is_some());
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -264,7 +264,7 @@
             self.node.outliers.borrow_mut().note_success(target.upstream);
             self.note_outcome(target.upstream, true);
         }
-        self.note_ran(target, tracker.framing() != BodyFraming::Connection);
+        self.note_ran(target, tracker.framing() != BodyFraming::Connection, success);
         let closes = facts.closes || tracker.framing() == BodyFraming::Connection;
         lease.finish(closes, facts.idle_ms, self.node.now_ms()).await;
         RelayEnd::Complete
