brittle_service: upstreams that fall over at rejections get fewer requests

Upstreams may announce how many requests they can turn away per second; at one more they fall over, with all that they run. Cause: a VM sent until it was rejected, and again at once, like every other VM. Change: while a service's upstreams announce it, a VM limits its requests in flight at each by what that upstream accepted before, sends engines nothing beyond their slots, and sends an upstream that rejected a request nothing for as long as its share of the announced rejections asks. Requests for which no upstream has room are refused at once.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod attempt_plan;
 pub mod body_tracker;
+pub mod brittle_service;
 pub mod check;
 pub mod claim_batch;
 pub mod cold_share;
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -97,6 +97,8 @@
     pub closes: bool,
     /// How long the connection may stay idle, in milliseconds.
     pub idle_ms: Option<u64>,
+    /// How many requests per second the upstream may reject before it falls over, if it says so.
+    pub brittle: Option<u32>,
     /// How long the upstream requests this VM not to send anything, in milliseconds.
     pub backoff_ms: Option<u64>,
     /// Whether the upstream is leaving.
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -74,6 +74,7 @@
     ) -> Result<UpstreamPick, ChoiceError> {
         let now_ms = self.node.now_ms();
         let mut candidates = self.candidates(lane, service, tried, now_ms);
+        self.mark_brittle(service, &mut candidates, now_ms);
         let engine = service.engine.as_ref().filter(|_| rule.prompt_parts);
         let Some(engine) = engine else {
             return self.choose_plain(service, &candidates).map(UpstreamPick::plain);
@@ -137,7 +138,7 @@
         let bound = bound.unwrap_or(f64::from(slots));
         let growth = summary.growth();
         for candidate in candidates {
-            candidate.full = f64::from(candidate.load) + growth >= bound;
+            candidate.full |= f64::from(candidate.load) + growth >= bound;
         }
         let overloaded = summary.mean() >= OVERLOAD_SHARE * bound;
         if overloaded {
@@ -146,6 +147,25 @@
         overloaded
     }
 
+    /// Marks the upstreams of a brittle service that have no room, or get nothing for a while.
+    fn mark_brittle(
+        &self,
+        service: &ServiceEntry,
+        candidates: &mut [UpstreamCandidate],
+        now_ms: u64,
+    ) {
+        let services = self.node.brittle.borrow();
+        let brittle = services.get(&service.name).filter(|brittle| brittle.is_brittle(now_ms));
+        let Some(brittle) = brittle else { return };
+        let slots = service.engine.as_ref().map(|engine| engine.slots).filter(|slots| *slots > 0);
+        for candidate in candidates {
+            let hold_ms = brittle.hold_ms(candidate.key, now_ms);
+            candidate.backoff_ms = candidate.backoff_ms.max(hold_ms);
+            let loads = (candidate.own_load, candidate.load);
+            candidate.full = brittle.is_full(candidate.key, loads, slots, now_ms);
+        }
+    }
+
     /// Sums the loads of the engines that accept work and are not ejected: as reported by all VMs, and as
     /// this VM counts its own requests.
     fn load_summary(&self, candidates: &[UpstreamCandidate]) -> ReportedLoad {
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -236,6 +236,7 @@
         let known = |key| upstreams.entries.contains_key(&key);
         self.pool.sweep(|key| known(key) || key == self.list_key(), self.now_ms());
         self.peer_pool.sweep(|_| true, self.now_ms());
+        self.brittle.borrow_mut().values_mut().for_each(|service| service.sweep(known));
         self.pool.notices().borrow_mut().sweep(known, self.now_ms());
         self.outliers.borrow_mut().sweep(known);
         self.health.borrow_mut().table.sweep(known);
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -26,6 +26,7 @@
 use super::vm_pool::ConnectionPool;
 use super::vm_sockets::listen;
 use super::wire_count::WireCount;
+use crate::coordination::brittle_service::BrittleService;
 use crate::coordination::engine_room::ServiceCapacity;
 use crate::coordination::fleet_health::{HealthOutbox, HealthTable};
 use crate::coordination::holder_news::{HolderLog, HolderOutbox, HolderPosition};
@@ -163,6 +164,8 @@
     pub capacities: RefCell<HashMap<String, ServiceCapacity>>,
     /// How long requests take at the upstreams of each service without engines.
     pub plain_holds: RefCell<HashMap<String, HoldTime>>,
+    /// Services whose upstreams announced that they are brittle.
+    pub brittle: RefCell<HashMap<String, BrittleService>>,
     /// When an engine was last nearly full.
     pub overloaded_ms: Cell<u64>,
     /// Passive health checks of upstreams.
@@ -263,6 +266,7 @@
             in_flight: RefCell::default(),
             capacities: RefCell::default(),
             plain_holds: RefCell::default(),
+            brittle: RefCell::default(),
             overloaded_ms: Cell::new(0),
             outliers: RefCell::default(),
             counters: RefCell::default(),
--- a/lib/src/transport/vm_notice.rs
+++ b/lib/src/transport/vm_notice.rs
@@ -16,6 +16,7 @@
         if facts.other_incarnation {
             return;
         }
+        self.record_brittle(target, facts);
         let now_ms = self.node.now_ms();
         let drain_ms = self.node.settings.borrow().bounds.drain_ms;
         let mut notices = self.node.pool.notices().borrow_mut();
@@ -32,6 +33,28 @@
         }
     }
 
+    /// Records whether an upstream is brittle, and whether it had room for this request.
+    fn record_brittle(&self, target: &SendTarget, facts: &UpstreamAnswer) {
+        let service = &target.routes.table.services[target.service].name;
+        let mut services = self.node.brittle.borrow_mut();
+        let now_ms = self.node.now_ms();
+        let service = match (services.get_mut(service), facts.brittle) {
+            (Some(known), _) => known,
+            (None, Some(_)) => services.entry(service.clone()).or_default(),
+            (None, None) => return,
+        };
+        if let Some(limit_per_s) = facts.brittle {
+            service.note_announced(limit_per_s, now_ms);
+        }
+        let upstream = target.upstream;
+        if facts.not_run {
+            let vms = self.node.view.borrow().roster.rows.len();
+            return service.note_rejected(upstream, vms, now_ms);
+        }
+        let own_load = self.node.in_flight.borrow().get(&upstream).copied().unwrap_or(0);
+        service.note_accepted(upstream, own_load, now_ms);
+    }
+
     /// Logs that an upstream refused to run the request, and how much of an earlier requested backoff was left
     /// when the request was sent.
     pub(super) fn log_refusal(
