vm_sockets: an upstream that is silent for a second keeps its connections

Cause: with TCP_USER_TIMEOUT set, Linux gives up at the first keepalive timer after that time if one probe is unanswered, whatever the count of probes. A connection that had waited for an answer for 4 s broke at 5 s if its upstream didn't answer within that second, though a sound one may be silent for as long. Change: connections to upstreams are probed after 1.2 s and each 0.6 s, so that three probes fall into the timeout.

--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -26,7 +26,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{timeout, Instant};
 
-use super::vm_sockets::{connect_from, is_quiet, seems_quiet, set_stream};
+use super::vm_sockets::{connect_from, is_quiet, seems_quiet, set_upstream_stream};
 use crate::coordination::silence::ConnectTimeout;
 use crate::coordination::upstream_notice::{ApproachPurpose, NoticeTable};
 use crate::state::connect_count::{ConnectCause, ConnectCount};
@@ -276,7 +276,7 @@
         let mut connect_timeout = self.connect_timeout.get();
         connect_timeout.note(began.elapsed().as_secs_f64() * 1000.0);
         self.connect_timeout.set(connect_timeout);
-        set_stream(&stream);
+        set_upstream_stream(&stream);
         self.opened.borrow_mut().note(cause);
         Ok((in_use, stream))
     }
--- a/lib/src/transport/vm_sockets.rs
+++ b/lib/src/transport/vm_sockets.rs
@@ -13,22 +13,44 @@
 /// A connection whose peer acknowledges nothing for this long is closed. That is longer than
 /// retransmissions on a lossy link take, and shorter than callers wait.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
-/// An idle connection is probed (TCP keepalive) after this long.
-const PROBE_AFTER: Duration = Duration::from_secs(4);
-/// The interval between two probes of an idle connection.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// How an idle connection is probed (TCP keepalive).
+///
+/// With [`UNACKNOWLEDGED_TIMEOUT`] set, Linux ignores the number of probes: it gives up at the first timer after
+/// that time if any probe is unanswered (tcp(7), `TCP_USER_TIMEOUT`).
+#[derive(Clone, Copy, Debug)]
+struct ProbeTimes {
+    after: Duration,
+    every: Duration,
+}
+
+/// For connections of callers and other VMs, of which many rest for long.
+const DEFAULT_PROBES: ProbeTimes =
+    ProbeTimes { after: Duration::from_secs(4), every: Duration::from_secs(1) };
+/// For connections to upstreams, which may be silent for a second and go on. Three probes fall into the time
+/// after which Linux gives up, so that one of them is answered.
+const UPSTREAM_PROBES: ProbeTimes =
+    ProbeTimes { after: Duration::from_millis(1200), every: Duration::from_millis(600) };
 /// The most connections that wait to be accepted. A connection that finds the queue full is delayed by
 /// seconds.
 const BACKLOG: i32 = 1024;
 
-/// Sets the options that every connection needs.
+/// Sets the options of a connection of a caller or of another VM.
 pub fn set_stream(stream: &TcpStream) {
+    set_options(stream, DEFAULT_PROBES);
+}
+
+/// Sets the options of a connection to an upstream.
+pub fn set_upstream_stream(stream: &TcpStream) {
+    set_options(stream, UPSTREAM_PROBES);
+}
+
+fn set_options(stream: &TcpStream, probes: ProbeTimes) {
     let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_EVERY);
+    let keepalive = TcpKeepalive::new().with_time(probes.after).with_interval(probes.every);
     let set = stream
         .set_nodelay(true)
         .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)))
-        .and_then(|()| socket.set_tcp_keepalive(&probes.with_retries(2)));
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive));
     if let Err(error) = set {
         debug!(target: "socket", "an option was not set: {error}");
     }
