soak: prompt parts that end upstreams, and brittle upstreams

The judge counts sends after the fifth crash, and falls. Two cases; tests of answers name the sender of a run again, without which they didn't build.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -14,7 +14,7 @@
 
 use crate::http::{connect, CallSender};
 use crate::ledger::{ReceivedAnswer, RequestEnd, RequestKind, RequestRow, RunLedger};
-use crate::platform::{ATTEMPT, STAMP};
+use crate::platform::{ATTEMPT, PROMPT, STAMP};
 use crate::process::VmSpec;
 
 /// How long a caller waits for a connection.
@@ -58,6 +58,7 @@
     sender: Option<CallSender>,
     steady_key: bool,
     http10: bool,
+    prompt: Option<String>,
 }
 
 impl SoakCaller {
@@ -70,6 +71,7 @@
             sender: None,
             steady_key: false,
             http10: false,
+            prompt: None,
         }
     }
 
@@ -78,6 +80,11 @@
         SoakCaller { steady_key: true, ..self }
     }
 
+    /// Makes the caller name these parts of its prompt.
+    pub fn with_prompt(self, prompt: Option<String>) -> SoakCaller {
+        SoakCaller { prompt, ..self }
+    }
+
     /// Sets whether the caller uses HTTP/1.0.
     pub fn http10(self, http10: bool) -> SoakCaller {
         SoakCaller { http10, ..self }
@@ -159,7 +166,7 @@
         if sender.ready().await.is_err() {
             return (RequestEnd::Unreached, None);
         }
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method("POST")
             .version(if self.http10 { Version::HTTP_10 } else { Version::HTTP_11 })
             .uri(format!("/{route}/x"))
@@ -169,6 +176,9 @@
             .header("x-deadline-ms", DEADLINE_MS)
             .body(Full::new(Bytes::from(body.to_string())))
             .expect("the request head is valid");
+        if let Some(prompt) = self.prompt.as_ref().and_then(|prompt| prompt.parse().ok()) {
+            request.headers_mut().insert(PROMPT, prompt);
+        }
         let Ok(answer) = sender.send_request(request).await else { return (RequestEnd::Cut, None) };
         let read = read_answer(answer, attempt).await;
         if !self.http10 {
--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -165,6 +165,23 @@
                 step(18_000, Disturbance::FatalRequest(1, 12_000)),
             ],
         },
+        SoakCase {
+            name: "prompt-parts-that-end-upstreams",
+            cause: "requests that share a prompt part which crashes upstreams are sent on, as no two are alike",
+            steps: vec![
+                step(500, Disturbance::FatalPart(3, 12_000)),
+                step(15_000, Disturbance::FatalPart(4, 12_000)),
+                step(29_000, Disturbance::FatalPart(5, 12_000)),
+            ],
+        },
+        SoakCase {
+            name: "brittle-upstreams",
+            cause: "upstreams that fall over at too many rejections are sent what they have no room for",
+            steps: vec![
+                step(500, Disturbance::BrittleService(0, 2, 8, 12_000)),
+                step(14_000, Disturbance::BrittleService(1, 1, 5, 12_000)),
+            ],
+        },
         SoakCase {
             name: "rest-over-stops-and-stand-stills",
             cause: "an upstream that requested back-off keeps receiving requests",
--- a/soak/src/fatal_request.rs
+++ b/soak/src/fatal_request.rs
@@ -1,4 +1,5 @@
-//! Sends a request that crashes every upstream that runs it, repeatedly and to all VMs in turn.
+//! Sends requests that crash every upstream that runs them, to all VMs in turn: the same one again and again, or
+//! others that share a part of their prompts.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -7,9 +8,9 @@
 use tokio::task::spawn_local;
 
 use crate::caller::{CallerShared, SoakCaller};
-use crate::ledger::{FatalRow, RequestKind, Touched};
+use crate::ledger::{FatalCause, FatalRow, RequestKind, Touched};
 use crate::site::SoakSite;
-use crate::upstream::FATAL_BODY;
+use crate::upstream::{FATAL_BODY, FATAL_PART};
 
 /// Interval between two sends of the request.
 const SEND_INTERVAL: Duration = Duration::from_millis(350);
@@ -18,10 +19,15 @@
 /// Interval at which upstreams are checked for a run of the request.
 const WATCH_INTERVAL: Duration = Duration::from_millis(3);
 
-/// Repeats the request of this number for `ms` milliseconds, and waits until all its attempts have ended and
-/// all crashed upstreams are started again.
-pub async fn send_fatal(site: Rc<SoakSite>, callers: Rc<CallerShared>, number: u64, ms: u64) {
-    let row = row_index(&site, number);
+/// Repeats the request of this number, or sends others with the prompt part of this number, for `ms`
+/// milliseconds. Waits until all attempts have ended and all crashed upstreams are started again.
+pub async fn send_fatal(
+    site: Rc<SoakSite>,
+    callers: Rc<CallerShared>,
+    (number, cause): (u64, FatalCause),
+    ms: u64,
+) {
+    let row = row_index(&site, number, cause);
     let spans: Vec<usize> =
         (0..site.upstreams.len()).map(|at| site.begin_span(Touched::Upstream(at))).collect();
     let active = Rc::new(Cell::new(true));
@@ -43,11 +49,11 @@
 
 /// Returns the index of the ledger row of the request of this number, and adds the row if there is none. A
 /// request that is sent again later in the run shares the row of its number.
-fn row_index(site: &SoakSite, number: u64) -> usize {
+fn row_index(site: &SoakSite, number: u64, cause: FatalCause) -> usize {
     let rows = &mut site.ledger.rows.borrow_mut().fatal;
-    let known = rows.iter().position(|row| row.number == number);
+    let known = rows.iter().position(|row| row.number == number && row.cause == cause);
     known.unwrap_or_else(|| {
-        rows.push(FatalRow { number, ..FatalRow::default() });
+        rows.push(FatalRow { number, cause, ..FatalRow::default() });
         rows.len() - 1
     })
 }
@@ -55,16 +61,33 @@
 /// Sends one attempt, number `at` of this call, to the VM whose turn it is.
 async fn send_once(site: Rc<SoakSite>, callers: Rc<CallerShared>, row: usize, at: u64) {
     let spec = site.vms[at as usize % site.vms.len()].spec.clone();
-    let (attempt, body) = {
+    let (attempt, body, prompt) = {
         let rows = &mut site.ledger.rows.borrow_mut().fatal[row];
-        let attempt = format!("{:08x}{:08x}", rows.number as u32 ^ 0x5a5a, rows.attempts.len());
+        let mask = if rows.cause == FatalCause::Request { 0x5a5a } else { 0xa5a5 };
+        let attempt = format!("{:08x}{:08x}", rows.number as u32 ^ mask, rows.attempts.len());
         rows.attempts.push(attempt.clone());
-        (attempt, format!("{FATAL_BODY} {}", rows.number))
+        match rows.cause {
+            FatalCause::Request => (attempt, format!("{FATAL_BODY} {}", rows.number), None),
+            FatalCause::Part => {
+                let prompt = fatal_prompt(rows.number, rows.attempts.len());
+                (attempt.clone(), attempt, Some(prompt))
+            }
+        }
     };
-    let mut caller = SoakCaller::new(callers, spec, at).with_steady_key();
+    let mut caller = SoakCaller::new(callers, spec, at).with_steady_key().with_prompt(prompt);
     caller.request_as(&attempt, "once", RequestKind::Once, &body).await;
 }
 
+/// The parts of a prompt with the fatal part of this number, in various places; the last one is unique.
+fn fatal_prompt(number: u64, attempt: usize) -> String {
+    let fatal = format!("{FATAL_PART}{:x}:200", number & 0xffff);
+    let (root, other) = ("a1:400".to_string(), format!("b{}:100", attempt % 3));
+    let mut parts = vec![root, other];
+    parts.insert(number as usize % 3, fatal);
+    parts.push(format!("{attempt:x}{:x}:50", number & 0xffff));
+    parts.join(",")
+}
+
 /// Crashes each upstream that began to run the request and starts it again, until `active` is false.
 async fn crash_upstreams(site: Rc<SoakSite>, row: usize, active: Rc<Cell<bool>>) {
     let mut restarts = Vec::new();
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -7,8 +7,8 @@
 
 use crate::judge_answers::answer_fault;
 use crate::ledger::{
-    ArrivalRow, DocumentRow, LedgerRows, OrderContent, OrderRow, RequestEnd, RequestKind,
-    RequestRow, RollOutRow, RunRow, SpanRow, Touched,
+    ArrivalRow, DocumentRow, FatalCause, LedgerRows, OrderContent, OrderRow, RequestEnd,
+    RequestKind, RequestRow, RollOutRow, RunRow, SpanRow, Touched,
 };
 use crate::operator::version_of;
 use crate::rollouts::UNKNOWN;
@@ -46,6 +46,11 @@
 /// Upstreams that one request may crash before VMs must refuse it, and sends of it that are tolerated after
 /// that.
 const FATAL_TOLERANCE: usize = 3;
+/// Upstreams that requests with one prompt part may crash before VMs must refuse them.
+const FATAL_PART_CRASHES: usize = 5;
+/// Falls of the upstreams of a brittle service that are tolerated, and one more for this many upstreams.
+const FALL_TOLERANCE: usize = 2;
+const FALL_UPSTREAMS: usize = 10;
 /// Requests that one VM may send to an upstream during a back-off which that upstream requested from it,
 /// counted from [`BACKOFF_GRACE_MS`] after the upstream did so.
 const BACKOFF_TOLERANCE: usize = 2;
@@ -127,6 +132,7 @@
     judge.check_reads();
     judge.check_rollouts();
     judge.check_fatal_requests();
+    judge.check_brittle();
     judge.broken
 }
 
@@ -474,7 +480,11 @@
     /// sends.
     fn check_fatal_requests(&mut self) {
         for row in &self.rows.fatal {
-            let Some(third_ms) = row.ended_ms.get(FATAL_TOLERANCE - 1).copied() else { continue };
+            let tolerated = match row.cause {
+                FatalCause::Request => FATAL_TOLERANCE,
+                FatalCause::Part => FATAL_PART_CRASHES,
+            };
+            let Some(third_ms) = row.ended_ms.get(tolerated - 1).copied() else { continue };
             let requests =
                 row.attempts.iter().filter_map(|attempt| self.requests.get(attempt.as_str()));
             let late = requests.flat_map(|request| {
@@ -487,12 +497,30 @@
             });
             let late: Vec<u64> = late.map(|run| run.at_ms - third_ms).collect();
             if late.len() > FATAL_TOLERANCE {
-                let details = format!("sent {late:?} ms after the third upstream ended: {row:?}");
+                let details =
+                    format!("sent {late:?} ms after upstream number {tolerated} ended: {row:?}");
                 self.add("requests that end upstreams", details);
             }
         }
     }
 
+    /// Checks how often brittle upstreams fell over, from [`CONTACT_MS`] after they became brittle, while all VMs
+    /// were in contact.
+    fn check_brittle(&mut self) {
+        let vms: BTreeSet<usize> = self.rows.requests.iter().map(|request| request.vm).collect();
+        for row in &self.rows.brittle {
+            let counts = |at_ms: &&u64| {
+                **at_ms > row.from_ms + CONTACT_MS
+                    && vms.iter().all(|vm| self.in_contact_since(*vm, **at_ms).is_some())
+            };
+            let falls = row.falls_ms.iter().filter(counts).count();
+            if falls > FALL_TOLERANCE + row.upstreams / FALL_UPSTREAMS {
+                let details = format!("{falls} falls: {row:?}");
+                self.broken.push(BrokenPromise { promise: "brittle upstreams", details });
+            }
+        }
+    }
+
     /// Checks that an acknowledged roll-out is not lost, that it ends, and that its end does not change.
     fn check_rollout_end(&mut self, row: &RollOutRow) {
         if let Some(lost) = row.reports.iter().find(|report| report.state == UNKNOWN) {
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -274,17 +274,42 @@
     pub reports: Vec<RollOutReport>,
 }
 
-/// A request that crashes the upstreams that run it.
+/// What crashes upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FatalCause {
+    /// A request as a whole, which is sent again and again.
+    #[default]
+    Request,
+    /// A part of the prompts of requests of which no two are alike.
+    Part,
+}
+
+/// Requests that crash the upstreams that run them.
 #[derive(Clone, Debug, Default)]
 pub struct FatalRow {
-    /// The number of the request, which all its repetitions share.
+    /// The number of the request or prompt part, which all attempts share.
     pub number: u64,
+    /// What crashes the upstreams.
+    pub cause: FatalCause,
     /// The ids of the attempts with which it was sent.
     pub attempts: Vec<String>,
     /// The times at which upstreams crashed while they ran it.
     pub ended_ms: Vec<u64>,
 }
 
+/// A time in which the upstreams of a service were brittle.
+#[derive(Clone, Debug)]
+pub struct BrittleRow {
+    /// The service.
+    pub service: String,
+    /// When it began.
+    pub from_ms: u64,
+    /// How many upstreams ran at the same time.
+    pub upstreams: usize,
+    /// When upstreams fell over, since they had to reject too many requests.
+    pub falls_ms: Vec<u64>,
+}
+
 /// All rows of a ledger.
 #[derive(Clone, Debug, Default)]
 pub struct LedgerRows {
@@ -308,6 +333,8 @@
     pub rollouts: Vec<RollOutRow>,
     /// Requests that crash upstreams.
     pub fatal: Vec<FatalRow>,
+    /// Times in which upstreams were brittle.
+    pub brittle: Vec<BrittleRow>,
     /// Broken promises and faults of the soak that were found during the run, not by the judge.
     pub run_faults: Vec<String>,
 }
--- a/soak/src/platform/mod.rs
+++ b/soak/src/platform/mod.rs
@@ -14,6 +14,10 @@
 pub const NOT_RUN: &str = "x-not-executed";
 /// The header of each answer to a request that ran.
 pub const STAMP: &str = "x-response-stamp";
+/// The header in which a caller names the parts of its prompt.
+pub const PROMPT: &str = "x-prompt-prefix";
+/// The header in which an upstream announces how many requests it may reject per second.
+pub const BRITTLE: &str = "server-brittle";
 /// The header by which an upstream announces that it leaves.
 pub const LEAVING: &str = "server-leaving";
 /// The header by which an upstream that refuses a request requests back-off, in seconds.
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -93,6 +93,12 @@
     /// Sends the request of this number, which crashes each upstream that runs it, to all VMs again and again
     /// for this time.
     FatalRequest(u64, u64),
+    /// Sends requests with the prompt part of this number, which crashes each upstream that runs one, to all VMs
+    /// for this time.
+    FatalPart(u64, u64),
+    /// Makes the upstreams of a service brittle for this time. Parameters: the service, how many requests an
+    /// upstream runs at a time, how many it may reject per second, and the duration.
+    BrittleService(usize, u32, u32, u64),
 }
 
 /// A disturbance and its time.
@@ -151,6 +157,10 @@
 /// of the others.
 const PARTITION_SEED_MASK: u64 = 0xc070ff;
 
+/// Combined with the seed for the draw of prompt parts that crash upstreams and of brittle upstreams, which is
+/// thus independent of the others.
+const PART_SEED_MASK: u64 = 0x9a27;
+
 /// Draws the schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
     let mut random = StdRng::seed_from_u64(seed);
@@ -172,6 +182,8 @@
         add_fatal(&mut steps, seed, size);
         add_early(&mut steps, seed, size);
         add_partitions(&mut steps, seed, size);
+        add_fatal_part(&mut steps, seed, size);
+        add_brittle(&mut steps, seed, size);
     }
     add_notices(&mut steps, seed, size);
     steps
@@ -198,6 +210,30 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds a prompt part that crashes upstreams, to one seed in three.
+fn add_fatal_part(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(seed ^ PART_SEED_MASK);
+    if random.gen_ratio(1, 3) {
+        let at_ms = random.gen_range(500..size.disturbed_ms);
+        let disturbance = Disturbance::FatalPart(seed, random.gen_range(6_000..14_000));
+        steps.push(PlannedStep { at_ms, disturbance });
+        steps.sort_by_key(|step| step.at_ms);
+    }
+}
+
+/// Adds a service whose upstreams are brittle, to one seed in three.
+fn add_brittle(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(!seed ^ PART_SEED_MASK);
+    if random.gen_ratio(1, 3) {
+        let at_ms = random.gen_range(500..size.disturbed_ms);
+        let (slots, limit) = (random.gen_range(1..8), random.gen_range(4..30));
+        let (service, ms) = (random.gen_range(0..2), random.gen_range(5_000..12_000));
+        let disturbance = Disturbance::BrittleService(service, slots, limit, ms);
+        steps.push(PlannedStep { at_ms, disturbance });
+        steps.sort_by_key(|step| step.at_ms);
+    }
+}
+
 /// Adds VMs that are partitioned from all upstreams: some, most or all of them. They are drawn by a generator
 /// of their own, so the other steps of a seed do not depend on them.
 fn add_partitions(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -10,7 +10,7 @@
 
 use crate::caller::CallerShared;
 use crate::fatal_request::send_fatal;
-use crate::ledger::{OrderContent, Touched};
+use crate::ledger::{BrittleRow, FatalCause, OrderContent, Touched};
 use crate::link::LinkMode;
 use crate::operator::{invalid_document, DOCUMENT_REPEAT_MS, ZONE_REPEAT_MS};
 use crate::rollouts::roll_out;
@@ -85,7 +85,15 @@
             roll_out(&site, service, duration_s, fault).await;
         }
         Disturbance::EmptyZone(zone, ms) => empty_zone(&site, zone, ms).await,
-        Disturbance::FatalRequest(number, ms) => send_fatal(site, callers, number, ms).await,
+        Disturbance::FatalRequest(number, ms) => {
+            send_fatal(site, callers, (number, FatalCause::Request), ms).await;
+        }
+        Disturbance::FatalPart(number, ms) => {
+            send_fatal(site, callers, (number, FatalCause::Part), ms).await;
+        }
+        Disturbance::BrittleService(service, slots, limit, ms) => {
+            be_brittle(&site, service, (slots, limit), ms).await;
+        }
     }
 }
 
@@ -275,6 +283,54 @@
     site.ledger.end_span(span);
 }
 
+/// The interval at which brittle upstreams are checked for a fall.
+const FALL_CHECK_MS: u64 = 5;
+/// Milliseconds after its fall at which a brittle upstream is started again.
+const FALL_RESTART_MS: u64 = 1_500;
+
+/// Makes the upstreams of a service brittle for `ms` milliseconds, and starts those again that fall over. They are
+/// recorded as disturbed, and what is counted is how often they fall.
+async fn be_brittle(site: &Rc<SoakSite>, service: usize, brittle: (u32, u32), ms: u64) {
+    let name = format!("s{}", service + 1);
+    let own = |at: &usize| site.upstreams[*at].spec.service == name;
+    let indices: Vec<usize> = (0..site.upstreams.len()).filter(own).collect();
+    let spans: Vec<usize> =
+        indices.iter().map(|at| site.begin_span(Touched::Upstream(*at))).collect();
+    let from_ms = site.ledger.now_ms();
+    let mut row = BrittleRow { service: name, from_ms, upstreams: 0, falls_ms: Vec::new() };
+    let mut restarts = Vec::new();
+    while site.ledger.now_ms() < from_ms + ms {
+        let mut running = 0;
+        for at in &indices {
+            let mut slot = site.upstreams[*at].incarnation.borrow_mut();
+            let Some(incarnation) = slot.as_ref() else { continue };
+            running += 1;
+            incarnation.set_brittle(Some(brittle));
+            if incarnation.is_overturned() {
+                drop(slot.take());
+                row.falls_ms.push(site.ledger.now_ms());
+                let (site, at) = (site.clone(), *at);
+                restarts.push(tokio::task::spawn_local(async move {
+                    pause(FALL_RESTART_MS).await;
+                    start_incarnation(&site, at, false).await;
+                }));
+            }
+        }
+        row.upstreams = row.upstreams.max(running);
+        pause(FALL_CHECK_MS).await;
+    }
+    for at in &indices {
+        if let Some(incarnation) = site.upstreams[*at].incarnation.borrow().as_ref() {
+            incarnation.set_brittle(None);
+        }
+    }
+    for restart in restarts {
+        let _ = restart.await;
+    }
+    site.ledger.rows.borrow_mut().brittle.push(row);
+    spans.into_iter().for_each(|span| site.ledger.end_span(span));
+}
+
 /// Partitions `count` VMs from index `from` on from all upstreams, for `ms` milliseconds. VMs that are
 /// partitioned already are left out.
 async fn cut_off_vms(site: &SoakSite, from: usize, count: usize, form: PartitionForm, ms: u64) {
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -16,7 +16,9 @@
 use crate::answer_make::{draw_of, AnswerKind, AnswerPlan, Framing, FOREIGN_ATTEMPT};
 use crate::ledger::{ArrivalRow, RunLedger, RunRow, SentEnd, SentRow};
 use crate::link::{LinkProxy, SharedPartition};
-use crate::platform::{ATTEMPT, EXPECTED_INSTANCE, LEAVING, NOT_RUN, RETRY_AFTER, STAMP};
+use crate::platform::{
+    ATTEMPT, BRITTLE, EXPECTED_INSTANCE, LEAVING, NOT_RUN, PROMPT, RETRY_AFTER, STAMP,
+};
 use crate::schedule::VersionFault;
 use crate::site::vm_of;
 use crate::upstream_wire::{split, AfterAnswer, PartialAnswer, WireRequest, WireWriter};
@@ -60,6 +62,12 @@
     fault: VersionFault,
     started: Instant,
     crash: Notify,
+    /// How many requests the upstream runs at a time and rejects per second while it is brittle.
+    brittle: Cell<Option<(u32, u32)>>,
+    /// When it rejected requests within the last second.
+    rejected: RefCell<Vec<Instant>>,
+    /// Whether it has rejected too many and falls over.
+    overturned: Cell<bool>,
     /// Whether the upstream has begun to run a request that crashes it.
     fatal: Cell<bool>,
     ledger: Rc<RunLedger>,
@@ -68,6 +76,17 @@
 /// The start of the body of a request that crashes the upstream which runs it.
 pub const FATAL_BODY: &str = "fatal";
 
+/// The start of the id of a prompt part that crashes the upstream which runs a request with it, unless it is the
+/// last part.
+pub const FATAL_PART: &str = "fa7a1";
+
+/// Whether a request crashes the upstream that runs it.
+fn is_fatal(request: &WireRequest) -> bool {
+    let parts: Vec<&str> = request.header_value(PROMPT).split(',').collect();
+    request.body.starts_with(FATAL_BODY.as_bytes())
+        || parts[..parts.len() - 1].iter().any(|part| part.starts_with(FATAL_PART))
+}
+
 /// One incarnation of an upstream, from its start to its crash or end, with the link to it. Dropping it
 /// crashes the upstream.
 pub struct UpstreamIncarnation {
@@ -113,6 +132,9 @@
             fault,
             started: Instant::now(),
             crash: Notify::new(),
+            brittle: Cell::new(None),
+            rejected: RefCell::default(),
+            overturned: Cell::new(false),
             fatal: Cell::new(false),
             ledger,
         });
@@ -141,6 +163,17 @@
         self.state.backoff_ms.set(backoff_ms);
     }
 
+    /// Sets how many requests the upstream runs at a time, and how many it may reject per second before it
+    /// falls over; none if it isn't brittle.
+    pub fn set_brittle(&self, brittle: Option<(u32, u32)>) {
+        self.state.brittle.set(brittle);
+    }
+
+    /// Whether the upstream has rejected too many requests within a second, and falls over.
+    pub fn is_overturned(&self) -> bool {
+        self.state.overturned.get()
+    }
+
     /// Whether the upstream has begun to run a request that crashes it.
     pub fn has_fatal_request(&self) -> bool {
         self.state.fatal.get()
@@ -294,6 +327,21 @@
     (row, guard)
 }
 
+/// Counts a rejection for want of room. A brittle upstream with too many of them falls over.
+fn note_rejected(state: &IncarnationState) {
+    let mut rejected = state.rejected.borrow_mut();
+    rejected.push(Instant::now());
+    rejected.retain(|at| at.elapsed() < Duration::from_secs(1));
+    if state.brittle.get().is_some_and(|(_, limit)| rejected.len() > limit as usize) {
+        state.overturned.set(true);
+    }
+}
+
+/// The header by which a brittle upstream says so.
+fn brittle_notice(state: &IncarnationState) -> String {
+    state.brittle.get().map_or(String::new(), |(_, limit)| format!("{BRITTLE}: {limit}\r\n"))
+}
+
 /// Answers one request, and returns what becomes of its connection.
 async fn answer(
     request: &WireRequest,
@@ -313,15 +361,21 @@
     }
     let attempt = request.header_value(ATTEMPT);
     let refusal_headers = reject_for_backoff(state, sender, attempt).or_else(|| {
-        let full = state.running.get() >= UPSTREAM_SLOTS;
-        full.then(|| format!("{NOT_RUN}: 1\r\n"))
+        let slots = state.brittle.get().map_or(UPSTREAM_SLOTS, |(slots, _)| slots);
+        let full = state.running.get() >= slots;
+        full.then(|| {
+            note_rejected(state);
+            format!("{NOT_RUN}: 1\r\n")
+        })
     });
+    let notice = brittle_notice(state);
     if let Some(headers) = refusal_headers {
+        let headers = format!("{headers}{notice}");
         writer.send_short(503, &headers).await?;
         return Ok(AfterAnswer::Kept);
     }
     let (row, guard) = record_run(state, request, sender, attempt);
-    if request.body.starts_with(FATAL_BODY.as_bytes()) {
+    if is_fatal(request) {
         state.fatal.set(true);
         // The task that sends such requests then crashes this incarnation, which ends this connection.
         std::future::pending::<()>().await;
@@ -332,6 +386,7 @@
         _ => (attempt, state.id.as_str()),
     };
     let mut headers = format!("{ATTEMPT}: {named}\r\n{STAMP}: {stamp}\r\n");
+    headers += &notice;
     headers += &format!("x-server-load: {},0,{UPSTREAM_SLOTS}\r\n", state.running.get());
     if row.leaving {
         headers += &format!("connection: close\r\n{LEAVING}: 1\r\n");
--- a/soak/tests/test_answers.rs
+++ b/soak/tests/test_answers.rs
@@ -47,6 +47,7 @@
 fn run(plan: AnswerPlan) -> RunRow {
     RunRow {
         attempt: "a".to_string(),
+        sender: 0,
         upstream: 0,
         service: "s1".to_string(),
         zone: "z-0".to_string(),
