--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -179,16 +179,18 @@
         let edges = partitions().flat_map(|span| [Some(span.from_ms), span.until_ms]).flatten();
         let edges: BTreeSet<u64> = edges.collect();
         let edges: Vec<u64> = edges.into_iter().collect();
+        let vms: BTreeSet<usize> = self.rows.requests.iter().map(|request| request.vm).collect();
         for window in edges.windows(2) {
             let (from_ms, until_ms) = (window[0] + CONTACT_MS, window[1]);
             let is_cut_off = |vm: usize| {
                 let mut spans = partitions().filter(|span| span.touched == Touched::Partition(vm));
                 spans.any(|span| overlaps(span, window[0] + 1, until_ms.saturating_sub(1)))
             };
+            let reaching: Vec<usize> = vms.iter().copied().filter(|vm| !is_cut_off(*vm)).collect();
             let (mut cut_off, mut others) = (ServedCount::default(), ServedCount::default());
             for request in &self.rows.requests {
                 let within = (from_ms..until_ms).contains(&request.sent_ms);
-                if within && self.may_be_compared(request) {
+                if within && self.may_be_compared(request) && self.has_contact(&reaching, request) {
                     let count = if is_cut_off(request.vm) { &mut cut_off } else { &mut others };
                     count.add(request);
                 }
@@ -200,6 +202,12 @@
         }
     }
 
+    /// Whether one of these VMs was in contact throughout a request, and could have served it.
+    fn has_contact(&self, vms: &[usize], request: &RequestRow) -> bool {
+        let since = |vm: &usize| self.in_contact_since(*vm, request.ended_ms);
+        vms.iter().filter_map(since).any(|since_ms| since_ms <= request.sent_ms)
+    }
+
     /// Whether nothing but a partition can be at fault for how a request ended: its VM was in contact, its
     /// caller reached the VM, and its key was not revoked.
     fn may_be_compared(&self, request: &RequestRow) -> bool {
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -295,3 +295,11 @@
     rows.spans.push(SpanRow { touched, from_ms: 50_000, until_ms: Some(58_000) });
     assert_eq!(broken_promises(&rows), Vec::<&str>::new());
 }
+
+#[test]
+fn a_partitioned_vm_may_refuse_while_no_other_that_reaches_upstreams_is_in_contact() {
+    let mut rows = partitioned(20);
+    let touched = Touched::PlannedVm(0);
+    rows.spans.push(SpanRow { touched, from_ms: 50_000, until_ms: Some(58_000) });
+    assert_eq!(broken_promises(&rows), Vec::<&str>::new());
+}
