--- a/lib/src/coordination/outlier.rs
+++ b/lib/src/coordination/outlier.rs
@@ -116,11 +116,6 @@
         self.health.keys().copied()
     }
 
-    /// Forgets what was recorded of the upstreams for which `forgets` returns true.
-    pub fn forget(&mut self, forgets: impl Fn(UpstreamKey) -> bool) {
-        self.health.retain(|upstream, _| !forgets(*upstream));
-    }
-
     /// Removes the upstreams for which `known` returns false.
     pub fn sweep(&mut self, known: impl Fn(UpstreamKey) -> bool) {
         self.health.retain(|upstream, _| known(*upstream));
--- a/lib/src/coordination/silence.rs
+++ b/lib/src/coordination/silence.rs
@@ -199,11 +199,6 @@
         unresponsive.map(|(upstream, _)| *upstream).collect()
     }
 
-    /// Forgets all suspicions, which VMs that still get no answer report again.
-    pub fn clear(&mut self) {
-        self.rows.clear();
-    }
-
     /// Removes upstreams that are not `known` any more.
     pub fn sweep(&mut self, known: impl Fn(UpstreamKey) -> bool) {
         self.rows.retain(|upstream, _| known(*upstream));
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -282,16 +282,26 @@
 
     /// Renews, and waits until `proved` returns true. Returns false after `timeout`.
     async fn wait_for_proof(&self, timeout: Duration, proved: impl Fn() -> bool) -> bool {
-        let confirmed = async {
+        self.renew();
+        self.wait_for_contact(timeout, proved).await
+    }
+
+    /// Waits until `holds` returns true, which is asked again whenever the contact, the routes or the list of
+    /// upstreams change. Returns false after `timeout`.
+    pub(super) async fn wait_for_contact(
+        &self,
+        timeout: Duration,
+        holds: impl Fn() -> bool,
+    ) -> bool {
+        let holding = async {
             loop {
                 let changed = self.contact_changed.notified();
-                if proved() {
+                if holds() {
                     return;
                 }
                 changed.await;
             }
         };
-        self.renew();
-        tokio::time::timeout(timeout, confirmed).await.is_ok()
+        tokio::time::timeout(timeout, holding).await.is_ok()
     }
 }
--- a/lib/src/transport/vm_peer_relay.rs
+++ b/lib/src/transport/vm_peer_relay.rs
@@ -264,16 +264,8 @@
 
     /// Waits until this VM routes by at least this version. Returns false if it doesn't in time.
     async fn wait_for_version(&self, version: u64) -> bool {
-        let routes_by_version = async {
-            loop {
-                let changed = self.contact_changed.notified();
-                if self.contact.borrow().applied() >= version {
-                    return;
-                }
-                changed.await;
-            }
-        };
-        timeout(VERSION_WAIT, routes_by_version).await.is_ok()
+        let routes_by_version = || self.contact.borrow().applied() >= version;
+        self.wait_for_contact(VERSION_WAIT, routes_by_version).await
     }
 }
 
--- a/lib/src/transport/vm_reach.rs
+++ b/lib/src/transport/vm_reach.rs
@@ -116,11 +116,11 @@
         warn!(target: "reach", "isolated: reaches no upstream, and passes requests to other VMs");
         self.counters.borrow_mut().isolations += 1;
         let reach = self.reach.borrow();
-        self.outliers.borrow_mut().forget(|upstream| reach.has_failed(upstream));
+        self.outliers.borrow_mut().sweep(|upstream| !reach.has_failed(upstream));
         self.health.borrow_mut().outbox = Default::default();
         let mut silence = self.silence.borrow_mut();
         silence.view.take_suspicions();
-        silence.table.clear();
+        silence.table.sweep(|_| false);
         drop(silence);
         drop(reach);
         self.silence_changed.notify_waiters();
