logs: the upstream and version at which a stream is interrupted and resumed

`stream resumed` named neither, and a request by which a caller resumes its stream left no line, so that the three hypotheses on streams of two versions could not be told apart. New lines: `stream interrupted`, and `stream resumed by its caller` with the attempt that began the stream. No decision is changed.

--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -37,6 +37,16 @@
     pub expected_output: Option<u32>,
     /// The id of the last event of the stream that the caller has received.
     pub last_event: Option<String>,
+    /// The identifier of the caller's attempt that brought the first event of the stream that the
+    /// caller resumes.
+    pub resumes: Option<String>,
+}
+
+impl CallerRequest {
+    /// Whether the caller resumes a stream of which it has received events.
+    pub fn resumes_stream(&self) -> bool {
+        self.last_event.is_some() || self.resumes.is_some()
+    }
 }
 
 /// The reason why the head of a request is invalid.
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -223,6 +223,13 @@
             if count.sent > 0 {
                 self.node.counters.borrow_mut().repeats += 1;
             }
+            if self.caller.resumes_stream() {
+                info!(
+                    target: "request", attempt = self.caller.attempt,
+                    resumes = self.caller.resumes, after = self.caller.last_event,
+                    life = target.send.name, version = %target.version, "stream resumed by its caller",
+                );
+            }
             self.record.note(RunKnowledge::Unknown);
             let outcome = match self.send(&target, deadline_ms).await {
                 SendResult::Answer(answer) => {
--- a/lib/src/transport/vm_place.rs
+++ b/lib/src/transport/vm_place.rs
@@ -10,6 +10,7 @@
 use crate::protocol::wire_adapter::UpstreamSend;
 use crate::state::ids::{RequestFingerprint, UpstreamKey};
 use crate::state::prompt_part::shared_parts;
+use crate::state::rollout_order::VersionKey;
 
 /// The upstream of one send, with what was decided for the send.
 pub(super) struct SendTarget {
@@ -21,6 +22,8 @@
     pub(super) service: usize,
     pub(super) upstream: UpstreamKey,
     pub(super) address: SocketAddr,
+    /// The software version of the upstream.
+    pub(super) version: VersionKey,
     pub(super) send: UpstreamSend,
     /// What of this request, at the time of the send, VMs were asked to report the end of; see
     /// [`CallerTask::watched`].
@@ -75,6 +78,7 @@
             service,
             upstream: pick.upstream,
             address: entry.address,
+            version: entry.version,
             watched: self.watched(send.workspace.as_deref()),
             sent_ms: self.node.now_ms(),
             send,
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -134,6 +134,10 @@
                 }
                 RelayEnd::Broken => {
                     target.trial.end_inconclusive();
+                    info!(
+                        target: "request", attempt = self.caller.attempt,
+                        life = target.send.name, version = %target.version, "stream interrupted",
+                    );
                     self.note_cut(target.upstream, "cut stream");
                     self.check_after_break(&target);
                     let Some(splice) = splice.as_mut().filter(|splice| splice.is_resumable())
@@ -188,9 +192,11 @@
                     if let (true, AnswerContent::Streamed(streamed)) =
                         (answer.head.status.is_success(), answer.body)
                     {
-                        let attempt = &self.caller.attempt;
                         self.node.counters.borrow_mut().resumed += 1;
-                        info!(target: "request", attempt, "stream resumed");
+                        info!(
+                            target: "request", attempt = self.caller.attempt,
+                            life = target.send.name, version = %target.version, "stream resumed",
+                        );
                         return Some((target, streamed));
                     }
                 }
