vm_stream: a broken stream is continued only at the version that began it

Callers received streams with events of two software versions: when an engine crashed, the VM continued the stream at whichever upstream was best for a new request. A task now keeps the service and the version of the upstream whose events it passed on first, and only upstreams of these are candidates from then on. Before the first byte of the body any version may still begin the stream. Where no such upstream is left the stream is cut.

--- a/lib/src/coordination/upstream_candidate.rs
+++ b/lib/src/coordination/upstream_candidate.rs
@@ -19,6 +19,9 @@
     pub full: bool,
     /// The request was sent to it before.
     pub tried: bool,
+    /// It has another software version than the stream that the request resumes began at, so it
+    /// can't take the request.
+    pub other_version: bool,
     /// It takes no new work, but other engines may still fetch cached prompts from it.
     pub leaving: bool,
     /// It isn't leaving, but this VM sends it nothing now, because its zone is evacuated or it is
@@ -45,6 +48,7 @@
             ejected: false,
             full: false,
             tried: false,
+            other_version: false,
             leaving: false,
             withheld: false,
             backoff_ms: 0,
@@ -123,15 +127,17 @@
 /// to which this VM might send work asked for back-off. A caller that retries sooner is refused
 /// again, at any attempt.
 pub fn earliest_retry(candidates: &[UpstreamCandidate]) -> Option<u64> {
-    let mut staying = candidates.iter().filter(|c| !c.leaving && !c.withheld).peekable();
+    let may_take = |c: &&UpstreamCandidate| !c.leaving && !c.withheld && !c.other_version;
+    let mut staying = candidates.iter().filter(may_take).peekable();
     staying.peek()?;
     staying.map(|candidate| candidate.backoff_ms).min().filter(|backoff_ms| *backoff_ms > 0)
 }
 
-/// The untried candidates that aren't ejected, or all untried ones if no other takes work.
+/// The untried candidates of a suitable version that aren't ejected, or all untried ones of such a
+/// version if no other takes work.
 pub(super) fn usable(candidates: &[UpstreamCandidate]) -> Vec<&UpstreamCandidate> {
     let fresh: Vec<&UpstreamCandidate> =
-        candidates.iter().filter(|candidate| !candidate.tried).collect();
+        candidates.iter().filter(|c| !c.tried && !c.other_version).collect();
     match fresh.iter().any(|candidate| !candidate.ejected && candidate.takes_work()) {
         true => fresh.into_iter().filter(|candidate| !candidate.ejected).collect(),
         false => fresh,
--- a/lib/src/state/ids.rs
+++ b/lib/src/state/ids.rs
@@ -45,6 +45,11 @@
     FleetKey,
     u64
 );
+small_key!(
+    /// A service, identified by the hash of its name.
+    ServiceKey,
+    u32
+);
 small_key!(
     /// A workspace, identified by the hash of its name.
     WorkspaceKey,
@@ -101,6 +106,13 @@
 /// The bits that are set in the fingerprints of prompt parts, and not all set in those of requests.
 const PART_MASK: u64 = 0xff << 56;
 
+impl ServiceKey {
+    /// The key of the service with this name.
+    pub fn of(name: &str) -> ServiceKey {
+        ServiceKey(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
 impl UpstreamKey {
     /// The key of the upstream with this name, without a start time.
     pub fn of(name: &str) -> UpstreamKey {
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -21,6 +21,7 @@
 pub mod roster;
 pub mod route_table;
 pub mod settings;
+pub mod stream_origin;
 pub mod upstream_list;
 pub mod vm_figures;
 pub mod vm_settings;
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -10,8 +10,8 @@
     earliest_retry, CandidateSet, ChoiceError, UpstreamCandidate,
 };
 use crate::coordination::upstream_choice::{choose_engine, EngineRules, UpstreamPick};
-use crate::state::ids::UpstreamKey;
-use crate::state::route_table::{RouteRule, ServiceEntry};
+use crate::state::ids::{ServiceKey, UpstreamKey};
+use crate::state::route_table::{pick_share, RouteRule, ServiceEntry};
 use crate::state::upstream_list::{EntryDefect, UpstreamEntry};
 
 /// A service counts as overloaded when the mean load of its engines reaches this share of the bound on
@@ -30,6 +30,16 @@
 const OVERLOADED_MAX_ENGINES: usize = 3;
 
 impl CallerTask {
+    /// Chooses the service: that of the stream if it has begun. `None` if the route has none for it.
+    pub(super) fn choose_service(&self, rule: &RouteRule) -> Option<usize> {
+        let Some(origin) = self.origin.get() else {
+            return pick_share(&rule.shares, self.draw);
+        };
+        let mut shares = rule.shares.iter().filter(|share| share.weight > 0.0);
+        let share = shares.find(|share| ServiceKey::of(&share.name) == origin.service)?;
+        share.service
+    }
+
     /// Chooses an upstream. `demand` describes the request to the capacity check; without it the request
     /// is placed even if all upstreams are full.
     pub(super) fn choose(
@@ -39,7 +49,8 @@
         demand: Option<&CapacityRequest>,
         tried: &[UpstreamKey],
     ) -> Result<UpstreamPick, ChoiceError> {
-        let lane = self.node.rollout_lane(&service.name, rule, tried.is_empty());
+        let chooses_lane = tried.is_empty() || self.origin.get().is_some();
+        let lane = self.node.rollout_lane(&service.name, rule, chooses_lane);
         if lane == RolloutLane::Trial {
             if let Ok(pick) = self.choose_in_lane(lane, service, rule, demand, tried) {
                 return Ok(pick);
@@ -205,6 +216,7 @@
         let upstreams = node.upstreams.borrow();
         let notices = node.pool.notices().borrow();
         let settings = node.settings.borrow();
+        let origin = self.origin.get();
         let listed = |(key, entry, first_seen_ms): (UpstreamKey, &UpstreamEntry, u64)| {
             let withheld = entry.defect != EntryDefect::None
                 || versions.withholds(entry)
@@ -212,6 +224,7 @@
             UpstreamCandidate {
                 leaving: entry.leaving,
                 withheld,
+                other_version: origin.is_some_and(|origin| origin.version != entry.version),
                 ring_slot: entry.ring_slot,
                 same_zone: entry.zone == settings.zone,
                 first_seen_ms,
@@ -231,7 +244,7 @@
         }
         tried.iter().for_each(|key| candidates.change(*key, |candidate| candidate.tried = true));
         let mut candidates = candidates.into_rows();
-        if !candidates.iter().any(UpstreamCandidate::takes_work) {
+        if !candidates.iter().any(|c| c.takes_work() && !c.other_version) {
             // An upstream that the list shows as leaving has been leaving for longer than the last-resort
             // period lasts.
             let listed = |key| upstreams.entries.get(&key).is_some_and(|entry| entry.leaving);
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -4,7 +4,7 @@
 //! configuration than the one in force. A guard counts each request in flight, and dropping a send
 //! closes its connection.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,7 +29,7 @@
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::upstream_candidate::ChoiceError;
 use crate::protocol::peer_relay::RelayNote;
-use crate::state::route_table::{pick_share, RequestKind, RouteDecision, RouteRule, ServiceEntry};
+use crate::state::route_table::{RequestKind, RouteDecision, RouteRule, ServiceEntry};
 use crate::state::vm_figures::RequestEnd;
 
 /// The maximum time for which a VM that has just started holds a request until it is ready, in
@@ -89,6 +89,7 @@
         draw,
         record,
         connection,
+        origin: Cell::default(),
         fingerprint: OnceCell::new(),
         relayed,
         _serving: serving,
@@ -162,7 +163,6 @@
     async fn serve(self) -> Response<AnswerBody> {
         let mut count = self.count_before();
         let mut tried = Vec::new();
-        let draw = self.draw;
         let mut first_noted = count.sent > 0;
         loop {
             if self.node.is_isolated() {
@@ -176,7 +176,7 @@
             };
             let rule = &routes.table.routes[route];
             let deadline_ms = self.deadline_ms(rule);
-            let Some(service) = pick_share(&rule.shares, draw) else {
+            let Some(service) = self.choose_service(rule) else {
                 return self.refuse(&count, "no service");
             };
             let at = (route, service);
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -17,8 +17,9 @@
 use crate::coordination::event_splice::EventSplice;
 use crate::coordination::holder_news::HolderNote;
 use crate::state::body_end::{BodyEnd, BodyFraming};
-use crate::state::ids::UpstreamKey;
-use crate::state::route_table::{pick_share, RequestKind};
+use crate::state::ids::{ServiceKey, UpstreamKey};
+use crate::state::route_table::RequestKind;
+use crate::state::stream_origin::StreamOrigin;
 use crate::state::vm_figures::RequestEnd;
 
 /// How the relay of one upstream's body ended.
@@ -172,7 +173,7 @@
             if rule.kind != RequestKind::ResumableStream {
                 return None;
             }
-            let service = pick_share(&rule.shares, self.draw)?;
+            let service = self.choose_service(rule)?;
             let entry = &routes.table.services[service];
             let left = deadline_ms.saturating_sub(self.node.now_ms());
             if count.sent >= rule.max_upstreams || left < MIN_REMAINING_MS {
@@ -247,6 +248,9 @@
                 Some(splice) => Bytes::from(splice.feed(&data)),
                 None => data,
             };
+            if splice.is_some() && !data.is_empty() {
+                self.note_origin(target);
+            }
             if !data.is_empty() && !pieces.send(data).await {
                 return RelayEnd::CallerLeft;
             }
@@ -261,6 +265,9 @@
         }
         if let Some(splice) = splice {
             let rest = splice.finish();
+            if !rest.is_empty() {
+                self.note_origin(target);
+            }
             if !rest.is_empty() && !pieces.send(Bytes::from(rest)).await {
                 return RelayEnd::CallerLeft;
             }
@@ -276,6 +283,16 @@
         RelayEnd::Complete
     }
 
+    /// Notes where the stream began, before its first bytes are passed on.
+    fn note_origin(&self, target: &SendTarget) {
+        if self.origin.get().is_some() {
+            return;
+        }
+        let service = &target.routes.table.services[target.service];
+        let service = ServiceKey::of(&service.name);
+        self.origin.set(Some(StreamOrigin { service, version: target.version }));
+    }
+
     /// Counts where a body ended that is complete by its framing, and logs an end outside an event boundary.
     fn note_body_end(&self, target: &SendTarget, tracker: &BodyTracker) {
         let (framing, end) = (tracker.framing(), tracker.end());
--- a/lib/src/transport/vm_task.rs
+++ b/lib/src/transport/vm_task.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::http::request;
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
 use super::vm_guard::ServingGuard;
@@ -12,6 +12,7 @@
 use crate::protocol::peer_relay::RelayNote;
 use crate::protocol::wire_adapter::CallerRequest;
 use crate::state::ids::RequestFingerprint;
+use crate::state::stream_origin::StreamOrigin;
 
 /// The minimum time left before the deadline at which a request is still sent, in milliseconds.
 pub(super) const MIN_REMAINING_MS: u64 = 10;
@@ -30,6 +31,8 @@
     pub(super) draw: u64,
     pub(super) record: Rc<RequestRecord>,
     pub(super) connection: ConnectionRecord,
+    /// Where its stream began, once it has. Only upstreams of that version may continue it.
+    pub(super) origin: Cell<Option<StreamOrigin>>,
     /// The hash of the request's content, computed on first use; see [`CallerTask::fingerprint`].
     pub(super) fingerprint: OnceCell<RequestFingerprint>,
     /// What another VM told of the request when it passed it on, if one did.
