vm_origins: a caller resumes its stream at the version that began it, at any VM

Callers that resumed a stream got events of another software version: the VM that they came to knew nothing of the stream and chose like for a new request, also where no upstream of the version was left.

Where a stream began is now noted before its first byte is passed on: by the VM, and while a service has several versions at three more VMs that the attempt's hash picks. A VM at which a caller resumes looks for the note at itself, then at those three. Without a note the stream goes on only if one version alone can have begun it; else it is refused, without retry-after where trying again can't help. A version that is new beside others begins no resumable stream for a second, so that every VM in contact has heard of it. With one version nothing is sent or refused.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -63,6 +63,7 @@
 pub mod session_watch;
 pub mod silence;
 pub mod silence_desk;
+pub mod stream_origins;
 pub mod trace;
 pub mod upstream_candidate;
 pub mod upstream_choice;
--- a/lib/src/coordination/upstream_candidate.rs
+++ b/lib/src/coordination/upstream_candidate.rs
@@ -19,8 +19,8 @@
     pub full: bool,
     /// The request was sent to it before.
     pub tried: bool,
-    /// It has another software version than the stream that the request resumes began at, so it
-    /// can't take the request.
+    /// It can't take the request because of its software version: the stream that the request
+    /// resumes began at another one, or no stream may begin at it yet.
     pub other_version: bool,
     /// It takes no new work, but other engines may still fetch cached prompts from it.
     pub leaving: bool,
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -15,10 +15,11 @@
 use crate::coordination::upstream_load::{LoadUpdate, UpstreamLoad};
 use crate::coordination::vm_roster::{RosterRevision, RosterRow, RosterUpdate};
 use crate::state::document_change::DocumentChange;
-use crate::state::ids::{Incarnation, UpstreamKey};
+use crate::state::ids::{Incarnation, ServiceKey, StreamKey, UpstreamKey};
 use crate::state::packed_text::PackedText;
 use crate::state::quarantine::QuarantineTable;
 use crate::state::rollout_order::RolloutTable;
+use crate::state::stream_origin::StreamOrigin;
 use crate::state::upstream_list::{ListDelta, ListRevision, UpstreamEntry};
 use crate::state::zone_order::{ZoneOrder, ZoneOrders};
 
@@ -226,6 +227,13 @@
         /// All records of the quarantine.
         table: QuarantineTable,
     },
+    /// Notes where streams began, for the receiver to keep copies of.
+    #[serde(rename = "Origins")]
+    StreamOrigins(Vec<OriginNote>),
+    /// Asks where a stream began.
+    FindOrigin(OriginQuestion),
+    /// Answers [`VmDatagram::FindOrigin`].
+    OriginReply(OriginReply),
     /// Asks any VM for state that is newer than the sender's.
     #[serde(rename = "AskNews")]
     RequestUpdate(UpdateRequest),
@@ -245,11 +253,44 @@
             VmDatagram::Unresponsive { .. } => "dark",
             VmDatagram::Rollouts { .. } => "rollouts",
             VmDatagram::Quarantine { .. } => "quarantine",
+            VmDatagram::StreamOrigins(_) => "stream_origins",
+            VmDatagram::FindOrigin(_) | VmDatagram::OriginReply(_) => "origin_query",
             VmDatagram::RequestUpdate(_) | VmDatagram::PeerUpdate(_) => "peer_news",
         }
     }
 }
 
+/// Where one stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginNote {
+    /// The stream.
+    pub stream: StreamKey,
+    /// Where it began.
+    pub origin: StreamOrigin,
+}
+
+/// Asks where a stream began, of a VM that may keep a note of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginQuestion {
+    /// The sender's number for the question.
+    pub number: u64,
+    /// The stream; `None` if its caller doesn't name it.
+    pub stream: Option<StreamKey>,
+    /// The services that its route leads to.
+    pub services: Vec<ServiceKey>,
+}
+
+/// Answers an [`OriginQuestion`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReply {
+    /// The number of the question.
+    pub number: u64,
+    /// Where the stream began; `None` if the sender has no note of it.
+    pub origin: Option<StreamOrigin>,
+    /// Whether one of the services had several versions lately, by the sender's list.
+    pub several: bool,
+}
+
 /// What a VM sends to other VMs when its state has not been confirmed for too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpdateRequest {
--- a/lib/src/protocol/wire_adapter.rs
+++ b/lib/src/protocol/wire_adapter.rs
@@ -38,7 +38,7 @@
     /// The id of the last event of the stream that the caller has received.
     pub last_event: Option<String>,
     /// The identifier of the caller's attempt that brought the first event of the stream that the
-    /// caller resumes.
+    /// caller resumes; empty if the caller names none that can be read.
     pub resumes: Option<String>,
 }
 
--- a/lib/src/state/ids.rs
+++ b/lib/src/state/ids.rs
@@ -61,6 +61,12 @@
     u64
 );
 
+small_key!(
+    /// A stream of events, identified by the hash of the id of the attempt that began it.
+    StreamKey,
+    u64
+);
+
 small_key!(
     /// A request, identified by the hash of its content, so that repeated attempts at any VM have
     /// the same fingerprint; see [`RequestFingerprint::of`].
@@ -113,6 +119,13 @@
     }
 }
 
+impl StreamKey {
+    /// The key of the stream that the attempt with this id began.
+    pub fn of(attempt: &str) -> StreamKey {
+        StreamKey(xxh3_64(attempt.as_bytes()))
+    }
+}
+
 impl UpstreamKey {
     /// The key of the upstream with this name, without a start time.
     pub fn of(name: &str) -> UpstreamKey {
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -23,6 +23,7 @@
 pub mod settings;
 pub mod stream_origin;
 pub mod upstream_list;
+pub mod version_history;
 pub mod vm_figures;
 pub mod vm_settings;
 pub mod zero_runs;
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -27,6 +27,11 @@
         matches!(self, RequestKind::Stream | RequestKind::ResumableStream)
     }
 
+    /// Whether its stream may be continued by another run after it broke off.
+    pub fn may_be_resumed(self) -> bool {
+        self == RequestKind::ResumableStream
+    }
+
     /// Whether it may be sent again after it may have run.
     pub fn may_repeat(self) -> bool {
         matches!(self, RequestKind::Repeatable | RequestKind::ResumableStream)
@@ -203,6 +208,13 @@
         None
     }
 
+    /// The longest time-out of the routes whose streams may be resumed, in milliseconds; 0 if there
+    /// are none.
+    pub fn longest_resumable_ms(&self) -> u64 {
+        let rules = self.routes.iter().filter(|rule| rule.kind.may_be_resumed());
+        rules.map(|rule| rule.timeout_ms).max().unwrap_or(0)
+    }
+
     /// Routes a request by its host, path and API key.
     pub fn decide(&self, host: &str, path: &str, key: Option<&str>) -> RouteDecision {
         let Some(route) = self.route(host, path) else { return RouteDecision::NoRoute };
--- a/lib/src/state/upstream_list.rs
+++ b/lib/src/state/upstream_list.rs
@@ -15,8 +15,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ids::UpstreamKey;
+use super::ids::{ServiceKey, UpstreamKey};
 use super::rollout_order::VersionKey;
+use super::version_history::VersionHistory;
 
 /// What the list leaves undetermined about an upstream. Unlike leaving it is not sticky: the next
 /// list that can be read in full clears it.
@@ -145,6 +146,8 @@
     pub replaced: u64,
     /// The names of the incarnations that the last change replaced.
     pub last_replaced: Vec<String>,
+    /// The versions that the services have and had.
+    pub versions: VersionHistory,
     /// The highest change number received in any revision. A leader that counted on from its own
     /// number alone would send revisions that other VMs have already passed, and they would reject
     /// its list.
@@ -207,6 +210,11 @@
         }
     }
 
+    /// Whether another VM holds a later revision.
+    pub fn is_outdated(&self) -> bool {
+        self.highest_change > self.revision.change
+    }
+
     /// Records that another VM holds `revision`.
     pub fn note_revision(&mut self, revision: ListRevision) {
         self.highest_change = self.highest_change.max(revision.change);
@@ -266,8 +274,12 @@
     /// and changes are small.
     fn apply(&mut self, change: &ListChange, now_ms: u64) {
         let mut removed_names = BTreeSet::new();
+        self.versions.begin(now_ms);
         for key in &change.removed {
-            removed_names.extend(self.entries.remove(key).map(|row| row.name));
+            if let Some(row) = self.entries.remove(key) {
+                self.versions.remove(ServiceKey::of(&row.service), row.version, now_ms);
+                removed_names.insert(row.name);
+            }
             self.first_seen_ms.remove(key);
             self.leaving.remove(key);
         }
@@ -278,7 +290,10 @@
             }
             row.leaving = self.leaving.contains(&key);
             self.first_seen_ms.entry(key).or_insert(now_ms);
-            self.entries.insert(key, row);
+            self.versions.add(ServiceKey::of(&row.service), row.version, now_ms);
+            if let Some(before) = self.entries.insert(key, row) {
+                self.versions.remove(ServiceKey::of(&before.service), before.version, now_ms);
+            }
         }
         self.note_replaced(&removed_names);
     }
--- a/lib/src/state/vm_figures.rs
+++ b/lib/src/state/vm_figures.rs
@@ -88,6 +88,10 @@
     pub repeats: u64,
     /// Streams that were resumed at another upstream.
     pub resumed: u64,
+    /// Requests by which callers resume a stream, and that were sent to an upstream.
+    pub resumed_by_callers: u64,
+    /// Requests by which callers resume a stream that can't go on.
+    pub resume_refused: u64,
     /// Streams that were cut before they were complete.
     pub cut: u64,
     /// Answers whose first byte came later than the route's goal.
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -47,6 +47,8 @@
 mod vm_notice;
 pub mod vm_order_desk;
 mod vm_orders;
+pub mod vm_origin_state;
+mod vm_origins;
 mod vm_peer_relay;
 mod vm_place;
 pub mod vm_pool;
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -11,6 +11,7 @@
 };
 use crate::coordination::upstream_choice::{choose_engine, EngineRules, UpstreamPick};
 use crate::state::ids::{ServiceKey, UpstreamKey};
+use crate::state::rollout_order::VersionKey;
 use crate::state::route_table::{pick_share, RouteRule, ServiceEntry};
 use crate::state::upstream_list::{EntryDefect, UpstreamEntry};
 
@@ -49,18 +50,37 @@
         demand: Option<&CapacityRequest>,
         tried: &[UpstreamKey],
     ) -> Result<UpstreamPick, ChoiceError> {
+        let begins_stream = rule.kind.may_be_resumed() && self.origin.get().is_none();
+        let new = if begins_stream { self.node.new_versions(&service.name) } else { Vec::new() };
+        if !new.is_empty() {
+            // VMs that don't know of the new version yet would resume the stream at another one.
+            if let Ok(pick) = self.choose_lane(service, rule, demand, tried, &new) {
+                return Ok(pick);
+            }
+        }
+        self.choose_lane(service, rule, demand, tried, &[])
+    }
+
+    /// Chooses among the upstreams of all versions but those in `excluded`.
+    fn choose_lane(
+        &self,
+        service: &ServiceEntry,
+        rule: &RouteRule,
+        demand: Option<&CapacityRequest>,
+        tried: &[UpstreamKey],
+        excluded: &[VersionKey],
+    ) -> Result<UpstreamPick, ChoiceError> {
+        let choose_in = |lane| self.choose_in_lane(lane, service, rule, demand, tried, excluded);
         let chooses_lane = tried.is_empty() || self.origin.get().is_some();
         let lane = self.node.rollout_lane(&service.name, rule, chooses_lane);
         if lane == RolloutLane::Trial {
-            if let Ok(pick) = self.choose_in_lane(lane, service, rule, demand, tried) {
+            if let Ok(pick) = choose_in(lane) {
                 return Ok(pick);
             }
         }
-        let pick = self.choose_in_lane(RolloutLane::Usual, service, rule, demand, tried);
-        match pick {
+        match choose_in(RolloutLane::Usual) {
             Err(fault) if self.node.may_fall_back(&service.name) => {
-                let back = self.choose_in_lane(RolloutLane::Fallback, service, rule, demand, tried);
-                back.map_err(|_| fault)
+                choose_in(RolloutLane::Fallback).map_err(|_| fault)
             }
             pick => pick,
         }
@@ -70,7 +90,7 @@
     /// earliest end of a backoff when all upstreams have requested one.
     pub(super) fn earliest_retry_ms(&self, service: &ServiceEntry) -> u64 {
         let now_ms = self.node.now_ms();
-        let candidates = self.candidates(RolloutLane::Usual, service, &[], now_ms);
+        let candidates = self.candidates(RolloutLane::Usual, service, &[], &[], now_ms);
         earliest_retry(&candidates).unwrap_or(DEFAULT_RETRY_MS)
     }
 
@@ -82,9 +102,10 @@
         rule: &RouteRule,
         demand: Option<&CapacityRequest>,
         tried: &[UpstreamKey],
+        excluded: &[VersionKey],
     ) -> Result<UpstreamPick, ChoiceError> {
         let now_ms = self.node.now_ms();
-        let mut candidates = self.candidates(lane, service, tried, now_ms);
+        let mut candidates = self.candidates(lane, service, tried, excluded, now_ms);
         self.mark_brittle(service, &mut candidates, now_ms);
         let engine = service.engine.as_ref().filter(|_| rule.prompt_parts);
         let Some(engine) = engine else {
@@ -209,6 +230,7 @@
         lane: RolloutLane,
         service: &ServiceEntry,
         tried: &[UpstreamKey],
+        excluded: &[VersionKey],
         now_ms: u64,
     ) -> Vec<UpstreamCandidate> {
         let node = &self.node;
@@ -217,6 +239,9 @@
         let notices = node.pool.notices().borrow();
         let settings = node.settings.borrow();
         let origin = self.origin.get();
+        let is_other = |version| {
+            origin.is_some_and(|origin| origin.version != version) || excluded.contains(&version)
+        };
         let listed = |(key, entry, first_seen_ms): (UpstreamKey, &UpstreamEntry, u64)| {
             let withheld = entry.defect != EntryDefect::None
                 || versions.withholds(entry)
@@ -224,7 +249,7 @@
             UpstreamCandidate {
                 leaving: entry.leaving,
                 withheld,
-                other_version: origin.is_some_and(|origin| origin.version != entry.version),
+                other_version: is_other(entry.version),
                 ring_slot: entry.ring_slot,
                 same_zone: entry.zone == settings.zone,
                 first_seen_ms,
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -244,6 +244,9 @@
                     self.apply_quarantine(table);
                 }
             }
+            VmDatagram::StreamOrigins(notes) => self.receive_notes(notes),
+            VmDatagram::FindOrigin(question) => self.answer_origin_question(from, &question),
+            VmDatagram::OriginReply(reply) => self.receive_origin_reply(from, reply),
             VmDatagram::RequestUpdate(request) => self.answer_update_request(from, request),
             VmDatagram::PeerUpdate(note) => self.apply_peer_update(from, note),
             VmDatagram::Redirect { leader, keepers, vms } => {
--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -27,6 +27,7 @@
 use crate::coordination::crash_table::FIRST_QUARANTINE_MS;
 use crate::coordination::engine_room::CapacityRequest;
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
+use crate::coordination::stream_origins::ResumeDecision;
 use crate::coordination::upstream_candidate::ChoiceError;
 use crate::protocol::peer_relay::RelayNote;
 use crate::state::route_table::{RequestKind, RouteDecision, RouteRule, ServiceEntry};
@@ -90,6 +91,7 @@
         record,
         connection,
         origin: Cell::default(),
+        origin_noted: Cell::default(),
         fingerprint: OnceCell::new(),
         relayed,
         _serving: serving,
@@ -164,6 +166,7 @@
         let mut count = self.count_before();
         let mut tried = Vec::new();
         let mut first_noted = count.sent > 0;
+        let mut origin_sought = false;
         loop {
             if self.node.is_isolated() {
                 return self.serve_while_isolated(&mut count).await;
@@ -176,8 +179,20 @@
             };
             let rule = &routes.table.routes[route];
             let deadline_ms = self.deadline_ms(rule);
+            let resumes = rule.kind.may_be_resumed() && self.caller.resumes_stream();
+            if resumes && !std::mem::replace(&mut origin_sought, true) {
+                match self.find_origin(rule).await {
+                    ResumeDecision::Anywhere => {}
+                    ResumeDecision::At(origin) => self.origin.set(Some(origin)),
+                    decision => return self.refuse_to_resume(&count, decision),
+                }
+                continue;
+            }
             let Some(service) = self.choose_service(rule) else {
-                return self.refuse(&count, "no service");
+                return match self.origin.get() {
+                    Some(_) => self.refuse_for_good(&count, "its service is no longer routed to"),
+                    None => self.refuse(&count, "no service"),
+                };
             };
             let at = (route, service);
             let service = &routes.table.services[service];
@@ -224,6 +239,7 @@
                 self.node.counters.borrow_mut().repeats += 1;
             }
             if self.caller.resumes_stream() {
+                self.node.counters.borrow_mut().resumed_by_callers += 1;
                 info!(
                     target: "request", attempt = self.caller.attempt,
                     resumes = self.caller.resumes, after = self.caller.last_event,
@@ -388,6 +404,40 @@
         refusal(StatusCode::SERVICE_UNAVAILABLE, why, retry_ms)
     }
 
+    /// Refuses to resume a stream whose origin is unknown.
+    fn refuse_to_resume(
+        &self,
+        count: &AttemptCount,
+        decision: ResumeDecision,
+    ) -> Response<AnswerBody> {
+        match decision {
+            ResumeDecision::Unanswered if !count.may_have_run => {
+                self.node.counters.borrow_mut().resume_refused += 1;
+                self.refuse(count, "where its stream began isn't known now")
+            }
+            _ => self.refuse_for_good(count, "where its stream began isn't known"),
+        }
+    }
+
+    /// Answers that a stream can't be resumed, now or later: without a time to retry.
+    fn refuse_for_good(&self, count: &AttemptCount, why: &str) -> Response<AnswerBody> {
+        if count.may_have_run {
+            return self.fail(count, why);
+        }
+        self.note_end(RequestEnd::Refused);
+        self.node.counters.borrow_mut().resume_refused += 1;
+        info!(target: "request", attempt = self.caller.attempt, sent = count.sent, "refused for good: {why}");
+        own_answer(StatusCode::SERVICE_UNAVAILABLE, why.to_string())
+    }
+
+    /// Whether listed upstreams take work, but none of the version at which the stream began.
+    fn has_no_version_left(&self, service: &str) -> bool {
+        let Some(origin) = self.origin.get() else { return false };
+        let upstreams = self.node.upstreams.borrow();
+        let mut accepting = upstreams.accepting(service).map(|(_, entry)| entry.version).peekable();
+        accepting.peek().is_some() && accepting.all(|version| version != origin.version)
+    }
+
     /// Refuses a request that was sent and that no upstream ran.
     fn refuse_not_run(
         &self,
@@ -413,6 +463,9 @@
         if count.may_have_run {
             return self.fail(count, why);
         }
+        if fault == ChoiceError::NoUpstream && self.has_no_version_left(service) {
+            return self.refuse_for_good(count, "no upstream of its version is left");
+        }
         let retry_ms = match fault {
             ChoiceError::NoUpstream => DEFAULT_RETRY_MS,
             ChoiceError::BackingOff(rest_ms) => rest_ms,
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -149,6 +149,7 @@
         while is_busy() && self.now_ms() < end_ms {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
+        self.hand_notes_over(end_ms).await;
         info!(target: "node", serving = self.serving.get(), "ends");
     }
 }
--- a/lib/src/transport/vm_list.rs
+++ b/lib/src/transport/vm_list.rs
@@ -126,6 +126,7 @@
                 (reader.failures, reader.refusals) = (0, 0);
                 self.apply_reading(rows, reader.alone, began_ms);
                 self.log_replaced();
+                self.share_notes_of_new_versions();
                 self.contact_changed.notify_waiters();
                 self.answer_waiting();
                 self.set_list_due(self.leader_pause_ms(began_ms) + self.draw() % 50);
--- a/lib/src/transport/vm_list_news.rs
+++ b/lib/src/transport/vm_list_news.rs
@@ -279,6 +279,7 @@
         }
         self.view.borrow_mut().list_attempts = 0;
         self.upstreams.borrow_mut().last_replaced.clear();
+        self.share_notes_of_new_versions();
         self.contact_changed.notify_waiters();
         self.answer_waiting();
     }
--- a/lib/src/transport/vm_metrics.rs
+++ b/lib/src/transport/vm_metrics.rs
@@ -25,11 +25,18 @@
 pub type MetricEntry = (&'static str, &'static str, &'static str);
 
 /// All metrics, in the order in which they are written.
-pub const METRICS: [MetricEntry; 49] = [
+pub const METRICS: [MetricEntry; 52] = [
     ("wingshed_requests_total", "counter", "Requests by end."),
     ("wingshed_first_byte_ms", "histogram", "Milliseconds to an answer's first byte."),
     ("wingshed_repeats_total", "counter", "Sends beyond the first of each request."),
     ("wingshed_resumed_total", "counter", "Streams taken up at another upstream."),
+    ("wingshed_resumed_by_callers_total", "counter", "Requests that resume a stream and are sent."),
+    (
+        "wingshed_resume_refused_total",
+        "counter",
+        "Requests that resume a stream of unknown origin, or whose version has no upstream.",
+    ),
+    ("wingshed_stream_notes", "gauge", "Notes of where streams began, other VMs' included."),
     ("wingshed_cut_total", "counter", "Streams that ended before their end."),
     ("wingshed_body_ends_total", "counter", "Relayed bodies by framing and where they stopped."),
     ("wingshed_late_total", "counter", "Answers whose first byte came after their goal."),
@@ -141,6 +148,9 @@
         match name {
             "wingshed_repeats_total" => figures.repeats,
             "wingshed_resumed_total" => figures.resumed,
+            "wingshed_resumed_by_callers_total" => figures.resumed_by_callers,
+            "wingshed_resume_refused_total" => figures.resume_refused,
+            "wingshed_stream_notes" => self.origins.borrow().table.len() as u64,
             "wingshed_cut_total" => figures.cut,
             "wingshed_late_total" => figures.late,
             "wingshed_left_total" => figures.abandoned,
--- a/lib/src/transport/vm_node.rs
+++ b/lib/src/transport/vm_node.rs
@@ -23,6 +23,7 @@
 use super::vm_links::LinkTable;
 use super::vm_list_desk::ListState;
 use super::vm_order_desk::PendingOrders;
+use super::vm_origin_state::OriginState;
 use super::vm_pool::ConnectionPool;
 use super::vm_sockets::listen;
 use super::wire_count::WireCount;
@@ -39,6 +40,7 @@
 use crate::coordination::repeat_budget::{RepeatAllowance, RepeatBudget};
 use crate::coordination::rollout_desk::RolloutState;
 use crate::coordination::silence_desk::SilenceState;
+use crate::coordination::stream_origins::resume_horizon_ms;
 use crate::coordination::upstream_choice::PrefixMemory;
 use crate::coordination::upstream_load::{LoadReports, SharedLoads, UpstreamLoad};
 use crate::coordination::upstream_reach::UpstreamReach;
@@ -66,6 +68,8 @@
     pub table: RouteTable,
     /// The document as it was committed, byte for byte.
     pub document: Vec<u8>,
+    /// How long after its begin a stream may still be resumed, in milliseconds.
+    pub stream_horizon_ms: u64,
 }
 
 /// Notes on which engines hold which prompt parts: those to report, those received, and, at the leader,
@@ -190,6 +194,8 @@
     pub part_completions: RefCell<PartCompletions>,
     /// Requests that crash the upstreams that run them.
     pub quarantine: RefCell<QuarantineState>,
+    /// Where streams began.
+    pub origins: RefCell<OriginState>,
     /// Upstreams that don't answer.
     pub silence: RefCell<SilenceState>,
     /// Notified when the set of unresponsive or suspected upstreams changes.
@@ -279,6 +285,7 @@
             rollouts: RefCell::new(RolloutState::new(seed)),
             part_completions: RefCell::default(),
             quarantine: RefCell::default(),
+            origins: RefCell::default(),
             silence: RefCell::default(),
             silence_changed: Notify::new(),
             budgets: RefCell::default(),
@@ -380,7 +387,11 @@
         match self.adapter.read_document(document) {
             Ok(table) => {
                 info!(target: "routes", version, routes = table.routes.len(), "in force");
-                let in_force = RoutesInForce { table, document: document.to_vec() };
+                let in_force = RoutesInForce {
+                    stream_horizon_ms: resume_horizon_ms(table.longest_resumable_ms()),
+                    table,
+                    document: document.to_vec(),
+                };
                 *self.routes.borrow_mut() = Some(Rc::new(in_force));
                 self.contact.borrow_mut().note_applied(version);
                 self.view.borrow_mut().document_attempts = 0;
@@ -607,6 +618,7 @@
         }
         spawn_local(self.clone().run_renewals());
         spawn_local(self.clone().run_list_reader());
+        spawn_local(self.clone().send_queued_notes());
         info!(
             target: "node",
             name = settings.name, zone = settings.zone, first = settings.first_start,
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -249,7 +249,7 @@
                 None => data,
             };
             if splice.is_some() && !data.is_empty() {
-                self.note_origin(target);
+                self.note_origin_at(target);
             }
             if !data.is_empty() && !pieces.send(data).await {
                 return RelayEnd::CallerLeft;
@@ -266,7 +266,7 @@
         if let Some(splice) = splice {
             let rest = splice.finish();
             if !rest.is_empty() {
-                self.note_origin(target);
+                self.note_origin_at(target);
             }
             if !rest.is_empty() && !pieces.send(Bytes::from(rest)).await {
                 return RelayEnd::CallerLeft;
@@ -284,13 +284,11 @@
     }
 
     /// Notes where the stream began, before its first bytes are passed on.
-    fn note_origin(&self, target: &SendTarget) {
-        if self.origin.get().is_some() {
-            return;
-        }
+    fn note_origin_at(&self, target: &SendTarget) {
         let service = &target.routes.table.services[target.service];
-        let service = ServiceKey::of(&service.name);
-        self.origin.set(Some(StreamOrigin { service, version: target.version }));
+        let origin =
+            StreamOrigin { service: ServiceKey::of(&service.name), version: target.version };
+        self.note_origin(&target.routes.table.routes[target.route], origin);
     }
 
     /// Counts where a body ended that is complete by its framing, and logs an end outside an event boundary.
--- a/lib/src/transport/vm_task.rs
+++ b/lib/src/transport/vm_task.rs
@@ -33,6 +33,8 @@
     pub(super) connection: ConnectionRecord,
     /// Where its stream began, once it has. Only upstreams of that version may continue it.
     pub(super) origin: Cell<Option<StreamOrigin>>,
+    /// Whether the origin of its stream was noted for later attempts.
+    pub(super) origin_noted: Cell<bool>,
     /// The hash of the request's content, computed on first use; see [`CallerTask::fingerprint`].
     pub(super) fingerprint: OnceCell<RequestFingerprint>,
     /// What another VM told of the request when it passed it on, if one did.
