soak: versions that serve side by side, and callers that resume at other VMs

No disturbance had two versions of a service without an order, and no caller resumed a stream. The judge reads from each event which run sent it, so it finds a stream with events of two versions, and it compares how often resumed streams go on with how often new ones begin.

--- a/soak/src/answer_make.rs
+++ b/soak/src/answer_make.rs
@@ -222,6 +222,14 @@
     }
 }
 
+/// The numbers of the runs that sent the complete events of a stream, in order. The body may break off.
+pub fn runs_of_events(body: &[u8]) -> Vec<u64> {
+    let text = String::from_utf8_lossy(body).replace("\r\n", "\n").replace('\r', "\n");
+    let Some((events, _)) = text.rsplit_once("\n\n") else { return Vec::new() };
+    let run = |event: &str| event.rsplit_once(' ').and_then(|(_, run)| run.parse().ok());
+    events.split("\n\n").filter_map(run).collect()
+}
+
 /// Positions at which a chunked stream can stop. The last one needs chunks, so other framings leave it out.
 const STREAM_STOPS: [StopPlace; 6] = [
     StopPlace::Empty,
--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -5,6 +5,7 @@
 
 use wingshed_standin::partition::PartitionForm;
 
+use crate::link::LinkMode;
 use crate::schedule::{Disturbance, PlannedStep, VersionFault};
 
 /// A named schedule.
@@ -32,6 +33,7 @@
 pub fn cases() -> Vec<SoakCase> {
     let mut cases = order_cases();
     cases.extend(process_cases());
+    cases.extend(version_cases());
     cases
 }
 
@@ -60,7 +62,7 @@
             steps: (0..3)
                 .flat_map(|vm| {
                     let at_ms = 1_000 + vm as u64 * 9_000;
-                    let silent = crate::link::LinkMode::Silent;
+                    let silent = LinkMode::Silent;
                     [
                         step(at_ms, Disturbance::PeerLinks(vm, silent, silent, 7_500)),
                         step(at_ms + 50, Disturbance::RevokeKey),
@@ -235,3 +237,57 @@
         },
     ]
 }
+
+/// Cases of versions that serve side by side without an order, while streams are cut off.
+fn version_cases() -> Vec<SoakCase> {
+    let front = |at_ms, vm| step(at_ms, Disturbance::FrontLink(vm, LinkMode::Reset, 50));
+    vec![
+        SoakCase {
+            name: "versions-over-cut-streams",
+            cause:
+                "a stream goes on at another version, or isn't resumed though its version serves",
+            steps: in_time(
+                [step(300, Disturbance::MixVersions(0, 24_000, true))]
+                    .into_iter()
+                    .chain((0..40).map(|at| front(2_500 + 600 * at, at as usize % 3))),
+            ),
+        },
+        SoakCase {
+            name: "versions-over-kills",
+            cause: "where a stream began is lost with the VM that began it",
+            steps: in_time(
+                [step(300, Disturbance::MixVersions(0, 26_000, false))].into_iter().chain(
+                    (0..6).flat_map(|at| {
+                        let at_ms = 3_000 + 4_200 * at;
+                        let vm = at as usize % 3;
+                        let cut = LinkMode::Silent;
+                        let disturbance = match at {
+                            0..=1 => Disturbance::KillVm(vm, 500),
+                            2 => Disturbance::PeerLinks(vm, cut, cut, 2_500),
+                            3 => Disturbance::FreezeVm(vm, 1_500),
+                            4 => Disturbance::StopVm(vm),
+                            _ => Disturbance::KillAll,
+                        };
+                        [step(at_ms, disturbance), front(at_ms + 100, vm)]
+                    }),
+                ),
+            ),
+        },
+        SoakCase {
+            name: "versions-over-crashes",
+            cause: "a stream that its upstream broke off is continued at another version",
+            steps: in_time(
+                [
+                    step(300, Disturbance::MixVersions(0, 22_000, true)),
+                    step(2_000, Disturbance::EndEarly(0, 2, 20_000)),
+                    step(3_000, Disturbance::EndEarly(6, 2, 18_000)),
+                ]
+                .into_iter()
+                .chain((0..10).map(|at| {
+                    let upstream = [2, 8][at as usize % 2];
+                    step(3_000 + 2_000 * at, Disturbance::RestartUpstream(upstream, false, 700))
+                })),
+            ),
+        },
+    ]
+}
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::judge_answers::answer_fault;
+use crate::judge_streams::{mixed_streams, resumption_fault, stream_counts, StreamCount};
 use crate::ledger::{
     ArrivalRow, DocumentRow, FatalCause, LedgerRows, OrderContent, OrderRow, RequestEnd,
     RequestKind, RequestRow, RollOutRow, RunRow, SpanRow, Touched,
@@ -108,19 +109,20 @@
     broken: Vec<BrokenPromise>,
 }
 
+/// Returns the numbers of new streams and of resumed ones that are compared.
+pub fn compared_streams(rows: &LedgerRows) -> (StreamCount, StreamCount) {
+    let judge = RunJudge::new(rows);
+    stream_counts(rows, |request| judge.may_be_compared(request))
+}
+
 /// Returns all broken promises.
 pub fn judge(rows: &LedgerRows) -> Vec<BrokenPromise> {
-    let mut runs: HashMap<&str, Vec<&RunRow>> = HashMap::new();
-    for run in &rows.runs {
-        runs.entry(&run.attempt).or_default().push(run);
-    }
-    let requests =
-        rows.requests.iter().map(|request| (request.attempt.as_str(), request)).collect();
-    let mut judge = RunJudge { rows, requests, runs, broken: Vec::new() };
+    let mut judge = RunJudge::new(rows);
     for fault in &rows.run_faults {
         judge.add("recovery", fault.clone());
     }
     judge.check_answers();
+    judge.check_streams();
     judge.check_partitions();
     judge.check_planned_stops();
     judge.check_leaving();
@@ -137,6 +139,16 @@
 }
 
 impl<'a> RunJudge<'a> {
+    fn new(rows: &'a LedgerRows) -> RunJudge<'a> {
+        let mut runs: HashMap<&str, Vec<&RunRow>> = HashMap::new();
+        for run in &rows.runs {
+            runs.entry(&run.attempt).or_default().push(run);
+        }
+        let requests =
+            rows.requests.iter().map(|request| (request.attempt.as_str(), request)).collect();
+        RunJudge { rows, requests, runs, broken: Vec::new() }
+    }
+
     fn add(&mut self, promise: &'static str, details: String) {
         self.broken.push(BrokenPromise { promise, details });
     }
@@ -169,6 +181,18 @@
         }
     }
 
+    /// Checks that a stream holds events of one version only, over all attempts of its caller, and that resumed
+    /// streams go on where their version serves.
+    fn check_streams(&mut self) {
+        for mixed in mixed_streams(self.rows) {
+            self.add("streams of one version", mixed);
+        }
+        let (new, resumed) = compared_streams(self.rows);
+        if let Some(fault) = resumption_fault(new, resumed) {
+            self.add("streams go on", fault);
+        }
+    }
+
     /// Checks that VMs which are partitioned from all upstreams, while others aren't, serve their callers nearly
     /// as often as those. Each moment at which a partition begins or ends starts another comparison.
     fn check_partitions(&mut self) {
--- a/soak/src/judge_answers.rs
+++ b/soak/src/judge_answers.rs
@@ -32,9 +32,10 @@
     if !streams {
         return Some(format!("complete, but of {:?}", plans(runs, &ends)));
     }
-    let mut joined = JoinedRuns { rest: &received.body, next: 1, ended: false };
+    let first = request.resumes.as_ref().map_or(1, |stream| stream.after + 1);
+    let mut joined = JoinedRuns { rest: &received.body, next: first, ended: false };
     for (run, end) in answers {
-        if joined.next == 1 || request.kind == RequestKind::Resume {
+        if joined.next == first || request.kind == RequestKind::Resume {
             joined.consume(&request.attempt, &run.make, *end);
         }
     }
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -99,6 +99,39 @@
     pub answer: Option<ReceivedAnswer>,
     /// Whether the caller used HTTP/1.0 and read until the connection ended.
     pub old: bool,
+    /// What the request resumes; none if it begins anew.
+    pub resumes: Option<ResumedStream>,
+    /// For each complete event that the caller received, also of an answer that was cut off, the number of the
+    /// run that sent it.
+    pub event_runs: Vec<u64>,
+}
+
+/// The stream that a request resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The id of the attempt that brought the first event.
+    pub first: String,
+    /// The last event that the caller had received.
+    pub after: u64,
+}
+
+/// The time in which one incarnation of an upstream ran.
+#[derive(Clone, Debug)]
+pub struct LifeRow {
+    /// The index of the upstream.
+    pub upstream: usize,
+    /// The number of the incarnation.
+    pub number: u64,
+    /// The service of the upstream.
+    pub service: String,
+    /// The zone of the upstream.
+    pub zone: String,
+    /// The version of its software.
+    pub version: String,
+    /// When it started.
+    pub from_ms: u64,
+    /// When it began to leave, or ended; none while it takes requests.
+    pub until_ms: Option<u64>,
 }
 
 /// One run of a request at an upstream.
@@ -317,6 +350,8 @@
     pub requests: Vec<RequestRow>,
     /// Runs at upstreams.
     pub runs: Vec<RunRow>,
+    /// Incarnations of upstreams.
+    pub lives: Vec<LifeRow>,
     /// Ends of answers that upstreams sent.
     pub sent: Vec<SentRow>,
     /// Requests that reached upstreams.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod judge;
 pub mod judge_answers;
+pub mod judge_streams;
 pub mod ledger;
 pub mod link;
 pub mod list;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -8,6 +8,7 @@
 use argh::FromArgs;
 use tokio::signal::unix::{signal, SignalKind};
 use wingshed_soak::cases::cases;
+use wingshed_soak::judge::compared_streams;
 use wingshed_soak::ledger::{LedgerRows, RequestEnd};
 use wingshed_soak::run::{play_steps, run_network, RunPlan, RunVerdict};
 use wingshed_soak::schedule::{schedule, PlannedStep, RunSize, DEFAULT_SIZE, LARGE_SIZE};
@@ -123,6 +124,21 @@
     texts.join(", ")
 }
 
+/// Counts the streams that callers resumed, and those that are compared with new ones.
+fn stream_summary(rows: &LedgerRows) -> String {
+    let resumed = || rows.requests.iter().filter(|request| request.resumes.is_some());
+    let went_on = resumed().filter(|request| !request.event_runs.is_empty()).count();
+    let (new, compared) = compared_streams(rows);
+    format!(
+        "resumed {} ({went_on} with events); compared: resumed {} of {}, new {} of {}",
+        resumed().count(),
+        compared.went_on,
+        compared.tried,
+        new.went_on,
+        new.tried,
+    )
+}
+
 /// Prints the result of a run. Returns true if no promise was broken.
 fn print_verdict(name: &str, plan: &RunPlan, verdict: &RunVerdict) -> bool {
     let rows = &verdict.rows;
@@ -137,6 +153,7 @@
         verdict.broken.len()
     );
     println!("  ends: {}", request_ends(rows));
+    println!("  {}", stream_summary(rows));
     for row in &rows.rollouts {
         let end = row.reports.iter().rev().find(|report| report.target == row.target);
         let end = end.map_or("not reported", |report| report.state.as_str());
--- a/soak/src/platform/mod.rs
+++ b/soak/src/platform/mod.rs
@@ -14,6 +14,10 @@
 pub const NOT_RUN: &str = "x-not-executed";
 /// The header of each answer to a request that ran.
 pub const STAMP: &str = "x-response-stamp";
+/// The header with the id of the last event that a caller has received.
+pub const LAST_EVENT: &str = "last-event-id";
+/// The header in which a caller that resumes a stream names the attempt that brought its first event.
+pub const RESUMES: &str = "resumes";
 /// The header in which a caller names the parts of its prompt.
 pub const PROMPT: &str = "x-prompt-prefix";
 /// The header in which an upstream announces how many requests it may reject per second.
--- a/soak/src/rollouts.rs
+++ b/soak/src/rollouts.rs
@@ -1,9 +1,11 @@
 //! Roll-outs: starts upstreams of a new version next to the old ones, orders the roll-out, and follows it to
 //! its end.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde_json::{json, Value};
+use tokio::task::spawn_local;
 
 use crate::http::call_once;
 use crate::ledger::{RollOutReport, RollOutRow};
@@ -18,6 +20,8 @@
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
 /// How long upstreams of a version that was rolled back stay listed as leaving before they end.
 const DRAIN_WAIT: Duration = Duration::from_millis(5_000);
+/// Pause between the starts, and between the departures, of the upstreams of one version.
+const VERSION_GAP: Duration = Duration::from_millis(400);
 /// Milliseconds after the deadline of a roll-out for which its end is awaited. An end that no VM reports
 /// within them is left to the judge.
 const END_WAIT_MS: u64 = 20_000;
@@ -145,3 +149,38 @@
         site.ledger.rows.borrow_mut().run_faults.push(fault);
     }
 }
+
+/// Starts upstreams of another version beside those of a service, without an order. After `ms` milliseconds those of
+/// one version leave and end, one after the other: the earlier ones if `replace` is set. Does nothing while a
+/// roll-out of the service is under way.
+pub async fn mix_versions(site: &Rc<SoakSite>, service: usize, ms: u64, replace: bool) {
+    let Some((old_upstreams, new_upstreams)) = site.begin_rollout(service) else { return };
+    let version = site.next_version();
+    for at in &new_upstreams {
+        if let Err(error) = site.start_version(*at, &version, VersionFault::None).await {
+            site.ledger.rows.borrow_mut().run_faults.push(format!("the soak: {error}"));
+        }
+        tokio::time::sleep(VERSION_GAP).await;
+    }
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+    let retired = if replace { old_upstreams } else { new_upstreams };
+    let mut ends = Vec::new();
+    for at in retired {
+        let site = site.clone();
+        ends.push(spawn_local(async move { retire(&site, at).await }));
+        tokio::time::sleep(VERSION_GAP).await;
+    }
+    for end in ends {
+        let _ = end.await;
+    }
+    site.end_rollout(service, replace);
+}
+
+/// Lists an upstream as leaving, and ends it once it has had time to finish.
+async fn retire(site: &SoakSite, at: usize) {
+    let row = site.record_leaving(at);
+    tokio::time::sleep(DRAIN_WAIT).await;
+    site.end_upstream(at);
+    let now_ms = site.ledger.now_ms();
+    site.ledger.rows.borrow_mut().leaving[row].until_ms = Some(now_ms);
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -114,7 +114,8 @@
         for at in 0..plan.size.callers {
             let seed = plan.seed ^ ((vm.spec.index as u64 + 1) << 32) ^ ((at as u64 + 1) << 48);
             let caller = SoakCaller::new(shared.clone(), vm.spec.clone(), seed);
-            let caller = caller.http10(at % HTTP10_INTERVAL == 0);
+            let others = site.vms.iter().map(|vm| vm.spec.clone()).collect();
+            let caller = caller.http10(at % HTTP10_INTERVAL == 0).resuming_at(others);
             callers.push(spawn_local(caller.run()));
         }
     }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -88,6 +88,9 @@
     PutInvalid,
     /// Orders that a service's traffic is moved to a new version within this many seconds.
     RollOut(usize, u64, VersionFault),
+    /// Starts upstreams of another version beside those of a service, without an order, and retires those of one
+    /// version after this time, one after the other: the earlier ones if the flag is set.
+    MixVersions(usize, u64, bool),
     /// Evacuates a zone for this time.
     EmptyZone(usize, u64),
     /// Sends the request of this number, which crashes each upstream that runs it, to all VMs again and again
@@ -161,6 +164,10 @@
 /// thus independent of the others.
 const PART_SEED_MASK: u64 = 0x9a27;
 
+/// Combined with the seed for the draw of versions that serve side by side, which is thus independent of the
+/// others.
+const VERSION_SEED_MASK: u64 = 0x5e75;
+
 /// Draws the schedule of a seed, in order of time.
 pub fn schedule(seed: u64, size: RunSize) -> Vec<PlannedStep> {
     let mut random = StdRng::seed_from_u64(seed);
@@ -186,9 +193,24 @@
         add_brittle(&mut steps, seed, size);
     }
     add_notices(&mut steps, seed, size);
+    add_versions(&mut steps, seed, size);
     steps
 }
 
+/// Adds versions that serve side by side without an order, to five seeds in nine.
+fn add_versions(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(seed ^ VERSION_SEED_MASK);
+    for service in 0..2 {
+        if random.gen_ratio(1, 3) {
+            let at_ms = random.gen_range(500..size.disturbed_ms / 2);
+            let ms = random.gen_range(4_000..14_000);
+            let disturbance = Disturbance::MixVersions(service, ms, random.gen());
+            steps.push(PlannedStep { at_ms, disturbance });
+        }
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Adds upstreams that announce in their answers that they leave or request back-off. They are drawn by a
 /// generator of their own, so the other steps of a seed do not depend on them.
 fn add_notices(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
--- a/soak/src/steps.rs
+++ b/soak/src/steps.rs
@@ -13,7 +13,7 @@
 use crate::ledger::{BrittleRow, FatalCause, OrderContent, Touched};
 use crate::link::LinkMode;
 use crate::operator::{invalid_document, DOCUMENT_REPEAT_MS, ZONE_REPEAT_MS};
-use crate::rollouts::roll_out;
+use crate::rollouts::{mix_versions, roll_out};
 use crate::schedule::Disturbance;
 use crate::site::SoakSite;
 use crate::upstream::UpstreamIncarnation;
@@ -84,6 +84,9 @@
         Disturbance::RollOut(service, duration_s, fault) => {
             roll_out(&site, service, duration_s, fault).await;
         }
+        Disturbance::MixVersions(service, ms, replace) => {
+            mix_versions(&site, service, ms, replace).await;
+        }
         Disturbance::EmptyZone(zone, ms) => empty_zone(&site, zone, ms).await,
         Disturbance::FatalRequest(number, ms) => {
             send_fatal(site, callers, (number, FatalCause::Request), ms).await;
--- a/soak/src/upstream.rs
+++ b/soak/src/upstream.rs
@@ -14,7 +14,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 
 use crate::answer_make::{draw_of, AnswerKind, AnswerPlan, Framing, FOREIGN_ATTEMPT};
-use crate::ledger::{ArrivalRow, RunLedger, RunRow, SentEnd, SentRow};
+use crate::ledger::{ArrivalRow, LifeRow, RunLedger, RunRow, SentEnd, SentRow};
 use crate::link::{LinkProxy, SharedPartition};
 use crate::platform::{
     ATTEMPT, BRITTLE, EXPECTED_INSTANCE, LEAVING, NOT_RUN, PROMPT, RETRY_AFTER, STAMP,
@@ -119,10 +119,20 @@
     ) -> std::io::Result<UpstreamIncarnation> {
         let listener = TcpListener::bind(spec.inner).await?;
         let link = LinkProxy::start_partitioned(spec.listed, spec.inner, partition).await?;
+        let number = next_number();
+        ledger.rows.borrow_mut().lives.push(LifeRow {
+            upstream: spec.index,
+            number,
+            service: spec.service.clone(),
+            zone: spec.zone.clone(),
+            version: version.to_string(),
+            from_ms: ledger.now_ms(),
+            until_ms: None,
+        });
         let state = Rc::new(IncarnationState {
             spec,
             id: id.to_string(),
-            number: next_number(),
+            number,
             backoff_ms: Cell::new(0),
             running: Cell::new(0),
             leaving: Cell::new(false),
@@ -151,6 +161,17 @@
     /// closed after an answer.
     pub fn leave(&self) {
         self.state.leaving.set(true);
+        self.end_life();
+    }
+
+    /// Records that the upstream takes requests no longer.
+    fn end_life(&self) {
+        let now_ms = self.state.ledger.now_ms();
+        let mut rows = self.state.ledger.rows.borrow_mut();
+        let life = rows.lives.iter_mut().find(|life| life.number == self.state.number);
+        if let Some(life) = life {
+            life.until_ms.get_or_insert(now_ms);
+        }
     }
 
     /// The number of the incarnation, which no other one has.
@@ -192,6 +213,7 @@
 
 impl Drop for UpstreamIncarnation {
     fn drop(&mut self) {
+        self.end_life();
         self.accepting.abort();
         self.state.crash.notify_waiters();
     }
--- a/soak/tests/test_answers.rs
+++ b/soak/tests/test_answers.rs
@@ -41,6 +41,8 @@
         end: RequestEnd::Whole,
         answer: Some(ReceivedAnswer { status: 200, stamped: true, body: body.to_vec() }),
         old: false,
+        resumes: None,
+        event_runs: Vec::new(),
     }
 }
 
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -3,9 +3,9 @@
 use wingshed_soak::answer_make::{AnswerKind, AnswerPlan, Framing, LineEnd};
 use wingshed_soak::judge::judge;
 use wingshed_soak::ledger::{
-    ArrivalRow, DocumentRow, FatalRow, LeavingRow, LedgerRows, OrderContent, OrderRow, ReadRow,
-    ReceivedAnswer, RequestEnd, RequestKind, RequestRow, RunRow, SentEnd, SentRow, SpanRow,
-    Touched,
+    ArrivalRow, DocumentRow, FatalRow, LeavingRow, LedgerRows, LifeRow, OrderContent, OrderRow,
+    ReadRow, ReceivedAnswer, RequestEnd, RequestKind, RequestRow, ResumedStream, RunRow, SentEnd,
+    SentRow, SpanRow, Touched,
 };
 
 fn request_row(kind: RequestKind, sent_ms: u64, end: RequestEnd) -> RequestRow {
@@ -13,7 +13,20 @@
     let route = "moved".to_string();
     let answer = (end == RequestEnd::Whole).then(|| received(plan(AnswerKind::Plain)));
     let ended_ms = sent_ms + 50;
-    RequestRow { attempt, vm: 0, kind, route, key, sent_ms, ended_ms, end, answer, old: false }
+    RequestRow {
+        attempt,
+        vm: 0,
+        kind,
+        route,
+        key,
+        sent_ms,
+        ended_ms,
+        end,
+        answer,
+        old: false,
+        resumes: None,
+        event_runs: Vec::new(),
+    }
 }
 
 fn plan(kind: AnswerKind) -> AnswerPlan {
@@ -303,3 +316,66 @@
     rows.spans.push(SpanRow { touched, from_ms: 50_000, until_ms: Some(58_000) });
     assert_eq!(broken_promises(&rows), Vec::<&str>::new());
 }
+
+/// The rows of a stream of `attempt` at 10 s, whose events came from a run of each of these versions, the later
+/// ones over a request of the caller's own each.
+fn resumed_stream(rows: &mut LedgerRows, attempt: &str, versions: &[&str]) {
+    for (at, version) in versions.iter().enumerate() {
+        let number = 1 + rows.runs.len() as u64;
+        let id = if at == 0 { attempt.to_string() } else { format!("{attempt}-{at}") };
+        let resumed = ResumedStream { first: attempt.to_string(), after: at as u64 };
+        let sent_ms = 10_000 + 500 * at as u64;
+        rows.requests.push(RequestRow {
+            attempt: id.clone(),
+            resumes: (at > 0).then_some(resumed),
+            event_runs: if version.is_empty() { Vec::new() } else { vec![number] },
+            ..request_row(RequestKind::Resume, sent_ms, RequestEnd::Cut)
+        });
+        let make = AnswerPlan { run: number, ..run(sent_ms).make };
+        rows.runs.push(RunRow { attempt: id, version: version.to_string(), make, ..run(sent_ms) });
+    }
+}
+
+#[test]
+fn a_stream_with_events_of_two_versions_is_found() {
+    let orders = vec![document(3, "s1", "k1", 10)];
+    let mut rows = LedgerRows { orders, ..LedgerRows::default() };
+    resumed_stream(&mut rows, "sound", &["v1", "v1", "v1"]);
+    resumed_stream(&mut rows, "cut", &["v2", ""]);
+    assert_eq!(broken_promises(&rows), Vec::<&str>::new());
+
+    resumed_stream(&mut rows, "mixed", &["v1", "v1", "v2"]);
+
+    assert_eq!(broken_promises(&rows), ["streams of one version"]);
+}
+
+/// Streams of `v1`, of which `refused` are refused when their callers resume them and `resumed` go on, while two
+/// upstreams of that version serve until `until_ms`.
+fn streams_that_go_on(refused: usize, resumed: usize, until_ms: Option<u64>) -> LedgerRows {
+    let orders = vec![document(3, "s1", "k1", 10)];
+    let mut rows = LedgerRows { orders, ..LedgerRows::default() };
+    for at in 0..refused + resumed {
+        let second = if at < refused { "" } else { "v1" };
+        resumed_stream(&mut rows, &format!("r{at}"), &["v1", second]);
+    }
+    for upstream in 0..2 {
+        rows.lives.push(LifeRow {
+            upstream,
+            number: upstream as u64,
+            service: run(0).service,
+            zone: run(0).zone,
+            version: "v1".to_string(),
+            from_ms: 0,
+            until_ms,
+        });
+    }
+    rows
+}
+
+#[test]
+fn streams_that_are_refused_though_their_version_serves_are_found() {
+    assert_eq!(broken_promises(&streams_that_go_on(9, 5, None)), ["streams go on"]);
+    assert_eq!(broken_promises(&streams_that_go_on(6, 8, None)), Vec::<&str>::new());
+    assert_eq!(broken_promises(&streams_that_go_on(9, 2, None)), Vec::<&str>::new());
+    assert_eq!(broken_promises(&streams_that_go_on(9, 5, Some(9_000))), Vec::<&str>::new());
+}
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -2,6 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
+use wingshed_soak::judge::compared_streams;
+use wingshed_soak::link::LinkMode;
 use wingshed_soak::run::{play_steps, run_network, RunPlan, RunVerdict};
 use wingshed_soak::schedule::{schedule, Disturbance, PlannedStep, DEFAULT_SIZE, SHORT_SIZE};
 
@@ -109,3 +111,20 @@
     assert!(verdict.rows.runs.iter().any(|run| run.leaving), "no answer announced leaving");
     assert_eq!(broken_by(&verdict), Vec::<String>::new());
 }
+
+#[test]
+fn streams_of_two_versions_are_resumed_at_their_own_also_after_a_vm_was_killed() {
+    let step = |at_ms, disturbance| PlannedStep { at_ms, disturbance };
+    let cut = |at: u64| {
+        let disturbance = Disturbance::FrontLink(at as usize % 3, LinkMode::Reset, 40);
+        step(2_500 + 250 * at, disturbance)
+    };
+    let mut steps = vec![step(300, Disturbance::MixVersions(0, 9_000, true))];
+    steps.extend((0..24).map(cut));
+    steps.insert(12, step(5_100, Disturbance::KillVm(1, 500)));
+    let verdict = played(94, steps);
+
+    let (_, resumed) = compared_streams(&verdict.rows);
+    assert!(resumed.tried >= 12, "resumed: {resumed:?}");
+    assert_eq!(broken_by(&verdict), Vec::<String>::new());
+}
