vm_origins: young VMs have copies of their notes kept, and all streams are checked

A VM that has just started doesn't know of a version that has left the list, while others do, and would refuse its streams as of unknown origin. It has copies kept until it has seen the lists of the whole time that counts. A caller that resumes a stream of a route that resumes none is held to the version, too. A VM that stops has 200 ms after its last request to pass notes on.

--- a/lib/src/transport/vm_forward.rs
+++ b/lib/src/transport/vm_forward.rs
@@ -179,7 +179,7 @@
             };
             let rule = &routes.table.routes[route];
             let deadline_ms = self.deadline_ms(rule);
-            let resumes = rule.kind.may_be_resumed() && self.caller.resumes_stream();
+            let resumes = rule.kind.is_stream() && self.caller.resumes_stream();
             if resumes && !std::mem::replace(&mut origin_sought, true) {
                 match self.find_origin(rule).await {
                     ResumeDecision::Anywhere => {}
--- a/lib/src/transport/vm_front.rs
+++ b/lib/src/transport/vm_front.rs
@@ -149,7 +149,7 @@
         while is_busy() && self.now_ms() < end_ms {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        self.hand_notes_over(end_ms).await;
+        self.hand_notes_over(end_ms + NOTES_MARGIN_MS).await;
         info!(target: "node", serving = self.serving.get(), "ends");
     }
 }
@@ -158,6 +158,8 @@
 /// milliseconds. A request accepted more than 3 s after the stop signal must be completed, however long it
 /// takes, so this stays below 3 s.
 const LINGER_MS: u64 = 2800;
+/// How much longer than for its last request a stopping VM may take to pass its notes on, in milliseconds.
+const NOTES_MARGIN_MS: u64 = 200;
 /// How long before the end of the grace period, when it would be killed, a stopping VM ends by itself, in
 /// milliseconds.
 const GRACE_MARGIN_MS: u64 = 400;
--- a/lib/src/transport/vm_origins.rs
+++ b/lib/src/transport/vm_origins.rs
@@ -51,10 +51,19 @@
         self.upstreams.borrow().versions.had_several(service, horizon_ms, now_ms)
     }
 
-    /// Notes where a stream began, and has other VMs keep a copy if several origins are possible.
+    /// Whether this VM has seen the lists of all the time in which streams began that may still be resumed.
+    fn knows_all_versions(&self) -> bool {
+        let (horizon_ms, now_ms) = (self.stream_horizon_ms(), self.now_ms());
+        self.upstreams.borrow().versions.covers(horizon_ms, now_ms)
+    }
+
+    /// Notes where a stream began, and has other VMs keep a copy if several origins are possible. While this VM
+    /// is too young to know all versions, others may know of one that has left.
     fn note_stream(&self, stream: StreamKey, origin: StreamOrigin, rule: &RouteRule) {
         self.keep_note(OriginNote { stream, origin });
-        if services_of(rule).len() > 1 || self.had_several_versions(origin.service) {
+        let is_split = services_of(rule).len() > 1;
+        let several = self.had_several_versions(origin.service) || !self.knows_all_versions();
+        if is_split || several {
             let copy = VmDatagram::StreamOrigins(vec![OriginNote { stream, origin }]);
             self.send_datagrams(self.note_holders(stream), &copy);
         }
@@ -170,11 +179,9 @@
         if services.iter().any(|service| self.had_several_versions(*service)) {
             return PossibleVersions::Several;
         }
-        let now_ms = self.now_ms();
-        let upstreams = self.upstreams.borrow();
-        let covers = upstreams.versions.covers(self.stream_horizon_ms(), now_ms);
-        let in_contact = self.view.borrow().last_contact_ms + NEW_VERSION_HOLD_MS > now_ms;
-        match covers && in_contact && !upstreams.is_outdated() {
+        let in_contact = self.view.borrow().last_contact_ms + NEW_VERSION_HOLD_MS > self.now_ms();
+        let is_current = in_contact && !self.upstreams.borrow().is_outdated();
+        match is_current && self.knows_all_versions() {
             true => PossibleVersions::One,
             false => PossibleVersions::OnePerhaps,
         }
