vm_origins: a question ends with its caller

A caller that left while its VM asked where its stream began left the question behind in the VM's table for good: its task is dropped, and only its end removed it. A guard does now. By reading; no test.

--- a/lib/src/transport/vm_origins.rs
+++ b/lib/src/transport/vm_origins.rs
@@ -216,6 +216,7 @@
         });
         let number = self.draw();
         self.origins.borrow_mut().queries.insert(number, query.clone());
+        let _open = OpenQuery { node: self, number };
         let question = VmDatagram::FindOrigin(OriginQuestion { number, stream, services });
         let mut decision = None;
         for wait in ANSWER_WAITS {
@@ -236,7 +237,6 @@
                 break;
             }
         }
-        self.origins.borrow_mut().queries.remove(&number);
         decision.unwrap_or(ResumeDecision::Unanswered)
     }
 
@@ -247,6 +247,18 @@
     }
 }
 
+/// Removes a question when its task ends, also if its caller leaves meanwhile.
+struct OpenQuery<'a> {
+    node: &'a VmNode,
+    number: u64,
+}
+
+impl Drop for OpenQuery<'_> {
+    fn drop(&mut self) {
+        self.node.origins.borrow_mut().queries.remove(&self.number);
+    }
+}
+
 impl CallerTask {
     /// The key of the stream that the request begins or resumes.
     fn stream_key(&self) -> StreamKey {
