vm_origins: split routes ask for their streams, and objections are waited for

A caller that resumed a stream of a split route came to one of its services by chance while each had one version, since notes were kept but not asked for. They are asked for now; without one the stream goes on as before. A VM that has just started went on as soon as over half of the keepers agreed, though one that had seen another version might have answered a moment later.

--- a/lib/src/coordination/stream_origins.rs
+++ b/lib/src/coordination/stream_origins.rs
@@ -159,21 +159,28 @@
         asked.difference(&self.answered).copied().collect()
     }
 
-    /// The decision that the answers allow so far; `None` if more answers are to be waited for.
-    pub fn decide(&self, versions: PossibleVersions) -> Option<ResumeDecision> {
+    /// The decision that the answers allow so far; `None` if more answers are to be waited for. While
+    /// `waits_for_all`, one that may still object is waited for, too.
+    pub fn decide(
+        &self,
+        versions: PossibleVersions,
+        waits_for_all: bool,
+    ) -> Option<ResumeDecision> {
         if let Some(origin) = self.found {
             return Some(ResumeDecision::At(origin));
         }
-        let has_answered = |vm: &&u32| self.answered.contains(vm);
-        let agreeing = self.keepers.iter().filter(has_answered).count();
-        match versions {
-            PossibleVersions::One => return Some(ResumeDecision::Anywhere),
-            PossibleVersions::OnePerhaps if !self.several => {
-                return (2 * agreeing > self.keepers.len()).then_some(ResumeDecision::Anywhere)
-            }
-            PossibleVersions::OnePerhaps | PossibleVersions::Several => {}
+        if versions == PossibleVersions::OnePerhaps && !self.several {
+            let has_answered = |vm: &&u32| self.answered.contains(vm);
+            let agreeing = self.keepers.iter().filter(has_answered).count();
+            let enough = 2 * agreeing > self.keepers.len();
+            let may_object = waits_for_all && !self.missing().is_empty();
+            return (enough && !may_object).then_some(ResumeDecision::Anywhere);
         }
         let all = self.holders.iter().all(|vm| self.answered.contains(vm));
-        all.then_some(ResumeDecision::Unknown)
+        let unknown = match versions {
+            PossibleVersions::One => ResumeDecision::Anywhere,
+            PossibleVersions::OnePerhaps | PossibleVersions::Several => ResumeDecision::Unknown,
+        };
+        all.then_some(unknown)
     }
 }
--- a/lib/src/state/version_history.rs
+++ b/lib/src/state/version_history.rs
@@ -10,7 +10,7 @@
 use super::rollout_order::VersionKey;
 
 /// How long a version that has left the list is remembered, in milliseconds.
-const LEFT_KEEP_MS: u64 = 3_600_000;
+const LEFT_KEEP_MS: u64 = 24 * 3_600_000;
 
 /// The time in which a service has upstreams of one version.
 #[derive(Clone, Copy, Debug)]
--- a/lib/src/transport/vm_origins.rs
+++ b/lib/src/transport/vm_origins.rs
@@ -218,26 +218,24 @@
         self.origins.borrow_mut().queries.insert(number, query.clone());
         let _open = OpenQuery { node: self, number };
         let question = VmDatagram::FindOrigin(OriginQuestion { number, stream, services });
-        let mut decision = None;
-        for wait in ANSWER_WAITS {
+        for (round, wait) in ANSWER_WAITS.into_iter().enumerate() {
             let missing = query.answers.borrow().missing();
             self.send_datagrams(missing, &question);
             let decided = async {
                 loop {
                     let answered = query.answered.notified();
-                    let decision = query.answers.borrow().decide(versions);
+                    let decision = query.answers.borrow().decide(versions, round == 0);
                     if let Some(decision) = decision {
                         return decision;
                     }
                     answered.await;
                 }
             };
-            decision = timeout(wait, decided).await.ok();
-            if decision.is_some() {
-                break;
+            if let Ok(decision) = timeout(wait, decided).await {
+                return decision;
             }
         }
-        decision.unwrap_or(ResumeDecision::Unanswered)
+        ResumeDecision::Unanswered
     }
 
     /// The versions of a service that begin no resumable stream yet.
@@ -286,13 +284,15 @@
         }
         let services = services_of(rule);
         let versions = self.node.possible_versions(&services);
-        let decision = match versions {
-            PossibleVersions::One => ResumeDecision::Anywhere,
+        let decision = match (versions, services.len()) {
+            (PossibleVersions::One, 0..=1) => ResumeDecision::Anywhere,
             _ => self.node.ask_origin(stream, services.clone(), versions).await,
         };
-        let decision = match decision {
-            ResumeDecision::Anywhere => self.node.only_origin(&services).into(),
-            decision => decision,
+        let decision = match (versions, decision) {
+            // Of the services of a split route any could have begun it, at the one version of each.
+            (PossibleVersions::One, ResumeDecision::Unanswered) => ResumeDecision::Anywhere,
+            (_, ResumeDecision::Anywhere) => self.node.only_origin(&services).into(),
+            (_, decision) => decision,
         };
         info!(
             target: "request", attempt = self.caller.attempt, resumes = self.caller.resumes,
--- a/lib/tests/test_stream_origins.rs
+++ b/lib/tests/test_stream_origins.rs
@@ -121,7 +121,7 @@
     #[test]
     fn a_stream_goes_on_anywhere_only_if_no_vm_can_object(
         replies in prop::collection::vec(prop::option::of((any::<bool>(), any::<bool>())), 6),
-        perhaps in any::<bool>(),
+        perhaps in any::<bool>(), waits_for_all in any::<bool>(),
     ) {
         let (holders, keepers) = (vec![1, 2, 3], vec![4, 5, 6]);
         let mut answers = OriginAnswers::expect(holders, keepers, 100);
@@ -137,11 +137,12 @@
         let versions =
             if perhaps { PossibleVersions::OnePerhaps } else { PossibleVersions::Several };
 
-        let decision = answers.decide(versions);
+        let decision = answers.decide(versions, waits_for_all);
 
+        let missing = waits_for_all && replies.iter().any(Option::is_none);
         let expected = match (has_note, several) {
             (true, _) => Some(ResumeDecision::At(origin(7))),
-            (false, false) => (agreeing >= 2).then_some(ResumeDecision::Anywhere),
+            (false, false) => (agreeing >= 2 && !missing).then_some(ResumeDecision::Anywhere),
             (false, true) => {
                 replies[..NOTE_COPIES].iter().all(Option::is_some).then_some(ResumeDecision::Unknown)
             }
