--- a/soak/src/judge_streams.rs
+++ b/soak/src/judge_streams.rs
@@ -47,12 +47,14 @@
 }
 
 /// How many streams were tried, and how many of them brought an event or their end.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StreamCount {
     /// Requests of callers.
     pub tried: usize,
     /// Those that brought an event, or ended as complete.
     pub went_on: usize,
+    /// The others: when each was sent and to which VM, and how it ended.
+    pub stopped: Vec<(u64, usize, RequestEnd)>,
 }
 
 impl StreamCount {
@@ -60,6 +62,9 @@
         self.tried += 1;
         let went_on = !request.event_runs.is_empty() || request.end == RequestEnd::Whole;
         self.went_on += usize::from(went_on);
+        if !went_on {
+            self.stopped.push((request.sent_ms, request.vm, request.end.clone()));
+        }
     }
 
     fn share(&self) -> f64 {
@@ -99,7 +104,7 @@
 }
 
 /// Describes that resumed streams go on too seldom; none if they don't.
-pub fn resumption_fault(new: StreamCount, resumed: StreamCount) -> Option<String> {
+pub fn resumption_fault(new: &StreamCount, resumed: &StreamCount) -> Option<String> {
     let seldom = resumed.share() < RESUMED_SHARE * new.share();
     let fault = || format!("resumed {resumed:?}, new {new:?}");
     (resumed.tried >= MIN_RESUMED && seldom).then(fault)
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -129,13 +129,19 @@
     let resumed = || rows.requests.iter().filter(|request| request.resumes.is_some());
     let went_on = resumed().filter(|request| !request.event_runs.is_empty()).count();
     let (new, compared) = compared_streams(rows);
+    let stopped: Vec<String> = compared
+        .stopped
+        .iter()
+        .map(|(at_ms, vm, end)| format!("{at_ms} VM {vm} {end:?}"))
+        .collect();
     format!(
-        "resumed {} ({went_on} with events); compared: resumed {} of {}, new {} of {}",
+        "resumed {} ({went_on} with events); compared: resumed {} of {}, new {} of {}; not resumed: [{}]",
         resumed().count(),
         compared.went_on,
         compared.tried,
         new.went_on,
         new.tried,
+        stopped.join(", "),
     )
 }
 
--- a/soak/src/rollouts.rs
+++ b/soak/src/rollouts.rs
@@ -20,6 +20,11 @@
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
 /// How long upstreams of a version that was rolled back stay listed as leaving before they end.
 const DRAIN_WAIT: Duration = Duration::from_millis(5_000);
+/// How long an upstream stays listed as leaving before it ends, where nothing but its age is at fault: the time
+/// within which VMs may still send to it, and the longest stream.
+const RETIRE_WAIT: Duration = Duration::from_millis(6_000);
+/// How many incarnations of one upstream are retired at most.
+const MAX_RETIREMENTS: usize = 4;
 /// Pause between the starts, and between the departures, of the upstreams of one version.
 const VERSION_GAP: Duration = Duration::from_millis(400);
 /// Milliseconds after the deadline of a roll-out for which its end is awaited. An end that no VM reports
@@ -176,11 +181,23 @@
     site.end_rollout(service, replace);
 }
 
-/// Lists an upstream as leaving, and ends it once it has had time to finish.
+/// Lists an upstream as leaving, and ends it once it has had time to finish. Another disturbance may start it
+/// again meanwhile; then the next incarnation leaves too.
 async fn retire(site: &SoakSite, at: usize) {
-    let row = site.record_leaving(at);
-    tokio::time::sleep(DRAIN_WAIT).await;
-    site.end_upstream(at);
-    let now_ms = site.ledger.now_ms();
-    site.ledger.rows.borrow_mut().leaving[row].until_ms = Some(now_ms);
+    for _ in 0..MAX_RETIREMENTS {
+        let row =
+            site.upstreams[at].incarnation.borrow().is_some().then(|| site.record_leaving(at));
+        tokio::time::sleep(RETIRE_WAIT).await;
+        let left = site.list.borrow().rows[at].as_ref().is_none_or(|row| row.leaving);
+        if left {
+            site.end_upstream(at);
+        }
+        if let Some(row) = row {
+            let now_ms = site.ledger.now_ms();
+            site.ledger.rows.borrow_mut().leaving[row].until_ms = Some(now_ms);
+        }
+        if left {
+            return;
+        }
+    }
 }
