soak: upstreams that ask for back-off don't count as serving a version

Of the three upstreams of their version one was reset at 3.26 s, and the logs show that the other two had refused every request since 2.4 s and asked for 2.5 s of back-off each time. The judge counted them as serving; it reads their refusals now.

--- a/lib/src/coordination/stream_origins.rs
+++ b/lib/src/coordination/stream_origins.rs
@@ -11,8 +11,7 @@
 use crate::state::rendezvous::rendezvous_order;
 use crate::state::stream_origin::StreamOrigin;
 
-/// How many other VMs keep a copy of a note. With three, four in five survive if three in five of
-/// all VMs are killed at once.
+/// How many other VMs keep a copy of a note.
 pub const NOTE_COPIES: usize = 3;
 /// The maximum number of notes that are kept for each half of their lifetime.
 const MAX_NOTES: usize = 1 << 17;
@@ -103,7 +102,7 @@
 pub enum PossibleVersions {
     /// Only one version of each service that the route leads to.
     One,
-    /// Only one version by this VM's list, which may be outdated or too young to tell.
+    /// Only one version by this VM's lists, which may be outdated or not reach back far enough.
     OnePerhaps,
     /// Several versions of a service that the route leads to.
     Several,
--- a/lib/src/transport/vm_origins.rs
+++ b/lib/src/transport/vm_origins.rs
@@ -30,7 +30,7 @@
 const MAX_DATAGRAM_NOTES: usize = 48;
 /// How many datagrams of queued notes are sent at once.
 const QUEUE_BURST: usize = 8;
-/// The pause after them. Both together use up to 0.8 MB/s, two thirds of a link of 10 Mbit/s.
+/// The pause after them, so that a link of 10 Mbit/s has room for other messages.
 const QUEUE_PAUSE: Duration = Duration::from_millis(10);
 
 /// The services that a route leads to.
@@ -51,14 +51,14 @@
         self.upstreams.borrow().versions.had_several(service, horizon_ms, now_ms)
     }
 
-    /// Whether this VM has seen the lists of all the time in which streams began that may still be resumed.
+    /// Whether this VM has had a list for as long as a stream may still be resumed after its begin.
     fn knows_all_versions(&self) -> bool {
         let (horizon_ms, now_ms) = (self.stream_horizon_ms(), self.now_ms());
         self.upstreams.borrow().versions.covers(horizon_ms, now_ms)
     }
 
-    /// Notes where a stream began, and has other VMs keep a copy if several origins are possible. While this VM
-    /// is too young to know all versions, others may know of one that has left.
+    /// Notes where a stream began, and has other VMs keep a copy if several origins are possible. Before this VM
+    /// knows all versions, other VMs may know of one that has left the list.
     fn note_stream(&self, stream: StreamKey, origin: StreamOrigin, rule: &RouteRule) {
         self.keep_note(OriginNote { stream, origin });
         let is_split = services_of(rule).len() > 1;
@@ -110,7 +110,7 @@
         state.queue_filled.notify_one();
     }
 
-    /// Sends queued notes in a loop, so slowly that they neither fill the VM's link nor are dropped.
+    /// Sends queued notes in a loop, in bursts that fit the socket's buffer.
     pub(super) async fn send_queued_notes(self: Rc<Self>) {
         let filled = self.origins.borrow().queue_filled.clone();
         loop {
--- a/soak/src/judge_streams.rs
+++ b/soak/src/judge_streams.rs
@@ -118,7 +118,7 @@
     })
 }
 
-/// How many undisturbed upstreams of this service and version serve throughout a request.
+/// How many undisturbed upstreams of this service and version serve throughout a request, and want requests.
 fn serving_count(
     rows: &LedgerRows,
     (service, version): (&str, &str),
@@ -134,11 +134,17 @@
                 && span.until_ms.is_none_or(|ended_ms| ended_ms >= from_ms)
         })
     };
+    let asks_backoff = |life: &LifeRow| {
+        let of_life = rows.arrivals.iter().filter(|row| row.life == life.number && row.rest_ms > 0);
+        let mut spans = of_life.map(|row| (row.at_ms, row.at_ms + row.rest_ms));
+        spans.any(|(began_ms, ended_ms)| began_ms <= until_ms && ended_ms >= from_ms)
+    };
     let serves = |life: &&LifeRow| {
         (life.service.as_str(), life.version.as_str()) == (service, version)
             && life.from_ms <= from_ms
             && life.until_ms.is_none_or(|ended_ms| ended_ms > until_ms)
             && !is_disturbed(life)
+            && !asks_backoff(life)
             && !was_evacuated(rows, &life.zone, until_ms)
     };
     rows.lives.iter().filter(serves).count()
--- a/soak/tests/test_judge.rs
+++ b/soak/tests/test_judge.rs
@@ -378,6 +378,11 @@
     assert_eq!(broken_promises(&streams_that_go_on(6, 8, None)), Vec::<&str>::new());
     assert_eq!(broken_promises(&streams_that_go_on(9, 2, None)), Vec::<&str>::new());
     assert_eq!(broken_promises(&streams_that_go_on(9, 5, Some(9_000))), Vec::<&str>::new());
+    let mut resting = streams_that_go_on(9, 5, None);
+    let (attempt, at_ms) = ("r0".to_string(), 9_500);
+    let refused = ArrivalRow { attempt, sender: 0, upstream: 1, life: 1, at_ms, rest_ms: 3_000 };
+    resting.arrivals.push(refused);
+    assert_eq!(broken_promises(&resting), Vec::<&str>::new());
     let mut unreachable = streams_that_go_on(9, 5, None);
     let touched = Touched::Partition(0);
     unreachable.spans.push(SpanRow { touched, from_ms: 9_000, until_ms: Some(12_000) });
