soak: streams are compared only while a VM in contact reaches upstreams

The logs of one more run of each show why: of three VMs those that were compared were partitioned from all upstreams, and the others were starting or stopping, so that no VM could serve new streams either. The check of partitions asks for a VM in contact that reaches upstreams, and this one does now.

--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -232,14 +232,16 @@
         vms.iter().filter_map(since).any(|since_ms| since_ms <= request.sent_ms)
     }
 
-    /// Whether a VM that isn't partitioned from all upstreams could have served a request throughout.
+    /// Whether a VM in contact that isn't partitioned from all upstreams could have served a request throughout.
     fn may_reach(&self, request: &RequestRow) -> bool {
         let vms: BTreeSet<usize> = self.rows.requests.iter().map(|request| request.vm).collect();
-        vms.into_iter().any(|vm| {
-            let cut_off = |span: &&SpanRow| span.touched == Touched::Partition(vm);
+        let reaches = |vm: &usize| {
+            let cut_off = |span: &&SpanRow| span.touched == Touched::Partition(*vm);
             let mut spans = self.rows.spans.iter().filter(cut_off);
             !spans.any(|span| overlaps(span, request.sent_ms, request.ended_ms))
-        })
+        };
+        let reaching: Vec<usize> = vms.into_iter().filter(reaches).collect();
+        self.has_contact(&reaching, request)
     }
 
     /// Whether nothing but a partition can be at fault for how a request ended: its VM was in contact, its
