soak: one check of whether a disturbance overlaps a time

The judge's check of spans stood three times: in judge.rs, in judge_answers.rs, and again in the new judge_streams.rs. It is a method of the span now, which all three call; its condition is unchanged.

--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -208,7 +208,7 @@
             let (from_ms, until_ms) = (window[0] + CONTACT_MS, window[1]);
             let is_cut_off = |vm: usize| {
                 let mut spans = partitions().filter(|span| span.touched == Touched::Partition(vm));
-                spans.any(|span| overlaps(span, window[0] + 1, until_ms.saturating_sub(1)))
+                spans.any(|span| span.overlaps(window[0] + 1, until_ms.saturating_sub(1)))
             };
             let reaching: Vec<usize> = vms.iter().copied().filter(|vm| !is_cut_off(*vm)).collect();
             let (mut cut_off, mut others) = (ServedCount::default(), ServedCount::default());
@@ -238,7 +238,7 @@
         let reaches = |vm: &usize| {
             let cut_off = |span: &&SpanRow| span.touched == Touched::Partition(*vm);
             let mut spans = self.rows.spans.iter().filter(cut_off);
-            !spans.any(|span| overlaps(span, request.sent_ms, request.ended_ms))
+            !spans.any(|span| span.overlaps(request.sent_ms, request.ended_ms))
         };
         let reaching: Vec<usize> = vms.into_iter().filter(reaches).collect();
         self.has_contact(&reaching, request)
@@ -250,14 +250,14 @@
         let front = Touched::Front(request.vm);
         let mut fronts = self.rows.spans.iter().filter(|span| span.touched == front);
         self.in_contact_since(request.vm, request.ended_ms).is_some()
-            && !fronts.any(|span| overlaps(span, request.sent_ms, request.ended_ms))
+            && !fronts.any(|span| span.overlaps(request.sent_ms, request.ended_ms))
             && request.end != RequestEnd::Status(401)
     }
 
     /// Whether a disturbance other than a planned stop overlaps this time.
     fn was_disturbed_unplanned(&self, from_ms: u64, until_ms: u64) -> bool {
         let unplanned = |span: &&SpanRow| !matches!(span.touched, Touched::PlannedVm(_));
-        self.rows.spans.iter().filter(unplanned).any(|span| overlaps(span, from_ms, until_ms))
+        self.rows.spans.iter().filter(unplanned).any(|span| span.overlaps(from_ms, until_ms))
     }
 
     /// Checks that no request which had reached an upstream is cut off by a planned stop. A stop that
@@ -299,7 +299,7 @@
                 Touched::Vm(vm) | Touched::PlannedVm(vm) => vm,
                 _ => return false,
             };
-            vm < CORE_VMS && overlaps(span, from_ms.saturating_sub(CONTACT_MS), until_ms)
+            vm < CORE_VMS && span.overlaps(from_ms.saturating_sub(CONTACT_MS), until_ms)
         });
         if core {
             CORE_ALLOWANCE_MS
@@ -343,7 +343,7 @@
             Touched::Upstream(other) => other == upstream,
             Touched::Partition(_) | Touched::Front(_) | Touched::List => false,
         };
-        self.rows.spans.iter().filter(touched).any(|span| overlaps(span, from_ms, until_ms))
+        self.rows.spans.iter().filter(touched).any(|span| span.overlaps(from_ms, until_ms))
     }
 
     /// Finds requests that a VM sent to an upstream after it had forwarded an answer in which that upstream
@@ -621,11 +621,6 @@
     }
 }
 
-/// Whether a disturbance overlaps the time from `from_ms` to `until_ms`.
-fn overlaps(span: &SpanRow, from_ms: u64, until_ms: u64) -> bool {
-    span.from_ms <= until_ms && span.until_ms.is_none_or(|until| until >= from_ms)
-}
-
 /// Whether both texts are the same JSON value; two texts that are not JSON count as equal.
 fn same_json(one: &str, other: &str) -> bool {
     let read = |text| serde_json::from_str::<serde_json::Value>(text).ok();
--- a/soak/src/judge_answers.rs
+++ b/soak/src/judge_answers.rs
@@ -57,9 +57,7 @@
 /// connection, which the end of a VM's process closes too, so the caller cannot distinguish the two.
 fn overlaps_vm_disturbance(rows: &LedgerRows, request: &RequestRow) -> bool {
     rows.spans.iter().any(|span| {
-        span.touched == Touched::Vm(request.vm)
-            && span.from_ms <= request.ended_ms
-            && span.until_ms.is_none_or(|until_ms| until_ms >= request.sent_ms)
+        span.touched == Touched::Vm(request.vm) && span.overlaps(request.sent_ms, request.ended_ms)
     })
 }
 
--- a/soak/src/judge_streams.rs
+++ b/soak/src/judge_streams.rs
@@ -129,9 +129,7 @@
         rows.spans.iter().any(|span| {
             let touched =
                 span.touched == Touched::Upstream(life.upstream) || span.touched == Touched::List;
-            touched
-                && span.from_ms <= until_ms
-                && span.until_ms.is_none_or(|ended_ms| ended_ms >= from_ms)
+            touched && span.overlaps(from_ms, until_ms)
         })
     };
     let asks_backoff = |life: &LifeRow| {
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -260,6 +260,13 @@
     pub until_ms: Option<u64>,
 }
 
+impl SpanRow {
+    /// Whether the disturbance overlaps this time.
+    pub fn overlaps(&self, from_ms: u64, until_ms: u64) -> bool {
+        self.from_ms <= until_ms && self.until_ms.is_none_or(|until| until >= from_ms)
+    }
+}
+
 /// An entry of the list of upstreams that changed to leaving.
 #[derive(Clone, Debug)]
 pub struct LeavingRow {
