vm_origins: the attempt that a caller names is read in one place

Whether a caller names the attempt whose stream it resumes was decided twice, by the same filter for an empty name. Both uses call one function now; nothing else changes.

--- a/lib/src/transport/vm_origins.rs
+++ b/lib/src/transport/vm_origins.rs
@@ -260,8 +260,13 @@
 impl CallerTask {
     /// The key of the stream that the request begins or resumes.
     fn stream_key(&self) -> StreamKey {
+        self.resumed_stream_key().unwrap_or_else(|| StreamKey::of(&self.caller.attempt))
+    }
+
+    /// The key of the stream that the request resumes, if its caller names an attempt.
+    fn resumed_stream_key(&self) -> Option<StreamKey> {
         let resumes = self.caller.resumes.as_ref().filter(|attempt| !attempt.is_empty());
-        StreamKey::of(resumes.unwrap_or(&self.caller.attempt))
+        resumes.map(|attempt| StreamKey::of(attempt))
     }
 
     /// Notes that an upstream's events are about to be passed on. The first ones determine the origin.
@@ -276,8 +281,7 @@
 
     /// Decides where the stream that the caller resumes may go on, and asks other VMs if necessary.
     pub(super) async fn find_origin(&self, rule: &RouteRule) -> ResumeDecision {
-        let resumes = self.caller.resumes.as_ref().filter(|attempt| !attempt.is_empty());
-        let stream = resumes.map(|attempt| StreamKey::of(attempt));
+        let stream = self.resumed_stream_key();
         let known = stream.and_then(|stream| self.node.origins.borrow().table.get(stream));
         if let Some(origin) = known {
             return ResumeDecision::At(origin);
