--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -18,7 +18,6 @@
 use crate::coordination::holder_news::HolderNote;
 use crate::state::body_end::{BodyEnd, BodyFraming};
 use crate::state::ids::{ServiceKey, UpstreamKey};
-use crate::state::route_table::RequestKind;
 use crate::state::stream_origin::StreamOrigin;
 use crate::state::vm_figures::RequestEnd;
 
@@ -91,7 +90,7 @@
         };
         let (pieces, body) = AnswerBody::pieces();
         let mut response = respond(body, headers);
-        let resumable = rule.kind == RequestKind::ResumableStream && response.status().is_success();
+        let resumable = rule.kind.may_be_resumed() && response.status().is_success();
         // A content-length next to another framing isn't the length of the body. In a stream it would let the
         // answer look complete in the middle of an event.
         let is_stream = rule.kind.is_stream() && response.status().is_success();
@@ -170,7 +169,7 @@
             }
             let (routes, route, workspace) = self.decide().ok()?;
             let rule = &routes.table.routes[route];
-            if rule.kind != RequestKind::ResumableStream {
+            if !rule.kind.may_be_resumed() {
                 return None;
             }
             let service = self.choose_service(rule)?;
