vm_refusal: an upstream that refused a connection is used again once it accepts one

Callers saw: after a service's upstreams had been cut off for 3.4 s with resets, VMs answered 503 "no upstream" to all requests for it, although each upstream ran, could be reached and was listed as ready. Only a restart of the VM ended it.

Cause: one refused connection marked the upstream's incarnation as ended for as long as it was listed. A partition that rejects packets refuses connections too, and an upstream that runs on never gets another key. The check after a broken connection also took an old mark as evidence, so that a request which ran on a connection opened before the refusal was blamed for an end that never happened.

Change: a refused upstream gets no requests and is checked in the background, after a quarter of the time since the first refusal, from 250 ms to 4 s. Once it accepts a connection it gets one request at a time until it answers. Only 421 of another incarnation, or another upstream listed at the address, ends one.

Why it works: the mark now says what the evidence shows, and an event that an upstream which runs can cause clears it. Callers' requests aren't used as checks, so an ended upstream costs them what it did.

--- a/lib/src/coordination/outlier.rs
+++ b/lib/src/coordination/outlier.rs
@@ -1,5 +1,9 @@
 //! Outlier ejection: upstreams that fail passive health checks get no requests for a while, and
 //! then one trial request at a time.
+//!
+//! Invariant: only evidence that a process can't cause while it runs marks its incarnation as ended. A
+//! refused connection is no such evidence, since a firewall or a partition may refuse it too. An upstream
+//! that refuses connections gets no requests until it accepts one. See `docs/design/refusals.md`.
 
 use std::collections::HashMap;
 
@@ -11,10 +15,33 @@
 pub const FIRST_EJECTION_MS: u64 = 2000;
 /// The longest duration of an ejection, in milliseconds.
 pub const MAX_EJECTION_MS: u64 = 60_000;
+/// The shortest pause between two checks of an upstream that refuses connections, in milliseconds.
+pub const MIN_CHECK_PAUSE_MS: u64 = 250;
+/// The longest pause between two checks of an upstream that refuses connections, in milliseconds.
+pub const MAX_CHECK_PAUSE_MS: u64 = 4000;
+/// The pause between two checks, as a fraction of the time for which the upstream has refused connections.
+const CHECK_PAUSE_DIVISOR: u64 = 4;
+
+/// Returns the pause before the next check of an upstream that has refused connections for `refused_ms`.
+/// An upstream is used again soon after a short disruption, and one that has ended but stays on the list
+/// costs few connections.
+pub fn check_pause_ms(refused_ms: u64) -> u64 {
+    (refused_ms / CHECK_PAUSE_DIVISOR).clamp(MIN_CHECK_PAUSE_MS, MAX_CHECK_PAUSE_MS)
+}
+
+/// What is known of an upstream that refused a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RefusalState {
+    /// It has refused connections since this time, in milliseconds.
+    Refusing(u64),
+    /// It accepted a connection again, but has not answered since.
+    HalfOpen,
+}
 
 #[derive(Clone, Debug, Default)]
 struct UpstreamHealth {
     ended: bool,
+    refusal: Option<RefusalState>,
     failures: u32,
     /// The number of answers that it broke off since one ended well.
     cuts: u32,
@@ -30,9 +57,10 @@
 }
 
 impl OutlierTable {
-    /// Records that a request succeeded.
+    /// Records that a request succeeded. An upstream that refuses connections may still answer over those that
+    /// are open.
     pub fn note_success(&mut self, upstream: UpstreamKey) {
-        if !self.has_ended(upstream) {
+        if !self.is_down(upstream) {
             self.health.remove(&upstream);
         }
     }
@@ -103,7 +131,9 @@
 
     /// Records that this incarnation of the upstream has ended; after a restart it has another key.
     pub fn note_ended(&mut self, upstream: UpstreamKey) {
-        self.health.entry(upstream).or_default().ended = true;
+        let health = self.health.entry(upstream).or_default();
+        health.ended = true;
+        health.refusal = None;
     }
 
     /// Whether this incarnation of the upstream has ended.
@@ -111,6 +141,50 @@
         self.health.get(&upstream).is_some_and(|health| health.ended)
     }
 
+    /// Records that the upstream refused a connection. Returns whether it accepted them before; the caller
+    /// then has to check when it does so again.
+    pub fn note_refused(&mut self, upstream: UpstreamKey, now_ms: u64) -> bool {
+        if self.is_down(upstream) {
+            return false;
+        }
+        self.health.entry(upstream).or_default().refusal = Some(RefusalState::Refusing(now_ms));
+        true
+    }
+
+    /// Since when the upstream has refused connections, in milliseconds; `None` if it doesn't.
+    pub fn refusing_since_ms(&self, upstream: UpstreamKey) -> Option<u64> {
+        match self.health.get(&upstream)?.refusal? {
+            RefusalState::Refusing(since_ms) => Some(since_ms),
+            RefusalState::HalfOpen => None,
+        }
+    }
+
+    /// Records that an upstream that refused connections accepted one. Until it answers, it gets one request
+    /// at a time: another process may listen at its address.
+    pub fn note_accepted(&mut self, upstream: UpstreamKey) {
+        if self.refusing_since_ms(upstream).is_some() {
+            self.health.entry(upstream).or_default().refusal = Some(RefusalState::HalfOpen);
+        }
+    }
+
+    /// Records that this incarnation of the upstream answered a request, with whatever status.
+    pub fn note_answered(&mut self, upstream: UpstreamKey) {
+        if let Some(health) = self.health.get_mut(&upstream) {
+            health.refusal = health.refusal.filter(|state| *state != RefusalState::HalfOpen);
+        }
+    }
+
+    /// Whether the upstream accepted a connection after refusing some, and has not answered since.
+    pub fn is_half_open(&self, upstream: UpstreamKey) -> bool {
+        let state = self.health.get(&upstream).and_then(|health| health.refusal);
+        state == Some(RefusalState::HalfOpen)
+    }
+
+    /// Whether the upstream has ended or refuses connections, so that no request can be sent to it.
+    pub fn is_down(&self, upstream: UpstreamKey) -> bool {
+        self.has_ended(upstream) || self.refusing_since_ms(upstream).is_some()
+    }
+
     /// The upstreams with a record; all others are healthy.
     pub fn known(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
         self.health.keys().copied()
@@ -123,11 +197,10 @@
 
     /// Whether the upstream is ejected now.
     pub fn is_ejected(&self, upstream: UpstreamKey, now_ms: u64) -> bool {
-        self.health.get(&upstream).is_some_and(|health| {
-            health.ended
-                || health.ejections > 0
-                    && (now_ms < health.ejected_until_ms || health.trial_running)
-        })
+        self.is_down(upstream)
+            || self.health.get(&upstream).is_some_and(|health| {
+                health.ejections > 0 && (now_ms < health.ejected_until_ms || health.trial_running)
+            })
     }
 
     /// After the end of an ejection, lets one request through as a trial, and more only once that
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -55,6 +55,7 @@
 pub mod vm_pulse;
 mod vm_quarantine;
 mod vm_reach;
+mod vm_refusal;
 pub mod vm_relay;
 mod vm_reply;
 mod vm_request_record;
--- a/lib/src/transport/vm_choice.rs
+++ b/lib/src/transport/vm_choice.rs
@@ -293,8 +293,8 @@
         }
     }
 
-    /// Marks as ejected the upstreams that fail or are unresponsive at this VM or at all VMs, and removes
-    /// those whose process has ended.
+    /// Marks as ejected the upstreams that fail or are unresponsive at this VM or at all VMs, and half-open ones
+    /// that have a request. Removes those that can't be sent any.
     fn note_faults(&self, candidates: &mut CandidateSet, now_ms: u64) {
         let view = self.node.view.borrow();
         let outliers = self.node.outliers.borrow();
@@ -306,7 +306,10 @@
         for key in failing.chain(silence.view.unresponsive(now_ms)).chain(aside) {
             candidates.change(key, |candidate| candidate.ejected = true);
         }
-        candidates.remove_all(outliers.known().filter(|key| outliers.has_ended(*key)));
+        for key in outliers.known().filter(|key| outliers.is_half_open(*key)) {
+            candidates.change(key, |candidate| candidate.ejected |= candidate.own_load > 0);
+        }
+        candidates.remove_all(outliers.known().filter(|key| outliers.is_down(*key)));
     }
 }
 
--- a/lib/src/transport/vm_crash.rs
+++ b/lib/src/transport/vm_crash.rs
@@ -128,7 +128,7 @@
         {
             return;
         }
-        self.outliers.borrow_mut().note_ended(upstream);
+        self.note_refused(upstream);
         self.counters.borrow_mut().crashes += 1;
         let Some((request, of_parts)) = seen.split_first() else { return };
         info!(
--- a/lib/src/transport/vm_pool.rs
+++ b/lib/src/transport/vm_pool.rs
@@ -48,7 +48,7 @@
 /// Why no connection was established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectFault {
-    /// The address refuses connections: the process that listened there has ended.
+    /// The address refuses connections: nothing listens there, or something on the way rejects them.
     ConnectionRefused,
     /// The upstream didn't answer in time, or the connection failed otherwise.
     NoAnswer,
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -111,6 +111,9 @@
             return self.reject_foreign(target);
         }
         self.record_notices(target, &facts);
+        if !facts.other_incarnation {
+            self.node.outliers.borrow_mut().note_answered(target.upstream);
+        }
         if facts.not_run {
             return self.handle_refusal(target, &facts, &head, body, lease);
         }
--- a/lib/src/transport/vm_rollouts.rs
+++ b/lib/src/transport/vm_rollouts.rs
@@ -280,7 +280,7 @@
         let seen = upstreams.of_service(service).map(|(key, entry)| (entry, seen_ms(key)));
         let may_get_trial = |entry: &UpstreamEntry| {
             let key = entry.key();
-            let reached = !outliers.has_ended(key) && !self.is_unresponsive(key);
+            let reached = !outliers.is_down(key) && !self.is_unresponsive(key);
             entry.takes_work() && reached && !zones.watch.is_evacuated(&entry.zone)
         };
         state.tracker().rule(service, lane, seen, may_get_trial, self.now_ms())
--- a/lib/src/transport/vm_signs.rs
+++ b/lib/src/transport/vm_signs.rs
@@ -10,9 +10,12 @@
 const MAX_EJECTED_SHARE: f64 = 0.34;
 
 /// A fault of an upstream that a send revealed.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum HealthFault {
     /// This incarnation's process has ended.
     Ended,
+    /// The upstream's address refuses connections.
+    Refused,
     /// The upstream can't be reached.
     Unreachable,
     /// The upstream failed a request.
@@ -26,7 +29,7 @@
     pub(super) fn note_connect_fault(&self, upstream: UpstreamKey, fault: ConnectFault) {
         match fault {
             ConnectFault::ConnectionRefused => {
-                self.note_health_fault(upstream, HealthFault::Ended, "connection refused");
+                self.note_health_fault(upstream, HealthFault::Refused, "connection refused");
             }
             ConnectFault::NoAnswer => {
                 self.note_health_fault(upstream, HealthFault::Unreachable, "cannot be reached");
@@ -67,9 +70,13 @@
             );
         }
         self.node.counters.borrow_mut().failure_signs += 1;
+        if fault == HealthFault::Refused {
+            self.node.note_refused(upstream);
+        }
         let mut outliers = self.node.outliers.borrow_mut();
         match fault {
             HealthFault::Ended => outliers.note_ended(upstream),
+            HealthFault::Refused => {}
             HealthFault::Unreachable => {
                 outliers.note_dead(upstream, fleet, MAX_EJECTED_SHARE, now_ms)
             }
