soak: links that refuse connections while their upstreams run on

Cause: the links and stand-ins never refused a connection unless the upstream behind them had ended, so that real processes didn't show what a refusal did.

Change: two modes of a link close its listener, one of them resets the open connections too.

--- a/soak/src/cases.rs
+++ b/soak/src/cases.rs
@@ -109,6 +109,18 @@
                 ]
             })),
         },
+        SoakCase {
+            name: "upstreams-that-refuse-connections",
+            cause: "an upstream that refused one connection is never used again",
+            steps: in_time((0..2).flat_map(|round| {
+                let mode = [LinkMode::Refuse, LinkMode::RefuseNew][round];
+                (0..6).map(move |upstream| {
+                    // One service after the other, so that VMs always reach some upstreams.
+                    let at_ms = 1_000 + 12_000 * round as u64 + 4_000 * (upstream / 3) as u64;
+                    step(at_ms, Disturbance::UpstreamLink(upstream, mode, 3_400))
+                })
+            })),
+        },
         SoakCase {
             name: "streams-cut-partway",
             cause: "the rest of a truncated event is joined to the first event of the next run",
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -25,6 +25,10 @@
     Delay(u64),
     /// Open connections are reset, and so are new ones.
     Reset,
+    /// Open connections are reset, and new ones are refused.
+    Refuse,
+    /// Open connections live on, and new ones are refused.
+    RefuseNew,
     /// Bytes from the connecting side are held.
     HoldForward,
     /// Bytes to the connecting side are held.
@@ -62,6 +66,8 @@
 struct LinkState {
     mode: Cell<LinkMode>,
     reset: Notify,
+    /// Notified when the link may have to stop listening.
+    listening: Notify,
     partition: Rc<SharedPartition>,
 }
 
@@ -85,9 +91,9 @@
     ) -> std::io::Result<LinkProxy> {
         let listener = TcpListener::bind(from).await?;
         partition.partition.borrow().apply_to_listener(&listener)?;
-        let (mode, reset) = (Cell::new(LinkMode::Open), Notify::new());
-        let state = Rc::new(LinkState { mode, reset, partition });
-        let accepting = spawn_local(accept_connections(listener, to, state.clone()));
+        let (mode, reset, listening) = (Cell::new(LinkMode::Open), Notify::new(), Notify::new());
+        let state = Rc::new(LinkState { mode, reset, listening, partition });
+        let accepting = spawn_local(listen(listener, to, state.clone()));
         Ok(LinkProxy { state, accepting })
     }
 
@@ -97,12 +103,13 @@
         move || state.mode.get()
     }
 
-    /// Changes the mode. [`LinkMode::Reset`] resets the open connections.
+    /// Changes the mode. [`LinkMode::Reset`] and [`LinkMode::Refuse`] reset the open connections.
     pub fn set(&self, mode: LinkMode) {
         self.state.mode.set(mode);
-        if mode == LinkMode::Reset {
+        if matches!(mode, LinkMode::Reset | LinkMode::Refuse) {
             self.state.reset.notify_waiters();
         }
+        self.state.listening.notify_waiters();
     }
 }
 
@@ -114,17 +121,50 @@
     }
 }
 
-/// Accepts connections, and applies the partition to the listener and to them.
-async fn accept_connections(listener: TcpListener, to: SocketAddr, state: Rc<LinkState>) {
+impl LinkState {
+    /// Whether the link refuses new connections.
+    fn refuses(&self) -> bool {
+        matches!(self.mode.get(), LinkMode::Refuse | LinkMode::RefuseNew)
+    }
+}
+
+/// Accepts connections, and closes the listener while the link refuses them.
+async fn listen(mut listener: TcpListener, to: SocketAddr, state: Rc<LinkState>) {
+    let Ok(from) = listener.local_addr() else { return };
     loop {
+        if !accept_until_refused(&listener, to, &state).await {
+            return;
+        }
+        drop(listener);
+        while state.refuses() {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+        let Ok(again) = TcpListener::bind(from).await else { return };
+        let _ = state.partition.partition.borrow().apply_to_listener(&again);
+        listener = again;
+    }
+}
+
+/// Accepts connections, and applies the partition to the listener and to them. Returns whether the link refuses
+/// further ones; otherwise the listener failed.
+async fn accept_until_refused(
+    listener: &TcpListener,
+    to: SocketAddr,
+    state: &Rc<LinkState>,
+) -> bool {
+    loop {
+        if state.refuses() {
+            return true;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            () = state.listening.notified() => continue,
             () = state.partition.changed.notified() => {
-                let _ = state.partition.partition.borrow().apply_to_listener(&listener);
+                let _ = state.partition.partition.borrow().apply_to_listener(listener);
                 continue;
             }
         };
-        let Ok((near, from)) = accepted else { return };
+        let Ok((near, from)) = accepted else { return false };
         let partition = state.partition.partition.borrow();
         if matches!(partition.apply_to_accepted(&near, from.ip()), Ok(false)) {
             spawn_local(relay_connection(near, from.ip(), to, state.clone()));
--- a/soak/src/peer_link.rs
+++ b/soak/src/peer_link.rs
@@ -50,7 +50,11 @@
                             let _ = outbound.try_send_to(&datagram, to);
                         });
                     }
-                    LinkMode::Reset | LinkMode::HoldForward | LinkMode::Silent => {}
+                    LinkMode::Reset
+                    | LinkMode::Refuse
+                    | LinkMode::RefuseNew
+                    | LinkMode::HoldForward
+                    | LinkMode::Silent => {}
                 }
             }
         });
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -164,6 +164,10 @@
 /// thus independent of the others.
 const PART_SEED_MASK: u64 = 0x9a27;
 
+/// Combined with the seed for the draw of upstreams that refuse connections, which is thus independent of the
+/// others.
+const REFUSAL_SEED_MASK: u64 = 0x4ef05e;
+
 /// Combined with the seed for the draw of versions that serve side by side, which is thus independent of the
 /// others.
 const VERSION_SEED_MASK: u64 = 0x5e75;
@@ -191,6 +195,7 @@
         add_partitions(&mut steps, seed, size);
         add_fatal_part(&mut steps, seed, size);
         add_brittle(&mut steps, seed, size);
+        add_refusals(&mut steps, seed, size);
     }
     add_notices(&mut steps, seed, size);
     add_versions(&mut steps, seed, size);
@@ -270,6 +275,24 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds upstreams that run on while their addresses refuse connections: one, some or all of them. They are drawn
+/// by a generator of their own, so the other steps of a seed do not depend on them.
+fn add_refusals(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
+    let mut random = StdRng::seed_from_u64(seed ^ REFUSAL_SEED_MASK);
+    for _ in 0..random.gen_range(0..4) {
+        let at_ms = random.gen_range(500..size.disturbed_ms);
+        let (first, count) =
+            (random.gen_range(0..size.upstreams), random.gen_range(1..=size.upstreams));
+        let mode = if random.gen() { LinkMode::Refuse } else { LinkMode::RefuseNew };
+        let ms = random.gen_range(300..5_000);
+        steps.extend((first..first + count).map(|upstream| {
+            let upstream = upstream % size.upstreams;
+            PlannedStep { at_ms, disturbance: Disturbance::UpstreamLink(upstream, mode, ms) }
+        }));
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Adds upstreams whose answers break off. They are drawn by a generator of their own, so the other steps of
 /// a seed do not depend on them.
 fn add_early(steps: &mut Vec<PlannedStep>, seed: u64, size: RunSize) {
