--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -32,15 +32,38 @@
     pub(super) acked_sent_ms: u64,
     /// The send time of entries or a snapshot piece that the member has not answered yet.
     pub(super) waiting_since: Option<u64>,
-    /// The offset of the next snapshot piece, while a snapshot is being sent.
-    pub(super) snapshot_offset: Option<u64>,
+    /// The snapshot that is being sent.
+    pub(super) transfer: Option<SnapshotTransfer>,
+}
+
+/// How far a leader has sent a snapshot to one member. The offset means nothing in another snapshot.
+#[derive(Clone, Debug)]
+pub(super) struct SnapshotTransfer {
+    /// The snapshot's last entry. A leader makes no two snapshots with the same one.
+    pub(super) index: u64,
+    /// Where the next piece starts in the snapshot's image.
+    pub(super) offset: u64,
+    /// When the first piece was sent. Replies to earlier messages are about other snapshots.
+    pub(super) began_ms: u64,
+    /// How long to wait for a reply before a piece is sent again, in milliseconds. It doubles each time, since
+    /// the connection may be too slow to carry a piece within that time.
+    pub(super) retry_ms: u64,
+}
+
+/// What identifies a snapshot that is received in pieces. Two leaders may make different images of the same
+/// entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct SnapshotId {
+    /// The term of the leader that sends it.
+    pub(super) sender_term: u64,
+    /// The snapshot's last entry.
+    pub(super) index: u64,
 }
 
 /// A snapshot that the leader is sending, with the bytes received so far.
 #[derive(Debug, Default)]
 pub(super) struct IncomingSnapshot {
-    pub(super) index: u64,
-    pub(super) term: u64,
+    pub(super) id: SnapshotId,
     pub(super) bytes: Vec<u8>,
 }
 
--- a/lib/src/coordination/raft_follower.rs
+++ b/lib/src/coordination/raft_follower.rs
@@ -1,6 +1,6 @@
 //! Raft followers: entries and snapshots that the leader sends.
 
-use super::raft::{IncomingSnapshot, RaftCore};
+use super::raft::{IncomingSnapshot, RaftCore, SnapshotId};
 use super::raft_message::{RaftBody, RaftOutput};
 use crate::state::ids::KeeperId;
 use crate::state::log_store::{LogEntry, LogSnapshot};
@@ -80,15 +80,16 @@
             self.reply(from, true, self.commit, sent_ms, 0, output);
             return;
         }
-        if (self.incoming.index, self.incoming.term) != (head.index, head.term) {
-            let (index, term) = (head.index, head.term);
-            self.incoming = IncomingSnapshot { index, term, bytes: Vec::new() };
+        let id = SnapshotId { sender_term: self.term(), index: head.index };
+        if id > self.incoming.id {
+            self.incoming = IncomingSnapshot { id, bytes: Vec::new() };
         }
-        if offset == self.incoming.bytes.len() as u64 {
+        // A delayed piece of an earlier snapshot is left out.
+        if id == self.incoming.id && offset == self.incoming.bytes.len() as u64 {
             self.incoming.bytes.extend_from_slice(&bytes);
         }
         let received = self.incoming.bytes.len() as u64;
-        if received < total {
+        if id != self.incoming.id || received < total {
             self.reply(from, false, self.commit, sent_ms, received, output);
             return;
         }
--- a/lib/src/coordination/raft_leader.rs
+++ b/lib/src/coordination/raft_leader.rs
@@ -1,10 +1,13 @@
 //! Raft leaders: replication, commits, leases, transfers and membership changes.
 
-use super::raft::{FollowerProgress, RaftCore};
+use super::raft::{FollowerProgress, RaftCore, SnapshotTransfer};
 use super::raft_message::*;
 use crate::state::ids::KeeperId;
 use crate::state::log_store::{EntryPayload, GroupMember, GroupMembership, LogEntry};
 
+/// The longest wait for a reply before a piece of a snapshot is sent again, in milliseconds.
+const MAX_PIECE_RETRY_MS: u64 = 16 * ELECTION_MS;
+
 impl RaftCore {
     /// Sends heartbeats, and steps down when no quorum answers or a transfer timed out.
     pub(super) fn tick_leader(&mut self, now_ms: u64, output: &mut RaftOutput) {
@@ -78,7 +81,7 @@
             self.send_snapshot_piece(to, now_ms, output);
             return;
         }
-        progress.snapshot_offset = None;
+        progress.transfer = None;
         // While entries are unanswered, heartbeats carry none, so that a slow follower is not
         // flooded. After an election timeout they are sent again.
         let waited = progress.waiting_since.is_some_and(|since| now_ms < since + ELECTION_MS);
@@ -106,21 +109,36 @@
         self.send_at(to, self.term(), body, output);
     }
 
-    /// Sends a member the next piece of the snapshot.
+    /// Sends a member the next piece of the snapshot. While the last one isn't answered, an empty piece at the
+    /// same position serves as the heartbeat.
     pub(super) fn send_snapshot_piece(
         &mut self,
         to: KeeperId,
         now_ms: u64,
         output: &mut RaftOutput,
     ) {
-        let total = self.snapshot.image.len();
+        let (index, total) = (self.snapshot.index, self.snapshot.image.len());
         let progress = self.progress.entry(to).or_default();
-        let offset = (progress.snapshot_offset.unwrap_or(0) as usize).min(total);
-        progress.snapshot_offset = Some(offset as u64);
-        progress.waiting_since = Some(now_ms);
-        let end = (offset + SNAPSHOT_PIECE_BYTES).min(total);
+        let known = progress.transfer.take().filter(|transfer| transfer.index == index);
+        let waits_since = progress.waiting_since.filter(|_| known.is_some());
+        let mut transfer = known.unwrap_or(SnapshotTransfer {
+            index,
+            offset: 0,
+            began_ms: now_ms,
+            retry_ms: ELECTION_MS,
+        });
+        let offset = (transfer.offset as usize).min(total);
+        let waits = waits_since.is_some_and(|since| now_ms < since + transfer.retry_ms);
+        let end = if waits { offset } else { (offset + SNAPSHOT_PIECE_BYTES).min(total) };
+        if !waits {
+            if waits_since.is_some() {
+                transfer.retry_ms = (2 * transfer.retry_ms).min(MAX_PIECE_RETRY_MS);
+            }
+            progress.waiting_since = Some(now_ms);
+        }
+        progress.transfer = Some(transfer);
         let body = RaftBody::Piece {
-            index: self.snapshot.index,
+            index,
             last_term: self.snapshot.term,
             membership: self.snapshot.membership.clone(),
             offset: offset as u64,
@@ -132,7 +150,8 @@
     }
 
     /// Updates a member's progress from its reply (matched, index, echoed send time, snapshot
-    /// offset) and sends it what follows.
+    /// offset). Sends it what follows only if the reply shows progress; otherwise the next heartbeat does.
+    /// So two members never answer each other at once without getting any further.
     pub(super) fn handle_append_reply(
         &mut self,
         from: KeeperId,
@@ -145,20 +164,17 @@
         let snapshot_index = self.snapshot.index;
         let progress = self.progress.entry(from).or_default();
         progress.acked_sent_ms = progress.acked_sent_ms.max(sent_ms);
-        progress.waiting_since = None;
-        if !matched && snapshot_offset > 0 && progress.snapshot_offset.is_some() {
-            progress.snapshot_offset = Some(snapshot_offset);
-        } else if matched {
-            progress.matched = progress.matched.max(index.min(last));
-            progress.next = progress.next.max(progress.matched + 1);
-            if progress.matched >= snapshot_index {
-                progress.snapshot_offset = None;
-            }
+        let advanced = if matched {
+            progress.note_matched(index.min(last), snapshot_index)
+        } else if progress.transfer.is_some() {
+            progress.note_received(snapshot_offset, snapshot_index, sent_ms)
         } else {
-            progress.next = (index + 1).min(progress.next.saturating_sub(1)).max(1);
-            progress.next = progress.next.max(progress.matched + 1);
+            progress.note_mismatch(index)
+        };
+        if advanced {
+            progress.waiting_since = None;
         }
-        let more = progress.next <= last;
+        let more = advanced && progress.next <= last;
         self.advance_commit();
         if more {
             self.send_append(from, now_ms, output);
@@ -247,6 +263,37 @@
     }
 }
 
+impl FollowerProgress {
+    /// Notes that the member holds the entries up to `index`. Returns whether that is progress.
+    fn note_matched(&mut self, index: u64, snapshot_index: u64) -> bool {
+        let before = self.matched;
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched + 1);
+        if self.matched >= snapshot_index {
+            self.transfer = None;
+        }
+        self.matched > before
+    }
+
+    /// Notes how many bytes of a snapshot the member has received. Returns whether that is progress.
+    fn note_received(&mut self, received: u64, snapshot_index: u64, sent_ms: u64) -> bool {
+        let Some(transfer) = &mut self.transfer else { return false };
+        if transfer.index != snapshot_index || sent_ms < transfer.began_ms {
+            return false;
+        }
+        let before = std::mem::replace(&mut transfer.offset, received);
+        received > before
+    }
+
+    /// Notes that the member's log has no entry in common after `index`. Returns whether that is news.
+    fn note_mismatch(&mut self, index: u64) -> bool {
+        let before = self.next;
+        let next = (index + 1).min(self.next.saturating_sub(1)).max(1);
+        self.next = next.max(self.matched + 1);
+        self.next < before
+    }
+}
+
 /// Estimates the size of an entry in a message, in bytes.
 fn payload_bytes(entry: &LogEntry) -> usize {
     match &entry.payload {
