--- a/lib/src/coordination/raft_follower.rs
+++ b/lib/src/coordination/raft_follower.rs
@@ -77,7 +77,13 @@
     ) {
         let (offset, total, sent_ms) = position;
         if head.index <= self.commit {
-            self.reply(from, true, self.commit, sent_ms, 0, output);
+            let held = self.commit.min(self.synced);
+            match held >= head.index {
+                true => self.reply(from, true, held, sent_ms, 0, output),
+                // The snapshot is being written. The reply to its last piece follows then; this one shows
+                // that this keeper is alive.
+                false => self.reply(from, false, self.commit, sent_ms, total, output),
+            }
             return;
         }
         let id = SnapshotId { sender_term: self.term(), index: head.index };
@@ -99,21 +105,19 @@
         self.reply(from, true, self.snapshot.index, sent_ms, 0, output);
     }
 
-    /// Replaces the log up to the snapshot's last entry by the snapshot.
+    /// Replaces the log up to the snapshot's last entry by the snapshot. What it covers counts as synced only
+    /// once it is written.
     pub(super) fn install(&mut self, snapshot: LogSnapshot, output: &mut RaftOutput) {
         // Entries after the snapshot stay if the log contains its last entry; otherwise they may
         // conflict with the leader's log.
         if self.term_at(snapshot.index) == Some(snapshot.term) {
             self.entries.retain(|entry| entry.index > snapshot.index);
         } else {
+            self.synced = self.synced.min(self.commit);
             self.entries.clear();
         }
         self.commit = snapshot.index;
         self.last_handed_out = snapshot.index;
-        self.synced = self
-            .synced
-            .max(snapshot.index)
-            .min(self.entries.last().map_or(snapshot.index, |entry| entry.index));
         self.snapshot = snapshot.clone();
         self.reload_membership();
         output.batch.entries.retain(|entry| entry.index > snapshot.index);
--- a/lib/tests/test_snapshot_pieces.rs
+++ b/lib/tests/test_snapshot_pieces.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use proptest::prelude::*;
+use wingshed_lib::coordination::durable_core::{DurableCore, DurableOutcome};
 use wingshed_lib::coordination::raft::RaftCore;
 use wingshed_lib::coordination::raft_message::{
     RaftBody, RaftMessage, RaftOutput, RaftRole, HEARTBEAT_MS, SNAPSHOT_PIECE_BYTES,
@@ -256,3 +257,50 @@
         group.catch_up();
     }
 }
+
+/// A follower with its disk, whose acknowledgements are observed.
+struct DiskFollower {
+    durable: DurableCore,
+    acknowledged: Option<u64>,
+}
+
+impl DiskFollower {
+    fn note(&mut self, outcome: DurableOutcome) -> bool {
+        let acked = outcome.messages.iter().filter_map(|(_, message)| match &message.body {
+            RaftBody::AppendReply { matched: true, index, .. } => Some(*index),
+            _ => None,
+        });
+        self.acknowledged = self.acknowledged.max(acked.max());
+        outcome.job.is_some()
+    }
+}
+
+// Guards against a leader that counts on a snapshot which a crash of the member has undone: it never sends
+// entries from before what was acknowledged.
+#[test]
+fn a_snapshot_is_acknowledged_only_once_it_is_on_disk() {
+    let durable = DurableCore::new(core(3, stored(), 1));
+    let mut follower = DiskFollower { durable, acknowledged: None };
+    let body = RaftBody::Piece {
+        index: 9,
+        last_term: 1,
+        membership: stored().snapshot.membership,
+        offset: 0,
+        total: 100,
+        bytes: vec![7; 100],
+        sent_ms: 5,
+    };
+    let message = RaftMessage { from: KeeperId(1), incarnation: Incarnation(1), term: 2, body };
+
+    let step = follower.durable.step(1000, |core, output| core.receive(message, 1000, output));
+    let writes = follower.note(step);
+    let before = follower.acknowledged;
+    let mut running = writes;
+    while running {
+        let step = follower.durable.note_written(1001);
+        running = follower.note(step);
+    }
+
+    assert!(writes, "the snapshot is written");
+    assert_eq!((before, follower.acknowledged), (None, Some(9)));
+}
