keepers: the log is kept while a member catches up

Cause: a leader compacts its log after every document above 256 KB.

Change: while a member that answers lacks committed entries, the log may hold four images' worth more before it is compacted.

--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -255,6 +255,17 @@
         (progress.acked_sent_ms > 0).then(|| now_ms.saturating_sub(progress.acked_sent_ms))
     }
 
+    /// Returns whether this keeper leads and a member that answers lacks entries that are committed. If the
+    /// leader compacted its log now, that member would need a snapshot, or the next one in place of the one
+    /// that is being sent.
+    pub fn has_live_member_behind(&self, now_ms: u64) -> bool {
+        let is_behind = |id: &KeeperId| {
+            let alive = self.member_age_ms(*id, now_ms).is_some_and(|age| age < ELECTION_MS);
+            alive && self.member_match(*id).is_none_or(|matched| matched < self.commit)
+        };
+        self.role == RaftRole::Leader && self.others().iter().any(is_behind)
+    }
+
     /// Returns the last entry that a member is known to hold.
     pub fn member_match(&self, id: KeeperId) -> Option<u64> {
         match id == self.id {
--- a/lib/src/transport/keeper_loop.rs
+++ b/lib/src/transport/keeper_loop.rs
@@ -42,6 +42,9 @@
 
 /// A snapshot of the state machine is taken after this many applied log entries.
 pub const COMPACT_ENTRIES: u64 = 4096;
+/// While a live member lacks entries, the log may hold this many times more before a snapshot is taken. That
+/// member would need a whole snapshot otherwise, and may never get all of one while others follow it.
+const KEPT_LOG_FACTOR: u64 = 4;
 /// The longest wait for an event before the timers are checked.
 const POLL: Duration = Duration::from_millis(10);
 /// A leader resigns when its disk works on one job for longer than this, in milliseconds.
@@ -629,7 +632,11 @@
 
     /// Takes a snapshot if enough entries were applied since the last one and the disk is idle.
     fn compact(&mut self, now_ms: u64) -> Result<(), LoopFailure> {
-        let enough = self.applied >= self.core().snapshot_index() + COMPACT_ENTRIES;
+        let max_entries = match self.core().has_live_member_behind(now_ms) {
+            true => KEPT_LOG_FACTOR * COMPACT_ENTRIES,
+            false => COMPACT_ENTRIES,
+        };
+        let enough = self.applied >= self.core().snapshot_index() + max_entries;
         if !enough || !self.durable.is_idle() {
             return Ok(());
         }
--- a/lib/src/transport/vm_keeper.rs
+++ b/lib/src/transport/vm_keeper.rs
@@ -34,6 +34,9 @@
 const COMPACT_BYTES: usize = 256 << 10;
 /// The log is compacted once it holds more entries than this.
 const COMPACT_ENTRIES: usize = 256;
+/// While a live member lacks entries, the log may hold this many times more before it is compacted. That
+/// member would need a whole snapshot otherwise, and may never get all of one while others follow it.
+const KEPT_LOG_FACTOR: usize = 4;
 /// A leader whose group has too few voters accepts no commands until it has led for this long, in
 /// milliseconds, since more voters may still join.
 const SMALL_GROUP_MS: u64 = 3000;
@@ -413,8 +416,15 @@
 
     /// Replaces the log by a snapshot, if the log is large and no disk job is running.
     fn compact(&mut self, now_ms: u64) {
-        let large =
-            self.log_bytes > COMPACT_BYTES || self.durable.core.entries().len() > COMPACT_ENTRIES;
+        let core = &self.durable.core;
+        let (max_bytes, max_entries) = match core.has_live_member_behind(now_ms) {
+            true => {
+                let bytes = core.snapshot().image.len().max(COMPACT_BYTES);
+                (KEPT_LOG_FACTOR * bytes, KEPT_LOG_FACTOR * COMPACT_ENTRIES)
+            }
+            false => (COMPACT_BYTES, COMPACT_ENTRIES),
+        };
+        let large = self.log_bytes > max_bytes || core.entries().len() > max_entries;
         if !large || !self.durable.core.has_applied_all() || !self.durable.is_idle() {
             return;
         }
--- a/lib/tests/test_snapshot_pieces.rs
+++ b/lib/tests/test_snapshot_pieces.rs
@@ -304,3 +304,19 @@
     assert!(writes, "the snapshot is written");
     assert_eq!((before, follower.acknowledged), (None, Some(9)));
 }
+
+// Guards against compacting the log under a member that is catching up, which then needs a snapshot again and
+// again while changes come faster than one is carried.
+#[test]
+fn a_member_that_answers_and_lacks_entries_counts_as_behind_until_it_has_them() {
+    let mut group = SnapshotGroup::start();
+    let silent = group.cores[0].has_live_member_behind(group.now_ms);
+    group.pass(HEARTBEAT_MS);
+    (0..2).for_each(|_| group.deliver(0));
+
+    let catching_up = group.cores[0].has_live_member_behind(group.now_ms);
+    group.catch_up();
+
+    let caught_up = group.cores[0].has_live_member_behind(group.now_ms);
+    assert_eq!((silent, catching_up, caught_up), (false, true, false));
+}
