quarantine: crashes of upstreams that answer afterwards are taken back

Cause: a broken send followed by a refused connection was told to the leader as the end of an upstream under its request. Nothing took such a report back.

Change: VMs watch the upstreams that the published table names as ended. One that answers a request sent after that, and is still listed under the same key 3 s later, is reported to the leader with each renewal until no row names it. The leader drops it from its counts and rows, and releases what has too few crashes left.

Why it works: an answer of the same incarnation is what an upstream that has ended can't give, and the table itself says whether the report was heard. Requests that end their upstreams are still quarantined at the third.

--- a/lib/src/coordination/crash_outbox.rs
+++ b/lib/src/coordination/crash_outbox.rs
@@ -101,6 +101,11 @@
         self.completed.insert(fingerprint);
     }
 
+    /// Drops the crashes of these upstreams, which turned out to run.
+    pub fn withdraw(&mut self, answered: &[UpstreamKey]) {
+        self.notes.retain(|(_, note)| !answered.contains(&note.upstream));
+    }
+
     /// Returns the report for the next renewal.
     pub fn take(&mut self, now_ms: u64) -> CrashReport {
         self.notes.retain(|(at_ms, _)| at_ms + CRASH_KEEP_MS > now_ms);
--- a/lib/src/coordination/crash_table.rs
+++ b/lib/src/coordination/crash_table.rs
@@ -86,6 +86,8 @@
     /// Since when this leader has had a recorded row in its state, by the request, whether it is quarantined,
     /// and how many times it was.
     rows_since_ms: BTreeMap<(RequestFingerprint, bool, u32), u64>,
+    /// Upstreams that answered after they had been recorded as crashed, while a recorded row names them.
+    answered: BTreeSet<UpstreamKey>,
     /// The last command proposed for each request, and when. A different command for the same request
     /// is proposed without delay.
     proposed: BTreeMap<RequestFingerprint, (QuarantineCommand, u64)>,
@@ -132,6 +134,14 @@
         }
     }
 
+    /// Takes back the crashes of upstreams that answered a request since, as VMs reported to the leader of
+    /// `term`: their connections broke and new ones were refused for another reason.
+    pub fn withdraw(&mut self, term: u64, answered: &[UpstreamKey]) {
+        self.begin_term(term);
+        self.counts.values_mut().for_each(|count| count.withdraw(answered));
+        self.answered.extend(answered);
+    }
+
     /// Clears the counts when a new term begins, since VMs report their crashes again to its leader.
     fn begin_term(&mut self, term: u64) {
         if term != self.term {
@@ -203,7 +213,12 @@
                 )
             })
             .collect();
+        let corrected = self.corrected(recorded);
+        wanted.retain(|command| {
+            corrected.iter().all(|other| command_fingerprint(other) != command_fingerprint(command))
+        });
         self.drop_over_capacity(&mut wanted, recorded);
+        wanted.splice(0..0, corrected);
         self.counts
             .retain(|fingerprint, count| !count.completed || recorded.row(*fingerprint).is_some());
         wanted.extend(self.expired(recorded, now_ms));
@@ -260,6 +275,19 @@
         at_fault
     }
 
+    /// Returns commands that remove upstreams which answered since from the recorded rows. A request is released
+    /// if too few crashes are left.
+    fn corrected(&mut self, recorded: &QuarantineTable) -> Vec<QuarantineCommand> {
+        let rows = recorded.rows();
+        self.answered.retain(|key| rows.iter().any(|row| row.ended.contains(key)));
+        let names_one =
+            |row: &&QuarantineRow| row.ended.iter().any(|key| self.answered.contains(key));
+        let counted = |row: &QuarantineRow| {
+            self.counts.get(&row.fingerprint).map_or(&[][..], |count| &count.ended)
+        };
+        rows.iter().filter(names_one).map(|row| row.without(&self.answered, counted(row))).collect()
+    }
+
     /// Drops commands that would quarantine too many requests, or that would evict a row which would
     /// then be proposed again.
     fn drop_over_capacity(&self, wanted: &mut Vec<QuarantineCommand>, recorded: &QuarantineTable) {
@@ -310,6 +338,20 @@
 }
 
 impl CrashCount {
+    /// Takes back the crashes of these upstreams.
+    fn withdraw(&mut self, answered: &[UpstreamKey]) {
+        for upstream in answered {
+            if !self.ended.contains(upstream) {
+                continue;
+            }
+            self.ended.retain(|other| other != upstream);
+            self.ran_ms -= self.ran_ms / self.reports.max(1);
+            self.reports = self.reports.saturating_sub(1);
+            // Whether the watched send was one to this upstream isn't known.
+            (self.confirmed, self.proven_ms) = (false, None);
+        }
+    }
+
     /// Returns the command that should record this count, if any.
     fn command(
         &self,
@@ -338,6 +380,29 @@
 }
 
 impl QuarantineRow {
+    /// Returns the command that removes the upstreams in `answered` from the row. `counted` are the crashes that
+    /// the leader has counted, of which the row may hold a part.
+    fn without(
+        &self,
+        answered: &BTreeSet<UpstreamKey>,
+        counted: &[UpstreamKey],
+    ) -> QuarantineCommand {
+        let mut ended: Vec<UpstreamKey> = Vec::new();
+        for upstream in self.ended.iter().chain(counted) {
+            if !answered.contains(upstream) && !ended.contains(upstream) {
+                ended.push(*upstream);
+            }
+        }
+        let crashes = quarantine_crashes(self.fingerprint);
+        let quarantined = self.quarantined && ended.len() >= crashes;
+        let times = self.times - u32::from(self.quarantined && !quarantined);
+        if !quarantined && times == 0 && ended.len() < WATCH_CRASHES {
+            return QuarantineCommand::Clear(self.fingerprint);
+        }
+        ended.truncate(crashes);
+        QuarantineCommand::Set(QuarantineRow { ended, quarantined, times, ..self.clone() })
+    }
+
     /// Returns the row after the end of its quarantine. It keeps the number of crashes at which one more starts
     /// the next quarantine.
     fn released(&self) -> QuarantineRow {
--- a/lib/src/coordination/quarantine_desk.rs
+++ b/lib/src/coordination/quarantine_desk.rs
@@ -3,17 +3,27 @@
 //!
 //! It does no I/O: it takes events with the current time, and returns what to report or propose.
 
+use std::collections::BTreeMap;
+
 use super::crash_outbox::{CrashOutbox, CrashReport, ObservedCrash};
 use super::crash_table::CrashTable;
-use crate::state::ids::RequestFingerprint;
+use crate::state::ids::{RequestFingerprint, UpstreamKey};
 use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
 
+/// How long after its answer an upstream must still be listed under the same key before its crashes are taken
+/// back, in milliseconds. A process that was started again under the name of the one that crashed answers too,
+/// and has another key once the list shows it.
+pub const ANSWER_SETTLE_MS: u64 = 3000;
+
 /// A VM's copy of the quarantine table, its reports, and its counts as the leader.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineState {
     published: QuarantineTable,
     outbox: CrashOutbox,
     table: CrashTable,
+    /// For each upstream that the published table records as crashed: since when it does, and when the upstream
+    /// first answered a request that was sent later.
+    crashed: BTreeMap<UpstreamKey, (u64, Option<u64>)>,
     /// The time of the last or next renewal that is sent early to report a crash or a completion.
     renewal_ms: u64,
 }
@@ -91,12 +101,40 @@
         self.outbox.confirm(term, number);
     }
 
+    /// Notes that an upstream answered a request that was sent at `sent_ms`.
+    pub fn note_answered(&mut self, upstream: UpstreamKey, sent_ms: u64, now_ms: u64) {
+        if let Some((since_ms, answered_ms)) = self.crashed.get_mut(&upstream) {
+            if sent_ms > *since_ms {
+                answered_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+
+    /// Returns the upstreams that are recorded as crashed although they run. `is_listed` tells which ones the
+    /// list still has under these keys.
+    pub fn wrongly_crashed(
+        &self,
+        is_listed: impl Fn(UpstreamKey) -> bool,
+        now_ms: u64,
+    ) -> Vec<UpstreamKey> {
+        let settled = |answered_ms: &u64| answered_ms + ANSWER_SETTLE_MS <= now_ms;
+        let answered = self
+            .crashed
+            .iter()
+            .filter(|(_, (_, at_ms))| at_ms.is_some_and(|at_ms| settled(&at_ms)));
+        answered.map(|(key, _)| *key).filter(|key| is_listed(*key)).collect()
+    }
+
     /// Takes the table that a leader published. Returns the requests that it newly quarantines.
-    pub fn take(&mut self, table: QuarantineTable) -> Vec<RequestFingerprint> {
+    pub fn take(&mut self, table: QuarantineTable, now_ms: u64) -> Vec<RequestFingerprint> {
         let before = self.published.clone();
         if !self.published.take_later(table) {
             return Vec::new();
         }
+        let recorded = self.published.rows().iter().flat_map(|row| row.ended.iter().copied());
+        let known = std::mem::take(&mut self.crashed);
+        let since = |key| (key, known.get(&key).copied().unwrap_or((now_ms, None)));
+        self.crashed = recorded.map(since).collect();
         let quarantined =
             self.published.rows().iter().filter(|row| row.quarantined).map(|row| row.fingerprint);
         quarantined.filter(|fingerprint| !before.is_quarantined(*fingerprint)).collect()
@@ -113,6 +151,16 @@
         self.table.take(term, report, recorded, now_ms);
     }
 
+    /// Takes back the crashes of upstreams that answered since, as the leader of `term`.
+    pub fn withdraw(&mut self, term: u64, answered: &[UpstreamKey]) {
+        self.table.withdraw(term, answered);
+    }
+
+    /// Drops this VM's reports of crashes of these upstreams, so that no later leader counts them.
+    pub fn drop_reports(&mut self, answered: &[UpstreamKey]) {
+        self.outbox.withdraw(answered);
+    }
+
     /// Returns the commands that the leader of `term` in a fleet of `vms` VMs should propose now.
     pub fn commands_to_propose(
         &mut self,
--- a/lib/src/protocol/vm_wire.rs
+++ b/lib/src/protocol/vm_wire.rs
@@ -240,6 +240,8 @@
     /// Answers [`VmDatagram::RequestUpdate`], at once or when newer state is available.
     #[serde(rename = "PeerNews")]
     PeerUpdate(PeerState),
+    /// Tells that upstreams that are recorded as crashed answered since.
+    Answered(Vec<UpstreamKey>),
 }
 
 impl VmDatagram {
@@ -256,6 +258,7 @@
             VmDatagram::StreamOrigins(_) => "stream_origins",
             VmDatagram::FindOrigin(_) | VmDatagram::OriginReply(_) => "origin_query",
             VmDatagram::RequestUpdate(_) | VmDatagram::PeerUpdate(_) => "peer_news",
+            VmDatagram::Answered(_) => "answered",
         }
     }
 }
--- a/lib/src/transport/vm_contact.rs
+++ b/lib/src/transport/vm_contact.rs
@@ -96,11 +96,17 @@
     /// Renews once, with the leader or with VMs that may return its address.
     pub fn renew(&self) {
         let now_ms = self.now_ms();
+        let answered = self.wrongly_crashed();
         if self.grant_to_itself(now_ms) {
+            self.withdraw_crashes(&answered);
             return;
         }
         let renewal = self.renewal(now_ms);
-        self.send_datagrams(self.request_targets(now_ms), &renewal);
+        let targets = self.request_targets(now_ms);
+        if !answered.is_empty() {
+            self.send_datagrams(targets.iter().copied(), &VmDatagram::Answered(answered));
+        }
+        self.send_datagrams(targets, &renewal);
     }
 
     /// Makes a renewal. Keeps the loads that it reports, to subtract them from the sums in the answer.
@@ -244,6 +250,7 @@
                     self.apply_quarantine(table);
                 }
             }
+            VmDatagram::Answered(upstreams) => self.withdraw_crashes(&upstreams),
             VmDatagram::StreamOrigins(notes) => self.receive_notes(notes),
             VmDatagram::FindOrigin(question) => self.answer_origin_question(from, &question),
             VmDatagram::OriginReply(reply) => self.receive_origin_reply(from, reply),
--- a/lib/src/transport/vm_quarantine.rs
+++ b/lib/src/transport/vm_quarantine.rs
@@ -12,7 +12,7 @@
 use crate::coordination::vm_roster::overloaded_renew_ms;
 use crate::protocol::vm_wire::VmDatagram;
 use crate::state::fleet_record::FleetCommand;
-use crate::state::ids::RequestFingerprint;
+use crate::state::ids::{RequestFingerprint, UpstreamKey};
 use crate::state::quarantine::{QuarantineCommand, QuarantineTable};
 
 impl VmNode {
@@ -32,6 +32,39 @@
         self.renew_after(state.note_completed(fingerprint, pause_ms, now_ms));
     }
 
+    /// Notes that an upstream answered a request, for the case that it is recorded as crashed.
+    pub(super) fn note_answered(&self, upstream: UpstreamKey, sent_ms: u64) {
+        let now_ms = self.now_ms();
+        self.outliers.borrow_mut().note_answered(upstream);
+        self.quarantine.borrow_mut().note_answered(upstream, sent_ms, now_ms);
+    }
+
+    /// The upstreams that are recorded as crashed although they run, to be reported with each renewal until the
+    /// table no longer names them.
+    pub(super) fn wrongly_crashed(&self) -> Vec<UpstreamKey> {
+        let upstreams = self.upstreams.borrow();
+        let is_listed = |key| upstreams.entries.contains_key(&key);
+        let mut state = self.quarantine.borrow_mut();
+        let answered = state.wrongly_crashed(is_listed, self.now_ms());
+        if !answered.is_empty() {
+            state.drop_reports(&answered);
+        }
+        answered
+    }
+
+    /// Takes back the crashes of upstreams that a VM reported to run, if this VM leads.
+    pub(super) fn withdraw_crashes(&self, answered: &[UpstreamKey]) {
+        let now_ms = self.now_ms();
+        let keeper = self.keeper.borrow();
+        let Some(keeper) = keeper.as_ref().filter(|keeper| keeper.is_confirmed_leader(now_ms))
+        else {
+            return;
+        };
+        let mut state = self.quarantine.borrow_mut();
+        state.withdraw(keeper.term(), answered);
+        state.drop_reports(answered);
+    }
+
     /// The shortest interval between renewals that the leader can receive from all VMs, in milliseconds.
     fn renewal_pause_ms(&self) -> u64 {
         overloaded_renew_ms(self.view.borrow().roster.rows.len())
@@ -104,7 +137,7 @@
 
     /// Applies the table of quarantined requests that a leader sent.
     pub(super) fn apply_quarantine(&self, table: QuarantineTable) {
-        for fingerprint in self.quarantine.borrow_mut().take(table) {
+        for fingerprint in self.quarantine.borrow_mut().take(table, self.now_ms()) {
             let part = fingerprint.is_part();
             info!(target: "quarantine", request = %fingerprint, part, "request quarantined");
         }
--- a/lib/src/transport/vm_reply.rs
+++ b/lib/src/transport/vm_reply.rs
@@ -112,7 +112,7 @@
         }
         self.record_notices(target, &facts);
         if !facts.other_incarnation {
-            self.node.outliers.borrow_mut().note_answered(target.upstream);
+            self.node.note_answered(target.upstream, target.sent_ms);
         }
         if facts.not_run {
             return self.handle_refusal(target, &facts, &head, body, lease);
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -9,6 +9,7 @@
     PART_QUARANTINE_CRASHES, QUARANTINE_CRASHES,
 };
 use wingshed_lib::coordination::part_completions::PartCompletions;
+use wingshed_lib::coordination::quarantine_desk::{QuarantineState, ANSWER_SETTLE_MS};
 use wingshed_lib::state::fleet_record::{FleetCommand, FleetRecord};
 use wingshed_lib::state::ids::{RequestFingerprint, UpstreamKey};
 use wingshed_lib::state::prompt_part::{leading_parts, PromptPart};
@@ -438,3 +439,80 @@
     completions.note_completed(7, START_MS + 5);
     assert!(completions.note_crash(7, START_MS + 60_000), "long after");
 }
+
+// Guards against sound requests that stay quarantined for crashes which never happened.
+#[test]
+fn a_request_is_released_once_an_upstream_of_its_crashes_answers() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    leader.crash_and_hold(POISON, START_MS);
+
+    leader.table.withdraw(1, &[UpstreamKey(2)]);
+    leader.evaluate(START_MS + 1000);
+
+    let row = leader.recorded.row(POISON).unwrap();
+    assert_eq!((row.quarantined, row.times), (false, 0));
+    assert_eq!(row.ended, [UpstreamKey(1), UpstreamKey(3)]);
+}
+
+#[test]
+fn a_request_that_ends_upstreams_is_quarantined_again_after_a_withdrawn_crash() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    leader.crash_and_hold(POISON, START_MS);
+    leader.table.withdraw(1, &[UpstreamKey(2)]);
+    leader.evaluate(START_MS + 1000);
+
+    leader.ended(POISON, &[4], START_MS + 2000);
+    leader.evaluate(START_MS + 2000 + settle_ms(VMS));
+
+    assert!(leader.recorded.is_quarantined(POISON));
+}
+
+#[test]
+fn a_request_with_enough_other_crashes_stays_quarantined() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    leader.ended(POISON, &[1, 2], START_MS);
+    leader.ended(POISON, &[3, 4], START_MS);
+    leader.evaluate(START_MS + settle_ms(VMS));
+
+    leader.table.withdraw(1, &[UpstreamKey(1)]);
+    leader.evaluate(START_MS + 1000);
+
+    let row = leader.recorded.row(POISON).unwrap();
+    assert_eq!((row.quarantined, row.times), (true, 1));
+    assert_eq!(row.ended, [2, 3, 4].map(UpstreamKey));
+}
+
+#[test]
+fn a_watched_request_is_forgotten_with_its_last_crash() {
+    let mut leader = Leader::of_term(1, QuarantineTable::default());
+    leader.ended(POISON, &[1, 2], START_MS);
+
+    leader.table.withdraw(1, &[UpstreamKey(1), UpstreamKey(2)]);
+    leader.evaluate(START_MS + 1000);
+    leader.ended(POISON, &[3], START_MS + 2000);
+
+    assert!(leader.recorded.row(POISON).is_none());
+}
+
+#[test]
+fn an_answer_counts_only_if_its_request_was_sent_after_the_crash_was_recorded() {
+    let mut table = QuarantineTable::default();
+    let ended = vec![UpstreamKey(1), UpstreamKey(2)];
+    table.apply(QuarantineCommand::Set(QuarantineRow {
+        fingerprint: POISON,
+        ended,
+        quarantined: false,
+        times: 0,
+    }));
+    let mut state = QuarantineState::default();
+    state.take(table, START_MS);
+
+    state.note_answered(UpstreamKey(1), START_MS - 1, START_MS + 10);
+    state.note_answered(UpstreamKey(2), START_MS + 1, START_MS + 20);
+
+    let at = |now_ms| state.wrongly_crashed(|_| true, now_ms);
+    assert_eq!(at(START_MS + 19 + ANSWER_SETTLE_MS), []);
+    assert_eq!(at(START_MS + 20 + ANSWER_SETTLE_MS), [UpstreamKey(2)]);
+    let unlisted = state.wrongly_crashed(|_| false, START_MS + 20 + ANSWER_SETTLE_MS);
+    assert_eq!(unlisted, [], "it was replaced by another incarnation");
+}
