vm_stream: a body without an end is cut at its deadline, as its upstream's fault

Cause: the relay took each piece that was ready before it looked at the time, so that an upstream which always has more bytes ready was relayed past any deadline: one-byte chunks held a request with 1.2 s for 16 s. An answer that didn't end by its deadline was nobody's fault, only resumable streams bounded an event, and informational heads were read until the deadline.

Change: the time is looked at before each piece. A body that is unfinished at the deadline is a cut of its upstream, except between the events of a stream. An event may have 1 MiB on every stream, and an answer is waited for through 16 informational heads.

--- a/lib/src/coordination/event_splice.rs
+++ b/lib/src/coordination/event_splice.rs
@@ -5,8 +5,6 @@
 
 use super::event_scanner::EventScanner;
 
-/// The longest incomplete event that is buffered, in bytes.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The byte order mark with which streams may begin; it belongs to no line.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
@@ -86,11 +84,6 @@
         !self.unnumbered
     }
 
-    /// Whether the present event is too long to be buffered, so that the run has to be given up.
-    pub fn is_overlong(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
-    }
-
     /// Whether an event is missing, so that the end of the present run doesn't complete the stream.
     pub fn misses_event(&self) -> bool {
         self.misses_event
--- a/lib/src/transport/vm_send.rs
+++ b/lib/src/transport/vm_send.rs
@@ -2,9 +2,13 @@
 //!
 //! Invariant: a failed send either never reached the upstream ([`SendOutcome::NotSent`]) or counts as sent.
 
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use tokio::sync::Notify;
 use tracing::info;
 
 use super::vm_guard::{FlightGuard, HeldSlot};
@@ -20,6 +24,33 @@
 /// to be closed; the others are new.
 const MAX_CONNECTION_TRIES: usize = 3;
 
+/// The maximum number of informational (1xx) heads before an answer. Upstreams send a few at most.
+const MAX_INFORMATIONAL_HEADS: u32 = 16;
+
+/// Notices when an upstream sends too many informational heads in place of an answer.
+struct InformationalLimit {
+    exceeded: Arc<Notify>,
+}
+
+impl InformationalLimit {
+    /// Counts the informational heads that answer this request.
+    fn of(request: &mut Request<Full<Bytes>>) -> InformationalLimit {
+        let exceeded = Arc::new(Notify::new());
+        let (notify, heads) = (exceeded.clone(), AtomicU32::new(0));
+        hyper::ext::on_informational(request, move |_| {
+            if heads.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL_HEADS {
+                notify.notify_one();
+            }
+        });
+        InformationalLimit { exceeded }
+    }
+
+    /// Completes once there were too many.
+    async fn exceeded(&self) {
+        self.exceeded.notified().await;
+    }
+}
+
 impl CallerTask {
     /// Sends once and reads the head of the answer.
     pub(super) async fn send(&self, target: &SendTarget, deadline_ms: u64) -> SendResult {
@@ -54,17 +85,30 @@
                 }
             };
             fresh = true;
-            let request = self.upstream_request(target);
+            let mut request = self.upstream_request(target);
+            let informational = InformationalLimit::of(&mut request);
             let sent = lease.sender().try_send_request(request);
+            let sent = async {
+                tokio::select! {
+                    biased;
+                    answer = sent => Some(answer),
+                    () = informational.exceeded() => None,
+                }
+            };
             let at = (target.upstream, target.address);
             match self.node.wait_for(at, sent, deadline_ms, may_repeat).await {
-                WaitResult::Done(Ok(answer)) => {
+                WaitResult::Done(None) => {
+                    target.trial.end_failure();
+                    self.note_failure(target.upstream, "informational heads without an answer");
+                    return SendResult::NoAnswer(SendOutcome::Broken);
+                }
+                WaitResult::Done(Some(Ok(answer))) => {
                     if !lease.is_reused() {
                         self.node.note_reached();
                     }
                     return self.check_answer(target, answer, lease, guard, deadline_ms).await;
                 }
-                WaitResult::Done(Err(mut error)) => {
+                WaitResult::Done(Some(Err(mut error))) => {
                     if error.take_message().is_some() {
                         continue;
                     }
--- a/lib/src/transport/vm_stream.rs
+++ b/lib/src/transport/vm_stream.rs
@@ -21,6 +21,10 @@
 use crate::state::stream_origin::StreamOrigin;
 use crate::state::vm_figures::RequestEnd;
 
+/// How long after its deadline a body is relayed at most, in milliseconds, so that bytes which have arrived by then
+/// can complete it.
+const MAX_OVERRUN_MS: u64 = 200;
+
 /// How the relay of one upstream's body ended.
 enum RelayEnd {
     /// The body is complete.
@@ -205,6 +209,14 @@
         }
     }
 
+    /// Counts a body that didn't end before the deadline as a fault of its upstream, unless it is a stream that
+    /// brought events.
+    fn note_unfinished(&self, target: &SendTarget, tracker: &BodyTracker) {
+        if !tracker.is_between_events() {
+            self.note_cut(target.upstream, "answer without an end");
+        }
+    }
+
     /// Relays the body of one upstream's answer until it ends, breaks off or is abandoned.
     async fn relay_body(
         &self,
@@ -220,13 +232,21 @@
         let may_leave = splice.is_some();
         let mut first = true;
         loop {
+            // A body that always has more bytes ready would never let the wait below time out.
+            if self.node.now_ms() > deadline_ms + MAX_OVERRUN_MS {
+                self.note_unfinished(target, &tracker);
+                return RelayEnd::TimedOut;
+            }
             let frame = tokio::select! {
                 biased;
                 () = pieces.closed() => return RelayEnd::CallerLeft,
                 frame = self.node.wait_for(at, body.frame(), deadline_ms, may_leave) => frame,
             };
             let data = match frame {
-                WaitResult::TimedOut => return RelayEnd::TimedOut,
+                WaitResult::TimedOut => {
+                    self.note_unfinished(target, &tracker);
+                    return RelayEnd::TimedOut;
+                }
                 WaitResult::Unresponsive => return RelayEnd::Broken,
                 WaitResult::Done(Some(Err(error))) => {
                     self.log_broken_body(target, &tracker, &error);
@@ -253,7 +273,11 @@
             if !data.is_empty() && !pieces.send(data).await {
                 return RelayEnd::CallerLeft;
             }
-            if splice.as_ref().is_some_and(|splice| splice.is_overlong()) {
+            if tracker.is_overlong() {
+                info!(
+                    target: "upstream", life = target.send.name, attempt = self.caller.attempt,
+                    "event without an end",
+                );
                 return RelayEnd::Broken;
             }
         }
