--- a/lib/src/coordination/raft.rs
+++ b/lib/src/coordination/raft.rs
@@ -33,7 +33,7 @@
     /// The send time of entries or a snapshot piece that the member has not answered yet.
     pub(super) waiting_since: Option<u64>,
     /// The snapshot that is being sent.
-    pub(super) transfer: Option<SnapshotTransfer>,
+    pub(super) snapshot: Option<SnapshotTransfer>,
 }
 
 /// How far a leader has sent a snapshot to one member. The offset means nothing in another snapshot.
--- a/lib/src/coordination/raft_leader.rs
+++ b/lib/src/coordination/raft_leader.rs
@@ -81,7 +81,7 @@
             self.send_snapshot_piece(to, now_ms, output);
             return;
         }
-        progress.transfer = None;
+        progress.snapshot = None;
         // While entries are unanswered, heartbeats carry none, so that a slow follower is not
         // flooded. After an election timeout they are sent again.
         let waited = progress.waiting_since.is_some_and(|since| now_ms < since + ELECTION_MS);
@@ -119,7 +119,7 @@
     ) {
         let (index, total) = (self.snapshot.index, self.snapshot.image.len());
         let progress = self.progress.entry(to).or_default();
-        let known = progress.transfer.take().filter(|transfer| transfer.index == index);
+        let known = progress.snapshot.take().filter(|transfer| transfer.index == index);
         let waits_since = progress.waiting_since.filter(|_| known.is_some());
         let mut transfer = known.unwrap_or(SnapshotTransfer {
             index,
@@ -136,7 +136,7 @@
             }
             progress.waiting_since = Some(now_ms);
         }
-        progress.transfer = Some(transfer);
+        progress.snapshot = Some(transfer);
         let body = RaftBody::Piece {
             index,
             last_term: self.snapshot.term,
@@ -166,7 +166,7 @@
         progress.acked_sent_ms = progress.acked_sent_ms.max(sent_ms);
         let advanced = if matched {
             progress.note_matched(index.min(last), snapshot_index)
-        } else if progress.transfer.is_some() {
+        } else if progress.snapshot.is_some() {
             progress.note_received(snapshot_offset, snapshot_index, sent_ms)
         } else {
             progress.note_mismatch(index)
@@ -270,14 +270,14 @@
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched + 1);
         if self.matched >= snapshot_index {
-            self.transfer = None;
+            self.snapshot = None;
         }
         self.matched > before
     }
 
     /// Notes how many bytes of a snapshot the member has received. Returns whether that is progress.
     fn note_received(&mut self, received: u64, snapshot_index: u64, sent_ms: u64) -> bool {
-        let Some(transfer) = &mut self.transfer else { return false };
+        let Some(transfer) = &mut self.snapshot else { return false };
         if transfer.index != snapshot_index || sent_ms < transfer.began_ms {
             return false;
         }
